Lay out the build, the shared types and the peer links

Cause: an empty repository. Ruled out: one DEALER socket for each peer, because polling costs time for each socket; a reused routing id for a reconnected peer, because libzmq asserts while the closed connection still holds the id.

--- /dev/null
+++ b/cmake/Library.cmake
@@ -0,0 +1,31 @@
+# rosemarylane_library(NAME DEPENDS...)
+#
+# Declares the static library rosemarylane_NAME from src/*.cpp with public headers in include/NAME/, and, when
+# tests/ holds sources, its one test program NAME_tests. DEPENDS are link targets.
+function(rosemarylane_library NAME)
+  file(GLOB SOURCES CONFIGURE_DEPENDS src/*.cpp src/*.cc)
+  if(NOT SOURCES)
+    add_library(rosemarylane_${NAME} INTERFACE)
+    target_include_directories(rosemarylane_${NAME} INTERFACE include)
+    target_link_libraries(rosemarylane_${NAME} INTERFACE ${ARGN})
+    return()
+  endif()
+  add_library(rosemarylane_${NAME} STATIC ${SOURCES})
+  target_include_directories(rosemarylane_${NAME} PUBLIC include PRIVATE src)
+  target_link_libraries(rosemarylane_${NAME} PUBLIC ${ARGN})
+  rosemarylane_tests(${NAME} rosemarylane_${NAME})
+endfunction()
+
+# rosemarylane_tests(NAME DEPENDS...) declares the test program NAME_tests from tests/*.cpp, if there are any.
+function(rosemarylane_tests NAME)
+  file(GLOB TEST_SOURCES CONFIGURE_DEPENDS tests/*.cpp)
+  if(NOT TEST_SOURCES)
+    return()
+  endif()
+  add_executable(${NAME}_tests ${PROJECT_SOURCE_DIR}/cmake/TestMain.cpp ${TEST_SOURCES})
+  target_compile_definitions(${NAME}_tests PRIVATE BOOST_TEST_DYN_LINK)
+  target_include_directories(${NAME}_tests PRIVATE src)
+  target_link_libraries(${NAME}_tests PRIVATE ${ARGN} Boost::unit_test_framework rapidcheck)
+  add_test(NAME ${NAME} COMMAND ${NAME}_tests)
+  set_tests_properties(${NAME} PROPERTIES TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/libs/http/include/http/Server.h
@@ -0,0 +1,69 @@
+#ifndef ROSEMARYLANE_HTTP_SERVER_H
+#define ROSEMARYLANE_HTTP_SERVER_H
+
+#include "core/Result.h"
+#include "http/Error.h"
+#include "http/Exchange.h"
+#include "runtime/Duty.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace rosemarylane::http {
+
+/// Limits of a server.
+struct ServerSettings {
+  /// `IP:port`; port 0 takes a free one.
+  std::string Address;
+  std::size_t MaxBodyBytes = 4 << 20;
+  std::size_t MaxHeaderBytes = 16 << 10;
+  /// Connections over this number are closed at once.
+  std::size_t MaxConnections = 4096;
+  /// A connection that sends no whole request for this long is closed.
+  std::chrono::milliseconds ReadTimeout{30000};
+  /// A caller that takes no byte of its answer for this long is cut off.
+  std::chrono::milliseconds WriteTimeout{30000};
+  /// An exchange whose unsent backlog passes this is cut off.
+  std::size_t MaxBacklogBytes = 8 << 20;
+};
+
+/// An HTTP/1.1 server on one duty.
+///
+/// Broken, oversized or slow requests are answered 400, 413, 431 or 408 as
+/// `application/problem+json` with
+/// `"ran": "no"`, and never reach the handler. The handler runs on the duty's
+/// thread and must not block. The duty outlives the server; the server is
+/// destroyed off its duty.
+class Server {
+public:
+  using Handler = std::function<void(std::shared_ptr<Exchange>)>;
+
+  /// Binds and listens.
+  static core::Result<std::unique_ptr<Server>, Error>
+  listen(runtime::Duty &On, ServerSettings Settings, Handler OnRequest);
+
+  /// Closes every connection.
+  ~Server();
+
+  /// @return the bound port.
+  std::uint16_t port() const;
+
+  /// Accepts no more connections, answers requests in progress with
+  /// `Connection: close`, closes idle connections.
+  void drain();
+
+  /// @return exchanges not yet ended.
+  std::size_t inProgress() const;
+
+private:
+  struct State;
+  explicit Server(std::shared_ptr<State> S);
+  std::shared_ptr<State> S;
+};
+
+} // namespace rosemarylane::http
+
+#endif // ROSEMARYLANE_HTTP_SERVER_H
--- /dev/null
+++ b/libs/platform/include/platform/EtcdKeyValue.h
@@ -0,0 +1,33 @@
+#ifndef ROSEMARYLANE_PLATFORM_ETCD_KEY_VALUE_H
+#define ROSEMARYLANE_PLATFORM_ETCD_KEY_VALUE_H
+
+#include "platform/KeyValue.h"
+#include "runtime/Duty.h"
+
+#include <chrono>
+#include <string>
+
+namespace rosemarylane::platform {
+
+/// Settings of the client of a key-value service that speaks etcd v3's JSON
+/// gateway.
+struct EtcdSettings {
+  /// `IP:port` of the service.
+  std::string Address;
+  std::chrono::milliseconds CallDeadline{1000};
+  /// A watch that brings neither a change nor a progress notice for this long
+  /// is replaced.
+  std::chrono::milliseconds WatchIdle{1500};
+};
+
+/// Creates the client; its hooks run on \p On, which outlives it.
+///
+/// Uses `POST /v3/kv/range`, `/v3/kv/txn` and `/v3/watch` with base64 keys and
+/// values. Watches ask for progress notices, so that a silent connection is
+/// found.
+std::unique_ptr<KeyValue> createEtcdKeyValue(runtime::Duty &On,
+                                             EtcdSettings Settings);
+
+} // namespace rosemarylane::platform
+
+#endif // ROSEMARYLANE_PLATFORM_ETCD_KEY_VALUE_H
--- /dev/null
+++ b/libs/platform/include/platform/HostList.h
@@ -0,0 +1,50 @@
+#ifndef ROSEMARYLANE_PLATFORM_HOST_LIST_H
+#define ROSEMARYLANE_PLATFORM_HOST_LIST_H
+
+#include "core/Ids.h"
+#include "core/Result.h"
+#include "platform/KeyValue.h"
+#include "runtime/Duty.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace rosemarylane::platform {
+
+/// What a host runs.
+enum class HostRole { Entry, Agent };
+
+/// One line of the platform's list, which lags behind the truth.
+struct ListedHost {
+  core::HostId Host;
+  HostRole Role = HostRole::Entry;
+  core::RegionId Region;
+  core::FailureDomainId FailureDomain;
+  /// `IP:port` at which its process answers peers.
+  std::string PeerAddress;
+  /// The platform is about to take the host away.
+  bool Leaving = false;
+};
+
+/// The platform's list of live and leaving hosts: `GET /v1/hosts` with
+/// `{"hosts": [{"host", "role", "region", "failure_domain", "address",
+/// "state"}]}`.
+class HostList {
+public:
+  using Hook =
+      std::function<void(core::Result<std::vector<ListedHost>, StoreError>)>;
+
+  /// Its hooks run on \p On, which outlives it.
+  static std::unique_ptr<HostList> create(runtime::Duty &On,
+                                          std::string Address);
+  virtual ~HostList() = default;
+
+  /// Reads the list once. From any thread.
+  virtual void read(Hook OnDone) = 0;
+};
+
+} // namespace rosemarylane::platform
+
+#endif // ROSEMARYLANE_PLATFORM_HOST_LIST_H
--- /dev/null
+++ b/libs/platform/include/platform/KeyValue.h
@@ -0,0 +1,78 @@
+#ifndef ROSEMARYLANE_PLATFORM_KEY_VALUE_H
+#define ROSEMARYLANE_PLATFORM_KEY_VALUE_H
+
+#include "core/Result.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace rosemarylane::platform {
+
+/// Why a call on the platform's service failed.
+struct StoreError {
+  enum class Kind {
+    /// The call did not take effect.
+    Unavailable,
+    /// The answer was lost: a write may have taken effect.
+    Unknown,
+    /// The service refused the call.
+    Rejected,
+  };
+  Kind What;
+  std::string Detail;
+};
+
+/// A value with the revision of its last change; revision 0 means that the key
+/// does not exist.
+struct StoredValue {
+  std::string Value;
+  std::int64_t Revision = 0;
+};
+
+/// What a compare-and-swap found.
+struct SwapOutcome {
+  bool Swapped = false;
+  /// The value after the call: the new one if swapped, else the one that stood
+  /// in the way.
+  StoredValue Current;
+};
+
+/// The platform's small key-value service, with compare-and-swap and watches.
+///
+/// Every call ends with its hook called once on the implementation's duty,
+/// within the call's deadline. From any thread.
+class KeyValue {
+public:
+  template <typename T>
+  using Hook = std::function<void(core::Result<T, StoreError>)>;
+
+  /// Dropping it ends the watch.
+  class Watch {
+  public:
+    virtual ~Watch() = default;
+  };
+
+  virtual ~KeyValue() = default;
+
+  virtual void read(const std::string &Key, Hook<StoredValue> OnDone) = 0;
+
+  /// Writes \p Value if the key's revision is still \p Expected (0: if the key
+  /// does not exist).
+  virtual void compareAndSwap(const std::string &Key, std::int64_t Expected,
+                              std::string Value, Hook<SwapOutcome> OnDone) = 0;
+
+  /// Calls \p OnChange with each later value of \p Key from \p FromRevision on.
+  /// @param OnLost called once when the watch has ended for any reason; the
+  /// caller starts another.
+  virtual std::unique_ptr<Watch>
+  watch(const std::string &Key, std::int64_t FromRevision,
+        std::function<void(StoredValue)> OnChange,
+        std::function<void(StoreError)> OnLost) = 0;
+};
+
+} // namespace rosemarylane::platform
+
+#endif // ROSEMARYLANE_PLATFORM_KEY_VALUE_H
--- /dev/null
+++ b/libs/platform/include/platform/Origin.h
@@ -0,0 +1,33 @@
+#ifndef ROSEMARYLANE_PLATFORM_ORIGIN_H
+#define ROSEMARYLANE_PLATFORM_ORIGIN_H
+
+#include "core/Digest.h"
+#include "core/Result.h"
+#include "platform/KeyValue.h"
+#include "runtime/Duty.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace rosemarylane::platform {
+
+/// The origin of weights: `GET /v1/manifests/{digest}` and `GET
+/// /v1/chunks/{digest}`, bodies as bytes.
+///
+/// What comes back is not to be trusted before its digest is checked.
+class Origin {
+public:
+  using Hook = std::function<void(core::Result<std::string, StoreError>)>;
+
+  /// Its hooks run on \p On, which outlives it.
+  static std::unique_ptr<Origin> create(runtime::Duty &On, std::string Address);
+  virtual ~Origin() = default;
+
+  virtual void fetchManifest(const core::Digest &Version, Hook OnDone) = 0;
+  virtual void fetchChunk(const core::Digest &Chunk, Hook OnDone) = 0;
+};
+
+} // namespace rosemarylane::platform
+
+#endif // ROSEMARYLANE_PLATFORM_ORIGIN_H
