--- /dev/null
+++ b/rosemarylane/src/common/ProcessContext.h
@@ -0,0 +1,48 @@
+#ifndef ROSEMARYLANE_COMMON_PROCESS_CONTEXT_H
+#define ROSEMARYLANE_COMMON_PROCESS_CONTEXT_H
+
+#include "common/Settings.h"
+#include "http/Client.h"
+#include "platform/HostList.h"
+#include "platform/KeyValue.h"
+#include "platform/Origin.h"
+#include "runtime/Duty.h"
+#include "runtime/TimerService.h"
+#include "telemetry/Tracer.h"
+#include "wire/PeerNode.h"
+
+#include <cstdint>
+#include <memory>
+#include <prometheus/registry.h>
+
+namespace rosemarylane {
+
+/// What the parts of one process share. Made by the process, outlives its
+/// parts.
+///
+/// All decisions and their state live on `Control`; the other duties do input
+/// and output and hand their results to it. A part's methods and hooks run on
+/// `Control` unless its header says otherwise.
+struct ProcessContext {
+  Settings Config;
+  /// Wall-clock milliseconds at the start: tells a restarted process from its
+  /// predecessor.
+  std::uint64_t Incarnation = 0;
+
+  std::unique_ptr<runtime::TimerService> Timers;
+  std::unique_ptr<runtime::Duty> Control;
+  std::unique_ptr<runtime::Duty> HttpServing;
+  std::unique_ptr<runtime::Duty> HttpCalling;
+  std::unique_ptr<telemetry::Tracer> Tracer;
+  std::shared_ptr<prometheus::Registry> Metrics;
+
+  std::unique_ptr<http::Client> Http;
+  std::unique_ptr<platform::KeyValue> Store;
+  std::unique_ptr<platform::HostList> Hosts;
+  std::unique_ptr<platform::Origin> Origin;
+  std::unique_ptr<wire::PeerNode> Peers;
+};
+
+} // namespace rosemarylane
+
+#endif // ROSEMARYLANE_COMMON_PROCESS_CONTEXT_H
