Check configuration documents against a schema

Every error is reported at once with its JSON path, what was found and what is expected. The schema part is valijson's; its messages are turned into paths, and the 'expected' texts come from the schema's descriptions. Tests: core_tests configuration_codec.

--- /dev/null
+++ b/libs/core/src/DocumentSchema.cpp
@@ -0,0 +1,189 @@
+#include "core/DocumentSchema.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <valijson/adapters/boost_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+namespace rosemarylane::core {
+
+namespace json = boost::json;
+
+struct DocumentSchema::State {
+  json::value Source;
+  valijson::Schema Compiled;
+};
+
+namespace {
+
+/// Values longer than this are cut in error messages.
+constexpr std::size_t MaxFoundLength = 80;
+
+constexpr std::string_view RootContext = "<root>";
+/// Starts of the messages with which the validator wraps an error of a nested
+/// value; that value's own error says more.
+constexpr std::string_view WrapperMessages[] = {
+    "Failed to validate against schema associated with property name",
+    "Failed to validate item #",
+};
+constexpr std::string_view MissingMessage = "Missing required property '";
+constexpr std::string_view UnknownMessage = "Object contains a property";
+
+bool isWrapper(std::string_view Message) {
+  for (std::string_view Start : WrapperMessages)
+    if (Message.starts_with(Start))
+      return true;
+  return false;
+}
+
+/// @return the last name in single quotes.
+std::string_view quotedName(std::string_view Message) {
+  std::size_t End = Message.rfind('\'');
+  std::size_t Start = Message.rfind('\'', End - 1);
+  if (End == std::string_view::npos || Start == std::string_view::npos)
+    return {};
+  return Message.substr(Start + 1, End - Start - 1);
+}
+
+/// Follows a validator's context through a document and its schema at once.
+class Cursor {
+public:
+  Cursor(const json::value &Document, const json::value &Schema)
+      : Value(&Document), Schema(&Schema) {}
+
+  void enter(std::string_view Step) {
+    if (Step.size() > 1 && Step.front() == '[')
+      Step = Step.substr(1, Step.size() - 2);
+    if (Value && Value->is_array())
+      enterItem(Step);
+    else
+      enterProperty(Step);
+  }
+
+  std::string path() const { return Path; }
+  const json::value *value() const { return Value; }
+
+  std::string expected() const {
+    const json::value *Text = member(Schema, "description");
+    return Text && Text->is_string() ? std::string(Text->as_string())
+                                     : "a valid value";
+  }
+
+  /// @return an error for each key of the object here that the schema lacks.
+  DocumentErrors unknownKeys() const {
+    const json::object &Known = member(Schema, "properties")->as_object();
+    std::string Names;
+    for (const auto &Property : Known)
+      Names += (Names.empty() ? "" : ", ") + std::string(Property.key());
+    DocumentErrors Errors;
+    for (const auto &Property : Value->as_object())
+      if (!Known.contains(Property.key()))
+        Errors.push_back({Path + "." + std::string(Property.key()),
+                          shortJson(Property.value()),
+                          "no such key; known keys: " + Names});
+    return Errors;
+  }
+
+private:
+  static const json::value *member(const json::value *Object,
+                                   std::string_view Name) {
+    if (!Object || !Object->is_object())
+      return nullptr;
+    return Object->as_object().if_contains(Name);
+  }
+
+  void enterItem(std::string_view Index) {
+    Path += "[" + std::string(Index) + "]";
+    Value = Value->as_array().if_contains(std::stoul(std::string(Index)));
+    Schema = member(Schema, "items");
+  }
+
+  void enterProperty(std::string_view Name) {
+    Path += "." + std::string(Name);
+    Value = member(Value, Name);
+    Schema = member(member(Schema, "properties"), Name);
+  }
+
+  std::string Path = "$";
+  const json::value *Value;
+  const json::value *Schema;
+};
+
+} // namespace
+
+DocumentSchema::DocumentSchema(std::unique_ptr<State> S) : S(std::move(S)) {}
+DocumentSchema::~DocumentSchema() = default;
+
+std::unique_ptr<DocumentSchema> DocumentSchema::create(std::string_view Json) {
+  auto S = std::make_unique<State>();
+  S->Source = json::parse(json::string_view(Json.data(), Json.size()));
+  valijson::adapters::BoostJsonAdapter Adapter(S->Source);
+  valijson::SchemaParser Parser;
+  Parser.populateSchema(Adapter, S->Compiled);
+  return std::unique_ptr<DocumentSchema>(new DocumentSchema(std::move(S)));
+}
+
+DocumentErrors DocumentSchema::check(const json::value &Document) const {
+  valijson::Validator Validator(valijson::Validator::kStrongTypes);
+  valijson::ValidationResults Results;
+  valijson::adapters::BoostJsonAdapter Adapter(Document);
+  Validator.validate(S->Compiled, Adapter, &Results);
+
+  DocumentErrors Errors;
+  for (const auto &Violation : Results) {
+    std::string_view Message = Violation.description;
+    if (isWrapper(Message))
+      continue;
+    Cursor At(Document, S->Source);
+    for (const std::string &Step : Violation.context)
+      if (Step != RootContext)
+        At.enter(Step);
+    if (Message.starts_with(UnknownMessage)) {
+      for (DocumentError &Error : At.unknownKeys())
+        Errors.push_back(std::move(Error));
+      continue;
+    }
+    if (Message.starts_with(MissingMessage))
+      At.enter(quotedName(Message));
+    DocumentError Error{At.path(),
+                        At.value() ? shortJson(*At.value()) : "nothing",
+                        At.expected()};
+    if (std::find(Errors.begin(), Errors.end(), Error) == Errors.end())
+      Errors.push_back(std::move(Error));
+  }
+  return Errors;
+}
+
+Result<json::value, DocumentErrors> parseDocument(std::string_view Json) {
+  json::error_code Failed;
+  json::stream_parser Parser;
+  std::size_t Read = Parser.write_some(Json.data(), Json.size(), Failed);
+  if (!Failed && Read < Json.size())
+    Parser.write(Json.data() + Read, Json.size() - Read, Failed);
+  if (!Failed)
+    Parser.finish(Failed);
+  if (!Failed)
+    return Parser.release();
+  std::string Near(Json.substr(Read, 20));
+  return failure(DocumentErrors{
+      {"$", "byte " + std::to_string(Read) + ": " + Near, "a JSON document"}});
+}
+
+std::string shortJson(const json::value &Value) {
+  std::string Text = json::serialize(Value);
+  if (Text.size() > MaxFoundLength)
+    Text = Text.substr(0, MaxFoundLength) + "...";
+  return Text;
+}
+
+std::string formatErrors(const DocumentErrors &Errors) {
+  std::string Text;
+  for (const DocumentError &E : Errors)
+    Text += E.Path + ": found " + E.Found + ", expected " + E.Expected + "\n";
+  return Text;
+}
+
+} // namespace rosemarylane::core
