--- /dev/null
+++ b/rosemarylane/src/common/SettingsSchema.h
@@ -0,0 +1,58 @@
+#ifndef ROSEMARYLANE_COMMON_SETTINGS_SCHEMA_H
+#define ROSEMARYLANE_COMMON_SETTINGS_SCHEMA_H
+
+#include <string_view>
+
+namespace rosemarylane {
+
+/// The JSON schema of a settings document.
+inline constexpr std::string_view SettingsSchema = R"json({
+  "type": "object", "description": "an object: the settings",
+  "additionalProperties": false,
+  "required": ["host", "region", "failure_domain", "listen", "platform"],
+  "properties": {
+    "host": {"type": "string", "minLength": 1, "description": "the host's name"},
+    "region": {"type": "string", "minLength": 1, "description": "the region's name"},
+    "failure_domain": {"type": "string", "minLength": 1,
+      "description": "the failure domain's name"},
+    "listen": {"type": "object", "description": "the addresses to listen on",
+      "additionalProperties": false, "required": ["http", "peers"],
+      "properties": {
+        "http": {"type": "string", "description": "\"IP:port\" for callers, operators and metrics"},
+        "peers": {"type": "string", "description": "\"IP:port\" for other processes of the system"}
+      }},
+    "platform": {"type": "object", "description": "the addresses of the platform's services",
+      "additionalProperties": false, "required": ["key_value", "host_list", "origin"],
+      "properties": {
+        "key_value": {"type": "string", "description": "\"IP:port\" of the key-value service"},
+        "host_list": {"type": "string", "description": "\"IP:port\" of the host list"},
+        "origin": {"type": "string", "description": "\"IP:port\" of the origin of weights"}
+      }},
+    "target": {"type": "object", "description": "what stands behind the agent",
+      "additionalProperties": false, "required": ["address"],
+      "properties": {
+        "address": {"type": "string", "description": "\"IP:port\" of the engine or service"},
+        "kind": {"type": "string", "enum": ["engine", "service"],
+          "description": "\"engine\" or \"service\""},
+        "serves": {"type": "string", "minLength": 1,
+          "description": "the catalogue entry that the plain service serves"}
+      }},
+    "bandwidth": {"type": "object", "description": "what weights may use of the links",
+      "additionalProperties": false,
+      "properties": {
+        "uplink_bytes_per_second": {"type": "integer", "minimum": 0,
+          "description": "bytes per second: a whole number from 0 (no limit)"},
+        "downlink_bytes_per_second": {"type": "integer", "minimum": 0,
+          "description": "bytes per second: a whole number from 0 (no limit)"},
+        "region_link_bytes_per_second": {"type": "integer", "minimum": 0,
+          "description": "bytes per second: a whole number from 0 (no limit)"}
+      }},
+    "trace_file": {"type": "string", "description": "a path, or \"\" for no spans"},
+    "log_level": {"type": "string", "enum": ["debug", "info", "warning", "error"],
+      "description": "\"debug\", \"info\", \"warning\" or \"error\""}
+  }
+})json";
+
+} // namespace rosemarylane
+
+#endif // ROSEMARYLANE_COMMON_SETTINGS_SCHEMA_H
