Name the agent's incarnation in attempts, claims and choices

Cause: an agent that restarted cannot tell whether its predecessor ran an attempt, so 'never seen' would wrongly read as 'not run'. Change: requests and queries carry the incarnation that they were meant for.

--- a/rosemarylane/src/entry/LedgerService.h
+++ b/rosemarylane/src/entry/LedgerService.h
@@ -5,6 +5,7 @@
 #include "common/ProcessContext.h"
 #include "core/Digest.h"
 #include "core/Ids.h"
+#include "core/Time.h"
 #include "http/Message.h"
 #include "wire/wire.pb.h"
 
@@ -31,6 +32,10 @@
   std::string RequestId;
   core::HostId Agent;
   std::string AgentAddress;
+  /// The start of the agent that the attempt is meant for.
+  std::uint64_t AgentIncarnation = 0;
+  /// When the attempt was claimed; filled in by the ledger.
+  core::WallTime ClaimedAt;
 };
 
 /// What the ledger says of a key.
--- a/rosemarylane/src/entry/MembershipService.h
+++ b/rosemarylane/src/entry/MembershipService.h
@@ -54,6 +54,7 @@
   struct Choice {
     core::HostId Agent;
     std::string AgentAddress;
+    std::uint64_t AgentIncarnation = 0;
     core::FailureDomainId FailureDomain;
     core::Digest Version;
   };
