Start each attempt at an agent at most once, however late it arrives

Cause: the property test let a forbidden attempt start once its ban had been forgotten: an entry paused after its claim can send it then. Ruled out: an age measured by the entry, because a pause between measuring and sending is not in it; wall clocks, because hosts' clocks differ. Change: each message carries its sender's monotonic time; an attempt echoes the agent's latest one, so the agent bounds the attempt's age by its own clock and starts none that may be older than its memory.

--- /dev/null
+++ b/libs/ledger/tests/AttemptTableTest.cpp
@@ -0,0 +1,97 @@
+#include "ledger/AttemptTable.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <rapidcheck.h>
+
+using namespace rosemarylane;
+using namespace rosemarylane::ledger;
+using namespace std::chrono_literals;
+
+namespace {
+
+AttemptTable::Limits smallLimits() {
+  AttemptTable::Limits Bounds;
+  Bounds.Retention = 1min;
+  Bounds.MaxRecords = 4;
+  Bounds.MaxAnswerBytes = 64;
+  return Bounds;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(attempt_table)
+
+BOOST_AUTO_TEST_CASE(forbidden_attempt_never_starts) {
+  AttemptTable Table;
+  core::TimePoint Now{1h};
+  BOOST_TEST((Table.query("a", Now - 1s, true, Now).What == Ran::No));
+  BOOST_TEST(!Table.start("a", Now - 1s, Now + 1s));
+}
+
+/// An entry was paused after its claim and sends when the ban is long
+/// forgotten.
+BOOST_AUTO_TEST_CASE(attempt_delivered_late_never_starts) {
+  AttemptTable Table(smallLimits());
+  core::TimePoint Sent{1h};
+  BOOST_TEST((Table.query("a", Sent, true, Sent + 1s).What == Ran::No));
+  for (int I = 0; I < 100; ++I)
+    Table.query(std::to_string(I), Sent + 2s, true, Sent + 2s);
+  BOOST_TEST(!Table.start("a", Sent, Sent + 3s));
+  BOOST_TEST(!Table.start("a", Sent, Sent + 24h));
+}
+
+BOOST_AUTO_TEST_CASE(held_answer_is_given_again) {
+  AttemptTable Table;
+  core::TimePoint Now{1h};
+  BOOST_TEST(Table.start("a", Now, Now));
+  BOOST_TEST(Table.query("a", Now, true, Now).InProgress);
+  auto Answer = std::make_shared<HeldAnswer>();
+  Answer->Body = "done";
+  Table.finish("a", Ran::Yes, Answer, Now);
+  BOOST_TEST(Table.query("a", Now, true, Now).Answer->Body == "done");
+  BOOST_TEST(!Table.start("a", Now, Now));
+}
+
+/// Compares with a table that forgets nothing: the bounded one may say less,
+/// never something else.
+BOOST_AUTO_TEST_CASE(says_only_what_an_unbounded_table_says) {
+  BOOST_TEST(rc::check([] {
+    struct Known {
+      core::TimePoint SentAt;
+      bool Ran = false;
+      bool Forbidden = false;
+    };
+    AttemptTable Table(smallLimits());
+    std::map<std::string, Known> Truth;
+    core::TimePoint Now{1h};
+    int Steps = *rc::gen::inRange(1, 120);
+    for (int I = 0; I < Steps; ++I) {
+      Now += std::chrono::seconds(*rc::gen::inRange(0, 20));
+      std::string Id(1, static_cast<char>('a' + *rc::gen::inRange(0, 12)));
+      auto [Found, New] = Truth.try_emplace(Id);
+      Known &K = Found->second;
+      if (New)
+        K.SentAt = Now - std::chrono::seconds(*rc::gen::inRange(0, 90));
+      if (*rc::gen::arbitrary<bool>()) {
+        if (!Table.start(Id, K.SentAt, Now))
+          continue;
+        RC_ASSERT(!K.Ran && !K.Forbidden);
+        K.Ran = true;
+        Table.finish(Id, Ran::Yes, nullptr, Now);
+      } else {
+        bool Forbid = *rc::gen::arbitrary<bool>();
+        auto Outcome = Table.query(Id, K.SentAt, Forbid, Now);
+        if (Outcome.What == Ran::No) {
+          RC_ASSERT(!K.Ran);
+          K.Forbidden = K.Forbidden || Forbid;
+        }
+        if (Outcome.What == Ran::Yes)
+          RC_ASSERT(K.Ran);
+      }
+    }
+    RC_ASSERT(Table.answerBytes() <= smallLimits().MaxAnswerBytes);
+  }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/rosemarylane/src/common/Messages.cpp
+++ b/rosemarylane/src/common/Messages.cpp
@@ -11,6 +11,9 @@
   Sender.set_failure_domain(Config.FailureDomain.str());
   Sender.set_peer_address(Config.PeerAddress);
   Sender.set_incarnation(Context.Incarnation);
+  auto Uptime = std::chrono::steady_clock::now() - Context.StartedAt;
+  Sender.set_time_ms(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Uptime).count());
   if (Configuration)
     Message.set_revision(Configuration->current()->Revision);
   return Context.Peers->send(To, Message);
--- a/rosemarylane/src/common/ProcessContext.h
+++ b/rosemarylane/src/common/ProcessContext.h
@@ -2,6 +2,7 @@
 #define ROSEMARYLANE_COMMON_PROCESS_CONTEXT_H
 
 #include "common/Settings.h"
+#include "core/Time.h"
 #include "http/Client.h"
 #include "platform/HostList.h"
 #include "platform/KeyValue.h"
@@ -28,6 +29,8 @@
   /// Wall-clock milliseconds at the start: tells a restarted process from its
   /// predecessor.
   std::uint64_t Incarnation = 0;
+  /// The monotonic clock at the start.
+  core::TimePoint StartedAt;
 
   std::unique_ptr<runtime::TimerService> Timers;
   std::unique_ptr<runtime::Duty> Control;
--- a/rosemarylane/src/entry/LedgerService.h
+++ b/rosemarylane/src/entry/LedgerService.h
@@ -34,6 +34,9 @@
   std::string AgentAddress;
   /// The start of the agent that the attempt is meant for.
   std::uint64_t AgentIncarnation = 0;
+  /// The latest time of the agent's own clock that the entry knew when it made
+  /// the attempt.
+  std::chrono::milliseconds AgentTime{0};
   /// When the attempt was claimed; filled in by the ledger.
   core::WallTime ClaimedAt;
 };
--- a/rosemarylane/src/entry/MembershipService.h
+++ b/rosemarylane/src/entry/MembershipService.h
@@ -55,6 +55,8 @@
     core::HostId Agent;
     std::string AgentAddress;
     std::uint64_t AgentIncarnation = 0;
+    /// The latest `time_ms` that the agent has sent.
+    std::chrono::milliseconds AgentTime{0};
     core::FailureDomainId FailureDomain;
     core::Digest Version;
   };
