--- a/libs/platform/include/platform/EtcdKeyValue.h
+++ b/libs/platform/include/platform/EtcdKeyValue.h
@@ -20,12 +20,15 @@
   std::chrono::milliseconds WatchIdle{1500};
 };
 
-/// Creates the client; its hooks run on \p On, which outlives it.
+/// Creates the client.
 ///
 /// Uses `POST /v3/kv/range`, `/v3/kv/txn` and `/v3/watch` with base64 keys and
 /// values. Watches ask for progress notices, so that a silent connection is
 /// found.
-std::unique_ptr<KeyValue> createEtcdKeyValue(runtime::Duty &On,
+/// @param Io owns the sockets, @param Deliver runs the hooks; both outlive the
+/// client.
+std::unique_ptr<KeyValue> createEtcdKeyValue(runtime::Duty &Io,
+                                             runtime::Duty &Deliver,
                                              EtcdSettings Settings);
 
 } // namespace rosemarylane::platform
--- a/libs/platform/include/platform/HostList.h
+++ b/libs/platform/include/platform/HostList.h
@@ -36,9 +36,10 @@
   using Hook =
       std::function<void(core::Result<std::vector<ListedHost>, StoreError>)>;
 
-  /// Its hooks run on \p On, which outlives it.
-  static std::unique_ptr<HostList> create(runtime::Duty &On,
-                                          std::string Address);
+  /// @param Io owns the sockets.
+  /// @param Deliver runs the hooks. Both outlive the client.
+  static std::unique_ptr<HostList>
+  create(runtime::Duty &Io, runtime::Duty &Deliver, std::string Address);
   virtual ~HostList() = default;
 
   /// Reads the list once. From any thread.
--- a/libs/platform/include/platform/Origin.h
+++ b/libs/platform/include/platform/Origin.h
@@ -20,8 +20,10 @@
 public:
   using Hook = std::function<void(core::Result<std::string, StoreError>)>;
 
-  /// Its hooks run on \p On, which outlives it.
-  static std::unique_ptr<Origin> create(runtime::Duty &On, std::string Address);
+  /// @param Io owns the sockets.
+  /// @param Deliver runs the hooks. Both outlive the client.
+  static std::unique_ptr<Origin>
+  create(runtime::Duty &Io, runtime::Duty &Deliver, std::string Address);
   virtual ~Origin() = default;
 
   virtual void fetchManifest(const core::Digest &Version, Hook OnDone) = 0;
