--- a/libs/core/src/ConfigurationCodec.cpp
+++ b/libs/core/src/ConfigurationCodec.cpp
@@ -1,5 +1,6 @@
 #include "core/ConfigurationCodec.h"
 
+#include "ConfigurationJson.h"
 #include "ConfigurationSchema.h"
 #include "core/DocumentSchema.h"
 
@@ -224,59 +225,67 @@
           {"concurrency", W.Concurrency}};
 }
 
-json::object writeEntry(const CatalogueEntry &E) {
+} // namespace
+
+json::object writeEntryJson(const CatalogueEntry &Entry) {
   json::object Result{
-      {"name", E.Name.str()},
-      {"owner", E.Owner.str()},
-      {"kind", E.Kind == TargetKind::Service ? "service" : "engine"},
-      {"class", json::string(ClassNames[static_cast<std::size_t>(E.Class)])},
+      {"name", Entry.Name.str()},
+      {"owner", Entry.Owner.str()},
+      {"kind", Entry.Kind == TargetKind::Service ? "service" : "engine"},
+      {"class",
+       json::string(ClassNames[static_cast<std::size_t>(Entry.Class)])},
       {"limits",
-       {{"concurrency", E.Limit.Concurrency},
-        {"rate_per_second", E.Limit.RatePerSecond},
-        {"queue", E.Limit.Queue}}},
-      {"replicas", E.Replicas},
-      {"serving_floor", E.ServingFloor},
-      {"failure_domains", writeNames(E.FailureDomains)},
-      {"idempotent", E.Idempotent}};
-  if (E.BaseModel)
-    Result["base_model"] = E.BaseModel->str();
-  if (!E.Version.none())
-    Result["version"] = "sha256:" + E.Version.hex();
+       {{"concurrency", Entry.Limit.Concurrency},
+        {"rate_per_second", Entry.Limit.RatePerSecond},
+        {"queue", Entry.Limit.Queue}}},
+      {"replicas", Entry.Replicas},
+      {"serving_floor", Entry.ServingFloor},
+      {"failure_domains", writeNames(Entry.FailureDomains)},
+      {"idempotent", Entry.Idempotent}};
+  if (Entry.BaseModel)
+    Result["base_model"] = Entry.BaseModel->str();
+  if (!Entry.Version.none())
+    Result["version"] = "sha256:" + Entry.Version.hex();
   return Result;
 }
 
-} // namespace
-
 Result<Configuration, DocumentErrors>
-parseConfiguration(std::string_view Json) {
-  auto Document = parseDocument(Json);
-  if (!Document)
-    return failure(std::move(Document.error()));
-  DocumentErrors Errors = schema().check(*Document);
+readConfigurationJson(const json::value &Document) {
+  DocumentErrors Errors = schema().check(Document);
   if (!Errors.empty())
     return failure(std::move(Errors));
-  Configuration Config = readConfiguration(Document->as_object());
+  Configuration Config = readConfiguration(Document.as_object());
   Errors = ReferenceCheck(Config).run();
   if (!Errors.empty())
     return failure(std::move(Errors));
   return Config;
 }
 
-std::string formatConfiguration(const Configuration &Config) {
+json::object writeConfigurationJson(const Configuration &Config) {
   json::array Workspaces;
   for (const Workspace &W : Config.Workspaces)
     Workspaces.push_back(writeWorkspace(W));
   json::array Entries;
   for (const CatalogueEntry &E : Config.Entries)
-    Entries.push_back(writeEntry(E));
-  json::object Document{
-      {"revision", Config.Revision},
-      {"workspaces", std::move(Workspaces)},
-      {"entries", std::move(Entries)},
-      {"out_of_service",
-       {{"failure_domains", writeNames(Config.FailureDomainsOut)},
-        {"hosts", writeNames(Config.HostsOut)}}}};
-  return json::serialize(Document);
+    Entries.push_back(writeEntryJson(E));
+  return {{"revision", Config.Revision},
+          {"workspaces", std::move(Workspaces)},
+          {"entries", std::move(Entries)},
+          {"out_of_service",
+           {{"failure_domains", writeNames(Config.FailureDomainsOut)},
+            {"hosts", writeNames(Config.HostsOut)}}}};
+}
+
+Result<Configuration, DocumentErrors>
+parseConfiguration(std::string_view Json) {
+  auto Document = parseDocument(Json);
+  if (!Document)
+    return failure(std::move(Document.error()));
+  return readConfigurationJson(*Document);
+}
+
+std::string formatConfiguration(const Configuration &Config) {
+  return json::serialize(writeConfigurationJson(Config));
 }
 
 } // namespace rosemarylane::core
--- /dev/null
+++ b/libs/core/src/StoredConfiguration.cpp
@@ -0,0 +1,267 @@
+#include "core/StoredConfiguration.h"
+
+#include "ConfigurationJson.h"
+#include "core/DocumentSchema.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <map>
+
+namespace rosemarylane::core {
+
+namespace json = boost::json;
+
+namespace {
+
+/// Lines kept of a change's summary; the rest is counted.
+constexpr std::size_t MaxSummaryLines = 8;
+
+constexpr std::string_view StoredSchema = R"json({
+  "type": "object", "description": "a stored configuration",
+  "additionalProperties": true, "required": ["document", "history"],
+  "properties": {
+    "document": {"type": "object", "description": "a configuration"},
+    "history": {"type": "array", "description": "a list of changes",
+      "items": {"type": "object", "description": "a change",
+        "additionalProperties": true,
+        "required": ["id", "revision", "by", "at_ms", "summary"],
+        "properties": {
+          "id": {"type": "string", "description": "the change's id"},
+          "revision": {"type": "integer", "minimum": 1, "description": "a revision"},
+          "by": {"type": "string", "description": "a workspace"},
+          "at_ms": {"type": "integer", "description": "milliseconds since 1970"},
+          "summary": {"type": "array", "description": "a list of lines",
+            "items": {"type": "string", "description": "a line"}}
+        }}}
+  }
+})json";
+
+constexpr std::string_view ServiceOrderSchema = R"json({
+  "type": "object",
+  "description": "an object with \"failure_domain\" or \"host\", and \"out\"",
+  "additionalProperties": false, "required": ["out"],
+  "properties": {
+    "failure_domain": {"type": "string", "minLength": 1, "maxLength": 128,
+      "description": "the name of a failure domain"},
+    "host": {"type": "string", "minLength": 1, "maxLength": 128,
+      "description": "the name of a host"},
+    "out": {"type": "boolean",
+      "description": "true to take out of service, false to bring back"}
+  }
+})json";
+
+ConfigurationChange readChange(const json::object &Object) {
+  ConfigurationChange Change;
+  Change.Id = std::string(Object.at("id").as_string());
+  Change.Revision = Object.at("revision").to_number<std::uint64_t>();
+  Change.By = WorkspaceId(std::string(Object.at("by").as_string()));
+  Change.At = WallTime(
+      std::chrono::milliseconds(Object.at("at_ms").to_number<std::int64_t>()));
+  for (const json::value &Line : Object.at("summary").as_array())
+    Change.Summary.emplace_back(Line.as_string());
+  return Change;
+}
+
+json::object writeChange(const ConfigurationChange &Change) {
+  json::array Summary;
+  for (const std::string &Line : Change.Summary)
+    Summary.emplace_back(Line);
+  auto At = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Change.At.time_since_epoch());
+  return {{"id", Change.Id},
+          {"revision", Change.Revision},
+          {"by", Change.By.str()},
+          {"at_ms", static_cast<std::int64_t>(At.count())},
+          {"summary", std::move(Summary)}};
+}
+
+json::array writeHistory(const std::vector<ConfigurationChange> &Changes) {
+  json::array History;
+  for (const ConfigurationChange &Change : Changes)
+    History.push_back(writeChange(Change));
+  return History;
+}
+
+/// Adds a line for each key whose value differs.
+void describeEntry(const CatalogueEntry &Before, const CatalogueEntry &After,
+                   std::vector<std::string> &Lines) {
+  json::object Old = writeEntryJson(Before);
+  json::object New = writeEntryJson(After);
+  std::string Start = "entry " + After.Name.str() + ": ";
+  for (const auto &Property : New) {
+    const json::value *Was = Old.if_contains(Property.key());
+    if (Was && *Was == Property.value())
+      continue;
+    Lines.push_back(Start + std::string(Property.key()) + " " +
+                    (Was ? shortJson(*Was) : "none") + " -> " +
+                    shortJson(Property.value()));
+  }
+  for (const auto &Property : Old)
+    if (!New.contains(Property.key()))
+      Lines.push_back(Start + std::string(Property.key()) + " " +
+                      shortJson(Property.value()) + " -> none");
+}
+
+/// Adds a line for each item that was added, removed or changed.
+template <typename Item, typename Describe>
+void describeItems(const std::vector<Item> &Before,
+                   const std::vector<Item> &After, const char *What,
+                   Describe DescribeChange, std::vector<std::string> &Lines) {
+  using Name = decltype(Item::Name);
+  std::map<Name, const Item *> Old;
+  for (const Item &I : Before)
+    Old[I.Name] = &I;
+  for (const Item &I : After) {
+    auto Was = Old.find(I.Name);
+    if (Was == Old.end()) {
+      Lines.push_back(std::string(What) + " " + I.Name.str() + ": added");
+      continue;
+    }
+    if (!(*Was->second == I))
+      DescribeChange(*Was->second, I);
+    Old.erase(Was);
+  }
+  for (const auto &[Gone, Unused] : Old)
+    Lines.push_back(std::string(What) + " " + Gone.str() + ": removed");
+}
+
+template <typename Names>
+void describeNames(const Names &Before, const Names &After, const char *What,
+                   std::vector<std::string> &Lines) {
+  for (const auto &Name : After)
+    if (!Before.contains(Name))
+      Lines.push_back(std::string(What) + " " + Name.str() +
+                      ": taken out of service");
+  for (const auto &Name : Before)
+    if (!After.contains(Name))
+      Lines.push_back(std::string(What) + " " + Name.str() +
+                      ": brought back into service");
+}
+
+} // namespace
+
+const ConfigurationChange *
+StoredConfiguration::change(std::string_view Id) const {
+  auto Found = std::find_if(
+      History.begin(), History.end(),
+      [&](const ConfigurationChange &Change) { return Change.Id == Id; });
+  return Found == History.end() ? nullptr : &*Found;
+}
+
+Result<StoredConfiguration, DocumentErrors> parseStored(std::string_view Json) {
+  if (Json.empty())
+    return StoredConfiguration();
+  auto Value = parseDocument(Json);
+  if (!Value)
+    return failure(std::move(Value.error()));
+  static const auto Schema = DocumentSchema::create(StoredSchema);
+  DocumentErrors Errors = Schema->check(*Value);
+  if (!Errors.empty())
+    return failure(std::move(Errors));
+  auto Current = readConfigurationJson(Value->at("document"));
+  if (!Current)
+    return failure(std::move(Current.error()));
+  StoredConfiguration Stored{std::move(*Current), {}};
+  for (const json::value &Change : Value->at("history").as_array())
+    Stored.History.push_back(readChange(Change.as_object()));
+  return Stored;
+}
+
+std::string formatStored(const StoredConfiguration &Stored) {
+  json::object Value{{"document", writeConfigurationJson(Stored.Current)},
+                     {"history", writeHistory(Stored.History)}};
+  return json::serialize(Value);
+}
+
+std::string formatHistory(const std::vector<ConfigurationChange> &Changes) {
+  return json::serialize(writeHistory(Changes));
+}
+
+std::vector<std::string> describeDifference(const Configuration &Before,
+                                            const Configuration &After) {
+  std::vector<std::string> Lines;
+  describeItems(
+      Before.Workspaces, After.Workspaces, "workspace",
+      [&](const Workspace &, const Workspace &W) {
+        Lines.push_back("workspace " + W.Name.str() + ": changed");
+      },
+      Lines);
+  describeItems(
+      Before.Entries, After.Entries, "entry",
+      [&](const CatalogueEntry &Old, const CatalogueEntry &New) {
+        describeEntry(Old, New, Lines);
+      },
+      Lines);
+  describeNames(Before.FailureDomainsOut, After.FailureDomainsOut,
+                "failure domain", Lines);
+  describeNames(Before.HostsOut, After.HostsOut, "host", Lines);
+  return Lines;
+}
+
+StoredConfiguration withChange(const StoredConfiguration &Before,
+                               Configuration Next, ConfigurationChange Change) {
+  StoredConfiguration After = Before;
+  Next.Revision = Before.Current.Revision + 1;
+  Change.Revision = Next.Revision;
+  Change.Summary = describeDifference(Before.Current, Next);
+  if (Change.Summary.size() > MaxSummaryLines) {
+    std::size_t More = Change.Summary.size() - MaxSummaryLines;
+    Change.Summary.resize(MaxSummaryLines);
+    Change.Summary.push_back("and " + std::to_string(More) + " more");
+  }
+  After.Current = std::move(Next);
+  After.History.push_back(std::move(Change));
+  if (After.History.size() > MaxHistory)
+    After.History.erase(After.History.begin());
+  return After;
+}
+
+Result<Configuration, DocumentErrors>
+parseReplacement(std::string_view Json, const Configuration &Current) {
+  auto Document = parseDocument(Json);
+  if (!Document)
+    return failure(std::move(Document.error()));
+  auto Config = readConfigurationJson(*Document);
+  if (Config && !Document->as_object().contains("out_of_service")) {
+    Config->FailureDomainsOut = Current.FailureDomainsOut;
+    Config->HostsOut = Current.HostsOut;
+  }
+  return Config;
+}
+
+Configuration ServiceOrder::apply(Configuration Config) const {
+  auto Change = [this](auto &Names, const auto &Name) {
+    if (Out)
+      Names.insert(Name);
+    else
+      Names.erase(Name);
+  };
+  if (FailureDomain)
+    Change(Config.FailureDomainsOut, *FailureDomain);
+  if (Host)
+    Change(Config.HostsOut, *Host);
+  return Config;
+}
+
+Result<ServiceOrder, DocumentErrors> parseServiceOrder(std::string_view Json) {
+  auto Document = parseDocument(Json);
+  if (!Document)
+    return failure(std::move(Document.error()));
+  static const auto Schema = DocumentSchema::create(ServiceOrderSchema);
+  DocumentErrors Errors = Schema->check(*Document);
+  if (!Errors.empty())
+    return failure(std::move(Errors));
+  const json::object &Object = Document->as_object();
+  ServiceOrder Order;
+  Order.Out = Object.at("out").as_bool();
+  if (const json::value *Name = Object.if_contains("failure_domain"))
+    Order.FailureDomain = FailureDomainId(std::string(Name->as_string()));
+  if (const json::value *Name = Object.if_contains("host"))
+    Order.Host = HostId(std::string(Name->as_string()));
+  if (Order.FailureDomain.has_value() == Order.Host.has_value())
+    return failure(DocumentErrors{
+        {"$", shortJson(*Document), "either \"failure_domain\" or \"host\""}});
+  return Order;
+}
+
+} // namespace rosemarylane::core
