Add the HTTP server and client

Entry, agent and stand-ins need one HTTP door: kept connections, chunked streams with a bounded backlog, and errors that tell NotSent from Interrupted. Beast's composed reads were ruled out for the server: with them no read is pending while a handler works, so a caller's close is seen only at the next write. Both ends feed Beast's parser by hand from one pending read instead.

--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace rosemarylane::http {
@@ -27,9 +28,13 @@
 ///
 /// A request whose kept connection turns out to be closed before any byte of
 /// the answer came is sent again on a new connection only if `Retryable` was
-/// set. Deadlines drop the connection, so a silent one is never used again.
+/// set. A deadline that passes drops the connection and all idle ones to that
+/// address, so a silent one is never used again. An answer with neither a
+/// length nor chunks cannot be known to be whole and is `Interrupted`.
+///
 /// Hooks run on the duty. The duty outlives the client; the client is destroyed
-/// off its duty or after it stopped.
+/// off its duty or after it stopped. Hooks of exchanges still in progress then
+/// are dropped without a call.
 class Client {
 public:
   /// Where the parts of an answer go. `OnDone` is called exactly once, last.
@@ -66,8 +71,9 @@
                               Deadlines Limits, WholeHook OnDone,
                               bool Retryable = false);
 
-private:
   struct State;
+
+private:
   explicit Client(std::shared_ptr<State> S);
   std::shared_ptr<State> S;
 };
--- a/libs/http/include/http/Exchange.h
+++ b/libs/http/include/http/Exchange.h
@@ -10,9 +10,10 @@
 
 /// The server's side of one request: answers it whole, or as a stream of parts.
 ///
-/// Shared by the server and the handler; every method may be called from any
-/// thread. Exactly one of `respond`, or `startStream` followed by `finish` or
-/// `abort`, ends the exchange; what comes after the end is ignored.
+/// Owned by the handler; every method may be called from any thread, while the
+/// server's duty lives. Exactly one of `respond`, or `startStream` followed by
+/// `finish` or `abort`, ends the exchange; what comes after the end is ignored.
+/// Dropping it unended aborts it.
 class Exchange {
 public:
   virtual ~Exchange() = default;
--- a/libs/http/include/http/Message.h
+++ b/libs/http/include/http/Message.h
@@ -51,6 +51,11 @@
 /// An answer with a JSON body.
 Response jsonResponse(unsigned Status, std::string Json);
 
+/// A refusal as `application/problem+json` (RFC 9457).
+/// @param Ran says whether the request ran: "no", "unknown" or "yes".
+Response problemResponse(unsigned Status, std::string_view Title,
+                         std::string_view Detail, std::string_view Ran);
+
 } // namespace rosemarylane::http
 
 #endif // ROSEMARYLANE_HTTP_MESSAGE_H
--- a/libs/http/include/http/Server.h
+++ b/libs/http/include/http/Server.h
@@ -26,6 +26,9 @@
   std::chrono::milliseconds ReadTimeout{30000};
   /// A caller that takes no byte of its answer for this long is cut off.
   std::chrono::milliseconds WriteTimeout{30000};
+  /// How long an idle connection stays open after `drain`, for a request that
+  /// was sent before its caller could know.
+  std::chrono::milliseconds DrainGrace{100};
   /// An exchange whose unsent backlog passes this is cut off.
   std::size_t MaxBacklogBytes = 8 << 20;
 };
@@ -51,15 +54,18 @@
   /// @return the bound port.
   std::uint16_t port() const;
 
-  /// Accepts no more connections, answers requests in progress with
-  /// `Connection: close`, closes idle connections.
+  /// Accepts no more connections and answers requests in progress, and those
+  /// already on their way over open connections, with `Connection: close`. Idle
+  /// connections are closed after `DrainGrace`.
   void drain();
 
-  /// @return exchanges not yet ended.
+  /// @return exchanges whose answer has not yet left whole; after `drain` one
+  /// more until the grace is over.
   std::size_t inProgress() const;
 
-private:
   struct State;
+
+private:
   explicit Server(std::shared_ptr<State> S);
   std::shared_ptr<State> S;
 };
--- /dev/null
+++ b/libs/http/src/ClientConnection.cpp
@@ -0,0 +1,232 @@
+#include "ClientConnection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace rosemarylane::http {
+
+namespace beast = boost::beast;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t ReadBytes = 64 << 10;
+constexpr std::uint32_t MaxHeadBytes = 64 << 10;
+constexpr std::uint64_t MaxAnswerBytes = 1 << 30;
+
+bool informational(unsigned Status) { return Status >= 100 && Status < 200; }
+
+} // namespace
+
+ClientConnection::ClientConnection(boost::asio::io_context &Context,
+                                   boost::asio::ip::tcp::endpoint Address)
+    : Socket(Context), Address(std::move(Address)), Timer(Context) {}
+
+void ClientConnection::run(const std::string &Bytes, bool AnswerHeadOnly,
+                           Deadlines Given, ExchangeHooks Hooks) {
+  To = std::move(Hooks);
+  Limits = Given;
+  HeadOnly = AnswerHeadOnly;
+  Output = Bytes;
+  Written = 0;
+  AnswerBegun = false;
+  OnKeptClosed = nullptr;
+  resetParser();
+  if (Connected)
+    write();
+  else
+    connect();
+}
+
+void ClientConnection::keep(std::function<void()> Hook) {
+  OnKeptClosed = std::move(Hook);
+  KeptSince = std::chrono::steady_clock::now();
+  read();
+}
+
+void ClientConnection::close() {
+  if (Closed)
+    return;
+  Closed = true;
+  To = {};
+  OnKeptClosed = nullptr;
+  error_code Ignored;
+  Socket.close(Ignored);
+  Timer.cancel();
+}
+
+void ClientConnection::resetParser() {
+  Incoming.emplace();
+  Incoming->eager(true);
+  Incoming->header_limit(MaxHeadBytes);
+  Incoming->body_limit(MaxAnswerBytes);
+  Incoming->skip(HeadOnly);
+  HeadPassed = false;
+}
+
+void ClientConnection::connect() {
+  arm(Limits.Connect, "connect deadline passed");
+  Socket.async_connect(Address, [Self = shared_from_this()](error_code Error) {
+    if (Self->Closed)
+      return;
+    if (Error)
+      return Self->fail(Error::Kind::NotSent, "connect: " + Error.message());
+    Self->Connected = true;
+    error_code Ignored;
+    Self->Socket.set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
+    Self->write();
+    Self->read();
+  });
+}
+
+void ClientConnection::write() {
+  arm(Limits.Idle, "the server takes no more of the request");
+  Socket.async_write_some(
+      boost::asio::buffer(Output.data() + Written, Output.size() - Written),
+      [Self = shared_from_this()](error_code Error, std::size_t Bytes) {
+        Self->afterWrite(Error, Bytes);
+      });
+}
+
+void ClientConnection::afterWrite(error_code Error, std::size_t Bytes) {
+  if (Closed || !To.OnEnd)
+    return;
+  Written += Bytes;
+  if (Error && Written == 0)
+    return fail(Error::Kind::NotSent, "write: " + Error.message());
+  // The server may have answered before it closed: the read tells.
+  if (Error)
+    return arm(Limits.Idle, "the connection broke within the request");
+  if (Written < Output.size())
+    return write();
+  if (!AnswerBegun)
+    arm(Limits.FirstByte, "first-byte deadline passed");
+}
+
+void ClientConnection::read() {
+  if (Reading || Closed)
+    return;
+  Reading = true;
+  Socket.async_read_some(
+      Input.prepare(ReadBytes),
+      [Self = shared_from_this()](error_code Error, std::size_t Bytes) {
+        Self->afterRead(Error, Bytes);
+      });
+}
+
+void ClientConnection::afterRead(error_code Error, std::size_t Bytes) {
+  Reading = false;
+  if (Closed)
+    return;
+  if (!To.OnEnd) {
+    // Kept, and either closed by the server or sent bytes that nobody asked
+    // for.
+    auto Hook = std::exchange(OnKeptClosed, nullptr);
+    close();
+    if (Hook)
+      Hook();
+    return;
+  }
+  if (Error)
+    return fail(Error::Kind::Interrupted,
+                AnswerBegun ? "the answer ended early: " + Error.message()
+                            : "closed before an answer: " + Error.message());
+  AnswerBegun = true;
+  if (Written == Output.size())
+    arm(Limits.Idle, "idle deadline passed");
+  Input.commit(Bytes);
+  parse();
+  if (!Closed)
+    read();
+}
+
+void ClientConnection::parse() {
+  while (!Closed && To.OnEnd && Input.size() > 0) {
+    error_code Error;
+    std::size_t Used = Incoming->put(Input.data(), Error);
+    Input.consume(Used);
+    bool NeedMore = Error == beast::http::error::need_more;
+    if (Error && !NeedMore)
+      return fail(Error::Kind::Malformed, Error.message());
+    if (Incoming->is_header_done() &&
+        informational(Incoming->get().result_int())) {
+      resetParser();
+      continue;
+    }
+    passOn();
+    if (Closed || !To.OnEnd)
+      return;
+    if (Incoming->is_done())
+      return finish();
+    if (NeedMore || Used == 0)
+      return;
+  }
+}
+
+void ClientConnection::passOn() {
+  if (!Incoming->is_header_done())
+    return;
+  // Hooks may close this connection; they stay alive until they return.
+  auto Self = shared_from_this();
+  if (!HeadPassed) {
+    HeadPassed = true;
+    ResponseHead Head;
+    Head.Status = Incoming->get().result_int();
+    for (const auto &Field : Incoming->get())
+      Head.Fields.add(std::string(Field.name_string()),
+                      std::string(Field.value()));
+    if (auto Hook = To.OnHead)
+      Hook(Head);
+  }
+  if (Closed || !To.OnEnd)
+    return;
+  std::string Part = std::exchange(Incoming->get().body(), {});
+  if (Part.empty())
+    return;
+  if (auto Hook = To.OnPart)
+    Hook(std::move(Part));
+}
+
+void ClientConnection::finish() {
+  ExchangeEnd End;
+  End.Reusable =
+      Incoming->keep_alive() && Input.size() == 0 && Written == Output.size();
+  end(std::move(End));
+}
+
+void ClientConnection::fail(Error::Kind Kind, std::string Detail) {
+  ExchangeEnd End;
+  End.Failure = Error{Kind, std::move(Detail)};
+  End.ClosedUnanswered =
+      Kind == Error::Kind::Interrupted && !AnswerBegun && !Late;
+  End.NothingSent = Written == 0;
+  End.Late = Late;
+  end(std::move(End));
+}
+
+void ClientConnection::end(ExchangeEnd End) {
+  Timer.cancel();
+  auto OnEnd = std::exchange(To, {}).OnEnd;
+  if (!End.Reusable)
+    close();
+  if (OnEnd)
+    OnEnd(std::move(End));
+}
+
+void ClientConnection::arm(std::chrono::milliseconds Limit, const char *What) {
+  Timer.expires_after(Limit);
+  Timer.async_wait([Weak = weak_from_this(), What](error_code Error) {
+    auto Self = Weak.lock();
+    // A wait whose time was moved may already have been on its way here.
+    if (!Self || Error || Self->Closed || !Self->To.OnEnd ||
+        Self->Timer.expiry() > std::chrono::steady_clock::now())
+      return;
+    Self->Late = true;
+    Self->fail(Self->Connected ? Error::Kind::Interrupted
+                               : Error::Kind::NotSent,
+               What);
+  });
+}
+
+} // namespace rosemarylane::http
--- /dev/null
+++ b/libs/http/src/ClientConnection.h
@@ -0,0 +1,102 @@
+#ifndef ROSEMARYLANE_HTTP_CLIENT_CONNECTION_H
+#define ROSEMARYLANE_HTTP_CLIENT_CONNECTION_H
+
+#include "http/Client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace rosemarylane::http {
+
+/// How an exchange on one connection ended.
+struct ExchangeEnd {
+  /// None: the answer came whole.
+  std::optional<Error> Failure;
+  /// The connection may carry another exchange.
+  bool Reusable = false;
+  /// No byte of an answer came, because the connection was closed.
+  bool ClosedUnanswered = false;
+  /// No byte of the request left.
+  bool NothingSent = false;
+  /// A deadline passed.
+  bool Late = false;
+};
+
+/// What one exchange reports.
+struct ExchangeHooks {
+  std::function<void(const ResponseHead &)> OnHead;
+  std::function<void(std::string)> OnPart;
+  std::function<void(ExchangeEnd)> OnEnd;
+};
+
+/// One connection to a server, which carries one exchange after another.
+///
+/// Between exchanges a read is pending, so that the server's close is seen.
+/// Lives on the client's duty; kept alive by its pending operations.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+public:
+  ClientConnection(boost::asio::io_context &Context,
+                   boost::asio::ip::tcp::endpoint Address);
+
+  /// Starts an exchange; connects first if need be. Ends with one `OnEnd`.
+  void run(const std::string &Bytes, bool HeadOnly, Deadlines Limits,
+           ExchangeHooks To);
+
+  /// Calls \p Hook if the server closes the connection while it is kept.
+  void keep(std::function<void()> Hook);
+
+  /// Closes without any hook.
+  void close();
+
+  bool open() const { return Connected && !Closed; }
+  std::chrono::steady_clock::time_point keptSince() const { return KeptSince; }
+
+private:
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void connect();
+  void write();
+  void afterWrite(boost::system::error_code Error, std::size_t Bytes);
+  void read();
+  void afterRead(boost::system::error_code Error, std::size_t Bytes);
+  void parse();
+  void resetParser();
+  void passOn();
+  void finish();
+  void fail(Error::Kind Kind, std::string Detail);
+  void end(ExchangeEnd End);
+  void arm(std::chrono::milliseconds Limit, const char *What);
+
+  boost::asio::ip::tcp::socket Socket;
+  boost::asio::ip::tcp::endpoint Address;
+  boost::asio::steady_timer Timer;
+  bool Connected = false;
+  bool Closed = false;
+  bool Reading = false;
+
+  /// The present exchange; `To.OnEnd` is empty between exchanges.
+  ExchangeHooks To;
+  Deadlines Limits;
+  bool HeadOnly = false;
+  std::string Output;
+  std::size_t Written = 0;
+  boost::beast::flat_buffer Input;
+  std::optional<Parser> Incoming;
+  bool HeadPassed = false;
+  bool AnswerBegun = false;
+  bool Late = false;
+
+  std::function<void()> OnKeptClosed;
+  std::chrono::steady_clock::time_point KeptSince;
+};
+
+} // namespace rosemarylane::http
+
+#endif // ROSEMARYLANE_HTTP_CLIENT_CONNECTION_H
