--- a/rosemarylane/src/common/Settings.cpp
+++ b/rosemarylane/src/common/Settings.cpp
@@ -59,6 +59,7 @@
       report("$.listen.peers", "another address than $.listen.http");
     readTarget(Result.Target);
     readBandwidth(Result.Bandwidth);
+    readPlanner(Result.Planner);
     Result.TraceFile = text(Root, "trace_file");
     if (Root.contains("log_level"))
       Result.LogLevel = text(Root, "log_level");
@@ -131,6 +132,18 @@
     Bandwidth.RegionLink = Rate("region_link_bytes_per_second");
   }
 
+  void readPlanner(WeightPlanner &Planner) {
+    if (!Root.contains("weights"))
+      return;
+    if (Kind == ProcessKind::Entry)
+      report("$.weights", "no weights: only an agent moves them");
+    std::string Name = text(Root.at("weights").as_object(), "planner");
+    if (Name == "origin")
+      Planner = WeightPlanner::Origin;
+    else if (Name == "tree")
+      Planner = WeightPlanner::Tree;
+  }
+
   ProcessKind Kind;
   const json::object &Root;
   core::DocumentErrors Errors;
--- a/rosemarylane/src/common/Settings.h
+++ b/rosemarylane/src/common/Settings.h
@@ -34,6 +34,10 @@
   std::uint64_t RegionLink = 0;
 };
 
+/// How an agent gets weights: the swarm, or one of the ways that it is measured
+/// against.
+enum class WeightPlanner { Swarm, Origin, Tree };
+
 /// Settings of an entry or agent process.
 struct Settings {
   core::HostId Host;
@@ -48,6 +52,8 @@
   TargetSettings Target;
   /// Agents only.
   BandwidthSettings Bandwidth;
+  /// Agents only.
+  WeightPlanner Planner = WeightPlanner::Swarm;
   /// Spans are appended here; empty discards them.
   std::string TraceFile;
   std::string LogLevel = "info";
--- a/rosemarylane/src/common/SettingsSchema.h
+++ b/rosemarylane/src/common/SettingsSchema.h
@@ -47,6 +47,12 @@
         "region_link_bytes_per_second": {"type": "integer", "minimum": 0,
           "description": "bytes per second: a whole number from 0 (no limit)"}
       }},
+    "weights": {"type": "object", "description": "how weights are fetched",
+      "additionalProperties": false,
+      "properties": {
+        "planner": {"type": "string", "enum": ["swarm", "origin", "tree"],
+          "description": "\"swarm\", \"origin\" or \"tree\""}
+      }},
     "trace_file": {"type": "string", "description": "a path, or \"\" for no spans"},
     "log_level": {"type": "string", "enum": ["debug", "info", "warning", "error"],
       "description": "\"debug\", \"info\", \"warning\" or \"error\""}
--- /dev/null
+++ b/rosemarylane/src/entry/ConfigurationWriter.cpp
@@ -0,0 +1,125 @@
+#include "entry/ConfigurationWriter.h"
+
+namespace rosemarylane {
+
+namespace {
+
+using platform::StoredValue;
+using platform::StoreError;
+using platform::SwapOutcome;
+
+/// One change on its way; kept alive by the call that is in progress.
+class ChangeTask : public std::enable_shared_from_this<ChangeTask> {
+public:
+  ChangeTask(platform::KeyValue &Store, ConfigurationWriter::Delay Later,
+             ConfigurationWriter::Retry Limits,
+             core::ConfigurationChange Change,
+             ConfigurationWriter::Edit MakeNext,
+             ConfigurationWriter::Done OnDone)
+      : Store(Store), Later(std::move(Later)), Limits(Limits),
+        Change(std::move(Change)), MakeNext(std::move(MakeNext)),
+        OnDone(std::move(OnDone)) {}
+
+  void read() {
+    Store.read(core::ConfigurationKey, [Self = shared_from_this()](auto Read) {
+      if (!Read)
+        return Self->failed(Read.error(), &ChangeTask::read);
+      Self->decide(*Read);
+    });
+  }
+
+private:
+  void decide(const StoredValue &Found) {
+    auto Stored = core::parseStored(Found.Value);
+    if (!Stored)
+      return refuse({ChangeRefusal::Kind::Invalid,
+                     "the stored configuration cannot be read",
+                     Stored.error()});
+    if (Stored->change(Change.Id))
+      return OnDone(std::move(*Stored));
+    // A write whose answer was lost either took effect, and its id would be
+    // here, or expected a revision that has passed, and never will.
+    AnswerLost = false;
+    auto Next = MakeNext(*Stored);
+    if (!Next) {
+      Next.error().CurrentRevision = Stored->Current.Revision;
+      return refuse(std::move(Next.error()));
+    }
+    Written = core::withChange(*Stored, std::move(*Next), Change);
+    Value = core::formatStored(Written);
+    if (Value.size() > core::MaxStoredBytes)
+      return refuse(tooLarge());
+    Expected = Found.Revision;
+    swap();
+  }
+
+  void swap() {
+    Store.compareAndSwap(core::ConfigurationKey, Expected, Value,
+                         [Self = shared_from_this()](auto Swapped) {
+                           if (!Swapped)
+                             return Self->failed(Swapped.error(),
+                                                 &ChangeTask::swap);
+                           if (!Swapped->Swapped)
+                             return Self->decide(Swapped->Current);
+                           Self->OnDone(std::move(Self->Written));
+                         });
+  }
+
+  /// Tries \p Step again; after a lost answer that is the same
+  /// compare-and-swap, since only its answer decides.
+  void failed(const StoreError &Error, void (ChangeTask::*Step)()) {
+    if (Step == &ChangeTask::swap && Error.What == StoreError::Kind::Unknown)
+      AnswerLost = true;
+    if (++Failures >= Limits.MaxFailures ||
+        Error.What == StoreError::Kind::Rejected)
+      return refuse({AnswerLost ? ChangeRefusal::Kind::Unknown
+                                : ChangeRefusal::Kind::Unavailable,
+                     Error.Detail,
+                     {}});
+    Later(Limits.Interval,
+          [Self = shared_from_this(), Step] { (*Self.*Step)(); });
+  }
+
+  ChangeRefusal tooLarge() const {
+    return {ChangeRefusal::Kind::Invalid,
+            "the configuration is too large",
+            {{"$", std::to_string(Value.size()) + " bytes",
+              "at most " + std::to_string(core::MaxStoredBytes) +
+                  " bytes with the history"}}};
+  }
+
+  void refuse(ChangeRefusal Refusal) {
+    OnDone(core::failure(std::move(Refusal)));
+  }
+
+  platform::KeyValue &Store;
+  ConfigurationWriter::Delay Later;
+  ConfigurationWriter::Retry Limits;
+  core::ConfigurationChange Change;
+  ConfigurationWriter::Edit MakeNext;
+  ConfigurationWriter::Done OnDone;
+
+  core::StoredConfiguration Written;
+  std::string Value;
+  std::int64_t Expected = 0;
+  bool AnswerLost = false;
+  unsigned Failures = 0;
+};
+
+} // namespace
+
+ConfigurationWriter::ConfigurationWriter(platform::KeyValue &Store, Delay Later,
+                                         Retry Limits)
+    : Store(Store), Later(std::move(Later)), Limits(Limits) {}
+
+ConfigurationWriter::ConfigurationWriter(platform::KeyValue &Store, Delay Later)
+    : ConfigurationWriter(Store, std::move(Later), Retry()) {}
+
+void ConfigurationWriter::change(core::ConfigurationChange Change,
+                                 Edit MakeNext, Done OnDone) {
+  std::make_shared<ChangeTask>(Store, Later, Limits, std::move(Change),
+                               std::move(MakeNext), std::move(OnDone))
+      ->read();
+}
+
+} // namespace rosemarylane
