--- a/rosemarylane/src/Command.cpp
+++ b/rosemarylane/src/Command.cpp
@@ -50,11 +50,9 @@
   return static_cast<int>(ExitCode::Usage);
 }
 
-ExitCode __attribute__((weak)) runEntry(int, const char **) {
-  return ExitCode::Failed;
+return ExitCode::Failed;
 }
-ExitCode __attribute__((weak)) runAgent(int, const char **) {
-  return ExitCode::Failed;
+return ExitCode::Failed;
 }
 ExitCode __attribute__((weak)) runCtl(int, const char **) {
   return ExitCode::Failed;
--- /dev/null
+++ b/rosemarylane/src/agent/Gate.cpp
@@ -0,0 +1,613 @@
+#include "agent/Gate.h"
+
+#include "agent/TargetRun.h"
+#include "telemetry/Log.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <charconv>
+#include <deque>
+#include <map>
+
+namespace rosemarylane {
+
+namespace {
+
+constexpr std::size_t RequestIdBytes = 16;
+constexpr std::chrono::milliseconds QueueTick{50};
+constexpr std::chrono::seconds FirstByteDeadline{60};
+constexpr std::chrono::seconds IdleDeadline{30};
+/// A plain service whose connection failed is not offered to entries for this
+/// long.
+constexpr std::chrono::milliseconds FailedServiceRest{1000};
+/// Weight of the newest sample in the smoothed latency.
+constexpr double LatencySmoothing = 0.2;
+constexpr std::uint32_t BusyRetryAfterMs = 200;
+
+/// Header fields that belong to one connection, or that this hop sets itself.
+bool hopByHop(std::string_view Name) {
+  static constexpr std::string_view Names[] = {"connection",
+                                               "keep-alive",
+                                               "transfer-encoding",
+                                               "te",
+                                               "trailer",
+                                               "upgrade",
+                                               "host",
+                                               "content-length",
+                                               "proxy-connection",
+                                               "x-engine-generation"};
+  return std::any_of(
+      std::begin(Names), std::end(Names), [&](std::string_view N) {
+        return N.size() == Name.size() &&
+               std::equal(N.begin(), N.end(), Name.begin(),
+                          [](char A, char B) { return A == std::tolower(B); });
+      });
+}
+
+std::optional<std::uint64_t> generationOf(const http::Headers &Fields) {
+  auto Text = Fields.find("x-engine-generation");
+  std::uint64_t Value = 0;
+  if (!Text ||
+      std::from_chars(Text->data(), Text->data() + Text->size(), Value).ec !=
+          std::errc())
+    return std::nullopt;
+  return Value;
+}
+
+std::optional<std::uint64_t> generationInState(const std::string &Json) {
+  boost::system::error_code Error;
+  auto State = boost::json::parse(Json, Error);
+  if (Error || !State.is_object())
+    return std::nullopt;
+  const auto *Generation = State.as_object().if_contains("generation");
+  if (!Generation || !Generation->is_number())
+    return std::nullopt;
+  return Generation->to_number<std::uint64_t>();
+}
+
+ledger::Ran toLedger(wire::Ran Ran) {
+  switch (Ran) {
+  case wire::RAN_NO:
+    return ledger::Ran::No;
+  case wire::RAN_YES:
+    return ledger::Ran::Yes;
+  default:
+    return ledger::Ran::Unknown;
+  }
+}
+
+wire::Ran toWire(ledger::Ran Ran) {
+  switch (Ran) {
+  case ledger::Ran::No:
+    return wire::RAN_NO;
+  case ledger::Ran::Yes:
+    return wire::RAN_YES;
+  case ledger::Ran::Unknown:
+    return wire::RAN_UNKNOWN;
+  }
+  return wire::RAN_UNKNOWN;
+}
+
+core::TimePoint now() { return std::chrono::steady_clock::now(); }
+
+class GateImpl final : public Gate {
+public:
+  GateImpl(ProcessContext &Context, const MessageSender &Send,
+           ConfigurationService &Configuration, HeartbeatService &Heartbeats,
+           WeightService *Weights)
+      : Context(Context), Send(Send), Configuration(Configuration),
+        Heartbeats(Heartbeats), Weights(Weights) {
+    Tick = Context.Timers->every(QueueTick, *Context.Control,
+                                 [this] { expireWaiting(); });
+    if (Weights)
+      Weights->onReplace(
+          [this](const core::EntryName &Entry, std::function<void()> Drained) {
+            drainEntry(Entry, std::move(Drained));
+          });
+  }
+
+  void receive(const wire::Peer &From, const wire::Envelope &Message) override {
+    switch (Message.body_case()) {
+    case wire::Envelope::kRunRequest:
+      arrive(From, Message);
+      break;
+    case wire::Envelope::kCancelRequest:
+      cancel(Message.cancel_request().id().request());
+      break;
+    case wire::Envelope::kOutcomeQuery:
+      answerQuery(From, Message.outcome_query());
+      break;
+    default:
+      break;
+    }
+  }
+
+  std::vector<wire::Holding> holdings() const override {
+    std::vector<wire::Holding> All;
+    if (Weights)
+      All = Weights->holdings();
+    else
+      All.push_back(serviceHolding());
+    for (wire::Holding &H : All)
+      addLoad(H);
+    return All;
+  }
+
+  void drain(std::function<void()> Idle) override {
+    Draining = true;
+    OnIdle = std::move(Idle);
+    checkIdle();
+  }
+
+  std::size_t inProgress() const override { return Runs.size(); }
+
+private:
+  using Run = std::shared_ptr<TargetRun>;
+
+  // ---- Admission ----
+
+  void arrive(const wire::Peer &From, const wire::Envelope &Message) {
+    auto R = std::make_shared<TargetRun>();
+    R->From = From;
+    R->Request = Message.run_request();
+    R->Traceparent = Message.traceparent();
+    R->ArrivedAt = now();
+    const wire::RunRequest &Request = R->Request;
+    if (Request.id().request().size() != RequestIdBytes)
+      return refuse(*R, wire::REFUSAL_MALFORMED, wire::RAN_NO,
+                    "malformed request id");
+    if (Request.agent_incarnation() != Context.Incarnation)
+      return refuse(*R, wire::REFUSAL_TARGET_FAILED, wire::RAN_NO,
+                    "the agent has restarted");
+    if (auto Known = alreadyKnown(*R))
+      return refuse(*R, wire::REFUSAL_CANCELLED, *Known,
+                    "the attempt was cancelled or came too late");
+    if (Runs.contains(Request.id().request()))
+      return;
+    if (auto Reason = refusalOf(*R))
+      return finishRefused(R, *Reason, wire::RAN_NO, "");
+    Runs.emplace(Request.id().request(), R);
+    if (runningCount() < limit())
+      return start(R);
+    if (Waiting.size() >= queueLimit())
+      return finishRefused(R, wire::REFUSAL_BUSY, wire::RAN_NO, "");
+    Waiting.push_back(R);
+  }
+
+  /// Registers the attempt.
+  /// @return what is known of it if it must not be started.
+  std::optional<wire::Ran> alreadyKnown(const TargetRun &R) {
+    const std::string &Id = R.Request.id().request();
+    core::TimePoint SentAfter = sentAfter(R.Request.agent_time_ms());
+    if (Runs.contains(Id) || Table.start(Id, SentAfter, R.ArrivedAt))
+      return std::nullopt;
+    return toWire(Table.query(Id, SentAfter, true, R.ArrivedAt).What);
+  }
+
+  core::TimePoint sentAfter(std::uint64_t AgentTimeMs) const {
+    return Context.StartedAt + std::chrono::milliseconds(AgentTimeMs);
+  }
+
+  /// Checks what does not depend on load.
+  std::optional<wire::RefusalReason> refusalOf(TargetRun &R) const {
+    const wire::RunRequest &Request = R.Request;
+    auto Config = Configuration.current();
+    if (Draining ||
+        Config->outOfService(Context.Config.Host, Context.Config.FailureDomain))
+      return wire::REFUSAL_OUT_OF_SERVICE;
+    auto Digest = core::Digest::fromBytes(Request.digest());
+    if (Digest && Heartbeats.quarantined(*Digest))
+      return wire::REFUSAL_QUARANTINED;
+    if (!Weights) {
+      if (Request.entry() != Context.Config.Target.Serves.str())
+        return wire::REFUSAL_UNKNOWN_ENTRY;
+      return std::nullopt;
+    }
+    const ServedVersion *Served = served(Request.entry());
+    if (!Served)
+      return wire::REFUSAL_UNKNOWN_ENTRY;
+    if (Served->Version.bytes() != Request.version())
+      return wire::REFUSAL_VERSION;
+    R.Generation = Served->Generation;
+    return std::nullopt;
+  }
+
+  const ServedVersion *served(const std::string &Entry) const {
+    for (const ServedVersion &S : Weights->served())
+      if (S.Entry.str() == Entry && !Replacing.contains(S.Entry))
+        return &S;
+    return nullptr;
+  }
+
+  std::size_t limit() const {
+    std::size_t Limit = 1;
+    for (const core::CatalogueEntry &E : Configuration.current()->Entries)
+      if (mine(E))
+        Limit = std::max<std::size_t>(Limit, E.Limit.Concurrency);
+    return Limit;
+  }
+
+  std::size_t queueLimit() const { return limit(); }
+
+  bool mine(const core::CatalogueEntry &E) const {
+    if (Weights)
+      return E.Kind == core::TargetKind::Engine;
+    return E.Name == Context.Config.Target.Serves;
+  }
+
+  std::size_t runningCount() const { return Runs.size() - Waiting.size(); }
+
+  void startWaiting() {
+    while (!Waiting.empty() && runningCount() < limit()) {
+      Run R = Waiting.front();
+      Waiting.pop_front();
+      if (auto Reason = refusalOf(*R))
+        finishRefused(R, *Reason, wire::RAN_NO, "");
+      else
+        start(R);
+    }
+  }
+
+  void expireWaiting() {
+    core::TimePoint Now = now();
+    auto Expired = [&](const Run &R) {
+      return Now - R->ArrivedAt >
+             std::chrono::milliseconds(R->Request.deadline_ms());
+    };
+    std::vector<Run> Late;
+    std::copy_if(Waiting.begin(), Waiting.end(), std::back_inserter(Late),
+                 Expired);
+    std::erase_if(Waiting, Expired);
+    for (const Run &R : Late)
+      finishRefused(R, wire::REFUSAL_DEADLINE, wire::RAN_NO, "");
+    startWaiting();
+  }
+
+  // ---- Running ----
+
+  void start(const Run &R) {
+    R->Running = true;
+    R->StartedAt = now();
+    const wire::RunRequest &Request = R->Request;
+    if (!Request.idempotent())
+      R->Answer = std::make_shared<ledger::HeldAnswer>();
+    http::Request Call;
+    Call.Method = Request.method();
+    Call.Target = Request.target();
+    Call.Body = Request.body();
+    for (const wire::Header &H : Request.headers())
+      if (!hopByHop(H.name()))
+        Call.Fields.add(H.name(), H.value());
+    Call.Fields.set("traceparent", R->Traceparent);
+    Call.Fields.set("x-request-priority",
+                    std::to_string(Request.traffic_class()));
+    http::Deadlines Limits;
+    Limits.FirstByte = FirstByteDeadline;
+    Limits.Idle = IdleDeadline;
+    Limits.FreshConnection = !Request.idempotent();
+    R->Call = Context.Http->stream(Context.Config.Target.Address,
+                                   std::move(Call), Limits, hooksFor(R));
+  }
+
+  /// Hooks run on the calling duty and hand everything to the control duty.
+  http::Client::Hooks hooksFor(const Run &R) {
+    runtime::Duty &Control = *Context.Control;
+    http::Client::Hooks Hooks;
+    Hooks.OnHead = [this, R, &Control](const http::ResponseHead &Head) {
+      Control.postAlways([this, R, Head] { onHead(R, Head); });
+    };
+    Hooks.OnPart = [this, R, &Control](std::string Part) {
+      Control.postAlways(
+          [this, R, Part = std::move(Part)] { onPart(R, Part); });
+    };
+    Hooks.OnDone = [this, R, &Control](std::optional<http::Error> Error) {
+      Control.postAlways([this, R, Error] { onDone(R, Error); });
+    };
+    return Hooks;
+  }
+
+  bool active(const Run &R) const {
+    auto Found = Runs.find(R->Request.id().request());
+    return Found != Runs.end() && Found->second == R;
+  }
+
+  void onHead(const Run &R, const http::ResponseHead &Head) {
+    if (!active(R))
+      return;
+    if (refusedByTarget(R, Head))
+      return;
+    if (R->Generation && generationOf(Head.Fields) != R->Generation) {
+      Weights->engineChanged();
+      return fail(R, wire::REFUSAL_VERSION, wire::RAN_YES,
+                  "the engine's weights changed");
+    }
+    R->HeadSent = true;
+    wire::Envelope Message;
+    wire::RunHead &Out = *Message.mutable_run_head();
+    *Out.mutable_id() = R->Request.id();
+    Out.set_status(Head.Status);
+    for (const auto &[Name, Value] : Head.Fields) {
+      if (hopByHop(Name))
+        continue;
+      wire::Header &H = *Out.add_headers();
+      H.set_name(Name);
+      H.set_value(Value);
+      if (R->Answer)
+        R->Answer->Headers.emplace_back(Name, Value);
+    }
+    if (R->Answer)
+      R->Answer->Status = Head.Status;
+    Send.send(R->From, std::move(Message));
+  }
+
+  /// An engine that is full says so before it runs anything.
+  bool refusedByTarget(const Run &R, const http::ResponseHead &Head) {
+    constexpr unsigned TooManyRequests = 429;
+    constexpr unsigned ServiceUnavailable = 503;
+    if (!Weights ||
+        (Head.Status != TooManyRequests && Head.Status != ServiceUnavailable))
+      return false;
+    fail(R, wire::REFUSAL_BUSY, wire::RAN_NO, "the engine is full");
+    return true;
+  }
+
+  void onPart(const Run &R, const std::string &Part) {
+    if (!active(R))
+      return;
+    if (R->Offset == 0)
+      noteFirstPart(*R);
+    wire::Envelope Message;
+    wire::RunPart &Out = *Message.mutable_run_part();
+    *Out.mutable_id() = R->Request.id();
+    Out.set_offset(R->Offset);
+    Out.set_data(Part);
+    R->Offset += Part.size();
+    R->Checksum.add(Part);
+    if (R->Answer)
+      R->Answer->Body += Part;
+    Send.send(R->From, std::move(Message));
+  }
+
+  void noteFirstPart(TargetRun &R) {
+    R.FirstPartAt = now();
+    auto Sample =
+        std::chrono::duration<double, std::micro>(R.FirstPartAt - R.StartedAt);
+    LatencyUs = LatencyUs == 0 ? Sample.count()
+                               : LatencyUs + LatencySmoothing *
+                                                 (Sample.count() - LatencyUs);
+  }
+
+  void onDone(const Run &R, const std::optional<http::Error> &Error) {
+    if (!active(R))
+      return;
+    if (!Error)
+      return R->Generation ? confirmGeneration(R) : complete(R);
+    if (Error->What == http::Error::Kind::NotSent) {
+      targetFailed();
+      return fail(R, wire::REFUSAL_TARGET_FAILED, wire::RAN_NO, Error->Detail);
+    }
+    suspectDeath();
+    fail(R, wire::REFUSAL_TARGET_FAILED, wire::RAN_UNKNOWN, Error->Detail);
+  }
+
+  void targetFailed() {
+    ServiceFailedAt = now();
+    if (Weights)
+      Weights->engineChanged();
+  }
+
+  /// Reads the generation once more: the answer counts only if the weights
+  /// stayed the same throughout.
+  void confirmGeneration(const Run &R) {
+    http::Request Read;
+    Read.Method = "GET";
+    Read.Target = "/control/v1/state";
+    Context.Http->fetch(
+        Context.Config.Target.Address, std::move(Read), {},
+        [this, R](core::Result<http::Response, http::Error> Answer) {
+          bool Same =
+              Answer && generationInState(Answer->Body) == R->Generation;
+          Context.Control->postAlways([this, R, Same] {
+            if (!active(R))
+              return;
+            if (Same)
+              return complete(R);
+            Weights->engineChanged();
+            fail(R, wire::REFUSAL_VERSION, wire::RAN_YES,
+                 "the engine's weights changed");
+          });
+        },
+        /*Retryable=*/true);
+  }
+
+  void complete(const Run &R) {
+    wire::Envelope Message;
+    wire::RunEnd &Out = *Message.mutable_run_end();
+    *Out.mutable_id() = R->Request.id();
+    Out.set_length(R->Offset);
+    Out.set_checksum(R->Checksum.value());
+    Send.send(R->From, std::move(Message));
+    end(R, ledger::Ran::Yes, R->Answer);
+  }
+
+  /// If the target died, the requests in progress are reported as possible
+  /// causes.
+  void suspectDeath() {
+    if (!Weights)
+      return;
+    std::vector<core::Digest> Suspects;
+    for (const auto &[Id, R] : Runs)
+      if (R->Running)
+        if (auto Digest = core::Digest::fromBytes(R->Request.digest()))
+          Suspects.push_back(*Digest);
+    Weights->engineChanged();
+    Heartbeats.reportSuspects(std::move(Suspects));
+  }
+
+  // ---- Ending ----
+
+  void refuse(const TargetRun &R, wire::RefusalReason Reason, wire::Ran Ran,
+              const std::string &Detail) {
+    wire::Envelope Message;
+    wire::RunRefusal &Out = *Message.mutable_run_refusal();
+    *Out.mutable_id() = R.Request.id();
+    Out.set_reason(Reason);
+    Out.set_ran(Ran);
+    Out.set_detail(Detail);
+    if (Reason == wire::REFUSAL_BUSY)
+      Out.set_retry_after_ms(BusyRetryAfterMs);
+    Send.send(R.From, std::move(Message));
+  }
+
+  void finishRefused(const Run &R, wire::RefusalReason Reason, wire::Ran Ran,
+                     const std::string &Detail) {
+    refuse(*R, Reason, Ran, Detail);
+    end(R, toLedger(Ran), nullptr);
+  }
+
+  /// Ends a run whose call may still be open.
+  void fail(const Run &R, wire::RefusalReason Reason, wire::Ran Ran,
+            const std::string &Detail) {
+    if (R->Call)
+      R->Call->cancel();
+    finishRefused(R, Reason, Ran, Detail);
+  }
+
+  void end(const Run &R, ledger::Ran What,
+           std::shared_ptr<const ledger::HeldAnswer> Answer) {
+    const std::string Id = R->Request.id().request();
+    Runs.erase(Id);
+    std::erase(Waiting, R);
+    Table.finish(Id, What, std::move(Answer), now());
+    startWaiting();
+    checkReplacing();
+    checkIdle();
+  }
+
+  void cancel(const std::string &Id) {
+    auto Found = Runs.find(Id);
+    if (Found == Runs.end())
+      return;
+    Run R = Found->second;
+    if (!R->Running)
+      return finishRefused(R, wire::REFUSAL_CANCELLED, wire::RAN_NO, "");
+    // A request that may not be repeated runs to its end, so that its answer is
+    // known.
+    if (R->Request.idempotent())
+      fail(R, wire::REFUSAL_CANCELLED, wire::RAN_UNKNOWN, "");
+  }
+
+  void answerQuery(const wire::Peer &From, const wire::OutcomeQuery &Query) {
+    wire::Envelope Message;
+    wire::OutcomeReply &Out = *Message.mutable_outcome_reply();
+    *Out.mutable_id() = Query.id();
+    if (Query.agent_incarnation() != Context.Incarnation) {
+      Out.set_ran(wire::RAN_UNKNOWN);
+      Send.send(From, std::move(Message));
+      return;
+    }
+    if (Query.forbid())
+      withdrawWaiting(Query.id().request());
+    auto Outcome =
+        Table.query(Query.id().request(), sentAfter(Query.agent_time_ms()),
+                    Query.forbid(), now());
+    Out.set_ran(toWire(Outcome.What));
+    Out.set_in_progress(Outcome.InProgress);
+    if (Outcome.Answer) {
+      Out.set_held(true);
+      Out.set_status(Outcome.Answer->Status);
+      Out.set_body(Outcome.Answer->Body);
+      for (const auto &[Name, Value] : Outcome.Answer->Headers) {
+        wire::Header &H = *Out.add_headers();
+        H.set_name(Name);
+        H.set_value(Value);
+      }
+    }
+    Send.send(From, std::move(Message));
+  }
+
+  /// A forbidden attempt that only waits has not started.
+  void withdrawWaiting(const std::string &Id) {
+    auto Found = Runs.find(Id);
+    if (Found != Runs.end() && !Found->second->Running)
+      finishRefused(Found->second, wire::REFUSAL_CANCELLED, wire::RAN_NO, "");
+  }
+
+  // ---- Draining ----
+
+  void drainEntry(const core::EntryName &Entry, std::function<void()> Drained) {
+    Replacing[Entry] = std::move(Drained);
+    checkReplacing();
+  }
+
+  /// Tells the weight service of each entry that no run uses any more.
+  void checkReplacing() {
+    std::vector<std::function<void()>> Ready;
+    std::erase_if(Replacing, [&](const auto &Item) {
+      bool Used = std::any_of(Runs.begin(), Runs.end(), [&](const auto &R) {
+        return R.second->Running &&
+               R.second->Request.entry() == Item.first.str();
+      });
+      if (!Used)
+        Ready.push_back(Item.second);
+      return !Used;
+    });
+    for (const auto &Drained : Ready)
+      Drained();
+  }
+
+  void checkIdle() {
+    if (Draining && Runs.empty() && OnIdle)
+      std::exchange(OnIdle, nullptr)();
+  }
+
+  // ---- Holdings ----
+
+  wire::Holding serviceHolding() const {
+    wire::Holding H;
+    H.set_entry(Context.Config.Target.Serves.str());
+    H.set_serving(now() - ServiceFailedAt > FailedServiceRest);
+    return H;
+  }
+
+  void addLoad(wire::Holding &H) const {
+    if (Draining || Replacing.contains(core::EntryName(H.entry())))
+      H.set_serving(false);
+    std::size_t Room = limit() + queueLimit();
+    H.set_credits(Room > Runs.size() ? Room - Runs.size() : 0);
+    H.set_in_progress(runningCount());
+    H.set_waiting(Waiting.size());
+    H.set_latency_us(static_cast<std::uint64_t>(LatencyUs));
+  }
+
+  ProcessContext &Context;
+  const MessageSender &Send;
+  ConfigurationService &Configuration;
+  HeartbeatService &Heartbeats;
+  WeightService *Weights;
+  runtime::TimerService::Subscription Tick;
+
+  ledger::AttemptTable Table;
+  /// Attempts that wait or run, by request id.
+  std::map<std::string, Run> Runs;
+  std::deque<Run> Waiting;
+  /// Entries whose version is about to be replaced: they take no new work.
+  std::map<core::EntryName, std::function<void()>> Replacing;
+  double LatencyUs = 0;
+  core::TimePoint ServiceFailedAt;
+  bool Draining = false;
+  std::function<void()> OnIdle;
+};
+
+} // namespace
+
+std::unique_ptr<Gate> Gate::create(ProcessContext &Context,
+                                   const MessageSender &Send,
+                                   ConfigurationService &Configuration,
+                                   HeartbeatService &Heartbeats,
+                                   WeightService *Weights) {
+  return std::make_unique<GateImpl>(Context, Send, Configuration, Heartbeats,
+                                    Weights);
+}
+
+} // namespace rosemarylane
--- /dev/null
+++ b/rosemarylane/src/common/ProcessStart.cpp
@@ -0,0 +1,185 @@
+#include "common/ProcessStart.h"
+
+#include "telemetry/Log.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <fstream>
+#include <future>
+#include <iostream>
+#include <popt.h>
+#include <prometheus/text_serializer.h>
+#include <sstream>
+
+namespace rosemarylane {
+
+namespace {
+
+constexpr std::size_t ControlRing = 65536;
+constexpr std::size_t HttpRing = 16384;
+
+telemetry::Level parseLevel(const std::string &Name) {
+  if (Name == "debug")
+    return telemetry::Level::Debug;
+  if (Name == "warning")
+    return telemetry::Level::Warning;
+  if (Name == "error")
+    return telemetry::Level::Error;
+  return telemetry::Level::Info;
+}
+
+const char *nameOf(ProcessKind Kind) {
+  return Kind == ProcessKind::Entry ? "entry" : "agent";
+}
+
+std::uint64_t wallClockMilliseconds() {
+  auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(SinceEpoch)
+      .count();
+}
+
+void logEscaped(const std::string &What) {
+  telemetry::log(telemetry::Level::Error, "exception escaped a task",
+                 {{"what", What}});
+}
+
+core::Result<Settings, ExitCode> readSettings(ProcessKind Kind,
+                                              const std::string &Path) {
+  std::ifstream File(Path);
+  if (!File) {
+    std::cerr << Path << ": cannot be read\n";
+    return core::failure(ExitCode::Usage);
+  }
+  std::stringstream Text;
+  Text << File.rdbuf();
+  auto Parsed = parseSettings(Kind, Text.str());
+  if (Parsed)
+    return std::move(*Parsed);
+  for (const core::DocumentError &E : Parsed.error())
+    std::cerr << Path << ": " << E.Path << ": found " << E.Found
+              << ", expected " << E.Expected << "\n";
+  return core::failure(ExitCode::Invalid);
+}
+
+} // namespace
+
+core::Result<Settings, ExitCode>
+settingsFromCommandLine(ProcessKind Kind, int Argc, const char **Argv) {
+  char *Path = nullptr;
+  int Version = 0;
+  poptOption Options[] = {
+      {"settings", 's', POPT_ARG_STRING, &Path, 0, "settings file in JSON",
+       "FILE"},
+      {"version", 0, POPT_ARG_NONE, &Version, 0, "print the version", nullptr},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext Popt = poptGetContext(nameOf(Kind), Argc, Argv, Options, 0);
+  int Next = poptGetNextOpt(Popt);
+  std::string Problem;
+  if (Next < -1)
+    Problem = std::string(poptBadOption(Popt, POPT_BADOPTION_NOALIAS)) + ": " +
+              poptStrerror(Next);
+  else if (const char *Extra = poptGetArg(Popt))
+    Problem = std::string("unexpected argument: ") + Extra;
+  poptFreeContext(Popt);
+  std::string SettingsPath = Path ? Path : "";
+  std::free(Path);
+  if (Version) {
+    std::cout << "rosemarylane " ROSEMARYLANE_VERSION "\n";
+    return core::failure(ExitCode::Ok);
+  }
+  if (Problem.empty() && SettingsPath.empty())
+    Problem = "--settings FILE is required";
+  if (!Problem.empty()) {
+    std::cerr << "rosemarylane " << nameOf(Kind) << ": " << Problem << "\n";
+    return core::failure(ExitCode::Usage);
+  }
+  return readSettings(Kind, SettingsPath);
+}
+
+std::unique_ptr<ProcessContext> startContext(ProcessKind Kind,
+                                             Settings Config) {
+  telemetry::startLog(
+      {nameOf(Kind), Config.Host.str(), Config.FailureDomain.str()},
+      parseLevel(Config.LogLevel));
+  auto Context = std::make_unique<ProcessContext>();
+  Context->Config = std::move(Config);
+  Context->Incarnation = wallClockMilliseconds();
+  Context->StartedAt = std::chrono::steady_clock::now();
+  Context->Timers = runtime::TimerService::start();
+  Context->Control = runtime::Duty::start("control", ControlRing, logEscaped);
+  Context->HttpServing =
+      runtime::Duty::start("http-serving", HttpRing, logEscaped);
+  Context->HttpCalling =
+      runtime::Duty::start("http-calling", HttpRing, logEscaped);
+  Context->Tracer = telemetry::Tracer::start(
+      nameOf(Kind), Context->Config.Host.str(),
+      telemetry::exportToFile(Context->Config.TraceFile));
+  Context->Metrics = std::make_shared<prometheus::Registry>();
+  Context->Http = http::Client::create(*Context->HttpCalling);
+  const PlatformSettings &Platform = Context->Config.Platform;
+  platform::EtcdSettings Store;
+  Store.Address = Platform.KeyValue;
+  Context->Store = platform::createEtcdKeyValue(*Context->HttpCalling,
+                                                *Context->Control, Store);
+  Context->Hosts = platform::HostList::create(
+      *Context->HttpCalling, *Context->Control, Platform.HostList);
+  Context->Origin = platform::Origin::create(
+      *Context->HttpCalling, *Context->Control, Platform.Origin);
+  return Context;
+}
+
+core::Result<bool, StartError>
+startPeers(ProcessContext &Context, wire::PeerNode::MessageHook OnMessage) {
+  wire::PeerSettings Peers;
+  Peers.Listen = Context.Config.PeerAddress;
+  auto Started = wire::PeerNode::start(std::move(Peers), *Context.Control,
+                                       std::move(OnMessage));
+  if (!Started)
+    return core::failure(StartError{ExitCode::Failed, Started.error().Detail});
+  Context.Peers = std::move(*Started);
+  return true;
+}
+
+ExitCode waitForStop(ProcessContext &Context, StopHook OnFirst,
+                     StopHook OnSecond) {
+  std::promise<ExitCode> Ended;
+  auto Once = std::make_shared<std::once_flag>();
+  auto Exit = [&Ended, Once](ExitCode Code) {
+    std::call_once(*Once, [&] { Ended.set_value(Code); });
+  };
+  boost::asio::signal_set Signals(Context.Control->context(), SIGTERM, SIGINT);
+  bool First = true;
+  std::function<void()> Wait = [&] {
+    Signals.async_wait([&](const auto &Error, int) {
+      if (Error)
+        return;
+      (First ? OnFirst : OnSecond)(Exit);
+      First = false;
+      Wait();
+    });
+  };
+  Context.Control->postAlways(Wait);
+  ExitCode Code = Ended.get_future().get();
+  Context.Control->stop();
+  return Code;
+}
+
+bool answerObservability(ProcessContext &Context, http::Exchange &Call) {
+  const std::string &Path = Call.request().Target;
+  if (Path == "/healthz") {
+    Call.respond(http::jsonResponse(200, R"({"status":"alive"})"));
+    return true;
+  }
+  if (Path == "/metrics") {
+    http::Response Answer;
+    Answer.Head.Fields.set("Content-Type", "text/plain; version=0.0.4");
+    Answer.Body =
+        prometheus::TextSerializer().Serialize(Context.Metrics->Collect());
+    Call.respond(std::move(Answer));
+    return true;
+  }
+  return false;
+}
+
+} // namespace rosemarylane
--- /dev/null
+++ b/rosemarylane/src/entry/EntryProcess.cpp
@@ -0,0 +1,197 @@
+/// The `entry` subcommand: joins the parts of an entry and runs them until a
+/// stop signal.
+
+#include "Command.h"
+#include "common/ConfigurationService.h"
+#include "common/Messages.h"
+#include "common/ProcessStart.h"
+#include "entry/AdminApi.h"
+#include "entry/AttemptClient.h"
+#include "entry/LedgerService.h"
+#include "entry/MembershipService.h"
+#include "entry/Problem.h"
+#include "entry/RequestHandler.h"
+#include "http/Server.h"
+#include "telemetry/Log.h"
+
+#include <atomic>
+#include <iostream>
+
+namespace rosemarylane {
+
+namespace {
+
+/// Time for the balancer to see that the entry is not ready, before its
+/// connections close.
+constexpr std::chrono::milliseconds DrainNotice{1000};
+constexpr std::chrono::milliseconds BusyRetryAfter{500};
+
+bool startsWith(const std::string &Text, std::string_view Prefix) {
+  return Text.compare(0, Prefix.size(), Prefix) == 0;
+}
+
+/// The parts of one entry. Destroyed after the control duty has stopped.
+class EntryProcess {
+public:
+  explicit EntryProcess(std::unique_ptr<ProcessContext> Made)
+      : Context(std::move(Made)), Send(*Context, wire::ROLE_ENTRY) {}
+
+  core::Result<bool, StartError> start() {
+    Configuration = ConfigurationService::create(*Context, Send,
+                                                 /*MayReadStore=*/true);
+    Send.setConfiguration(Configuration.get());
+    Members = MembershipService::create(*Context, Send, *Configuration);
+    Ledger = LedgerService::create(*Context, Send);
+    Attempts = AttemptClient::create(*Context, Send);
+    Handler = RequestHandler::create(
+        {*Context, *Configuration, *Members, *Ledger, *Attempts});
+    Admin = AdminApi::create(*Context, *Configuration,
+                             [this] { return Members->status(); });
+    Members->onEntries([this](auto Fleet, auto FailureDomain) {
+      Ledger->setLiveEntries(std::move(Fleet));
+      Configuration->setLiveEntries(std::move(FailureDomain));
+    });
+    Configuration->onChange([](const auto &Config) {
+      telemetry::setLogRevision(Config->Revision);
+      telemetry::log(telemetry::Level::Info, "configuration in force");
+    });
+    return listen();
+  }
+
+  ExitCode run() {
+    return waitForStop(
+        *Context, [this](auto Exit) { drain(std::move(Exit)); },
+        [this](const auto &Exit) {
+          telemetry::log(
+              telemetry::Level::Warning, "stopped before the drain had ended",
+              {{"cut_off", static_cast<std::int64_t>(Handler->inProgress())}});
+          Exit(ExitCode::Failed);
+        });
+  }
+
+  ~EntryProcess() {
+    Context->Timers->stop();
+    Context->Control->stop();
+    Context->HttpServing->stop();
+    Context->HttpCalling->stop();
+  }
+
+private:
+  core::Result<bool, StartError> listen() {
+    auto Started = startPeers(
+        *Context, [this](const wire::Peer &From, const wire::Envelope &M) {
+          receive(From, M);
+        });
+    if (!Started)
+      return Started;
+    http::ServerSettings Serving;
+    Serving.Address = Context->Config.HttpAddress;
+    auto Listening =
+        http::Server::listen(*Context->HttpServing, Serving,
+                             [this](std::shared_ptr<http::Exchange> Call) {
+                               answer(std::move(Call));
+                             });
+    if (!Listening)
+      return core::failure(
+          StartError{ExitCode::Failed, Listening.error().Detail});
+    Server = std::move(*Listening);
+    return true;
+  }
+
+  void receive(const wire::Peer &From, const wire::Envelope &Message) {
+    Configuration->receive(From, Message);
+    switch (Message.body_case()) {
+    case wire::Envelope::kRunHead:
+    case wire::Envelope::kRunPart:
+    case wire::Envelope::kRunEnd:
+    case wire::Envelope::kRunRefusal:
+    case wire::Envelope::kOutcomeReply:
+      Attempts->receive(From, Message);
+      break;
+    case wire::Envelope::kLedgerRequest:
+    case wire::Envelope::kLedgerReply:
+      Ledger->receive(From, Message);
+      break;
+    default:
+      Members->receive(From, Message);
+      break;
+    }
+  }
+
+  /// Runs on the serving duty.
+  void answer(std::shared_ptr<http::Exchange> Call) {
+    const std::string &Path = Call->request().Target;
+    if (answerObservability(*Context, *Call))
+      return;
+    if (Path == "/readyz")
+      return answerReady(*Call);
+    bool Taken = Context->Control->post([this, Call] {
+      if (startsWith(Call->request().Target, "/admin/v1"))
+        Admin->handle(Call);
+      else
+        Handler->handle(Call);
+    });
+    if (!Taken)
+      Call->respond(problemResponse(
+          {ProblemKind::Overloaded, ledger::Ran::No, "", BusyRetryAfter}));
+  }
+
+  void answerReady(http::Exchange &Call) {
+    constexpr unsigned Ok = 200;
+    constexpr unsigned ServiceUnavailable = 503;
+    bool Ready = !Draining && Configuration->current()->Revision > 0;
+    Call.respond(http::jsonResponse(Ready ? Ok : ServiceUnavailable,
+                                    Ready ? R"({"status":"ready"})"
+                                          : R"({"status":"not ready"})"));
+  }
+
+  void drain(std::function<void(ExitCode)> Exit) {
+    telemetry::log(telemetry::Level::Info, "draining");
+    Draining = true;
+    Members->startDraining();
+    DrainTimer = Context->Timers->after(DrainNotice, *Context->Control,
+                                        [this, Exit = std::move(Exit)] {
+                                          Server->drain();
+                                          awaitIdle(Exit);
+                                        });
+  }
+
+  /// Ends once no request is in progress and every answer has left the server.
+  void awaitIdle(std::function<void(ExitCode)> Exit) {
+    constexpr std::chrono::milliseconds IdleCheck{50};
+    if (Handler->inProgress() == 0 && Server->inProgress() == 0)
+      return Exit(ExitCode::Ok);
+    DrainTimer = Context->Timers->after(
+        IdleCheck, *Context->Control,
+        [this, Exit = std::move(Exit)] { awaitIdle(Exit); });
+  }
+
+  std::unique_ptr<ProcessContext> Context;
+  MessageSender Send;
+  std::unique_ptr<ConfigurationService> Configuration;
+  std::unique_ptr<MembershipService> Members;
+  std::unique_ptr<LedgerService> Ledger;
+  std::unique_ptr<AttemptClient> Attempts;
+  std::unique_ptr<RequestHandler> Handler;
+  std::unique_ptr<AdminApi> Admin;
+  std::unique_ptr<http::Server> Server;
+  std::atomic<bool> Draining{false};
+  runtime::TimerService::Subscription DrainTimer;
+};
+
+} // namespace
+
+ExitCode runEntry(int Argc, const char **Argv) {
+  auto Config = settingsFromCommandLine(ProcessKind::Entry, Argc, Argv);
+  if (!Config)
+    return Config.error();
+  EntryProcess Process(startContext(ProcessKind::Entry, std::move(*Config)));
+  auto Started = Process.start();
+  if (!Started) {
+    std::cerr << "rosemarylane entry: " << Started.error().Detail << "\n";
+    return Started.error().Code;
+  }
+  return Process.run();
+}
+
+} // namespace rosemarylane
