Fetch weights, check them and have the engine load them: the thin path

Cause: entries can route only to targets that hold weights. The change: manifests, placement by rendezvous hashing over failure domains, the rollout decision, the engine's control calls, a chunk store over the engine's memory, a simple exchange (first rank reads the origin, others ask peers) and the service that keeps the engine at what the catalogue asks for. Not run yet: no stand-in for the engine is merged.

--- /dev/null
+++ b/libs/swarm/src/Rollout.cpp
@@ -0,0 +1,43 @@
+#include "swarm/Rollout.h"
+
+namespace rosemarylane::swarm {
+
+SwitchDecision decideSwitch(const core::HostId &Self,
+                            const core::Digest &Version,
+                            std::uint32_t ServingFloor,
+                            const std::vector<ReplicaStatus> &Replicas) {
+  std::size_t Failed = 0;
+  std::size_t Switched = 0;
+  std::size_t OthersServing = 0;
+  std::size_t MaySwitchBefore = 0;
+  bool FirstSwitches = false;
+  const ReplicaStatus *Own = nullptr;
+  for (const ReplicaStatus &Replica : Replicas) {
+    bool OnVersion = Replica.Loaded == Version;
+    Failed += Replica.Failed;
+    Switched += OnVersion && Replica.Serving;
+    if (Replica.Host == Self) {
+      Own = &Replica;
+      continue;
+    }
+    OthersServing += Replica.Serving;
+    if (!Own && !OnVersion && !Replica.Failed) {
+      FirstSwitches = true;
+      MaySwitchBefore += Replica.Serving;
+    }
+  }
+  if (Failed > Switched)
+    return SwitchDecision::Stop;
+  if (!Own)
+    return SwitchDecision::Wait;
+  if (Own->Loaded.none())
+    return SwitchDecision::Switch;
+  // Nobody follows before the first is proved to serve.
+  if (Switched == 0 && FirstSwitches)
+    return SwitchDecision::Wait;
+  return OthersServing >= ServingFloor + MaySwitchBefore
+             ? SwitchDecision::Switch
+             : SwitchDecision::Wait;
+}
+
+} // namespace rosemarylane::swarm
--- /dev/null
+++ b/rosemarylane/src/agent/WeightService.cpp
@@ -0,0 +1,508 @@
+#include "agent/WeightService.h"
+
+#include "agent/ChunkExchange.h"
+#include "agent/ChunkStore.h"
+#include "agent/EngineControl.h"
+#include "core/Time.h"
+#include "swarm/Placement.h"
+#include "swarm/Rollout.h"
+#include "telemetry/Log.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace rosemarylane {
+
+namespace {
+
+constexpr std::chrono::milliseconds PollInterval{500};
+constexpr std::chrono::milliseconds OrderRetryDelay{500};
+/// Questions in a row without an answer after which the engine counts as down.
+constexpr int SilentPollsUntilDown = 2;
+/// Orders for a version that the engine turned down before it is given up.
+constexpr int LoadAttempts = 2;
+
+constexpr char StoppedElsewhere[] =
+    "stopped: the version failed to load at another replica";
+
+core::TimePoint now() { return std::chrono::steady_clock::now(); }
+
+std::string digestBytes(const core::Digest &D) {
+  return std::string(D.bytes());
+}
+
+swarm::EngineHost engineHost(const wire::Sender &Member) {
+  return {core::HostId(Member.host()), core::RegionId(Member.region()),
+          core::FailureDomainId(Member.failure_domain())};
+}
+
+class EngineWeightService final : public WeightService {
+public:
+  EngineWeightService(ProcessContext &Context, const MessageSender &Send,
+                      ConfigurationService &Configuration,
+                      HeartbeatService &Heartbeats)
+      : Context(Context), Configuration(Configuration), Heartbeats(Heartbeats),
+        Engine(EngineControl::create(Context)), Store(*Engine),
+        Exchange(ChunkExchange::create(
+            Context, Send, Store,
+            {[this](const core::Digest &) { advance(); },
+             [this](const core::Digest &V) { engineFull(V); }})),
+        Alive(std::make_shared<bool>(true)) {
+    Configuration.onChange(
+        [this,
+         Guard = guard()](const std::shared_ptr<const core::Configuration> &) {
+          if (Guard.lock())
+            plan();
+        });
+    Heartbeats.onAgents([this, Guard = guard()] {
+      if (Guard.lock())
+        plan();
+    });
+    PollTimer = Context.Timers->every(PollInterval, *Context.Control,
+                                      [this, Guard = guard()] {
+                                        if (Guard.lock())
+                                          poll();
+                                      });
+    poll();
+  }
+
+  void receive(const wire::Peer &From, const wire::Envelope &Message) override {
+    Exchange->receive(From, Message);
+  }
+
+  const std::vector<ServedVersion> &served() const override { return Served; }
+
+  void onServed(std::function<void()> Hook) override {
+    ServedHooks.push_back(std::move(Hook));
+  }
+
+  void onReplace(std::function<void(const core::EntryName &,
+                                    std::function<void()> Drained)>
+                     Hook) override {
+    ReplaceHook = std::move(Hook);
+  }
+
+  std::vector<wire::Holding> holdings() const override {
+    std::map<core::EntryName, wire::Holding> ByEntry;
+    if (State)
+      for (const auto &[Name, Version] : State->Loaded)
+        ByEntry[Name].set_version(digestBytes(Version));
+    for (const ServedVersion &S : Served)
+      ByEntry[S.Entry].set_serving(true);
+    for (const auto &[Name, Want] : Wants)
+      describe(Want, ByEntry[Name]);
+    std::vector<wire::Holding> Result;
+    for (auto &[Name, Holding] : ByEntry) {
+      Holding.set_entry(Name.str());
+      Holding.set_warm(State && State->Warm);
+      Result.push_back(std::move(Holding));
+    }
+    return Result;
+  }
+
+  void engineChanged() override { readAgain(); }
+
+private:
+  /// An entry that this engine should hold.
+  struct Want {
+    core::Digest Version;
+    core::TrafficClass Class = core::TrafficClass::Standard;
+    std::optional<core::EntryName> Base;
+    std::string LoadError;
+    int Attempts = 0;
+    core::TimePoint RetryAt{};
+  };
+
+  std::weak_ptr<bool> guard() const { return Alive; }
+
+  // ---- What the engine holds ----
+
+  void poll() {
+    if (Polling)
+      return;
+    Polling = true;
+    Engine->readState([this, Asked = Doubts](auto Answer) {
+      Polling = false;
+      if (Asked != Doubts) {
+        poll();
+        return;
+      }
+      if (!Answer) {
+        if (++SilentPolls >= SilentPollsUntilDown)
+          engineDown(Answer.error());
+        return;
+      }
+      SilentPolls = 0;
+      adopt(std::move(*Answer));
+    });
+  }
+
+  /// Nothing is served until the engine's state has been read from now on.
+  void readAgain() {
+    ++Doubts;
+    State.reset();
+    publish();
+    poll();
+  }
+
+  void engineDown(const EngineError &Error) {
+    if (State)
+      telemetry::log(telemetry::Level::Warning, "engine does not answer",
+                     {{"error", Error.Detail}});
+    State.reset();
+    publish();
+  }
+
+  /// Takes the engine's state as read; what changed without an order of ours
+  /// is looked up anew before anything is served.
+  void adopt(EngineState Seen) {
+    bool Known = State && State->Generation == Seen.Generation &&
+                 State->Loaded == Seen.Loaded;
+    if (Known && ChunksKnown) {
+      bool Warmed = State->Warm != Seen.Warm;
+      State = std::move(Seen);
+      if (Warmed)
+        Heartbeats.sendNow();
+      advance();
+      return;
+    }
+    if (Ordering)
+      return;
+    State = std::move(Seen);
+    refreshChunks();
+  }
+
+  void refreshChunks() {
+    ChunksKnown = false;
+    Store.refresh([this](bool Answered) {
+      ChunksKnown = Answered;
+      if (!Answered)
+        return;
+      publish();
+      Exchange->storeChanged();
+      advance();
+    });
+  }
+
+  // ---- What the engine should hold ----
+
+  /// Works out anew which entries this engine should hold.
+  void plan() {
+    auto Config = Configuration.current();
+    if (Config->Revision == 0)
+      return;
+    std::vector<swarm::EngineHost> Agents = engineAgents();
+    bool Listed =
+        std::any_of(Agents.begin(), Agents.end(), [&](const auto &Agent) {
+          return Agent.Host == Context.Config.Host;
+        });
+    // Without the fleet's list, or out of service, what is held stays.
+    if (!Listed ||
+        Config->outOfService(Context.Config.Host, Context.Config.FailureDomain))
+      return;
+    std::map<core::EntryName, Want> Next;
+    for (const core::EntryName &Name :
+         swarm::wantedAt(Context.Config.Host, *Config, Agents)) {
+      const core::CatalogueEntry &Entry = *Config->entry(Name);
+      Want &W = Next[Name];
+      if (auto Old = Wants.find(Name);
+          Old != Wants.end() && Old->second.Version == Entry.Version)
+        W = Old->second;
+      W.Version = Entry.Version;
+      W.Class = Entry.Class;
+      W.Base = Entry.BaseModel;
+    }
+    Wants = std::move(Next);
+    share(*Config, Agents);
+    publish();
+    advance();
+  }
+
+  std::vector<swarm::EngineHost> engineAgents() const {
+    std::vector<swarm::EngineHost> Agents;
+    for (const wire::MemberSummary &Member : Heartbeats.agents())
+      if (!Member.plain_service() && !Member.draining())
+        Agents.push_back(engineHost(Member.member()));
+    return Agents;
+  }
+
+  /// Tells the exchange which versions to fetch, and whom to share them with.
+  void share(const core::Configuration &Config,
+             const std::vector<swarm::EngineHost> &Agents) {
+    std::map<core::HostId, std::string> Addresses;
+    for (const wire::MemberSummary &Member : Heartbeats.agents())
+      Addresses[core::HostId(Member.member().host())] =
+          Member.member().peer_address();
+    std::vector<ChunkExchange::Wanted> Versions;
+    for (const auto &[Name, W] : Wants) {
+      ChunkExchange::Wanted V{W.Version, W.Class, {}};
+      for (const swarm::EngineHost &Replica :
+           swarm::replicaHosts(*Config.entry(Name), Config, Agents))
+        V.Peers.push_back({Replica, Addresses[Replica.Host]});
+      Versions.push_back(std::move(V));
+    }
+    Exchange->setWanted(std::move(Versions));
+  }
+
+  // ---- Orders ----
+
+  /// Gives the next order that is due, one at a time.
+  void advance() {
+    if (!State || !ChunksKnown || Ordering)
+      return;
+    for (auto &[Name, W] : Wants)
+      if (due(Name, W)) {
+        begin(Name);
+        return;
+      }
+    for (const auto &[Name, Version] : State->Loaded)
+      if (superfluous(Name)) {
+        beginUnload(Name);
+        return;
+      }
+  }
+
+  bool due(const core::EntryName &Name, Want &W) {
+    if (loadedVersion(Name) == W.Version || W.Attempts >= LoadAttempts ||
+        now() < W.RetryAt || !whole(W.Version))
+      return false;
+    if (W.Base && loadedVersion(*W.Base).none())
+      return false;
+    auto Decision = decide(Name, W.Version);
+    W.LoadError =
+        Decision == swarm::SwitchDecision::Stop ? StoppedElsewhere : "";
+    return Decision == swarm::SwitchDecision::Switch;
+  }
+
+  core::Digest loadedVersion(const core::EntryName &Name) const {
+    auto Found = State->Loaded.find(Name);
+    return Found == State->Loaded.end() ? core::Digest() : Found->second;
+  }
+
+  /// @return whether every chunk of \p Version is in the engine's memory.
+  bool whole(const core::Digest &Version) const {
+    const swarm::Manifest *M = Exchange->manifest(Version);
+    return M && std::all_of(M->Chunks.begin(), M->Chunks.end(),
+                            [&](const swarm::ManifestChunk &C) {
+                              return Store.holds(C.Id);
+                            });
+  }
+
+  swarm::SwitchDecision decide(const core::EntryName &Name,
+                               const core::Digest &Version) const {
+    auto Config = Configuration.current();
+    const core::CatalogueEntry *Entry = Config->entry(Name);
+    if (!Entry || Entry->Version != Version)
+      return swarm::SwitchDecision::Wait;
+    std::vector<swarm::ReplicaStatus> Replicas;
+    for (const swarm::EngineHost &Replica :
+         swarm::replicaHosts(*Entry, *Config, engineAgents()))
+      Replicas.push_back(status(Replica.Host, Name, Version));
+    return swarm::decideSwitch(Context.Config.Host, Version,
+                               Entry->ServingFloor, Replicas);
+  }
+
+  swarm::ReplicaStatus status(const core::HostId &Host,
+                              const core::EntryName &Name,
+                              const core::Digest &Version) const {
+    swarm::ReplicaStatus Status{Host, {}, false, false};
+    if (Host == Context.Config.Host) {
+      Status.Loaded = loadedVersion(Name);
+      Status.Serving = serves(Name) && State->Warm;
+      return Status;
+    }
+    for (const wire::MemberSummary &Member : Heartbeats.agents())
+      if (Member.member().host() == Host.str())
+        for (const wire::Holding &H : Member.holdings())
+          if (H.entry() == Name.str()) {
+            Status.Loaded =
+                core::Digest::fromBytes(H.version()).value_or(core::Digest());
+            Status.Serving = H.serving() && H.warm();
+            Status.Failed = H.failed_version() == Version.bytes();
+          }
+    return Status;
+  }
+
+  bool serves(const core::EntryName &Name) const {
+    return std::any_of(Served.begin(), Served.end(),
+                       [&](const ServedVersion &S) { return S.Entry == Name; });
+  }
+
+  /// Whether \p Name is loaded here but placed elsewhere or nowhere.
+  bool superfluous(const core::EntryName &Name) const {
+    auto Config = Configuration.current();
+    if (Config->Revision == 0 || Wants.contains(Name))
+      return false;
+    const core::CatalogueEntry *Entry = Config->entry(Name);
+    if (!Entry)
+      return true;
+    if (Config->outOfService(Context.Config.Host, Context.Config.FailureDomain))
+      return false;
+    std::vector<swarm::EngineHost> Replicas =
+        swarm::replicaHosts(*Entry, *Config, engineAgents());
+    // Kept until those that take over serve.
+    return Replicas.size() >= Entry->Replicas &&
+           std::all_of(Replicas.begin(), Replicas.end(), [&](const auto &R) {
+             return R.Host != Context.Config.Host &&
+                    status(R.Host, Name, Entry->Version).Serving;
+           });
+  }
+
+  /// Withdraws \p Name, lets requests end, then orders the load.
+  void begin(const core::EntryName &Name) {
+    Ordering = Name;
+    publish();
+    drain(Name, [this, Name] {
+      auto Found = Wants.find(Name);
+      const swarm::Manifest *M =
+          Found == Wants.end() ? nullptr
+                               : Exchange->manifest(Found->second.Version);
+      if (!M) {
+        ended();
+        return;
+      }
+      orderLoad(Name, Found->second, *M);
+    });
+  }
+
+  void drain(const core::EntryName &Name, std::function<void()> Then) {
+    if (loadedVersion(Name).none() || !ReplaceHook) {
+      Then();
+      return;
+    }
+    ReplaceHook(Name, [Guard = guard(), Then = std::move(Then)] {
+      if (Guard.lock())
+        Then();
+    });
+  }
+
+  void orderLoad(const core::EntryName &Name, const Want &W,
+                 const swarm::Manifest &M) {
+    LoadOrder Order{
+        Name, W.Version, {}, W.Base, Configuration.current()->Revision};
+    for (const swarm::ManifestChunk &Chunk : M.Chunks)
+      Order.Chunks.push_back(Chunk.Id);
+    telemetry::log(telemetry::Level::Info, "loading",
+                   {{"entry", Name.str()}, {"version", W.Version.hex()}});
+    Engine->load(Order, [this, Name, Version = W.Version](auto Answer) {
+      loadEnded(Name, Version,
+                Answer ? std::nullopt : std::optional(Answer.error()));
+    });
+  }
+
+  void loadEnded(const core::EntryName &Name, const core::Digest &Version,
+                 const std::optional<EngineError> &Error) {
+    auto Found = Wants.find(Name);
+    if (Error && Found != Wants.end() && Found->second.Version == Version) {
+      Want &W = Found->second;
+      W.RetryAt = now() + OrderRetryDelay;
+      if (Error->What == EngineError::Kind::Rejected) {
+        ++W.Attempts;
+        W.LoadError = Error->Detail;
+      }
+      telemetry::log(telemetry::Level::Warning, "load failed",
+                     {{"entry", Name.str()},
+                      {"version", Version.hex()},
+                      {"error", Error->Detail}});
+    }
+    // Some engines take any order: only what is read back counts.
+    ended();
+  }
+
+  void beginUnload(const core::EntryName &Name) {
+    Ordering = Name;
+    publish();
+    drain(Name, [this, Name] {
+      Engine->unload(Name, Configuration.current()->Revision,
+                     [this](auto) { ended(); });
+    });
+  }
+
+  /// An order has ended: what is true is read back.
+  void ended() {
+    Ordering.reset();
+    readAgain();
+  }
+
+  void engineFull(const core::Digest &Version) {
+    for (auto &[Name, W] : Wants)
+      if (W.Version == Version)
+        W.LoadError = "the engine's memory is full";
+  }
+
+  // ---- What is served ----
+
+  void publish() {
+    std::vector<ServedVersion> Next;
+    if (State && ChunksKnown)
+      for (const auto &[Name, Version] : State->Loaded)
+        if (Name != Ordering)
+          Next.push_back({Name, Version, State->Generation});
+    bool Changed = !std::equal(Next.begin(), Next.end(), Served.begin(),
+                               Served.end(), [](const auto &A, const auto &B) {
+                                 return A.Entry == B.Entry &&
+                                        A.Version == B.Version &&
+                                        A.Generation == B.Generation;
+                               });
+    if (!Changed)
+      return;
+    Served = std::move(Next);
+    for (const auto &Hook : ServedHooks)
+      Hook();
+    Heartbeats.sendNow();
+  }
+
+  void describe(const Want &W, wire::Holding &Holding) const {
+    if (Holding.version() == W.Version.bytes())
+      return;
+    Holding.set_fetching(digestBytes(W.Version));
+    Holding.set_load_error(W.LoadError);
+    if (W.Attempts >= LoadAttempts)
+      Holding.set_failed_version(digestBytes(W.Version));
+    const swarm::Manifest *M = Exchange->manifest(W.Version);
+    if (!M)
+      return;
+    auto Held = std::count_if(
+        M->Chunks.begin(), M->Chunks.end(),
+        [&](const swarm::ManifestChunk &C) { return Store.holds(C.Id); });
+    Holding.set_fetched_permille(
+        static_cast<std::uint32_t>(1000 * Held / M->Chunks.size()));
+  }
+
+  ProcessContext &Context;
+  ConfigurationService &Configuration;
+  HeartbeatService &Heartbeats;
+  std::unique_ptr<EngineControl> Engine;
+  ChunkStore Store;
+  std::unique_ptr<ChunkExchange> Exchange;
+
+  /// What was read back last; none while it is in doubt.
+  std::optional<EngineState> State;
+  bool ChunksKnown = false;
+  bool Polling = false;
+  /// Counts the reasons to doubt answers to questions asked before.
+  std::uint64_t Doubts = 0;
+  int SilentPolls = 0;
+  std::map<core::EntryName, Want> Wants;
+  /// The entry that an order is in progress for.
+  std::optional<core::EntryName> Ordering;
+  std::vector<ServedVersion> Served;
+  std::vector<std::function<void()>> ServedHooks;
+  std::function<void(const core::EntryName &, std::function<void()>)>
+      ReplaceHook;
+  std::shared_ptr<bool> Alive;
+  runtime::TimerService::Subscription PollTimer;
+};
+
+} // namespace
+
+std::unique_ptr<WeightService>
+WeightService::create(ProcessContext &Context, const MessageSender &Send,
+                      ConfigurationService &Configuration,
+                      HeartbeatService &Heartbeats) {
+  return std::make_unique<EngineWeightService>(Context, Send, Configuration,
+                                               Heartbeats);
+}
+
+} // namespace rosemarylane
