Membership by heartbeats: entry and agent services, thin path

Cause: nothing told an entry which targets live and what they serve. Wire messages gain sequence, revision and view digests (additive). After: compiles and lints clean; no test has run it yet.

--- /dev/null
+++ b/libs/routing/src/Membership.cpp
@@ -0,0 +1,89 @@
+#include "routing/Membership.h"
+
+#include "core/Rendezvous.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace rosemarylane::routing {
+
+bool Membership::observe(const Member &Told, std::chrono::milliseconds Age,
+                         core::TimePoint Now) {
+  Key Who{Told.Role, Told.Host};
+  auto Found = Records.find(Who);
+  core::TimePoint HeardAt = Now - Age;
+  if (Found == Records.end()) {
+    if (Age >= Settings.ForgetAfter || Records.size() >= Settings.Capacity)
+      return false;
+    Records.emplace(std::move(Who), Record{Told, HeardAt});
+    return true;
+  }
+  Record &Known = Found->second;
+  if (Told.Incarnation < Known.What.Incarnation)
+    return false;
+  if (Told.Incarnation > Known.What.Incarnation) {
+    Known = {Told, HeardAt};
+    return true;
+  }
+  Known.HeardAt = std::max(Known.HeardAt, HeardAt);
+  if (Told.Sequence <= Known.What.Sequence)
+    return false;
+  Known.What = Told;
+  return true;
+}
+
+void Membership::confirm(const Key &Who, std::uint64_t Incarnation,
+                         std::chrono::milliseconds Age, core::TimePoint Now) {
+  auto Found = Records.find(Who);
+  if (Found == Records.end() || Found->second.What.Incarnation != Incarnation)
+    return;
+  Found->second.HeardAt = std::max(Found->second.HeardAt, Now - Age);
+}
+
+void Membership::discountPause(core::Duration Gap) {
+  for (auto &[Who, Known] : Records)
+    Known.HeardAt += Gap;
+}
+
+void Membership::expire(core::TimePoint Now) {
+  std::erase_if(Records, [&](const auto &Item) {
+    return Now - Item.second.HeardAt >= Settings.ForgetAfter;
+  });
+}
+
+Membership::State Membership::state(const Record &Of,
+                                    core::TimePoint Now) const {
+  auto Silent = Now - Of.HeardAt;
+  bool Remote = Of.What.FailureDomain != Own;
+  if (Silent >= Settings.DeadAfter)
+    return State::Dead;
+  if (Silent >= (Remote ? Settings.RemoteSuspectAfter : Settings.SuspectAfter))
+    return State::Suspect;
+  return State::Alive;
+}
+
+const Membership::Record *Membership::find(const Key &Who) const {
+  auto Found = Records.find(Who);
+  return Found == Records.end() ? nullptr : &Found->second;
+}
+
+void Membership::forEachPresent(
+    core::TimePoint Now,
+    const std::function<void(const Record &)> &Visit) const {
+  for (const auto &[Who, Known] : Records)
+    if (state(Known, Now) != State::Dead)
+      Visit(Known);
+}
+
+std::uint64_t identityDigest(const Member &M) {
+  std::string Text = M.Host.str() + '\n' + M.PeerAddress + '\n' +
+                     std::to_string(M.Incarnation) + (M.Draining ? 'd' : 'a');
+  for (const Holding &H : M.Holdings) {
+    Text += '\n' + H.Entry.str() + (H.Serving ? 's' : 'n');
+    Text += H.Version.bytes();
+  }
+  return core::rendezvousWeight(M.Role == MemberRole::Entry ? "entry" : "agent",
+                                Text);
+}
+
+} // namespace rosemarylane::routing
--- /dev/null
+++ b/rosemarylane/src/agent/HeartbeatService.cpp
@@ -0,0 +1,205 @@
+#include "agent/HeartbeatService.h"
+
+#include "common/MemberMessages.h"
+#include "core/Time.h"
+#include "telemetry/Log.h"
+
+#include <map>
+#include <unordered_set>
+
+namespace rosemarylane {
+
+namespace {
+
+constexpr std::chrono::milliseconds HeartbeatPeriod{300};
+constexpr std::chrono::milliseconds HostListPeriod{3000};
+/// An entry that has not answered for this long is reached over a new
+/// connection.
+constexpr std::chrono::milliseconds ReplyTimeout{1200};
+/// An entry that has not answered for this long is tried only if the platform
+/// lists it.
+constexpr std::chrono::milliseconds EntryForgetAfter{10000};
+/// Heartbeats that repeat the same suspects, since any one may be lost.
+constexpr int SuspectRepeats = 4;
+
+class HeartbeatServiceImpl : public HeartbeatService {
+public:
+  HeartbeatServiceImpl(ProcessContext &Context, const MessageSender &Send,
+                       HoldingsSource Holdings)
+      : Context(Context), Send(Send), Holdings(std::move(Holdings)) {}
+
+  void start() {
+    HostListTimer = Context.Timers->every(HostListPeriod, *Context.Control,
+                                          [this] { readHostList(); });
+    HeartbeatTimer = Context.Timers->every(HeartbeatPeriod, *Context.Control,
+                                           [this] { sendNow(); });
+    readHostList();
+  }
+
+  void receive(const wire::Peer &, const wire::Envelope &Message) override {
+    switch (Message.body_case()) {
+    case wire::Envelope::kHeartbeatReply:
+      takeReply(Message);
+      break;
+    case wire::Envelope::kMembersReply:
+      takeMembers(Message.members_reply());
+      break;
+    case wire::Envelope::kQuarantineNotice:
+      for (const std::string &Bytes : Message.quarantine_notice().digests())
+        if (auto D = core::Digest::fromBytes(Bytes))
+          Quarantined.insert(*D);
+      break;
+    default:
+      break;
+    }
+  }
+
+  void sendNow() override {
+    wire::Envelope Message = heartbeat();
+    core::TimePoint Now = std::chrono::steady_clock::now();
+    for (auto &[Address, Link] : Entries) {
+      if (Now - Link.RepliedAt > ReplyTimeout) {
+        Context.Peers->reconnect(Address);
+        Link.RepliedAt = Now;
+      }
+      Message.mutable_heartbeat()->set_known_entries(Link.EntriesDigest);
+      Send.send(wire::Peer::at(Address), Message);
+    }
+    std::erase_if(Entries, [&](const auto &Item) {
+      return !Item.second.Listed &&
+             Now - Item.second.LastHeard > EntryForgetAfter;
+    });
+    if (!Suspects.empty() && ++SuspectsSent >= SuspectRepeats)
+      Suspects.clear();
+  }
+
+  const std::vector<wire::MemberSummary> &agents() const override {
+    return Agents;
+  }
+  void onAgents(std::function<void()> Hook) override {
+    Hooks.push_back(std::move(Hook));
+  }
+
+  void reportSuspects(std::vector<core::Digest> Requests) override {
+    Suspects.insert(Suspects.end(), Requests.begin(), Requests.end());
+    SuspectsSent = 0;
+    sendNow();
+  }
+
+  bool quarantined(const core::Digest &Request) const override {
+    return Quarantined.contains(Request);
+  }
+
+  void startDraining() override {
+    Draining = true;
+    sendNow();
+  }
+
+private:
+  /// An entry that heartbeats go to.
+  struct EntryLink {
+    bool Listed = false;
+    core::TimePoint RepliedAt;
+    core::TimePoint LastHeard;
+    std::uint64_t EntriesDigest = 0;
+  };
+
+  wire::Envelope heartbeat() {
+    wire::Envelope Message;
+    wire::Heartbeat &Beat = *Message.mutable_heartbeat();
+    Beat.set_sequence(++Sequence);
+    Beat.set_draining(Draining);
+    const TargetSettings &Target = Context.Config.Target;
+    Beat.set_plain_service(Target.Kind == core::TargetKind::Service);
+    Beat.set_serves(Target.Serves.str());
+    for (wire::Holding &H : Holdings())
+      *Beat.add_holdings() = std::move(H);
+    for (const core::Digest &D : Suspects)
+      Beat.add_suspects(std::string(D.bytes()));
+    return Message;
+  }
+
+  void readHostList() {
+    Context.Hosts->read([this](core::Result<std::vector<platform::ListedHost>,
+                                            platform::StoreError>
+                                   Read) {
+      if (Read)
+        takeHostList(*Read);
+    });
+  }
+
+  void takeHostList(const std::vector<platform::ListedHost> &Hosts) {
+    for (auto &[Address, Link] : Entries)
+      Link.Listed = false;
+    for (const platform::ListedHost &H : Hosts)
+      if (H.Role == platform::HostRole::Entry &&
+          H.FailureDomain == Context.Config.FailureDomain)
+        link(H.PeerAddress).Listed = true;
+  }
+
+  EntryLink &link(const std::string &Address) {
+    auto [Found, New] = Entries.try_emplace(Address);
+    if (New)
+      Found->second.RepliedAt = Found->second.LastHeard =
+          std::chrono::steady_clock::now();
+    return Found->second;
+  }
+
+  void takeReply(const wire::Envelope &Message) {
+    const wire::HeartbeatReply &Reply = Message.heartbeat_reply();
+    const std::string &Address = Message.sender().peer_address();
+    EntryLink &From = link(Address);
+    From.RepliedAt = From.LastHeard = std::chrono::steady_clock::now();
+    if (Reply.entries_size() > 0) {
+      From.EntriesDigest = Reply.entries_digest();
+      for (const wire::Sender &Entry : Reply.entries())
+        link(Entry.peer_address());
+    }
+    if (Reply.members_digest() != MembersDigest)
+      requestMembers(Address);
+  }
+
+  void requestMembers(const std::string &Address) {
+    wire::Envelope Message;
+    Message.mutable_members_request()->set_known_digest(MembersDigest);
+    Send.send(wire::Peer::at(Address), std::move(Message));
+  }
+
+  void takeMembers(const wire::MembersReply &Reply) {
+    if (Reply.digest() == MembersDigest)
+      return;
+    MembersDigest = Reply.digest();
+    Agents.assign(Reply.members().begin(), Reply.members().end());
+    for (auto &Hook : Hooks)
+      Hook();
+  }
+
+  ProcessContext &Context;
+  const MessageSender &Send;
+  HoldingsSource Holdings;
+  std::uint64_t Sequence = 0;
+  bool Draining = false;
+  /// By peer address.
+  std::map<std::string, EntryLink> Entries;
+  std::vector<wire::MemberSummary> Agents;
+  std::uint64_t MembersDigest = 0;
+  std::vector<std::function<void()>> Hooks;
+  std::vector<core::Digest> Suspects;
+  int SuspectsSent = 0;
+  std::unordered_set<core::Digest> Quarantined;
+  runtime::TimerService::Subscription HeartbeatTimer;
+  runtime::TimerService::Subscription HostListTimer;
+};
+
+} // namespace
+
+std::unique_ptr<HeartbeatService>
+HeartbeatService::create(ProcessContext &Context, const MessageSender &Send,
+                         HoldingsSource Holdings) {
+  auto Service = std::make_unique<HeartbeatServiceImpl>(Context, Send,
+                                                        std::move(Holdings));
+  Service->start();
+  return Service;
+}
+
+} // namespace rosemarylane
--- /dev/null
+++ b/rosemarylane/src/common/MemberMessages.cpp
@@ -0,0 +1,111 @@
+#include "common/MemberMessages.h"
+
+namespace rosemarylane {
+
+namespace {
+
+core::Digest digestFrom(const std::string &Bytes) {
+  return core::Digest::fromBytes(Bytes).value_or(core::Digest());
+}
+
+std::string bytesOf(const core::Digest &D) {
+  return D.none() ? std::string() : std::string(D.bytes());
+}
+
+routing::Holding holdingFrom(const wire::Holding &From) {
+  routing::Holding To;
+  To.Entry = core::EntryName(From.entry());
+  To.Version = digestFrom(From.version());
+  To.Serving = From.serving();
+  To.Credits = From.credits();
+  To.InProgress = From.in_progress();
+  To.Waiting = From.waiting();
+  To.Latency = std::chrono::microseconds(From.latency_us());
+  To.Fetching = digestFrom(From.fetching());
+  To.FetchedPermille = From.fetched_permille();
+  To.LoadError = From.load_error();
+  return To;
+}
+
+void fillHolding(const routing::Holding &From, wire::Holding &To) {
+  To.set_entry(From.Entry.str());
+  To.set_version(bytesOf(From.Version));
+  To.set_serving(From.Serving);
+  To.set_credits(From.Credits);
+  To.set_in_progress(From.InProgress);
+  To.set_waiting(From.Waiting);
+  To.set_latency_us(From.Latency.count());
+  To.set_fetching(bytesOf(From.Fetching));
+  To.set_fetched_permille(From.FetchedPermille);
+  To.set_load_error(From.LoadError);
+}
+
+void fillIdentity(const wire::Sender &From, routing::Member &To) {
+  To.Host = core::HostId(From.host());
+  To.Role = From.role() == wire::ROLE_ENTRY ? routing::MemberRole::Entry
+                                            : routing::MemberRole::Agent;
+  To.Region = core::RegionId(From.region());
+  To.FailureDomain = core::FailureDomainId(From.failure_domain());
+  To.PeerAddress = From.peer_address();
+  To.Incarnation = From.incarnation();
+}
+
+/// Fills in what heartbeats and summaries both say.
+template <typename Message>
+void fillState(const Message &From, routing::Member &To) {
+  To.Sequence = From.sequence();
+  To.Draining = From.draining();
+  To.Kind = From.plain_service() ? core::TargetKind::Service
+                                 : core::TargetKind::Engine;
+  To.Serves = core::EntryName(From.serves());
+  To.Holdings.reserve(From.holdings_size());
+  for (const wire::Holding &H : From.holdings())
+    To.Holdings.push_back(holdingFrom(H));
+}
+
+} // namespace
+
+routing::Member memberFrom(const wire::Envelope &Heartbeat) {
+  routing::Member M;
+  fillIdentity(Heartbeat.sender(), M);
+  fillState(Heartbeat.heartbeat(), M);
+  M.Revision = Heartbeat.revision();
+  return M;
+}
+
+routing::Member memberFrom(const wire::MemberSummary &Summary) {
+  routing::Member M;
+  fillIdentity(Summary.member(), M);
+  fillState(Summary, M);
+  M.Revision = Summary.revision();
+  return M;
+}
+
+wire::MemberSummary summaryOf(const routing::Member &M,
+                              std::chrono::milliseconds Age) {
+  wire::MemberSummary Summary;
+  *Summary.mutable_member() = senderOf(M);
+  Summary.set_sequence(M.Sequence);
+  Summary.set_revision(M.Revision);
+  Summary.set_draining(M.Draining);
+  Summary.set_plain_service(M.Kind == core::TargetKind::Service);
+  Summary.set_serves(M.Serves.str());
+  Summary.set_age_ms(Age.count());
+  for (const routing::Holding &H : M.Holdings)
+    fillHolding(H, *Summary.add_holdings());
+  return Summary;
+}
+
+wire::Sender senderOf(const routing::Member &M) {
+  wire::Sender Sender;
+  Sender.set_host(M.Host.str());
+  Sender.set_role(M.Role == routing::MemberRole::Entry ? wire::ROLE_ENTRY
+                                                       : wire::ROLE_AGENT);
+  Sender.set_region(M.Region.str());
+  Sender.set_failure_domain(M.FailureDomain.str());
+  Sender.set_peer_address(M.PeerAddress);
+  Sender.set_incarnation(M.Incarnation);
+  return Sender;
+}
+
+} // namespace rosemarylane
