--- a/libs/routing/include/routing/Member.h
+++ b/libs/routing/include/routing/Member.h
@@ -47,6 +47,8 @@
   std::uint64_t Sequence = 0;
   /// The configuration in force there.
   std::uint64_t Revision = 0;
+  /// Its monotonic clock when it said this, counted from its start.
+  std::chrono::milliseconds Time{0};
   bool Draining = false;
   /// Agents only: what stands behind it, and which entry a plain service
   /// serves.
--- a/rosemarylane/src/common/MemberMessages.cpp
+++ b/rosemarylane/src/common/MemberMessages.cpp
@@ -48,6 +48,7 @@
   To.FailureDomain = core::FailureDomainId(From.failure_domain());
   To.PeerAddress = From.peer_address();
   To.Incarnation = From.incarnation();
+  To.Time = std::chrono::milliseconds(From.time_ms());
 }
 
 /// Fills in what heartbeats and summaries both say.
@@ -105,6 +106,7 @@
   Sender.set_failure_domain(M.FailureDomain.str());
   Sender.set_peer_address(M.PeerAddress);
   Sender.set_incarnation(M.Incarnation);
+  Sender.set_time_ms(M.Time.count());
   return Sender;
 }
 
--- a/rosemarylane/src/entry/MembershipService.cpp
+++ b/rosemarylane/src/entry/MembershipService.cpp
@@ -94,8 +94,13 @@
     if (!Picked)
       return std::nullopt;
     ++InProgress[Picked->Of->Host];
-    return Choice{Picked->Of->Host, Picked->Of->PeerAddress,
-                  Picked->Of->FailureDomain, Picked->Held->Version};
+    const Member &To = *Picked->Of;
+    return Choice{.Agent = To.Host,
+                  .AgentAddress = To.PeerAddress,
+                  .AgentIncarnation = To.Incarnation,
+                  .AgentTime = To.Time,
+                  .FailureDomain = To.FailureDomain,
+                  .Version = Picked->Held->Version};
   }
 
   void finished(const core::HostId &Agent, const Finish &) override {
