--- a/rosemarylane/src/Command.cpp
+++ b/rosemarylane/src/Command.cpp
@@ -50,10 +50,6 @@
   return static_cast<int>(ExitCode::Usage);
 }
 
-return ExitCode::Failed;
-}
-return ExitCode::Failed;
-}
 ExitCode __attribute__((weak)) runCtl(int, const char **) {
   return ExitCode::Failed;
 }
