--- a/rosemarylane/src/Command.cpp
+++ b/rosemarylane/src/Command.cpp
@@ -50,11 +50,4 @@
   return static_cast<int>(ExitCode::Usage);
 }
 
-ExitCode __attribute__((weak)) runCtl(int, const char **) {
-  return ExitCode::Failed;
-}
-ExitCode __attribute__((weak)) runCheck(int, const char **) {
-  return ExitCode::Failed;
-}
-
 } // namespace rosemarylane
--- /dev/null
+++ b/rosemarylane/src/common/CommandLine.h
@@ -0,0 +1,16 @@
+#ifndef ROSEMARYLANE_COMMON_COMMAND_LINE_H
+#define ROSEMARYLANE_COMMON_COMMAND_LINE_H
+
+#include "core/Result.h"
+
+#include <string>
+
+namespace rosemarylane {
+
+/// Reads a whole file, for commands that an operator runs.
+/// @return the contents, or why it cannot be read.
+core::Result<std::string, std::string> readFile(const std::string &Path);
+
+} // namespace rosemarylane
+
+#endif // ROSEMARYLANE_COMMON_COMMAND_LINE_H
