--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -21,6 +21,9 @@
   std::chrono::milliseconds FirstByte{30000};
   /// Between two parts of the answer.
   std::chrono::milliseconds Idle{30000};
+  /// Opens a connection for this exchange alone, so that a kept one that has
+  /// gone silent or stale never makes the outcome unknown.
+  bool FreshConnection = false;
 };
 
 /// An HTTP/1.1 client on one duty, with a pool of kept connections for each
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -87,7 +87,8 @@
     auto Endpoint = parseAddress(Address);
     if (!Endpoint)
       return end(Error{Error::Kind::Address, "not an IP:port: " + Address});
-    auto Kept = Owner->takeIdle(Address, Retryable);
+    auto Kept =
+        Limits.FreshConnection ? nullptr : Owner->takeIdle(Address, Retryable);
     OnKept = Kept != nullptr;
     run(Kept ? Kept
              : std::make_shared<ClientConnection>(Owner->On.context(),
--- a/rosemarylane/src/common/ProcessStart.cpp
+++ b/rosemarylane/src/common/ProcessStart.cpp
@@ -1,5 +1,6 @@
 #include "common/ProcessStart.h"
 
+#include "platform/EtcdKeyValue.h"
 #include "telemetry/Log.h"
 
 #include <boost/asio/io_context.hpp>
