At-most-once ledger: claims committed in groups by compare-and-swap

A partition's claims are one stored value; its committer puts what waits into the next compare-and-swap and tells 'claimed' only after the store said that the value is in force. A swap whose answer was lost is made again unchanged; a claim that is already there under its own attempt counts as claimed. Work on a partition is forwarded to its preferred entry, and done here when that entry does not reply. Only the maker of an attempt may release it: releasing it at the preferred entry would free a key whose attempt its maker dispatched after a time-out (ruled out first on paper).

--- /dev/null
+++ b/libs/ledger/include/ledger/PartitionCommitter.h
@@ -0,0 +1,139 @@
+#ifndef ROSEMARYLANE_LEDGER_PARTITION_COMMITTER_H
+#define ROSEMARYLANE_LEDGER_PARTITION_COMMITTER_H
+
+#include "ledger/Claim.h"
+#include "ledger/Partition.h"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace rosemarylane::ledger {
+
+/// A call on the platform's service that a committer wants made.
+struct StoreCall {
+  enum class Kind { Read, Swap };
+  Kind What = Kind::Read;
+  /// Only for a swap: the revision expected, and the new value.
+  std::int64_t Expected = 0;
+  std::string Value;
+};
+
+/// What came of a store call.
+struct StoreReply {
+  enum class Kind {
+    /// A read, or a swap that found another revision: `Value` and `Revision`
+    /// are the store's.
+    Found,
+    /// The swap took effect under `Revision`.
+    Swapped,
+    /// The call did not take effect.
+    Unavailable,
+    /// The answer was lost: a swap may have taken effect.
+    Lost,
+  };
+  Kind What = Kind::Unavailable;
+  std::string Value;
+  std::int64_t Revision = 0;
+};
+
+/// Times of a committer.
+struct CommitterLimits {
+  PartitionLimits Values;
+  /// A claim that is not certain after this long is answered `Unavailable`.
+  std::chrono::milliseconds ClaimDeadline{1500};
+  std::chrono::milliseconds RetryInterval{50};
+  /// Claims waiting above this number are answered `Unavailable` at once.
+  std::size_t MaxWaiting = 4096;
+};
+
+/// Commits claims and records of one partition, many in one compare-and-swap.
+///
+/// Pure: the owner asks for the next store call with `next`, makes it, and
+/// hands the reply to `complete`; one call is in progress at a time. What waits
+/// meanwhile goes into the next one.
+///
+/// `Claimed` is told only after the store has answered that the value with the
+/// claim is in force. A swap whose answer was lost is made again unchanged: the
+/// store then either takes it, or shows the value that came after.
+class PartitionCommitter {
+public:
+  using Limits = CommitterLimits;
+  using ClaimDone = std::function<void(const ClaimReply &)>;
+  using RecordDone = std::function<void(RecordReply)>;
+
+  explicit PartitionCommitter(Limits Bounds = {}) : Bounds(Bounds) {}
+
+  void claim(Claim Wanted, core::TimePoint Now, ClaimDone OnDone);
+
+  /// The record is tried until it is written or replaced.
+  void record(Record Result, RecordDone OnDone);
+
+  /// @param Wall the time by which old claims are forgotten.
+  /// @return the store call to make now, if any.
+  std::optional<StoreCall> next(core::TimePoint Now, core::WallTime Wall);
+
+  /// Takes the reply to the call that `next` gave last.
+  void complete(StoreReply Reply, core::TimePoint Now);
+
+  /// @return when `next` should be asked again although nothing happened.
+  std::optional<core::TimePoint> wakeAt() const;
+
+  /// @return claims and records not yet answered.
+  std::size_t waiting() const { return Queue.size() + Batch.size(); }
+
+private:
+  struct ClaimOperation {
+    Claim Wanted;
+    core::TimePoint Deadline;
+    /// Empty once the claim has been given up.
+    ClaimDone OnDone;
+  };
+  struct RecordOperation {
+    Record Result;
+    RecordDone OnDone;
+  };
+  struct Operation {
+    std::variant<ClaimOperation, RecordOperation> What;
+    /// Whether the cached value is as new as the operation.
+    bool Fresh = false;
+    std::variant<std::monostate, ClaimReply, RecordReply> Reply;
+  };
+
+  void giveUpLate(core::TimePoint Now);
+  ClaimReply lastKnown(const Claim &Wanted) const;
+  std::optional<StoreCall> decide(core::WallTime Wall);
+  void apply(Operation &Op, Partition &To);
+  bool settled(const Operation &Op) const;
+  void adopt(StoreReply &Reply);
+  void requeueBatch();
+  static void answer(Operation &Op);
+  StoreCall startSwap();
+
+  Limits Bounds;
+  std::deque<Operation> Queue;
+
+  /// The value last seen in the store.
+  std::optional<Partition> Cached;
+  std::int64_t Revision = 0;
+
+  /// The swap in progress or to be repeated: its operations and its value.
+  std::vector<Operation> Batch;
+  Partition Next;
+  std::string NextValue;
+  /// Whether the swap may have taken effect although no answer said so.
+  bool Ambiguous = false;
+
+  enum class Phase { Idle, Reading, Swapping };
+  Phase State = Phase::Idle;
+  std::optional<core::TimePoint> RetryAt;
+};
+
+} // namespace rosemarylane::ledger
+
+#endif // ROSEMARYLANE_LEDGER_PARTITION_COMMITTER_H
--- /dev/null
+++ b/libs/ledger/src/Claim.cpp
@@ -0,0 +1,89 @@
+#include "ledger/Claim.h"
+
+#include <cstdio>
+
+namespace rosemarylane::ledger {
+
+namespace {
+
+constexpr std::size_t HashSize = 16;
+constexpr std::size_t UuidLength = 36;
+constexpr std::size_t UlidLength = 26;
+/// Characters of a ULID that hold its time: 48 bits, 5 in each but the first.
+constexpr std::size_t UlidTimeLength = 10;
+constexpr std::string_view UlidAlphabet = "0123456789ABCDEFGHJKMNPQRSTVWXYZ";
+
+char upper(char C) { return C >= 'a' && C <= 'z' ? C - 'a' + 'A' : C; }
+
+core::WallTime fromMilliseconds(std::uint64_t Value) {
+  return core::WallTime(std::chrono::milliseconds(Value));
+}
+
+std::optional<core::WallTime> timeOfUuid(std::string_view Text) {
+  constexpr std::size_t TimeDigits = 12;
+  constexpr std::size_t VersionAt = 14;
+  std::uint64_t Value = 0;
+  std::size_t Digits = 0;
+  for (std::size_t I = 0; I < UuidLength; ++I) {
+    bool Dash = I == 8 || I == 13 || I == 18 || I == 23;
+    char C = upper(Text[I]);
+    bool Hex = (C >= '0' && C <= '9') || (C >= 'A' && C <= 'F');
+    if (Dash ? C != '-' : !Hex)
+      return std::nullopt;
+    if (Dash || Digits == TimeDigits)
+      continue;
+    Value =
+        Value << 4 | static_cast<unsigned>(C <= '9' ? C - '0' : C - 'A' + 10);
+    ++Digits;
+  }
+  if (Text[VersionAt] != '7')
+    return std::nullopt;
+  return fromMilliseconds(Value);
+}
+
+std::optional<core::WallTime> timeOfUlid(std::string_view Text) {
+  std::uint64_t Value = 0;
+  for (std::size_t I = 0; I < UlidLength; ++I) {
+    std::size_t Digit = UlidAlphabet.find(upper(Text[I]));
+    if (Digit == std::string_view::npos || (I == 0 && Digit > 7))
+      return std::nullopt;
+    if (I < UlidTimeLength)
+      Value = Value << 5 | Digit;
+  }
+  return fromMilliseconds(Value);
+}
+
+} // namespace
+
+ClaimKey claimKey(const core::WorkspaceId &Workspace,
+                  std::string_view IdempotencyKey) {
+  std::string Text = Workspace.str();
+  Text += '\0';
+  Text += IdempotencyKey;
+  return ClaimKey(
+      std::string(core::Digest::of(Text).bytes().substr(0, HashSize)));
+}
+
+RequestHash requestHash(const core::Digest &Request) {
+  return RequestHash(std::string(Request.bytes().substr(0, HashSize)));
+}
+
+std::uint32_t partitionOf(const ClaimKey &Key) {
+  return static_cast<unsigned char>(Key.str().front()) % PartitionCount;
+}
+
+std::string partitionStoreKey(std::uint32_t Partition) {
+  char Text[40];
+  std::snprintf(Text, sizeof(Text), "rosemarylane/ledger/%02u", Partition);
+  return Text;
+}
+
+std::optional<core::WallTime> timeOfKey(std::string_view IdempotencyKey) {
+  if (IdempotencyKey.size() == UuidLength)
+    return timeOfUuid(IdempotencyKey);
+  if (IdempotencyKey.size() == UlidLength)
+    return timeOfUlid(IdempotencyKey);
+  return std::nullopt;
+}
+
+} // namespace rosemarylane::ledger
--- /dev/null
+++ b/libs/ledger/src/Partition.cpp
@@ -0,0 +1,182 @@
+#include "ledger/Partition.h"
+
+#include "ledger/stored.pb.h"
+
+#include <algorithm>
+
+namespace rosemarylane::ledger {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// What a claim takes in the stored value besides its texts.
+constexpr std::size_t ClaimOverheadBytes = 90;
+
+std::size_t sizeOf(const Claim &C) {
+  return ClaimOverheadBytes + C.Holder.Agent.str().size() +
+         C.Holder.AgentAddress.size() + C.Answer.size();
+}
+
+Claim readClaim(const stored::Claim &Stored) {
+  Claim C;
+  C.Key = ClaimKey(Stored.key());
+  C.Request = RequestHash(Stored.request());
+  C.Holder.Id = Stored.attempt();
+  C.Holder.Agent = core::HostId(Stored.agent());
+  C.Holder.AgentAddress = Stored.agent_address();
+  C.Holder.AgentIncarnation = Stored.agent_incarnation();
+  C.Holder.AgentTime = milliseconds(Stored.agent_time_ms());
+  C.ClaimedAt = core::WallTime(milliseconds(Stored.claimed_at_ms()));
+  C.State = static_cast<ClaimState>(Stored.state() - stored::STATE_HELD);
+  C.Answer = Stored.answer();
+  return C;
+}
+
+void writeClaim(const Claim &C, stored::Claim &Stored) {
+  Stored.set_key(C.Key.str());
+  Stored.set_request(C.Request.str());
+  Stored.set_attempt(C.Holder.Id);
+  Stored.set_agent(C.Holder.Agent.str());
+  Stored.set_agent_address(C.Holder.AgentAddress);
+  Stored.set_agent_incarnation(C.Holder.AgentIncarnation);
+  Stored.set_agent_time_ms(C.Holder.AgentTime.count());
+  Stored.set_claimed_at_ms(
+      std::chrono::duration_cast<milliseconds>(C.ClaimedAt.time_since_epoch())
+          .count());
+  Stored.set_state(static_cast<stored::State>(static_cast<int>(C.State) +
+                                              stored::STATE_HELD));
+  Stored.set_answer(C.Answer);
+}
+
+ClaimReply::Kind replyFor(ClaimState State) {
+  switch (State) {
+  case ClaimState::Held:
+    return ClaimReply::Kind::InProgress;
+  case ClaimState::Answered:
+    return ClaimReply::Kind::Answered;
+  case ClaimState::AnswerDropped:
+    return ClaimReply::Kind::AnswerDropped;
+  case ClaimState::Unknown:
+    return ClaimReply::Kind::Unknown;
+  }
+  return ClaimReply::Kind::Unknown;
+}
+
+} // namespace
+
+core::Result<Partition, PartitionError>
+Partition::parse(std::string_view Value) {
+  stored::Partition Stored;
+  if (!Stored.ParseFromArray(Value.data(), static_cast<int>(Value.size())))
+    return core::failure(PartitionError{"not a partition"});
+  Partition Result;
+  for (const stored::Claim &C : Stored.claims()) {
+    if (C.state() < stored::STATE_HELD || C.state() > stored::STATE_UNKNOWN)
+      return core::failure(PartitionError{"a claim in no known state"});
+    Result.insert(readClaim(C));
+  }
+  return Result;
+}
+
+std::string Partition::format() const {
+  stored::Partition Stored;
+  for (const auto &[Key, C] : Claims)
+    writeClaim(C, *Stored.add_claims());
+  return Stored.SerializeAsString();
+}
+
+ClaimReply Partition::claim(const Claim &Wanted, const Limits &Bounds) {
+  auto Found = Claims.find(Wanted.Key);
+  if (Found == Claims.end()) {
+    if (Bytes >= Bounds.FullBytes)
+      return {ClaimReply::Kind::Unavailable, {}, false};
+    insert(Wanted);
+    return {ClaimReply::Kind::Claimed, Wanted};
+  }
+  const Claim &Existing = Found->second;
+  if (Existing.Request != Wanted.Request)
+    return {ClaimReply::Kind::OtherRequest, Existing};
+  bool Own = Existing.Holder.Id == Wanted.Holder.Id;
+  if (Own && Existing.State == ClaimState::Held)
+    return {ClaimReply::Kind::Claimed, Existing};
+  return {replyFor(Existing.State), Existing};
+}
+
+RecordReply Partition::record(const Record &Result, const Limits &Bounds) {
+  auto Found = Claims.find(Result.Key);
+  if (Found == Claims.end() || Found->second.Holder.Id != Result.AttemptId)
+    return Result.What == Outcome::NotRun ? RecordReply::Written
+                                          : RecordReply::Replaced;
+  Claim &Existing = Found->second;
+  bool Ran = Existing.State == ClaimState::Answered ||
+             Existing.State == ClaimState::AnswerDropped;
+  switch (Result.What) {
+  case Outcome::NotRun:
+    if (Ran)
+      return RecordReply::Replaced;
+    erase(Found);
+    return RecordReply::Written;
+  case Outcome::Answered:
+    if (Ran)
+      return RecordReply::Written;
+    if (Result.Answer.size() > Bounds.MaxAnswerBytes)
+      resolve(Existing, ClaimState::AnswerDropped, "");
+    else
+      resolve(Existing, ClaimState::Answered, Result.Answer);
+    return RecordReply::Written;
+  case Outcome::Unknown:
+    if (Ran)
+      return RecordReply::Replaced;
+    if (Existing.State == ClaimState::Held)
+      resolve(Existing, ClaimState::Unknown, "");
+    return RecordReply::Written;
+  }
+  return RecordReply::Replaced;
+}
+
+void Partition::trim(core::WallTime Now, const Limits &Bounds) {
+  for (auto At = Claims.begin(); At != Claims.end();) {
+    auto Here = At++;
+    if (Now - Here->second.ClaimedAt > Bounds.Retention)
+      erase(Here);
+  }
+  if (Bytes <= Bounds.MaxValueBytes)
+    return;
+  std::vector<Claim *> Answered;
+  for (auto &[Key, C] : Claims)
+    if (C.State == ClaimState::Answered)
+      Answered.push_back(&C);
+  std::sort(Answered.begin(), Answered.end(),
+            [](Claim *A, Claim *B) { return A->ClaimedAt < B->ClaimedAt; });
+  for (Claim *C : Answered) {
+    if (Bytes <= Bounds.MaxValueBytes)
+      return;
+    resolve(*C, ClaimState::AnswerDropped, "");
+  }
+}
+
+const Claim *Partition::find(const ClaimKey &Key) const {
+  auto Found = Claims.find(Key);
+  return Found == Claims.end() ? nullptr : &Found->second;
+}
+
+void Partition::insert(Claim Taken) {
+  Bytes += sizeOf(Taken);
+  ClaimKey Key = Taken.Key;
+  Claims.emplace(std::move(Key), std::move(Taken));
+}
+
+void Partition::erase(std::map<ClaimKey, Claim>::iterator At) {
+  Bytes -= sizeOf(At->second);
+  Claims.erase(At);
+}
+
+void Partition::resolve(Claim &Held, ClaimState State, std::string Answer) {
+  Bytes -= sizeOf(Held);
+  Held.State = State;
+  Held.Answer = std::move(Answer);
+  Bytes += sizeOf(Held);
+}
+
+} // namespace rosemarylane::ledger
--- /dev/null
+++ b/rosemarylane/src/entry/LedgerMessages.h
@@ -0,0 +1,31 @@
+#ifndef ROSEMARYLANE_ENTRY_LEDGER_MESSAGES_H
+#define ROSEMARYLANE_ENTRY_LEDGER_MESSAGES_H
+
+#include "entry/LedgerService.h"
+#include "ledger/Claim.h"
+#include "wire/wire.pb.h"
+
+namespace rosemarylane {
+
+/// Translations between the ledger's types and those of callers, peers and the
+/// store.
+
+ledger::Claim toClaim(const LedgerKey &Key, const ClaimedAttempt &Attempt,
+                      core::WallTime Now);
+ledger::Record toRecord(const LedgerKey &Key, const ClaimedAttempt &Attempt,
+                        const AttemptResult &Result);
+ClaimOutcome toOutcome(const ledger::ClaimReply &Reply);
+
+wire::LedgerRequest writeClaim(const ledger::Claim &Wanted);
+wire::LedgerRequest writeRecord(const ledger::Record &Result);
+ledger::Claim readClaim(const wire::LedgerRequest &Request);
+ledger::Record readRecord(const wire::LedgerRequest &Request);
+
+wire::LedgerReply writeReply(const ledger::ClaimReply &Reply);
+wire::LedgerReply writeReply(ledger::RecordReply Reply);
+ledger::ClaimReply readClaimReply(const wire::LedgerReply &Reply);
+ledger::RecordReply readRecordReply(const wire::LedgerReply &Reply);
+
+} // namespace rosemarylane
+
+#endif // ROSEMARYLANE_ENTRY_LEDGER_MESSAGES_H
