--- a/rosemarylane/src/agent/AgentProcess.cpp
+++ b/rosemarylane/src/agent/AgentProcess.cpp
@@ -7,6 +7,7 @@
 #include "agent/WeightService.h"
 #include "common/ConfigurationService.h"
 #include "common/Messages.h"
+#include "common/ProcessMetrics.h"
 #include "common/ProcessStart.h"
 #include "http/Server.h"
 #include "telemetry/Log.h"
@@ -44,6 +45,7 @@
       telemetry::setLogRevision(Config->Revision);
       Heartbeats->sendNow();
     });
+    Metrics = ProcessMetrics::create(*Context, *Configuration);
     return listen();
   }
 
@@ -134,6 +136,7 @@
   std::unique_ptr<HeartbeatService> Heartbeats;
   std::unique_ptr<WeightService> Weights;
   std::unique_ptr<Gate> AcceptGate;
+  std::unique_ptr<ProcessMetrics> Metrics;
   std::unique_ptr<http::Server> Server;
   runtime::TimerService::Subscription DrainTimer;
 };
--- a/rosemarylane/src/agent/Gate.cpp
+++ b/rosemarylane/src/agent/Gate.cpp
@@ -1,12 +1,13 @@
 #include "agent/Gate.h"
 
 #include "agent/TargetRun.h"
+#include "routing/Admission.h"
+#include "routing/WaitQueue.h"
 #include "telemetry/Log.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
-#include <deque>
 #include <map>
 
 namespace rosemarylane {
@@ -20,9 +21,10 @@
 /// A plain service whose connection failed is not offered to entries for this
 /// long.
 constexpr std::chrono::milliseconds FailedServiceRest{1000};
-/// Weight of the newest sample in the smoothed latency.
-constexpr double LatencySmoothing = 0.2;
 constexpr std::uint32_t BusyRetryAfterMs = 200;
+/// Requests that may wait at the agent: enough to keep the target busy between
+/// two answers, too few to wait long.
+constexpr std::size_t WaitingCapacity = 16;
 
 /// Header fields that belong to one connection, or that this hop sets itself.
 bool hopByHop(std::string_view Name) {
@@ -99,11 +101,18 @@
         Heartbeats(Heartbeats), Weights(Weights) {
     Tick = Context.Timers->every(QueueTick, *Context.Control,
                                  [this] { expireWaiting(); });
-    if (Weights)
-      Weights->onReplace(
-          [this](const core::EntryName &Entry, std::function<void()> Drained) {
-            drainEntry(Entry, std::move(Drained));
-          });
+    Configuration.onChange(
+        [this](const std::shared_ptr<const core::Configuration> &Config) {
+          applyConfiguration(*Config);
+        });
+    applyConfiguration(*Configuration.current());
+    if (!Weights)
+      return;
+    Weights->onServed([this] { Admit.turnedCold(); });
+    Weights->onReplace(
+        [this](const core::EntryName &Entry, std::function<void()> Drained) {
+          drainEntry(Entry, std::move(Drained));
+        });
   }
 
   void receive(const wire::Peer &From, const wire::Envelope &Message) override {
@@ -167,11 +176,28 @@
     if (auto Reason = refusalOf(*R))
       return finishRefused(R, *Reason, wire::RAN_NO, "");
     Runs.emplace(Request.id().request(), R);
-    if (runningCount() < limit())
+    if (Waiting.size() == 0 && admitted(classOf(*R)))
       return start(R);
-    if (Waiting.size() >= queueLimit())
-      return finishRefused(R, wire::REFUSAL_BUSY, wire::RAN_NO, "");
-    Waiting.push_back(R);
+    auto Deadline =
+        R->ArrivedAt + std::chrono::milliseconds(Request.deadline_ms());
+    if (auto Refused = Waiting.push(classOf(*R), Deadline, R))
+      finishRefused(*Refused, wire::REFUSAL_BUSY, wire::RAN_NO, "");
+  }
+
+  bool admitted(core::TrafficClass Class) {
+    return Admit.tryAdmit(Class) == routing::Admission::Decision::Admitted;
+  }
+
+  static core::TrafficClass classOf(const TargetRun &R) {
+    auto Lowest = static_cast<std::uint32_t>(core::TrafficClass::Batch);
+    return static_cast<core::TrafficClass>(
+        std::min(R.Request.traffic_class(), Lowest));
+  }
+
+  void applyConfiguration(const core::Configuration &Config) {
+    Admit.setCeiling(ceiling(Config));
+    Admit.setOutOfService(
+        Config.outOfService(Context.Config.Host, Context.Config.FailureDomain));
   }
 
   /// Registers the attempt.
@@ -219,46 +245,37 @@
     return nullptr;
   }
 
-  std::size_t limit() const {
-    std::size_t Limit = 1;
-    for (const core::CatalogueEntry &E : Configuration.current()->Entries)
+  std::uint32_t ceiling(const core::Configuration &Config) const {
+    std::uint32_t Ceiling = 1;
+    for (const core::CatalogueEntry &E : Config.Entries)
       if (mine(E))
-        Limit = std::max<std::size_t>(Limit, E.Limit.Concurrency);
-    return Limit;
+        Ceiling = std::max(Ceiling, E.Limit.Concurrency);
+    return Ceiling;
   }
 
-  std::size_t queueLimit() const { return limit(); }
-
   bool mine(const core::CatalogueEntry &E) const {
     if (Weights)
       return E.Kind == core::TargetKind::Engine;
     return E.Name == Context.Config.Target.Serves;
   }
 
-  std::size_t runningCount() const { return Runs.size() - Waiting.size(); }
-
   void startWaiting() {
-    while (!Waiting.empty() && runningCount() < limit()) {
-      Run R = Waiting.front();
-      Waiting.pop_front();
-      if (auto Reason = refusalOf(*R))
-        finishRefused(R, *Reason, wire::RAN_NO, "");
-      else
-        start(R);
+    auto MayStart = [this](core::TrafficClass Class) {
+      return admitted(Class);
+    };
+    while (auto Next = Waiting.pop(MayStart)) {
+      auto Reason = refusalOf(**Next);
+      if (!Reason) {
+        start(*Next);
+        continue;
+      }
+      Admit.finished(routing::Admission::Outcome::Abandoned, {});
+      finishRefused(*Next, *Reason, wire::RAN_NO, "");
     }
   }
 
   void expireWaiting() {
-    core::TimePoint Now = now();
-    auto Expired = [&](const Run &R) {
-      return Now - R->ArrivedAt >
-             std::chrono::milliseconds(R->Request.deadline_ms());
-    };
-    std::vector<Run> Late;
-    std::copy_if(Waiting.begin(), Waiting.end(), std::back_inserter(Late),
-                 Expired);
-    std::erase_if(Waiting, Expired);
-    for (const Run &R : Late)
+    for (const Run &R : Waiting.expire(now()))
       finishRefused(R, wire::REFUSAL_DEADLINE, wire::RAN_NO, "");
     startWaiting();
   }
@@ -355,7 +372,7 @@
     if (!active(R))
       return;
     if (R->Offset == 0)
-      noteFirstPart(*R);
+      R->FirstPartAt = now();
     wire::Envelope Message;
     wire::RunPart &Out = *Message.mutable_run_part();
     *Out.mutable_id() = R->Request.id();
@@ -368,15 +385,6 @@
     Send.send(R->From, std::move(Message));
   }
 
-  void noteFirstPart(TargetRun &R) {
-    R.FirstPartAt = now();
-    auto Sample =
-        std::chrono::duration<double, std::micro>(R.FirstPartAt - R.StartedAt);
-    LatencyUs = LatencyUs == 0 ? Sample.count()
-                               : LatencyUs + LatencySmoothing *
-                                                 (Sample.count() - LatencyUs);
-  }
-
   void onDone(const Run &R, const std::optional<http::Error> &Error) {
     if (!active(R))
       return;
@@ -477,13 +485,30 @@
            std::shared_ptr<const ledger::HeldAnswer> Answer) {
     const std::string Id = R->Request.id().request();
     Runs.erase(Id);
-    std::erase(Waiting, R);
+    if (R->Running)
+      Admit.finished(outcomeOf(*R, What), latencyOf(*R));
+    else
+      Waiting.remove(R);
     Table.finish(Id, What, std::move(Answer), now());
     startWaiting();
     checkReplacing();
     checkIdle();
   }
 
+  static routing::Admission::Outcome outcomeOf(const TargetRun &R,
+                                               ledger::Ran What) {
+    if (R.Cancelled)
+      return routing::Admission::Outcome::Abandoned;
+    return What == ledger::Ran::Yes ? routing::Admission::Outcome::Answered
+                                    : routing::Admission::Outcome::Failed;
+  }
+
+  static std::chrono::nanoseconds latencyOf(const TargetRun &R) {
+    if (R.Offset == 0)
+      return std::chrono::nanoseconds(0);
+    return R.FirstPartAt - R.StartedAt;
+  }
+
   void cancel(const std::string &Id) {
     auto Found = Runs.find(Id);
     if (Found == Runs.end())
@@ -493,8 +518,10 @@
       return finishRefused(R, wire::REFUSAL_CANCELLED, wire::RAN_NO, "");
     // A request that may not be repeated runs to its end, so that its answer is
     // known.
-    if (R->Request.idempotent())
-      fail(R, wire::REFUSAL_CANCELLED, wire::RAN_UNKNOWN, "");
+    if (!R->Request.idempotent())
+      return;
+    R->Cancelled = true;
+    fail(R, wire::REFUSAL_CANCELLED, wire::RAN_UNKNOWN, "");
   }
 
   void answerQuery(const wire::Peer &From, const wire::OutcomeQuery &Query) {
@@ -573,11 +600,12 @@
   void addLoad(wire::Holding &H) const {
     if (Draining || Replacing.contains(core::EntryName(H.entry())))
       H.set_serving(false);
-    std::size_t Room = limit() + queueLimit();
-    H.set_credits(Room > Runs.size() ? Room - Runs.size() : 0);
-    H.set_in_progress(runningCount());
+    H.set_credits(Admit.credits(core::TrafficClass::Interactive));
+    H.set_in_progress(Admit.inProgress());
     H.set_waiting(Waiting.size());
-    H.set_latency_us(static_cast<std::uint64_t>(LatencyUs));
+    H.set_latency_us(
+        std::chrono::duration_cast<std::chrono::microseconds>(Admit.latency())
+            .count());
   }
 
   ProcessContext &Context;
@@ -590,10 +618,10 @@
   ledger::AttemptTable Table;
   /// Attempts that wait or run, by request id.
   std::map<std::string, Run> Runs;
-  std::deque<Run> Waiting;
+  routing::Admission Admit{1};
+  routing::WaitQueue<Run> Waiting{WaitingCapacity};
   /// Entries whose version is about to be replaced: they take no new work.
   std::map<core::EntryName, std::function<void()>> Replacing;
-  double LatencyUs = 0;
   core::TimePoint ServiceFailedAt;
   bool Draining = false;
   std::function<void()> OnIdle;
--- /dev/null
+++ b/rosemarylane/src/common/ProcessMetrics.cpp
@@ -0,0 +1,81 @@
+#include "common/ProcessMetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+
+namespace rosemarylane {
+
+namespace {
+
+constexpr std::chrono::seconds SampleInterval{1};
+
+/// Raises \p To to \p Total: the peer node counts by itself.
+void raise(prometheus::Counter &To, std::uint64_t Total) {
+  To.Increment(static_cast<double>(Total) - To.Value());
+}
+
+class ProcessMetricsImpl final : public ProcessMetrics {
+public:
+  ProcessMetricsImpl(ProcessContext &Context,
+                     const ConfigurationService &Configuration)
+      : Context(Context), Configuration(Configuration),
+        Revision(gauge("rosemarylane_configuration_revision",
+                       "Revision of the configuration in force")),
+        Waiting(gauge("rosemarylane_control_tasks_waiting",
+                      "Tasks that wait for the control duty")),
+        Messages(counter("rosemarylane_peer_messages_total",
+                         "Messages exchanged with other processes")),
+        Bytes(counter("rosemarylane_peer_bytes_total",
+                      "Bytes exchanged with other processes")),
+        Dropped(counter("rosemarylane_peer_dropped_total",
+                        "Messages dropped, by cause")) {
+    Tick = Context.Timers->every(SampleInterval, *Context.Control,
+                                 [this] { sample(); });
+  }
+
+private:
+  prometheus::Gauge &gauge(const char *Name, const char *Help) {
+    return prometheus::BuildGauge()
+        .Name(Name)
+        .Help(Help)
+        .Register(*Context.Metrics)
+        .Add({});
+  }
+
+  prometheus::Family<prometheus::Counter> &counter(const char *Name,
+                                                   const char *Help) {
+    return prometheus::BuildCounter().Name(Name).Help(Help).Register(
+        *Context.Metrics);
+  }
+
+  void sample() {
+    Revision.Set(static_cast<double>(Configuration.current()->Revision));
+    Waiting.Set(static_cast<double>(Context.Control->waiting()));
+    wire::PeerTraffic Counts = Context.Peers->traffic();
+    raise(Messages.Add({{"direction", "in"}}), Counts.MessagesIn);
+    raise(Messages.Add({{"direction", "out"}}), Counts.MessagesOut);
+    raise(Bytes.Add({{"direction", "in"}}), Counts.BytesIn);
+    raise(Bytes.Add({{"direction", "out"}}), Counts.BytesOut);
+    raise(Dropped.Add({{"cause", "malformed"}}), Counts.Malformed);
+    raise(Dropped.Add({{"cause", "full"}}), Counts.Dropped);
+  }
+
+  ProcessContext &Context;
+  const ConfigurationService &Configuration;
+  prometheus::Gauge &Revision;
+  prometheus::Gauge &Waiting;
+  prometheus::Family<prometheus::Counter> &Messages;
+  prometheus::Family<prometheus::Counter> &Bytes;
+  prometheus::Family<prometheus::Counter> &Dropped;
+  runtime::TimerService::Subscription Tick;
+};
+
+} // namespace
+
+std::unique_ptr<ProcessMetrics>
+ProcessMetrics::create(ProcessContext &Context,
+                       const ConfigurationService &Configuration) {
+  return std::make_unique<ProcessMetricsImpl>(Context, Configuration);
+}
+
+} // namespace rosemarylane
--- a/rosemarylane/src/entry/EntryProcess.cpp
+++ b/rosemarylane/src/entry/EntryProcess.cpp
@@ -4,6 +4,7 @@
 #include "Command.h"
 #include "common/ConfigurationService.h"
 #include "common/Messages.h"
+#include "common/ProcessMetrics.h"
 #include "common/ProcessStart.h"
 #include "entry/AdminApi.h"
 #include "entry/AttemptClient.h"
@@ -55,6 +56,7 @@
       telemetry::setLogRevision(Config->Revision);
       telemetry::log(telemetry::Level::Info, "configuration in force");
     });
+    Metrics = ProcessMetrics::create(*Context, *Configuration);
     return listen();
   }
 
@@ -174,6 +176,7 @@
   std::unique_ptr<AttemptClient> Attempts;
   std::unique_ptr<RequestHandler> Handler;
   std::unique_ptr<AdminApi> Admin;
+  std::unique_ptr<ProcessMetrics> Metrics;
   std::unique_ptr<http::Server> Server;
   std::atomic<bool> Draining{false};
   runtime::TimerService::Subscription DrainTimer;
