Add the platform clients; bound a whole HTTP exchange

Deadlines gained Total, since the sum of the stage deadlines would exceed the promised one.

Found while reading: a deadline or a close that is handled before the write's completion saw zero bytes written and called the request not sent, though its bytes may have left. Only a write that failed with nothing taken, or one never tried, counts as not sent now.

--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -21,6 +21,8 @@
   std::chrono::milliseconds FirstByte{30000};
   /// Between two parts of the answer.
   std::chrono::milliseconds Idle{30000};
+  /// The whole exchange; none for an open end.
+  std::optional<std::chrono::milliseconds> Total;
 };
 
 /// An HTTP/1.1 client on one duty, with a pool of kept connections for each
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -78,7 +78,7 @@
       : Owner(std::move(Owner)), Address(std::move(Address)),
         Bytes(serialize(Whole, this->Address)),
         HeadOnly(Whole.Method == "HEAD"), Limits(Limits), To(std::move(To)),
-        Retryable(Retryable) {}
+        Retryable(Retryable), TotalTimer(this->Owner->On.context()) {}
 
   void start() {
     if (Owner->Closed || Ended)
@@ -87,6 +87,7 @@
     auto Endpoint = parseAddress(Address);
     if (!Endpoint)
       return end(Error{Error::Kind::Address, "not an IP:port: " + Address});
+    armTotal();
     auto Kept = Owner->takeIdle(Address, Retryable);
     OnKept = Kept != nullptr;
     run(Kept ? Kept
@@ -112,6 +113,17 @@
   }
 
 private:
+  void armTotal() {
+    if (!Limits.Total)
+      return;
+    TotalTimer.expires_after(*Limits.Total);
+    TotalTimer.async_wait([Weak = weak_from_this()](auto Error) {
+      auto Self = Weak.lock();
+      if (Self && !Error && Self->Connection)
+        Self->Connection->expire("deadline of the whole exchange passed");
+    });
+  }
+
   void run(std::shared_ptr<ClientConnection> On) {
     Connection = std::move(On);
     ExchangeHooks Hooks;
@@ -142,6 +154,7 @@
 
   void end(std::optional<Error> Failure) {
     Ended = true;
+    TotalTimer.cancel();
     Connection.reset();
     Owner->Active.erase(shared_from_this());
     auto OnDone = std::exchange(To, {}).OnDone;
@@ -156,6 +169,7 @@
   Deadlines Limits;
   Client::Hooks To;
   bool Retryable;
+  boost::asio::steady_timer TotalTimer;
   bool OnKept = false;
   bool Ended = false;
   std::shared_ptr<ClientConnection> Connection;
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -30,6 +30,7 @@
   HeadOnly = AnswerHeadOnly;
   Output = Bytes;
   Written = 0;
+  WriteTried = false;
   AnswerBegun = false;
   OnKeptClosed = nullptr;
   resetParser();
@@ -82,6 +83,7 @@
 
 void ClientConnection::write() {
   arm(Limits.Idle, "the server takes no more of the request");
+  WriteTried = true;
   Socket.async_write_some(
       boost::asio::buffer(Output.data() + Written, Output.size() - Written),
       [Self = shared_from_this()](error_code Error, std::size_t Bytes) {
@@ -93,8 +95,10 @@
   if (Closed || !To.OnEnd)
     return;
   Written += Bytes;
-  if (Error && Written == 0)
+  if (Error && Written == 0) {
+    WriteTried = false;
     return fail(Error::Kind::NotSent, "write: " + Error.message());
+  }
   // The server may have answered before it closed: the read tells.
   if (Error)
     return arm(Limits.Idle, "the connection broke within the request");
@@ -200,7 +204,7 @@
   End.Failure = Error{Kind, std::move(Detail)};
   End.ClosedUnanswered =
       Kind == Error::Kind::Interrupted && !AnswerBegun && !Late;
-  End.NothingSent = Written == 0;
+  End.NothingSent = !WriteTried;
   End.Late = Late;
   end(std::move(End));
 }
@@ -214,6 +218,13 @@
     OnEnd(std::move(End));
 }
 
+void ClientConnection::expire(const char *What) {
+  if (Closed || !To.OnEnd)
+    return;
+  Late = true;
+  fail(WriteTried ? Error::Kind::Interrupted : Error::Kind::NotSent, What);
+}
+
 void ClientConnection::arm(std::chrono::milliseconds Limit, const char *What) {
   Timer.expires_after(Limit);
   Timer.async_wait([Weak = weak_from_this(), What](error_code Error) {
@@ -222,10 +233,7 @@
     if (!Self || Error || Self->Closed || !Self->To.OnEnd ||
         Self->Timer.expiry() > std::chrono::steady_clock::now())
       return;
-    Self->Late = true;
-    Self->fail(Self->Connected ? Error::Kind::Interrupted
-                               : Error::Kind::NotSent,
-               What);
+    Self->expire(What);
   });
 }
 
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -51,6 +51,9 @@
   /// Calls \p Hook if the server closes the connection while it is kept.
   void keep(std::function<void()> Hook);
 
+  /// Ends the present exchange because its time is up.
+  void expire(const char *What);
+
   /// Closes without any hook.
   void close();
 
@@ -87,6 +90,8 @@
   bool HeadOnly = false;
   std::string Output;
   std::size_t Written = 0;
+  /// Bytes may have left, even before the write's end is known.
+  bool WriteTried = false;
   boost::beast::flat_buffer Input;
   std::optional<Parser> Incoming;
   bool HeadPassed = false;
--- /dev/null
+++ b/libs/platform/src/EtcdJson.cpp
@@ -0,0 +1,137 @@
+#include "EtcdJson.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <openssl/evp.h>
+#include <stdexcept>
+
+namespace rosemarylane::platform::etcd_json {
+
+namespace json = boost::json;
+
+namespace {
+
+std::string toBase64(std::string_view Bytes) {
+  // Room for the terminating zero that the encoder writes.
+  std::string Text((Bytes.size() + 2) / 3 * 4 + 1, '\0');
+  int Length =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Text.data()),
+                      reinterpret_cast<const unsigned char *>(Bytes.data()),
+                      static_cast<int>(Bytes.size()));
+  Text.resize(static_cast<std::size_t>(Length));
+  return Text;
+}
+
+std::string fromBase64(std::string_view Text) {
+  if (Text.size() % 4 != 0)
+    throw std::invalid_argument("base64 of a wrong length");
+  std::string Bytes(Text.size() / 4 * 3, '\0');
+  int Length =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Bytes.data()),
+                      reinterpret_cast<const unsigned char *>(Text.data()),
+                      static_cast<int>(Text.size()));
+  if (Length < 0)
+    throw std::invalid_argument("not base64");
+  std::size_t Padding = Text.ends_with("==") ? 2 : Text.ends_with("=") ? 1 : 0;
+  Bytes.resize(static_cast<std::size_t>(Length) - Padding);
+  return Bytes;
+}
+
+/// The gateway writes 64-bit numbers as strings and leaves zeros out.
+std::int64_t number(const json::object &Object, std::string_view Name) {
+  const json::value *Field = Object.if_contains(Name);
+  if (!Field)
+    return 0;
+  if (Field->is_string())
+    return std::stoll(std::string(Field->as_string()));
+  return Field->to_number<std::int64_t>();
+}
+
+bool flag(const json::object &Object, std::string_view Name) {
+  const json::value *Field = Object.if_contains(Name);
+  return Field && Field->as_bool();
+}
+
+StoredValue storedValue(const json::object &KeyValue) {
+  StoredValue Stored;
+  if (const json::value *Value = KeyValue.if_contains("value"))
+    Stored.Value = fromBase64(Value->as_string());
+  Stored.Revision = number(KeyValue, "mod_revision");
+  return Stored;
+}
+
+StoredValue firstOf(const json::object &Range) {
+  const json::value *Found = Range.if_contains("kvs");
+  if (!Found || Found->as_array().empty())
+    return {};
+  return storedValue(Found->as_array().front().as_object());
+}
+
+} // namespace
+
+std::string rangeRequest(const std::string &Key) {
+  return json::serialize(json::object{{"key", toBase64(Key)}});
+}
+
+std::string swapRequest(const std::string &Key, std::int64_t Expected,
+                        const std::string &Value) {
+  std::string EncodedKey = toBase64(Key);
+  json::object Compare{{"key", EncodedKey},
+                       {"target", "MOD"},
+                       {"result", "EQUAL"},
+                       {"mod_revision", std::to_string(Expected)}};
+  json::object Put{
+      {"request_put", {{"key", EncodedKey}, {"value", toBase64(Value)}}}};
+  json::object Range{{"request_range", {{"key", EncodedKey}}}};
+  return json::serialize(json::object{{"compare", json::array{Compare}},
+                                      {"success", json::array{Put}},
+                                      {"failure", json::array{Range}}});
+}
+
+std::string watchRequest(const std::string &Key, std::int64_t FromRevision) {
+  json::object Create{{"key", toBase64(Key)},
+                      {"start_revision", std::to_string(FromRevision)},
+                      {"progress_notify", true}};
+  return json::serialize(json::object{{"create_request", Create}});
+}
+
+StoredValue parseRange(std::string_view Body) {
+  return firstOf(json::parse(Body).as_object());
+}
+
+SwapOutcome parseSwap(std::string_view Body, const std::string &Written) {
+  json::value Parsed = json::parse(Body);
+  const json::object &Answer = Parsed.as_object();
+  SwapOutcome Outcome;
+  Outcome.Swapped = flag(Answer, "succeeded");
+  if (Outcome.Swapped) {
+    Outcome.Current = {Written,
+                       number(Answer.at("header").as_object(), "revision")};
+    return Outcome;
+  }
+  const json::object &First =
+      Answer.at("responses").as_array().at(0).as_object();
+  Outcome.Current = firstOf(First.at("response_range").as_object());
+  return Outcome;
+}
+
+WatchMessage parseWatch(std::string_view Line) {
+  json::value Parsed = json::parse(Line);
+  WatchMessage Message;
+  if (const json::value *Error = Parsed.as_object().if_contains("error")) {
+    Message.Cancelled = true;
+    Message.Reason = json::serialize(*Error);
+    return Message;
+  }
+  const json::object &Result = Parsed.as_object().at("result").as_object();
+  Message.Cancelled = flag(Result, "canceled");
+  if (Message.Cancelled)
+    Message.Reason = "cancelled by the service";
+  if (const json::value *Events = Result.if_contains("events"))
+    for (const json::value &Event : Events->as_array())
+      Message.Changes.push_back(
+          storedValue(Event.as_object().at("kv").as_object()));
+  return Message;
+}
+
+} // namespace rosemarylane::platform::etcd_json
--- /dev/null
+++ b/libs/platform/src/EtcdJson.h
@@ -0,0 +1,37 @@
+#ifndef ROSEMARYLANE_PLATFORM_ETCD_JSON_H
+#define ROSEMARYLANE_PLATFORM_ETCD_JSON_H
+
+#include "platform/KeyValue.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// The bodies of etcd v3's JSON gateway that this client uses. Parsers throw
+/// `std::exception` on a body of another shape.
+namespace rosemarylane::platform::etcd_json {
+
+std::string rangeRequest(const std::string &Key);
+std::string swapRequest(const std::string &Key, std::int64_t Expected,
+                        const std::string &Value);
+std::string watchRequest(const std::string &Key, std::int64_t FromRevision);
+
+StoredValue parseRange(std::string_view Body);
+
+/// @param Written the value that the request would write.
+SwapOutcome parseSwap(std::string_view Body, const std::string &Written);
+
+/// One line of a watch's answer.
+struct WatchMessage {
+  /// Changes in order; none in a progress notice.
+  std::vector<StoredValue> Changes;
+  /// The service has ended the watch.
+  bool Cancelled = false;
+  std::string Reason;
+};
+
+WatchMessage parseWatch(std::string_view Line);
+
+} // namespace rosemarylane::platform::etcd_json
+
+#endif // ROSEMARYLANE_PLATFORM_ETCD_JSON_H
