--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -88,7 +88,8 @@
     if (!Endpoint)
       return end(Error{Error::Kind::Address, "not an IP:port: " + Address});
     armTotal();
-    auto Kept = Owner->takeIdle(Address, Retryable);
+    auto Kept =
+        Limits.FreshConnection ? nullptr : Owner->takeIdle(Address, Retryable);
     OnKept = Kept != nullptr;
     run(Kept ? Kept
              : std::make_shared<ClientConnection>(Owner->On.context(),
--- a/libs/platform/src/EtcdKeyValue.cpp
+++ b/libs/platform/src/EtcdKeyValue.cpp
@@ -1,5 +1,6 @@
 #include "platform/EtcdKeyValue.h"
 
+#include "Deliver.h"
 #include "EtcdJson.h"
 #include "StoreErrors.h"
 #include "http/Client.h"
@@ -17,75 +18,84 @@
       "POST", Path, {{"Content-Type", "application/json"}}, std::move(Body)};
 }
 
-/// The state of one watch; expires with its handle, and then calls no hook.
-struct WatchState {
-  std::function<void(StoredValue)> OnChange;
-  std::function<void(StoreError)> OnLost;
-  std::string Line;
-  bool Lost = false;
-  std::shared_ptr<http::Client::Call> Running;
+/// One watch. `Line` and `Ended` belong to the sockets' duty, the hooks to the
+/// delivering one; expires with its handle, and then calls no hook.
+class WatchState : public std::enable_shared_from_this<WatchState> {
+public:
+  WatchState(runtime::Duty &Deliver, std::function<void(StoredValue)> OnChange,
+             std::function<void(StoreError)> OnLost)
+      : Deliver(Deliver), OnChange(std::move(OnChange)),
+        OnLost(std::move(OnLost)) {}
+
+  /// Takes one part of the answer, which ends anywhere in a line.
+  void take(std::string_view Part) {
+    Line += Part;
+    std::size_t Begin = 0;
+    for (auto End = Line.find('\n'); !Ended && End != std::string::npos;
+         End = Line.find('\n', Begin)) {
+      takeLine(std::string_view(Line).substr(Begin, End - Begin));
+      Begin = End + 1;
+    }
+    Line.erase(0, Begin);
+    if (Line.size() > MaxWatchLineBytes)
+      lose(malformedAnswer(CallKind::Read, "line too long"));
+  }
 
   void lose(StoreError Why) {
-    if (std::exchange(Lost, true))
+    if (std::exchange(Ended, true))
+      return;
+    deliver([Why = std::move(Why)](WatchState &Self) { Self.OnLost(Why); });
+  }
+
+private:
+  void takeLine(std::string_view Text) {
+    if (Text.empty())
       return;
-    auto Hook = std::move(OnLost);
-    Hook(std::move(Why));
+    try {
+      auto Message = etcd_json::parseWatch(Text);
+      for (StoredValue &Change : Message.Changes)
+        deliver([Change = std::move(Change)](WatchState &Self) {
+          Self.OnChange(Change);
+        });
+      if (Message.Cancelled)
+        lose({StoreError::Kind::Rejected, Message.Reason});
+    } catch (const std::exception &E) {
+      lose(malformedAnswer(CallKind::Read, E.what()));
+    }
+  }
+
+  template <typename Hook> void deliver(Hook Call) {
+    Deliver.postAlways([Weak = weak_from_this(), Call = std::move(Call)] {
+      if (auto Self = Weak.lock())
+        Call(*Self);
+    });
   }
+
+  runtime::Duty &Deliver;
+  std::function<void(StoredValue)> OnChange;
+  std::function<void(StoreError)> OnLost;
+  std::string Line;
+  bool Ended = false;
 };
 
 /// Ends the exchange when dropped.
 class EtcdWatch : public KeyValue::Watch {
 public:
-  explicit EtcdWatch(std::shared_ptr<WatchState> State)
-      : State(std::move(State)) {}
-  ~EtcdWatch() override { State->Running->cancel(); }
+  EtcdWatch(std::shared_ptr<WatchState> State,
+            std::shared_ptr<http::Client::Call> Running)
+      : State(std::move(State)), Running(std::move(Running)) {}
+  ~EtcdWatch() override { Running->cancel(); }
 
 private:
   std::shared_ptr<WatchState> State;
+  std::shared_ptr<http::Client::Call> Running;
 };
 
-/// Handles one line of the answer.
-/// @return false when the watch has ended.
-bool takeLine(WatchState &Watch, std::string_view Line) {
-  if (Line.empty())
-    return true;
-  try {
-    auto Message = etcd_json::parseWatch(Line);
-    for (StoredValue &Change : Message.Changes)
-      Watch.OnChange(std::move(Change));
-    if (!Message.Cancelled)
-      return true;
-    Watch.lose({StoreError::Kind::Rejected, Message.Reason});
-  } catch (const std::exception &E) {
-    Watch.lose(malformedAnswer(CallKind::Read, E.what()));
-  }
-  return false;
-}
-
-void takePart(const std::weak_ptr<WatchState> &Weak, std::string_view Part) {
-  if (auto Watch = Weak.lock())
-    Watch->Line += Part;
-  // A hook may drop the watch between two lines.
-  while (auto Watch = Weak.lock()) {
-    if (Watch->Lost)
-      return;
-    auto End = Watch->Line.find('\n');
-    if (End == std::string::npos) {
-      if (Watch->Line.size() > MaxWatchLineBytes)
-        Watch->lose(malformedAnswer(CallKind::Read, "line too long"));
-      return;
-    }
-    std::string Line = Watch->Line.substr(0, End);
-    Watch->Line.erase(0, End + 1);
-    if (!takeLine(*Watch, Line))
-      return;
-  }
-}
-
 class EtcdKeyValue : public KeyValue {
 public:
-  EtcdKeyValue(runtime::Duty &On, EtcdSettings Settings)
-      : Settings(std::move(Settings)), Http(http::Client::create(On)) {}
+  EtcdKeyValue(runtime::Duty &Io, runtime::Duty &Deliver, EtcdSettings Settings)
+      : Deliver(Deliver), Settings(std::move(Settings)),
+        Http(http::Client::create(Io)) {}
 
   void read(const std::string &Key, Hook<StoredValue> OnDone) override {
     auto Parse = [](const std::string &Body) {
@@ -109,21 +119,18 @@
   watch(const std::string &Key, std::int64_t FromRevision,
         std::function<void(StoredValue)> OnChange,
         std::function<void(StoreError)> OnLost) override {
-    auto State = std::make_shared<WatchState>();
-    State->OnChange = std::move(OnChange);
-    State->OnLost = std::move(OnLost);
+    auto State = std::make_shared<WatchState>(Deliver, std::move(OnChange),
+                                              std::move(OnLost));
     std::weak_ptr<WatchState> Weak = State;
     http::Client::Hooks Hooks;
-    auto Refused = std::make_shared<bool>(false);
-    Hooks.OnHead = [Weak, Refused](const http::ResponseHead &Head) {
+    Hooks.OnHead = [Weak](const http::ResponseHead &Head) {
       auto Error = statusError(CallKind::Read, {Head, {}});
-      *Refused = Error.has_value();
       if (auto Watch = Weak.lock(); Watch && Error)
         Watch->lose(std::move(*Error));
     };
-    Hooks.OnPart = [Weak, Refused](const std::string &Part) {
-      if (!*Refused)
-        takePart(Weak, Part);
+    Hooks.OnPart = [Weak](const std::string &Part) {
+      if (auto Watch = Weak.lock())
+        Watch->take(Part);
     };
     Hooks.OnDone = [Weak](const std::optional<http::Error> &Failure) {
       auto Watch = Weak.lock();
@@ -138,11 +145,11 @@
     Limits.Connect = Settings.CallDeadline;
     Limits.FirstByte = Settings.WatchIdle;
     Limits.Idle = Settings.WatchIdle;
-    State->Running = Http->stream(
+    auto Running = Http->stream(
         Settings.Address,
         post("/v3/watch", etcd_json::watchRequest(Key, FromRevision)), Limits,
         std::move(Hooks), true);
-    return std::make_unique<EtcdWatch>(std::move(State));
+    return std::make_unique<EtcdWatch>(std::move(State), std::move(Running));
   }
 
 private:
@@ -156,8 +163,9 @@
     Limits.Total = Settings.CallDeadline;
     Http->fetch(
         Settings.Address, post(Path, std::move(Body)), Limits,
-        [Kind, Parse, OnDone = std::move(OnDone)](auto Answer) {
-          OnDone(outcome<T>(Kind, Parse, Answer));
+        [&Deliver = Deliver, Kind, Parse,
+         OnDone = std::move(OnDone)](auto Answer) {
+          deliver(Deliver, OnDone, outcome<T>(Kind, Parse, Answer));
         },
         Kind == CallKind::Read);
   }
@@ -177,15 +185,17 @@
     }
   }
 
+  runtime::Duty &Deliver;
   EtcdSettings Settings;
   std::unique_ptr<http::Client> Http;
 };
 
 } // namespace
 
-std::unique_ptr<KeyValue> createEtcdKeyValue(runtime::Duty &On,
+std::unique_ptr<KeyValue> createEtcdKeyValue(runtime::Duty &Io,
+                                             runtime::Duty &Deliver,
                                              EtcdSettings Settings) {
-  return std::make_unique<EtcdKeyValue>(On, std::move(Settings));
+  return std::make_unique<EtcdKeyValue>(Io, Deliver, std::move(Settings));
 }
 
 } // namespace rosemarylane::platform
--- a/libs/platform/src/HostList.cpp
+++ b/libs/platform/src/HostList.cpp
@@ -1,5 +1,6 @@
 #include "platform/HostList.h"
 
+#include "Deliver.h"
 #include "StoreErrors.h"
 #include "http/Client.h"
 
@@ -56,30 +57,33 @@
 
 class HttpHostList : public HostList {
 public:
-  HttpHostList(runtime::Duty &On, std::string Address)
-      : Address(std::move(Address)), Http(http::Client::create(On)) {}
+  HttpHostList(runtime::Duty &Io, runtime::Duty &Deliver, std::string Address)
+      : Deliver(Deliver), Address(std::move(Address)),
+        Http(http::Client::create(Io)) {}
 
   void read(Hook OnDone) override {
     http::Deadlines Limits;
     Limits.Total = ReadDeadline;
     Http->fetch(
         Address, {"GET", "/v1/hosts", {}, {}}, Limits,
-        [OnDone = std::move(OnDone)](auto Answer) {
-          OnDone(parseList(Answer));
+        [&Deliver = Deliver, OnDone = std::move(OnDone)](auto Answer) {
+          deliver(Deliver, OnDone, parseList(Answer));
         },
         true);
   }
 
 private:
+  runtime::Duty &Deliver;
   std::string Address;
   std::unique_ptr<http::Client> Http;
 };
 
 } // namespace
 
-std::unique_ptr<HostList> HostList::create(runtime::Duty &On,
+std::unique_ptr<HostList> HostList::create(runtime::Duty &Io,
+                                           runtime::Duty &Deliver,
                                            std::string Address) {
-  return std::make_unique<HttpHostList>(On, std::move(Address));
+  return std::make_unique<HttpHostList>(Io, Deliver, std::move(Address));
 }
 
 } // namespace rosemarylane::platform
