--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -24,6 +24,8 @@
   /// Opens a connection for this exchange alone, so that a kept one that has
   /// gone silent or stale never makes the outcome unknown.
   bool FreshConnection = false;
+  /// The whole exchange; none for an open end.
+  std::optional<std::chrono::milliseconds> Total;
 };
 
 /// An HTTP/1.1 client on one duty, with a pool of kept connections for each
