--- /dev/null
+++ b/bench/src/experiments/Overload.cpp
@@ -0,0 +1,114 @@
+/// Goodput and latency by class at 0.5 to 4 times the engines' capacity.
+
+#include "Experiment.h"
+
+#include <array>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <thread>
+
+namespace rosemarylane::bench {
+
+namespace json = boost::json;
+
+namespace {
+
+using std::chrono::seconds;
+
+constexpr seconds WarmUp{3};
+constexpr seconds Length{9};
+constexpr seconds Pause{3};
+constexpr std::array<const char *, 3> Classes{"interactive", "standard",
+                                              "batch"};
+/// Shares of the load by class.
+constexpr std::array<double, 3> Shares{0.2, 0.3, 0.5};
+constexpr double Factors[] = {0.5, 1, 2, 4};
+constexpr std::uint64_t VersionBytes = 1 << 20;
+constexpr std::uint64_t ChunkBytes = 128 << 10;
+
+void serveClasses(Fleet &Running) {
+  auto Engines = unsigned(Running.agents().size());
+  json::array Entries;
+  std::vector<core::Digest> Versions;
+  for (std::size_t I = 0; I < Classes.size(); ++I) {
+    Versions.push_back(orThrow(
+        Running.makeVersion(Classes[I], VersionBytes, ChunkBytes, I + 1)));
+    Entries.push_back(
+        modelEntry(Classes[I], Versions.back(), Classes[I], Engines));
+  }
+  orThrow(Running.apply(json::serialize(Entries)));
+  for (std::size_t I = 0; I < Classes.size(); ++I)
+    orThrow(Running.waitLoaded(Versions[I], seconds(30)));
+  for (const char *Class : Classes)
+    waitServed(Running, Class);
+}
+
+json::object measureFactor(Fleet &Running, const ExperimentOptions &Options,
+                           double Factor, double Capacity) {
+  LoadShape Load;
+  Load.RatePerSecond = Factor * Capacity;
+  Load.Length = WarmUp + Length;
+  Load.Seed = Options.Seed;
+  Load.Next = [&](std::uint64_t Number, std::mt19937_64 &Random) {
+    std::discrete_distribution<unsigned> ClassOf(Shares.begin(), Shares.end());
+    unsigned Kind = ClassOf(Random);
+    auto &Entries = Running.entries();
+    return Call{Entries[Number % Entries.size()].HttpAddress,
+                chatRequest(Classes[Kind], "overload"), Kind};
+  };
+  auto Records = runLoad(Running.http().client(), Load);
+  double Goodput = 0;
+  json::array ByClass;
+  for (unsigned Kind = 0; Kind < Classes.size(); ++Kind) {
+    LoadSummary Part =
+        summarize(Records, WarmUp, Load.Length,
+                  [Kind](const CallRecord &R) { return R.Kind == Kind; });
+    Goodput += double(Part.Served) / toSeconds(Length);
+    ByClass.push_back(json::object{
+        {"class", Classes[Kind]},
+        {"served", Part.Served},
+        {"refused", Part.Refused},
+        {"failed", Part.Failed},
+        {"first_byte_p99_ms", toMilliseconds(Part.FirstByte.quantile(0.99))},
+        {"p50_ms", toMilliseconds(Part.Whole.quantile(0.5))},
+        {"p99_ms", toMilliseconds(Part.Whole.quantile(0.99))}});
+  }
+  Options.Say(std::to_string(Factor) + " of capacity: goodput " +
+              std::to_string(Goodput / Capacity) + " of capacity");
+  return {{"factor", Factor},
+          {"offered_per_second", Load.RatePerSecond},
+          {"goodput_per_second", Goodput},
+          {"goodput_of_capacity", Goodput / Capacity},
+          {"classes", std::move(ByClass)}};
+}
+
+} // namespace
+
+json::object runOverload(const ExperimentOptions &Options) {
+  FleetShape Shape;
+  Shape.BasePort = Options.BasePort;
+  Shape.Domains = domainShapes(2, 2, 2);
+  Shape.EngineOptions = steadyEngine();
+  auto Running = orThrow(Fleet::start(Shape));
+  serveClasses(*Running);
+  double Capacity =
+      SteadyEngineRequestsPerSecond * double(Running->agents().size());
+  Chart Drawn;
+  Drawn.Title = "Goodput under overload";
+  Drawn.XLabel = "offered load, of capacity";
+  Drawn.YLabel = "goodput";
+  Drawn.Curves = {{"goodput", {}}};
+  json::array Runs;
+  for (double Factor : Factors) {
+    json::object Run = measureFactor(*Running, Options, Factor, Capacity);
+    Drawn.Curves[0].Points.push_back(
+        {Factor, Run.at("goodput_of_capacity").to_number<double>()});
+    Runs.push_back(std::move(Run));
+    std::this_thread::sleep_for(Pause);
+  }
+  writeChart(Options, Drawn);
+  orThrow(Running->stop());
+  return {{"capacity_per_second", Capacity}, {"runs", std::move(Runs)}};
+}
+
+} // namespace rosemarylane::bench
