Give each loaded model a generation of its own

Cause: with one generation for the whole engine, loading one entry would fail the answers in progress of every other entry on that engine. Change: the generation that pins an answer is that of its model.

--- a/bench/tests/LoadTest.cpp
+++ b/bench/tests/LoadTest.cpp
@@ -15,11 +15,9 @@
 /// A server that answers by the request's path, and a client to load it with.
 struct LoadedServer {
   LoadedServer() {
-    auto Listening =
-        http::Server::listen(*Serving, {.Address = "127.0.0.1:0"},
-                             [](const std::shared_ptr<http::Exchange> &Call) {
-                               answer(*Call);
-                             });
+    auto Listening = http::Server::listen(
+        *Serving, {.Address = "127.0.0.1:0"},
+        [](const std::shared_ptr<http::Exchange> &Call) { answer(*Call); });
     Server = std::move(*Listening);
   }
 
--- a/rosemarylane/src/agent/Gate.cpp
+++ b/rosemarylane/src/agent/Gate.cpp
@@ -56,15 +56,22 @@
   return Value;
 }
 
-std::optional<std::uint64_t> generationInState(const std::string &Json) {
-  boost::system::error_code Error;
-  auto State = boost::json::parse(Json, Error);
-  if (Error || !State.is_object())
-    return std::nullopt;
-  const auto *Generation = State.as_object().if_contains("generation");
-  if (!Generation || !Generation->is_number())
-    return std::nullopt;
-  return Generation->to_number<std::uint64_t>();
+/// Finds the generation at which \p Entry was loaded in an engine's state.
+std::optional<std::uint64_t> generationInState(const std::string &Json,
+                                               const std::string &Entry) {
+  namespace json = boost::json;
+  try {
+    json::value State = json::parse(Json);
+    for (const json::value &Loaded :
+         State.as_object().at("loaded").as_array()) {
+      const json::object &Item = Loaded.as_object();
+      if (Item.at("name").as_string() == Entry)
+        return Item.at("generation").to_number<std::uint64_t>();
+    }
+  } catch (const std::exception &) {
+    // A malformed state confirms nothing.
+  }
+  return std::nullopt;
 }
 
 ledger::Ran toLedger(wire::Ran Ran) {
@@ -414,7 +421,8 @@
         Context.Config.Target.Address, std::move(Read), {},
         [this, R](core::Result<http::Response, http::Error> Answer) {
           bool Same =
-              Answer && generationInState(Answer->Body) == R->Generation;
+              Answer && generationInState(Answer->Body, R->Request.entry()) ==
+                            R->Generation;
           Context.Control->postAlways([this, R, Same] {
             if (!active(R))
               return;
