--- a/rosemarylane/src/agent/Gate.cpp
+++ b/rosemarylane/src/agent/Gate.cpp
@@ -1,13 +1,11 @@
 #include "agent/Gate.h"
 
-#include "agent/TargetRun.h"
+#include "agent/TargetCall.h"
 #include "routing/Admission.h"
 #include "routing/WaitQueue.h"
 #include "telemetry/Log.h"
 
 #include <algorithm>
-#include <boost/json.hpp>
-#include <charconv>
 #include <map>
 
 namespace rosemarylane {
@@ -16,8 +14,6 @@
 
 constexpr std::size_t RequestIdBytes = 16;
 constexpr std::chrono::milliseconds QueueTick{50};
-constexpr std::chrono::seconds FirstByteDeadline{60};
-constexpr std::chrono::seconds IdleDeadline{30};
 /// A plain service whose connection failed is not offered to entries for this
 /// long.
 constexpr std::chrono::milliseconds FailedServiceRest{1000};
@@ -26,54 +22,6 @@
 /// two answers, too few to wait long.
 constexpr std::size_t WaitingCapacity = 16;
 
-/// Header fields that belong to one connection, or that this hop sets itself.
-bool hopByHop(std::string_view Name) {
-  static constexpr std::string_view Names[] = {"connection",
-                                               "keep-alive",
-                                               "transfer-encoding",
-                                               "te",
-                                               "trailer",
-                                               "upgrade",
-                                               "host",
-                                               "content-length",
-                                               "proxy-connection",
-                                               "x-engine-generation"};
-  return std::any_of(
-      std::begin(Names), std::end(Names), [&](std::string_view N) {
-        return N.size() == Name.size() &&
-               std::equal(N.begin(), N.end(), Name.begin(),
-                          [](char A, char B) { return A == std::tolower(B); });
-      });
-}
-
-std::optional<std::uint64_t> generationOf(const http::Headers &Fields) {
-  auto Text = Fields.find("x-engine-generation");
-  std::uint64_t Value = 0;
-  if (!Text ||
-      std::from_chars(Text->data(), Text->data() + Text->size(), Value).ec !=
-          std::errc())
-    return std::nullopt;
-  return Value;
-}
-
-/// Finds the generation at which \p Entry was loaded in an engine's state.
-std::optional<std::uint64_t> generationInState(const std::string &Json,
-                                               const std::string &Entry) {
-  namespace json = boost::json;
-  try {
-    json::value State = json::parse(Json);
-    for (const json::value &Loaded :
-         State.as_object().at("loaded").as_array()) {
-      const json::object &Item = Loaded.as_object();
-      if (Item.at("name").as_string() == Entry)
-        return Item.at("generation").to_number<std::uint64_t>();
-    }
-  } catch (const std::exception &) {
-    // A malformed state confirms nothing.
-  }
-  return std::nullopt;
-}
-
 ledger::Ran toLedger(wire::Ran Ran) {
   switch (Ran) {
   case wire::RAN_NO:
@@ -97,6 +45,23 @@
   return wire::RAN_UNKNOWN;
 }
 
+/// One attempt, from its arrival to its end.
+struct TargetRun {
+  wire::Peer From;
+  wire::RunRequest Request;
+  telemetry::Span Span;
+  core::TimePoint ArrivedAt;
+  /// The model's generation when the run was admitted; none for a plain
+  /// service.
+  std::optional<std::uint64_t> Generation;
+  bool Cancelled = false;
+  /// Null while the run waits.
+  std::shared_ptr<TargetCall> Call;
+  TargetCallEnd End;
+
+  bool running() const { return Call != nullptr; }
+};
+
 core::TimePoint now() { return std::chrono::steady_clock::now(); }
 
 class GateImpl final : public Gate {
@@ -166,7 +131,9 @@
     auto R = std::make_shared<TargetRun>();
     R->From = From;
     R->Request = Message.run_request();
-    R->Traceparent = Message.traceparent();
+    R->Span = telemetry::Tracer::open(
+        "agent.run",
+        telemetry::TraceContext::fromHeader(Message.traceparent()));
     R->ArrivedAt = now();
     const wire::RunRequest &Request = R->Request;
     if (Request.id().request().size() != RequestIdBytes)
@@ -290,162 +257,29 @@
   // ---- Running ----
 
   void start(const Run &R) {
-    R->Running = true;
-    R->StartedAt = now();
-    const wire::RunRequest &Request = R->Request;
-    if (!Request.idempotent())
-      R->Answer = std::make_shared<ledger::HeldAnswer>();
-    http::Request Call;
-    Call.Method = Request.method();
-    Call.Target = Request.target();
-    Call.Body = Request.body();
-    for (const wire::Header &H : Request.headers())
-      if (!hopByHop(H.name()))
-        Call.Fields.add(H.name(), H.value());
-    Call.Fields.set("traceparent", R->Traceparent);
-    Call.Fields.set("x-request-priority",
-                    std::to_string(Request.traffic_class()));
-    http::Deadlines Limits;
-    Limits.FirstByte = FirstByteDeadline;
-    Limits.Idle = IdleDeadline;
-    Limits.FreshConnection = !Request.idempotent();
-    R->Call = Context.Http->stream(Context.Config.Target.Address,
-                                   std::move(Call), Limits, hooksFor(R));
-  }
-
-  /// Hooks run on the calling duty and hand everything to the control duty.
-  http::Client::Hooks hooksFor(const Run &R) {
-    runtime::Duty &Control = *Context.Control;
-    http::Client::Hooks Hooks;
-    Hooks.OnHead = [this, R, &Control](const http::ResponseHead &Head) {
-      Control.postAlways([this, R, Head] { onHead(R, Head); });
-    };
-    Hooks.OnPart = [this, R, &Control](std::string Part) {
-      Control.postAlways(
-          [this, R, Part = std::move(Part)] { onPart(R, Part); });
-    };
-    Hooks.OnDone = [this, R, &Control](std::optional<http::Error> Error) {
-      Control.postAlways([this, R, Error] { onDone(R, Error); });
-    };
-    return Hooks;
-  }
-
-  bool active(const Run &R) const {
-    auto Found = Runs.find(R->Request.id().request());
-    return Found != Runs.end() && Found->second == R;
-  }
-
-  void onHead(const Run &R, const http::ResponseHead &Head) {
-    if (!active(R))
-      return;
-    if (refusedByTarget(R, Head))
-      return;
-    if (R->Generation && generationOf(Head.Fields) != R->Generation) {
-      Weights->engineChanged();
-      return fail(R, wire::REFUSAL_VERSION, wire::RAN_YES,
-                  "the engine's weights changed");
-    }
-    R->HeadSent = true;
-    wire::Envelope Message;
-    wire::RunHead &Out = *Message.mutable_run_head();
-    *Out.mutable_id() = R->Request.id();
-    Out.set_status(Head.Status);
-    for (const auto &[Name, Value] : Head.Fields) {
-      if (hopByHop(Name))
-        continue;
-      wire::Header &H = *Out.add_headers();
-      H.set_name(Name);
-      H.set_value(Value);
-      if (R->Answer)
-        R->Answer->Headers.emplace_back(Name, Value);
-    }
-    if (R->Answer)
-      R->Answer->Status = Head.Status;
-    Send.send(R->From, std::move(Message));
+    R->Call = TargetCall::start(
+        Context, Send, R->From, R->Request, R->Span.Context.header(),
+        R->Generation,
+        [this, R](TargetCallEnd How) { onCallEnd(R, std::move(How)); });
   }
 
-  /// An engine that is full says so before it runs anything.
-  bool refusedByTarget(const Run &R, const http::ResponseHead &Head) {
-    constexpr unsigned TooManyRequests = 429;
-    constexpr unsigned ServiceUnavailable = 503;
-    if (!Weights ||
-        (Head.Status != TooManyRequests && Head.Status != ServiceUnavailable))
-      return false;
-    fail(R, wire::REFUSAL_BUSY, wire::RAN_NO, "the engine is full");
-    return true;
-  }
-
-  void onPart(const Run &R, const std::string &Part) {
-    if (!active(R))
-      return;
-    if (R->Offset == 0)
-      R->FirstPartAt = now();
-    wire::Envelope Message;
-    wire::RunPart &Out = *Message.mutable_run_part();
-    *Out.mutable_id() = R->Request.id();
-    Out.set_offset(R->Offset);
-    Out.set_data(Part);
-    R->Offset += Part.size();
-    R->Checksum.add(Part);
-    if (R->Answer)
-      R->Answer->Body += Part;
-    Send.send(R->From, std::move(Message));
-  }
-
-  void onDone(const Run &R, const std::optional<http::Error> &Error) {
-    if (!active(R))
-      return;
-    if (!Error)
-      return R->Generation ? confirmGeneration(R) : complete(R);
-    if (Error->What == http::Error::Kind::NotSent) {
-      targetFailed();
-      return fail(R, wire::REFUSAL_TARGET_FAILED, wire::RAN_NO, Error->Detail);
-    }
-    suspectDeath();
-    fail(R, wire::REFUSAL_TARGET_FAILED, wire::RAN_UNKNOWN, Error->Detail);
+  void onCallEnd(const Run &R, TargetCallEnd How) {
+    if (How.TargetInDoubt)
+      doubtTarget();
+    if (How.MayHaveDied)
+      suspectDeath();
+    R->End = std::move(How);
+    if (R->End.Reason != wire::REFUSAL_UNSPECIFIED)
+      refuse(*R, R->End.Reason, toWire(R->End.Ran), R->End.Detail);
+    end(R, R->End.Ran, R->End.Answer);
   }
 
-  void targetFailed() {
+  void doubtTarget() {
     ServiceFailedAt = now();
     if (Weights)
       Weights->engineChanged();
   }
 
-  /// Reads the generation once more: the answer counts only if the weights
-  /// stayed the same throughout.
-  void confirmGeneration(const Run &R) {
-    http::Request Read;
-    Read.Method = "GET";
-    Read.Target = "/control/v1/state";
-    Context.Http->fetch(
-        Context.Config.Target.Address, std::move(Read), {},
-        [this, R](core::Result<http::Response, http::Error> Answer) {
-          bool Same =
-              Answer && generationInState(Answer->Body, R->Request.entry()) ==
-                            R->Generation;
-          Context.Control->postAlways([this, R, Same] {
-            if (!active(R))
-              return;
-            if (Same)
-              return complete(R);
-            Weights->engineChanged();
-            fail(R, wire::REFUSAL_VERSION, wire::RAN_YES,
-                 "the engine's weights changed");
-          });
-        },
-        /*Retryable=*/true);
-  }
-
-  void complete(const Run &R) {
-    wire::Envelope Message;
-    wire::RunEnd &Out = *Message.mutable_run_end();
-    *Out.mutable_id() = R->Request.id();
-    Out.set_length(R->Offset);
-    Out.set_checksum(R->Checksum.value());
-    Send.send(R->From, std::move(Message));
-    end(R, ledger::Ran::Yes, R->Answer);
-  }
-
   /// If the target died, the requests in progress are reported as possible
   /// causes.
   void suspectDeath() {
@@ -453,10 +287,9 @@
       return;
     std::vector<core::Digest> Suspects;
     for (const auto &[Id, R] : Runs)
-      if (R->Running)
+      if (R->running())
         if (auto Digest = core::Digest::fromBytes(R->Request.digest()))
           Suspects.push_back(*Digest);
-    Weights->engineChanged();
     Heartbeats.reportSuspects(std::move(Suspects));
   }
 
@@ -481,23 +314,19 @@
     end(R, toLedger(Ran), nullptr);
   }
 
-  /// Ends a run whose call may still be open.
-  void fail(const Run &R, wire::RefusalReason Reason, wire::Ran Ran,
-            const std::string &Detail) {
-    if (R->Call)
-      R->Call->cancel();
-    finishRefused(R, Reason, Ran, Detail);
-  }
-
   void end(const Run &R, ledger::Ran What,
            std::shared_ptr<const ledger::HeldAnswer> Answer) {
     const std::string Id = R->Request.id().request();
     Runs.erase(Id);
-    if (R->Running)
-      Admit.finished(outcomeOf(*R, What), latencyOf(*R));
+    if (R->running())
+      Admit.finished(outcomeOf(*R, What), R->End.FirstPartAfter);
     else
       Waiting.remove(R);
     Table.finish(Id, What, std::move(Answer), now());
+    R->Span.Failed = What != ledger::Ran::Yes;
+    Context.Tracer->close(R->Span);
+    // Ends the call if it is still open.
+    R->Call.reset();
     startWaiting();
     checkReplacing();
     checkIdle();
@@ -511,25 +340,19 @@
                                     : routing::Admission::Outcome::Failed;
   }
 
-  static std::chrono::nanoseconds latencyOf(const TargetRun &R) {
-    if (R.Offset == 0)
-      return std::chrono::nanoseconds(0);
-    return R.FirstPartAt - R.StartedAt;
-  }
-
   void cancel(const std::string &Id) {
     auto Found = Runs.find(Id);
     if (Found == Runs.end())
       return;
     Run R = Found->second;
-    if (!R->Running)
+    if (!R->running())
       return finishRefused(R, wire::REFUSAL_CANCELLED, wire::RAN_NO, "");
     // A request that may not be repeated runs to its end, so that its answer is
     // known.
     if (!R->Request.idempotent())
       return;
     R->Cancelled = true;
-    fail(R, wire::REFUSAL_CANCELLED, wire::RAN_UNKNOWN, "");
+    finishRefused(R, wire::REFUSAL_CANCELLED, wire::RAN_UNKNOWN, "");
   }
 
   void answerQuery(const wire::Peer &From, const wire::OutcomeQuery &Query) {
@@ -564,7 +387,7 @@
   /// A forbidden attempt that only waits has not started.
   void withdrawWaiting(const std::string &Id) {
     auto Found = Runs.find(Id);
-    if (Found != Runs.end() && !Found->second->Running)
+    if (Found != Runs.end() && !Found->second->running())
       finishRefused(Found->second, wire::REFUSAL_CANCELLED, wire::RAN_NO, "");
   }
 
@@ -580,7 +403,7 @@
     std::vector<std::function<void()>> Ready;
     std::erase_if(Replacing, [&](const auto &Item) {
       bool Used = std::any_of(Runs.begin(), Runs.end(), [&](const auto &R) {
-        return R.second->Running &&
+        return R.second->running() &&
                R.second->Request.entry() == Item.first.str();
       });
       if (!Used)
