--- a/libs/routing/include/routing/WaitQueue.h
+++ b/libs/routing/include/routing/WaitQueue.h
@@ -66,6 +66,25 @@
             }).empty();
   }
 
+  /// A lower capacity holds for requests still to come.
+  void setCapacity(std::size_t Value) { Capacity = Value; }
+
+  /// @return the request that `pop` would take, or null.
+  const Item *front() const {
+    for (const auto &Queue : Queues)
+      if (!Queue.empty())
+        return &Queue.front().second;
+    return nullptr;
+  }
+
+  /// @return waiting requests of \p Class and higher ones.
+  std::size_t sizeUpTo(core::TrafficClass Class) const {
+    std::size_t Sum = 0;
+    for (std::size_t I = 0; I <= static_cast<std::size_t>(Class); ++I)
+      Sum += Queues[I].size();
+    return Sum;
+  }
+
   std::size_t size() const {
     std::size_t Sum = 0;
     for (const auto &Queue : Queues)
