--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -91,9 +91,10 @@
   Socket.close(Ignored);
   ReadTimer.cancel();
   WriteTimer.cancel();
-  if (Answering) {
-    Answering = false;
+  if (Answering || AwaitingLast)
     --*InProgress;
+  AwaitingLast = false;
+  if (std::exchange(Answering, false)) {
     if (auto Exchange = Current.lock())
       Exchange->gone();
   }
@@ -173,7 +174,8 @@
   Answering = true;
   AnswerEnded = false;
   Streaming = false;
-  ++*InProgress;
+  if (!std::exchange(AwaitingLast, false))
+    ++*InProgress;
   auto Exchange = std::make_shared<ServerExchange>(
       shared_from_this(), ++ExchangeId, std::move(Received));
   Current = Exchange;
@@ -191,13 +193,15 @@
   HeadOnly = false;
   Answering = true;
   AnswerEnded = false;
-  ++*InProgress;
+  if (!std::exchange(AwaitingLast, false))
+    ++*InProgress;
   Current.reset();
   respond(++ExchangeId, problemResponse(Status, Title, Detail, "no"));
 }
 
 void ServerConnection::armReadTimeout() {
-  ReadTimer.expires_after(Settings.ReadTimeout);
+  ReadTimer.expires_after(AwaitingLast ? Settings.DrainGrace
+                                       : Settings.ReadTimeout);
   ReadTimer.async_wait([Weak = weak_from_this()](error_code Error) {
     auto Self = Weak.lock();
     if (Self && !Error)
@@ -339,9 +343,13 @@
 
 void ServerConnection::afterAnswer() {
   Answering = false;
-  --*InProgress;
+  if (!KeepAlive || !Draining)
+    --*InProgress;
   if (!KeepAlive)
     return linger();
+  // The caller may take the connection for kept: a request on its way is still
+  // answered.
+  AwaitingLast = Draining;
   armReadTimeout();
   // Posted, since the handler may still be on the stack.
   boost::asio::post(Socket.get_executor(), [Self = shared_from_this()] {
