--- a/rosemarylane/src/common/ProcessMetrics.cpp
+++ b/rosemarylane/src/common/ProcessMetrics.cpp
@@ -17,8 +17,8 @@
 class ProcessMetricsImpl final : public ProcessMetrics {
 public:
   ProcessMetricsImpl(ProcessContext &Context,
-                     const ConfigurationService &Configuration)
-      : Context(Context), Configuration(Configuration),
+                     ConfigurationService &Configuration)
+      : Context(Context),
         Revision(gauge("rosemarylane_configuration_revision",
                        "Revision of the configuration in force")),
         Waiting(gauge("rosemarylane_control_tasks_waiting",
@@ -29,6 +29,10 @@
                       "Bytes exchanged with other processes")),
         Dropped(counter("rosemarylane_peer_dropped_total",
                         "Messages dropped, by cause")) {
+    Configuration.onChange(
+        [this](const std::shared_ptr<const core::Configuration> &InForce) {
+          Revision.Set(static_cast<double>(InForce->Revision));
+        });
     Tick = Context.Timers->every(SampleInterval, *Context.Control,
                                  [this] { sample(); });
   }
@@ -49,7 +53,6 @@
   }
 
   void sample() {
-    Revision.Set(static_cast<double>(Configuration.current()->Revision));
     Waiting.Set(static_cast<double>(Context.Control->waiting()));
     wire::PeerTraffic Counts = Context.Peers->traffic();
     raise(Messages.Add({{"direction", "in"}}), Counts.MessagesIn);
@@ -61,7 +64,6 @@
   }
 
   ProcessContext &Context;
-  const ConfigurationService &Configuration;
   prometheus::Gauge &Revision;
   prometheus::Gauge &Waiting;
   prometheus::Family<prometheus::Counter> &Messages;
@@ -74,7 +76,7 @@
 
 std::unique_ptr<ProcessMetrics>
 ProcessMetrics::create(ProcessContext &Context,
-                       const ConfigurationService &Configuration) {
+                       ConfigurationService &Configuration) {
   return std::make_unique<ProcessMetricsImpl>(Context, Configuration);
 }
 
--- a/rosemarylane/src/common/ProcessMetrics.h
+++ b/rosemarylane/src/common/ProcessMetrics.h
@@ -10,12 +10,13 @@
 
 /// Metrics that entries and agents share: the revision in force, traffic
 /// between the system's processes, and tasks that wait for the control duty.
-/// Sampled once a second on the control duty.
+/// The revision is set at each change, the rest sampled once a second; on the
+/// control duty.
 class ProcessMetrics {
 public:
   /// Both arguments outlive it.
   static std::unique_ptr<ProcessMetrics>
-  create(ProcessContext &Context, const ConfigurationService &Configuration);
+  create(ProcessContext &Context, ConfigurationService &Configuration);
   virtual ~ProcessMetrics() = default;
 };
 
