--- /dev/null
+++ b/rosemarylane/src/entry/ClaimResolver.cpp
@@ -0,0 +1,143 @@
+#include "entry/ClaimResolver.h"
+
+namespace rosemarylane {
+
+namespace {
+
+constexpr std::chrono::milliseconds HolderPollInterval{200};
+constexpr std::chrono::milliseconds RetryAfter{500};
+
+core::TimePoint now() { return std::chrono::steady_clock::now(); }
+
+Problem refusal(ProblemKind Kind, ledger::Ran Ran, std::string Detail = {}) {
+  return {Kind, Ran, std::move(Detail), RetryAfter};
+}
+
+/// One key being resolved. Kept alive by the pending question.
+struct Case {
+  LedgerKey Key;
+  ClaimedAttempt Mine;
+  core::TimePoint Deadline;
+  std::function<void(ClaimResolver::Resolution)> OnDone;
+  /// Wakes the case between two questions to the holder.
+  runtime::TimerService::Subscription Timer;
+};
+
+class ClaimResolverImpl final : public ClaimResolver {
+public:
+  ClaimResolverImpl(ProcessContext &Context, LedgerService &Ledger,
+                    AttemptClient &Attempts)
+      : Context(Context), Ledger(Ledger), Attempts(Attempts) {}
+
+  void resolve(LedgerKey Key, ClaimedAttempt Mine, core::TimePoint Deadline,
+               std::function<void(Resolution)> OnDone) override {
+    auto C = std::make_shared<Case>();
+    C->Key = std::move(Key);
+    C->Mine = std::move(Mine);
+    C->Deadline = Deadline;
+    C->OnDone = std::move(OnDone);
+    claim(C);
+  }
+
+private:
+  using CasePtr = std::shared_ptr<Case>;
+
+  void claim(const CasePtr &C) {
+    Ledger.claim(C->Key, C->Mine, [this, C](ClaimOutcome Outcome) {
+      onClaim(C, std::move(Outcome));
+    });
+  }
+
+  void onClaim(const CasePtr &C, ClaimOutcome Outcome) {
+    using Kind = ClaimOutcome::Kind;
+    switch (Outcome.What) {
+    case Kind::Claimed:
+      return C->OnDone(Claimed{});
+    case Kind::InProgress:
+      return follow(C, Outcome.Holder);
+    case Kind::Answered:
+      return C->OnDone(std::move(*Outcome.Answer));
+    case Kind::RanAnswerGone:
+      return C->OnDone(refusal(ProblemKind::AnswerGone, ledger::Ran::Yes));
+    case Kind::Unknown:
+      return C->OnDone(
+          refusal(ProblemKind::OutcomeUnknown, ledger::Ran::Unknown));
+    case Kind::OtherRequest:
+      return C->OnDone(
+          refusal(ProblemKind::IdempotencyKeyReused, ledger::Ran::No));
+    case Kind::Expired:
+      return C->OnDone(
+          refusal(ProblemKind::IdempotencyKeyExpired, ledger::Ran::Unknown));
+    case Kind::Unavailable:
+      return C->OnDone(
+          refusal(ProblemKind::LedgerUnavailable, ledger::Ran::No));
+    }
+  }
+
+  void follow(const CasePtr &C, const ClaimedAttempt &Holder) {
+    if (now() > C->Deadline)
+      return C->OnDone(
+          refusal(ProblemKind::OutcomeUnknown, ledger::Ran::Unknown));
+    AttemptTarget Target{Holder.AgentAddress, Holder.AgentIncarnation,
+                         Holder.AgentTime};
+    Attempts.query(Target, Holder.RequestId, /*Forbid=*/true,
+                   [this, C, Holder](AttemptClient::Outcome Outcome) {
+                     onHolderOutcome(C, Holder, std::move(Outcome));
+                   });
+  }
+
+  void onHolderOutcome(const CasePtr &C, const ClaimedAttempt &Holder,
+                       AttemptClient::Outcome Outcome) {
+    if (!Outcome.Known)
+      return C->OnDone(
+          refusal(ProblemKind::OutcomeUnknown, ledger::Ran::Unknown,
+                  "the agent that may have run it does not answer"));
+    if (Outcome.InProgress) {
+      C->Timer =
+          Context.Timers->after(HolderPollInterval, *Context.Control,
+                                [this, C, Holder] { follow(C, Holder); });
+      return;
+    }
+    AttemptResult Result;
+    if (Outcome.Ran == ledger::Ran::No)
+      Result.What = AttemptResult::Kind::NotRun;
+    else if (Outcome.Answer)
+      Result = {AttemptResult::Kind::Answered, std::move(Outcome.Answer)};
+    Ledger.record(C->Key, Holder, Result,
+                  [this, C, Result, Ran = Outcome.Ran](bool Written) {
+                    onRecorded(C, Result, Ran, Written);
+                  });
+  }
+
+  void onRecorded(const CasePtr &C, const AttemptResult &Result,
+                  ledger::Ran Ran, bool Written) {
+    switch (Result.What) {
+    case AttemptResult::Kind::Answered:
+      return C->OnDone(*Result.Answer);
+    case AttemptResult::Kind::NotRun:
+      if (Written)
+        return claim(C);
+      return C->OnDone(
+          refusal(ProblemKind::LedgerUnavailable, ledger::Ran::No));
+    case AttemptResult::Kind::Unknown:
+      return C->OnDone(refusal(Ran == ledger::Ran::Yes
+                                   ? ProblemKind::AnswerGone
+                                   : ProblemKind::OutcomeUnknown,
+                               Ran));
+    }
+  }
+
+  ProcessContext &Context;
+  LedgerService &Ledger;
+  AttemptClient &Attempts;
+};
+
+} // namespace
+
+std::unique_ptr<ClaimResolver> ClaimResolver::create(ProcessContext &Context,
+                                                     LedgerService &Ledger,
+                                                     AttemptClient &Attempts) {
+  return std::make_unique<ClaimResolverImpl>(Context, Ledger, Attempts);
+}
+
+} // namespace rosemarylane
--- a/rosemarylane/src/entry/EntryProcess.cpp
+++ b/rosemarylane/src/entry/EntryProcess.cpp
@@ -49,6 +49,7 @@
     Admin = AdminApi::create(*Context, *Configuration,
                              [this] { return Members->status(); });
     Members->onEntries([this](auto Fleet, auto FailureDomain) {
+      Handler->setLiveEntries(Fleet.size());
       Ledger->setLiveEntries(std::move(Fleet));
       Configuration->setLiveEntries(std::move(FailureDomain));
     });
--- a/rosemarylane/src/entry/PendingRequest.h
+++ b/rosemarylane/src/entry/PendingRequest.h
@@ -1,17 +1,19 @@
 #ifndef ROSEMARYLANE_ENTRY_PENDING_REQUEST_H
 #define ROSEMARYLANE_ENTRY_PENDING_REQUEST_H
 
-#include "core/Catalogue.h"
 #include "core/Time.h"
 #include "entry/CallerRequest.h"
 #include "entry/LedgerService.h"
 #include "entry/MembershipService.h"
+#include "entry/RequestCheck.h"
 #include "http/Exchange.h"
 #include "telemetry/Tracer.h"
+#include "wire/wire.pb.h"
 
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace rosemarylane {
@@ -21,13 +23,9 @@
 struct PendingRequest {
   std::shared_ptr<http::Exchange> Call;
   CallerRequest Parsed;
-  core::CatalogueEntry Entry;
-  core::WorkspaceId Workspace;
+  CheckedRequest Checked;
   core::TimePoint ArrivedAt;
-  core::TimePoint Deadline;
   telemetry::Span Span;
-  /// Whether the request may be run again.
-  bool Repeatable = true;
   bool Ended = false;
 
   /// Counts attempts; the first is 1.
@@ -39,13 +37,34 @@
   std::set<core::HostId> Excluded;
   core::TimePoint AttemptStartedAt;
   std::optional<core::TimePoint> FirstPartAt;
+  /// An earlier attempt may have run, so no refusal may say otherwise.
+  bool MayHaveRun = false;
   /// The latest refusal, told to the caller if no other target is left.
   std::string LastRefusal;
 
   /// The answer's head has been sent on as a stream.
   bool StreamStarted = false;
-  /// The answer so far, if it is not streamed.
-  http::Response Whole;
+  /// The answer so far; its body is kept unless it is streamed and repeatable.
+  http::Response Answer;
+
+  bool repeatable() const { return Checked.Repeatable; }
+  const core::CatalogueEntry &entry() const { return Checked.Entry; }
+
+  /// @return what can be said of all attempts together, none of which was
+  /// answered.
+  ledger::Ran ranSoFar() const {
+    return MayHaveRun ? ledger::Ran::Unknown : ledger::Ran::No;
+  }
+
+  /// @return the request as the at-most-once ledger knows it.
+  LedgerKey ledgerKey() const;
+
+  /// @return the present attempt, as it is claimed.
+  ClaimedAttempt claim() const;
+
+  /// Writes the message that starts the present attempt.
+  /// @param WaitAtMost how long it may wait at the agent.
+  wire::Envelope runRequest(std::chrono::milliseconds WaitAtMost) const;
 };
 
 } // namespace rosemarylane
--- a/rosemarylane/src/entry/RequestHandler.h
+++ b/rosemarylane/src/entry/RequestHandler.h
@@ -34,6 +34,10 @@
   /// Answers one request on `/v1/...`.
   virtual void handle(std::shared_ptr<http::Exchange> Call) = 0;
 
+  /// Sets the number of live entries, among which rates over the whole fleet
+  /// are shared out.
+  virtual void setLiveEntries(std::size_t Count) = 0;
+
   /// Calls \p Idle once no request is in progress. Requests that still come are
   /// served.
   virtual void whenIdle(std::function<void()> Idle) = 0;
