--- a/rosemarylane/src/entry/RequestHandler.cpp
+++ b/rosemarylane/src/entry/RequestHandler.cpp
@@ -120,7 +120,7 @@
   void refuseAll(
       const std::vector<routing::RequestQueue<Pending>::Refusal> &Refused) {
     for (const auto &Refusal : Refused)
-      end(Refusal.Request, {ProblemKind::NoTarget, ledger::Ran::No,
+      end(Refusal.Request, {ProblemKind::NoTarget, Refusal.Request->ranSoFar(),
                             Refusal.Request->LastRefusal, Refusal.RetryAfter});
   }
 
@@ -212,8 +212,9 @@
       return endWhole(R);
     if (R->StreamStarted)
       return endBroken(R);
+    R->MayHaveRun = R->MayHaveRun || End.Ran != ledger::Ran::No;
     if (End.Reason == wire::REFUSAL_QUARANTINED)
-      return end(R, {ProblemKind::Quarantined, ledger::Ran::No, "", {}});
+      return end(R, {ProblemKind::Quarantined, R->ranSoFar(), "", {}});
     R->Excluded.insert(R->Target->Agent);
     R->LastRefusal = End.Detail;
     if (MayRunAgain && inTime(*R, End) && Retries.tryRetry())
@@ -230,20 +231,14 @@
   }
 
   Problem problemOf(const PendingRequest &R, const AttemptEnd &End) const {
+    if (!R.MayHaveRun)
+      return {ProblemKind::NoTarget, ledger::Ran::No, End.Detail,
+              RetryAfterBusy};
     if (R.repeatable())
-      return End.Ran == ledger::Ran::No && R.Attempt == 1
-                 ? Problem{ProblemKind::NoTarget, ledger::Ran::No, End.Detail,
-                           RetryAfterBusy}
-                 : Problem{ProblemKind::TargetFailed, ledger::Ran::Unknown,
-                           End.Detail, RetryAfterBusy};
-    switch (End.Ran) {
-    case ledger::Ran::No:
-      return {ProblemKind::NoTarget, End.Ran, End.Detail, RetryAfterBusy};
-    case ledger::Ran::Yes:
+      return {ProblemKind::TargetFailed, ledger::Ran::Unknown, End.Detail,
+              RetryAfterBusy};
+    if (End.Ran == ledger::Ran::Yes)
       return {ProblemKind::AnswerGone, End.Ran, End.Detail, {}};
-    case ledger::Ran::Unknown:
-      break;
-    }
     return {ProblemKind::OutcomeUnknown, ledger::Ran::Unknown, End.Detail, {}};
   }
 
