--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -48,7 +48,10 @@
 
   /// The present or next answer is the connection's last.
   void drain();
-  bool idle() const { return !Answering && !ReceivingRequest && !Lingering; }
+  /// @return whether nothing is in progress and no time limit of its own runs.
+  bool idle() const {
+    return !Answering && !ReceivingRequest && !Lingering && !AwaitingLast;
+  }
 
   /// @name The exchange's side; \p Id tells the present exchange from earlier
   /// ones.
@@ -120,6 +123,9 @@
   std::atomic<std::size_t> Queued{0};
 
   bool Draining = false;
+  /// Drained with an answer that did not say so: counts as in progress until
+  /// the grace is over.
+  bool AwaitingLast = false;
   /// The last answer is out; what still comes is discarded until the caller
   /// closes.
   bool Lingering = false;
--- a/libs/http/tests/ExchangeTest.cpp
+++ b/libs/http/tests/ExchangeTest.cpp
@@ -340,13 +340,17 @@
 BOOST_AUTO_TEST_CASE(drain_ends_what_is_in_progress_whole) {
   std::shared_ptr<Exchange> Held;
   std::promise<void> Arrived;
-  serve([&](auto X) {
-    if (X->request().Target != "/hold")
-      return echo(X);
-    Held = X;
-    X->startStream({200, {}});
-    Arrived.set_value();
-  });
+  ServerSettings Settings;
+  Settings.DrainGrace = 1s;
+  serve(
+      [&](auto X) {
+        if (X->request().Target != "/hold")
+          return echo(X);
+        Held = X;
+        X->startStream({200, {}});
+        Arrived.set_value();
+      },
+      Settings);
   BOOST_TEST(fetch({"GET", "/", {}, {}}).has_value());
   std::promise<core::Result<Response, Error>> Done;
   Caller->fetch(Address, {"GET", "/hold", {}, {}}, {},
@@ -359,8 +363,14 @@
   auto Answer = Done.get_future().get();
   BOOST_REQUIRE(Answer);
   BOOST_TEST(Answer->Body == "whole");
+  // The head was sent before the drain, so the caller may send once more.
+  auto Next = fetch({"GET", "/next", {}, {}});
+  BOOST_REQUIRE(Next);
+  BOOST_TEST((Next->Head.Fields.find("Connection") == "close"));
   BOOST_TEST(waitFor([&] { return Http->inProgress() == 0; }));
-  auto Late = fetch({"GET", "/", {}, {}});
+  Deadlines OnItsOwn;
+  OnItsOwn.FreshConnection = true;
+  auto Late = fetch({"GET", "/", {}, {}}, OnItsOwn);
   BOOST_REQUIRE(!Late);
   BOOST_TEST((Late.error().What == Error::Kind::NotSent));
 }
--- /dev/null
+++ b/libs/platform/src/EtcdKeyValue.cpp
@@ -0,0 +1,201 @@
+#include "platform/EtcdKeyValue.h"
+
+#include "Deliver.h"
+#include "EtcdJson.h"
+#include "StoreErrors.h"
+#include "http/Client.h"
+
+namespace rosemarylane::platform {
+
+namespace {
+
+/// Longest line of a watch's answer: a value of a megabyte in base64, several
+/// in one notice.
+constexpr std::size_t MaxWatchLineBytes = 16 << 20;
+
+http::Request post(const char *Path, std::string Body) {
+  return {
+      "POST", Path, {{"Content-Type", "application/json"}}, std::move(Body)};
+}
+
+/// One watch. `Line` and `Ended` belong to the sockets' duty, the hooks to the
+/// delivering one; expires with its handle, and then calls no hook.
+class WatchState : public std::enable_shared_from_this<WatchState> {
+public:
+  WatchState(runtime::Duty &Deliver, std::function<void(StoredValue)> OnChange,
+             std::function<void(StoreError)> OnLost)
+      : Deliver(Deliver), OnChange(std::move(OnChange)),
+        OnLost(std::move(OnLost)) {}
+
+  /// Takes one part of the answer, which ends anywhere in a line.
+  void take(std::string_view Part) {
+    Line += Part;
+    std::size_t Begin = 0;
+    for (auto End = Line.find('\n'); !Ended && End != std::string::npos;
+         End = Line.find('\n', Begin)) {
+      takeLine(std::string_view(Line).substr(Begin, End - Begin));
+      Begin = End + 1;
+    }
+    Line.erase(0, Begin);
+    if (Line.size() > MaxWatchLineBytes)
+      lose(malformedAnswer(CallKind::Read, "line too long"));
+  }
+
+  void lose(StoreError Why) {
+    if (std::exchange(Ended, true))
+      return;
+    deliver([Why = std::move(Why)](WatchState &Self) { Self.OnLost(Why); });
+  }
+
+private:
+  void takeLine(std::string_view Text) {
+    if (Text.empty())
+      return;
+    try {
+      auto Message = etcd_json::parseWatch(Text);
+      for (StoredValue &Change : Message.Changes)
+        deliver([Change = std::move(Change)](WatchState &Self) {
+          Self.OnChange(Change);
+        });
+      if (Message.Cancelled)
+        lose({StoreError::Kind::Rejected, Message.Reason});
+    } catch (const std::exception &E) {
+      lose(malformedAnswer(CallKind::Read, E.what()));
+    }
+  }
+
+  template <typename Hook> void deliver(Hook Call) {
+    Deliver.postAlways([Weak = weak_from_this(), Call = std::move(Call)] {
+      if (auto Self = Weak.lock())
+        Call(*Self);
+    });
+  }
+
+  runtime::Duty &Deliver;
+  std::function<void(StoredValue)> OnChange;
+  std::function<void(StoreError)> OnLost;
+  std::string Line;
+  bool Ended = false;
+};
+
+/// Ends the exchange when dropped.
+class EtcdWatch : public KeyValue::Watch {
+public:
+  EtcdWatch(std::shared_ptr<WatchState> State,
+            std::shared_ptr<http::Client::Call> Running)
+      : State(std::move(State)), Running(std::move(Running)) {}
+  ~EtcdWatch() override { Running->cancel(); }
+
+private:
+  std::shared_ptr<WatchState> State;
+  std::shared_ptr<http::Client::Call> Running;
+};
+
+class EtcdKeyValue : public KeyValue {
+public:
+  EtcdKeyValue(runtime::Duty &Io, runtime::Duty &Deliver, EtcdSettings Settings)
+      : Deliver(Deliver), Settings(std::move(Settings)),
+        Http(http::Client::create(Io)) {}
+
+  void read(const std::string &Key, Hook<StoredValue> OnDone) override {
+    auto Parse = [](const std::string &Body) {
+      return etcd_json::parseRange(Body);
+    };
+    call<StoredValue>(CallKind::Read, "/v3/kv/range",
+                      etcd_json::rangeRequest(Key), Parse, std::move(OnDone));
+  }
+
+  void compareAndSwap(const std::string &Key, std::int64_t Expected,
+                      std::string Value, Hook<SwapOutcome> OnDone) override {
+    std::string Body = etcd_json::swapRequest(Key, Expected, Value);
+    auto Parse = [Value = std::move(Value)](const std::string &Answer) {
+      return etcd_json::parseSwap(Answer, Value);
+    };
+    call<SwapOutcome>(CallKind::Write, "/v3/kv/txn", std::move(Body), Parse,
+                      std::move(OnDone));
+  }
+
+  std::unique_ptr<Watch>
+  watch(const std::string &Key, std::int64_t FromRevision,
+        std::function<void(StoredValue)> OnChange,
+        std::function<void(StoreError)> OnLost) override {
+    auto State = std::make_shared<WatchState>(Deliver, std::move(OnChange),
+                                              std::move(OnLost));
+    std::weak_ptr<WatchState> Weak = State;
+    http::Client::Hooks Hooks;
+    Hooks.OnHead = [Weak](const http::ResponseHead &Head) {
+      auto Error = statusError(CallKind::Read, {Head, {}});
+      if (auto Watch = Weak.lock(); Watch && Error)
+        Watch->lose(std::move(*Error));
+    };
+    Hooks.OnPart = [Weak](const std::string &Part) {
+      if (auto Watch = Weak.lock())
+        Watch->take(Part);
+    };
+    Hooks.OnDone = [Weak](const std::optional<http::Error> &Failure) {
+      auto Watch = Weak.lock();
+      if (!Watch)
+        return;
+      if (Failure)
+        Watch->lose(toStoreError(CallKind::Read, *Failure));
+      else
+        Watch->lose({StoreError::Kind::Unavailable, "the watch was ended"});
+    };
+    http::Deadlines Limits;
+    Limits.Connect = Settings.CallDeadline;
+    Limits.FirstByte = Settings.WatchIdle;
+    Limits.Idle = Settings.WatchIdle;
+    auto Running = Http->stream(
+        Settings.Address,
+        post("/v3/watch", etcd_json::watchRequest(Key, FromRevision)), Limits,
+        std::move(Hooks), true);
+    return std::make_unique<EtcdWatch>(std::move(State), std::move(Running));
+  }
+
+private:
+  template <typename T, typename Parser>
+  void call(CallKind Kind, const char *Path, std::string Body, Parser Parse,
+            Hook<T> OnDone) {
+    http::Deadlines Limits;
+    Limits.Connect = Settings.CallDeadline;
+    Limits.FirstByte = Settings.CallDeadline;
+    Limits.Idle = Settings.CallDeadline;
+    Limits.Total = Settings.CallDeadline;
+    Http->fetch(
+        Settings.Address, post(Path, std::move(Body)), Limits,
+        [&Deliver = Deliver, Kind, Parse,
+         OnDone = std::move(OnDone)](auto Answer) {
+          deliver(Deliver, OnDone, outcome<T>(Kind, Parse, Answer));
+        },
+        Kind == CallKind::Read);
+  }
+
+  template <typename T, typename Parser>
+  static core::Result<T, StoreError>
+  outcome(CallKind Kind, const Parser &Parse,
+          const core::Result<http::Response, http::Error> &Answer) {
+    if (!Answer)
+      return core::failure(toStoreError(Kind, Answer.error()));
+    if (auto Error = statusError(Kind, *Answer))
+      return core::failure(std::move(*Error));
+    try {
+      return Parse(Answer->Body);
+    } catch (const std::exception &E) {
+      return core::failure(malformedAnswer(Kind, E.what()));
+    }
+  }
+
+  runtime::Duty &Deliver;
+  EtcdSettings Settings;
+  std::unique_ptr<http::Client> Http;
+};
+
+} // namespace
+
+std::unique_ptr<KeyValue> createEtcdKeyValue(runtime::Duty &Io,
+                                             runtime::Duty &Deliver,
+                                             EtcdSettings Settings) {
+  return std::make_unique<EtcdKeyValue>(Io, Deliver, std::move(Settings));
+}
+
+} // namespace rosemarylane::platform
