--- a/rosemarylane/src/entry/ClaimResolver.cpp
+++ b/rosemarylane/src/entry/ClaimResolver.cpp
@@ -75,9 +75,6 @@
   }
 
   void follow(const CasePtr &C, const ClaimedAttempt &Holder) {
-    if (now() > C->Deadline)
-      return C->OnDone(
-          refusal(ProblemKind::OutcomeUnknown, ledger::Ran::Unknown));
     AttemptTarget Target{Holder.AgentAddress, Holder.AgentIncarnation,
                          Holder.AgentTime};
     Attempts.query(Target, Holder.RequestId, /*Forbid=*/true,
@@ -92,12 +89,8 @@
       return C->OnDone(
           refusal(ProblemKind::OutcomeUnknown, ledger::Ran::Unknown,
                   "the agent that may have run it does not answer"));
-    if (Outcome.InProgress) {
-      C->Timer =
-          Context.Timers->after(HolderPollInterval, *Context.Control,
-                                [this, C, Holder] { follow(C, Holder); });
-      return;
-    }
+    if (Outcome.InProgress)
+      return later(C, [this, C, Holder] { follow(C, Holder); });
     AttemptResult Result;
     if (Outcome.Ran == ledger::Ran::No)
       Result.What = AttemptResult::Kind::NotRun;
@@ -115,10 +108,8 @@
     case AttemptResult::Kind::Answered:
       return C->OnDone(*Result.Answer);
     case AttemptResult::Kind::NotRun:
-      if (Written)
-        return claim(C);
-      return C->OnDone(
-          refusal(ProblemKind::LedgerUnavailable, ledger::Ran::No));
+      // If the record was not written, another process may have been first.
+      return Written ? claim(C) : later(C, [this, C] { claim(C); });
     case AttemptResult::Kind::Unknown:
       return C->OnDone(refusal(Ran == ledger::Ran::Yes
                                    ? ProblemKind::AnswerGone
@@ -127,6 +118,15 @@
     }
   }
 
+  /// Goes on with \p Next after a pause, or gives up at the deadline.
+  void later(const CasePtr &C, std::function<void()> Next) {
+    if (now() > C->Deadline)
+      return C->OnDone(
+          refusal(ProblemKind::OutcomeUnknown, ledger::Ran::Unknown));
+    C->Timer = Context.Timers->after(HolderPollInterval, *Context.Control,
+                                     std::move(Next));
+  }
+
   ProcessContext &Context;
   LedgerService &Ledger;
   AttemptClient &Attempts;
--- a/rosemarylane/src/entry/PendingRequest.h
+++ b/rosemarylane/src/entry/PendingRequest.h
@@ -39,6 +39,8 @@
   std::optional<core::TimePoint> FirstPartAt;
   /// An earlier attempt may have run, so no refusal may say otherwise.
   bool MayHaveRun = false;
+  /// The ledger has told what became of earlier requests with the same key.
+  bool KeyChecked = false;
   /// The latest refusal, told to the caller if no other target is left.
   std::string LastRefusal;
 
--- a/rosemarylane/src/entry/Problem.cpp
+++ b/rosemarylane/src/entry/Problem.cpp
@@ -80,6 +80,8 @@
                     {"ran", nameOf(P.Ran)}};
   if (!P.Detail.empty())
     Body["detail"] = P.Detail;
+  if (P.KeyUnchecked)
+    Body["earlier_requests"] = "unknown";
   http::Response Answer;
   Answer.Head.Status = S.Status;
   Answer.Head.Fields.set("Content-Type", "application/problem+json");
--- a/rosemarylane/src/entry/Problem.h
+++ b/rosemarylane/src/entry/Problem.h
@@ -36,6 +36,10 @@
   std::string Detail;
   /// Sent as `Retry-After` and in the body; zero sends none.
   std::chrono::milliseconds RetryAfter{0};
+  /// The ledger was not asked, so an earlier request with the same key may have
+  /// run. Sent as
+  /// `"earlier_requests": "unknown"`.
+  bool KeyUnchecked = false;
 };
 
 /// The problem as an HTTP answer.
--- a/rosemarylane/src/entry/RequestHandler.cpp
+++ b/rosemarylane/src/entry/RequestHandler.cpp
@@ -197,11 +197,11 @@
       Result = {AttemptResult::Kind::Answered, R->Answer};
     else if (End.Ran == ledger::Ran::No)
       Result.What = AttemptResult::Kind::NotRun;
-    // Only a claim that is given up in the store may be taken anew.
-    With.Ledger.record(R->ledgerKey(), R->claim(), Result,
-                       [this, R, End](bool Written) {
-                         settle(R, End, Written && End.Ran == ledger::Ran::No);
-                       });
+    // Another attempt claims the key anew: if this claim was not given up, or
+    // another process was first, the ledger says so.
+    With.Ledger.record(
+        R->ledgerKey(), R->claim(), Result,
+        [this, R, End](bool) { settle(R, End, End.Ran == ledger::Ran::No); });
   }
 
   /// Answers, or sends another attempt.
@@ -257,6 +257,8 @@
   // ---- Calls that may not be repeated ----
 
   void onResolved(const Pending &R, ClaimResolver::Resolution How) {
+    auto *Refusal = std::get_if<Problem>(&How);
+    R->KeyChecked = !Refusal || Refusal->Kind != ProblemKind::LedgerUnavailable;
     if (std::holds_alternative<ClaimResolver::Claimed>(How)) {
       if (!R->Ended)
         return sendAttempt(R);
@@ -265,7 +267,7 @@
       With.Ledger.record(R->ledgerKey(), R->claim(), NotRun, [](bool) {});
     }
     With.Members.finished(R->Target->Agent, {});
-    if (auto *Refusal = std::get_if<Problem>(&How))
+    if (Refusal)
       return end(R, *Refusal);
     if (auto *Answer = std::get_if<http::Response>(&How)) {
       R->Answer = std::move(*Answer);
@@ -307,7 +309,9 @@
   void end(const Pending &R, const Problem &P) {
     if (R->Ended)
       return;
-    R->Call->respond(problemResponse(P));
+    Problem Told = P;
+    Told.KeyUnchecked = !R->repeatable() && !R->KeyChecked;
+    R->Call->respond(problemResponse(Told));
     ended(R, nameOf(P.Kind), /*Failed=*/true);
   }
 
