--- a/libs/http/include/http/Exchange.h
+++ b/libs/http/include/http/Exchange.h
@@ -3,6 +3,7 @@
 
 #include "http/Message.h"
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -20,6 +21,10 @@
 
   virtual const Request &request() const = 0;
 
+  /// @return the number of the connection that brought the request; grows with
+  /// each connection that the server accepts.
+  virtual std::uint64_t connection() const { return 0; }
+
   /// Answers whole, with a `Content-Length`.
   virtual void respond(Response Whole) = 0;
 
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -67,6 +67,7 @@
       return;
     ConnectionHooks Hooks;
     Hooks.OnRequest = OnRequest;
+    Hooks.Number = ++LastNumber;
     Hooks.OnClosed = [Self = shared_from_this()](ServerConnection &Ended) {
       Self->Connections.erase(Ended.shared_from_this());
     };
@@ -118,6 +119,7 @@
   boost::asio::steady_timer AcceptTimer;
   boost::asio::steady_timer DrainTimer;
   std::uint16_t Port = 0;
+  std::uint64_t LastNumber = 0;
   std::set<std::shared_ptr<ServerConnection>> Connections;
   std::shared_ptr<std::atomic<std::size_t>> InProgress =
       std::make_shared<std::atomic<std::size_t>>(0);
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -59,7 +59,7 @@
 ServerConnection::ServerConnection(
     boost::asio::ip::tcp::socket Socket, const ServerSettings &Settings,
     std::shared_ptr<std::atomic<std::size_t>> InProgress, ConnectionHooks Hooks)
-    : Socket(std::move(Socket)), Settings(Settings),
+    : Socket(std::move(Socket)), Settings(Settings), Number(Hooks.Number),
       InProgress(std::move(InProgress)), Hooks(std::move(Hooks)),
       ReadTimer(this->Socket.get_executor()),
       WriteTimer(this->Socket.get_executor()) {
@@ -282,6 +282,10 @@
 void ServerConnection::abort(std::uint64_t Id) {
   if (!present(Id))
     return;
+  KeepAlive = false;
+  // The missing last chunk tells; what was written still arrives.
+  if (Streaming && Chunked && !HeadOnly)
+    return endAnswer();
   // A reset tells also a caller that reads until the close.
   error_code Ignored;
   Socket.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -21,9 +21,11 @@
 class ServerConnection;
 class ServerExchange;
 
-/// What a connection tells its server.
+/// What a connection is given by its server.
 struct ConnectionHooks {
   Server::Handler OnRequest;
+  /// The number of the connection.
+  std::uint64_t Number = 0;
   /// The connection has closed; called once.
   std::function<void(ServerConnection &)> OnClosed;
 };
@@ -64,6 +66,7 @@
   /// @}
 
   boost::asio::any_io_executor executor() { return Socket.get_executor(); }
+  std::uint64_t number() const { return Number; }
   std::size_t queuedBytes() const { return Queued; }
 
 private:
@@ -94,6 +97,7 @@
 
   boost::asio::ip::tcp::socket Socket;
   const ServerSettings &Settings;
+  const std::uint64_t Number;
   std::shared_ptr<std::atomic<std::size_t>> InProgress;
   ConnectionHooks Hooks;
   boost::asio::steady_timer ReadTimer;
--- a/libs/http/src/ServerExchange.h
+++ b/libs/http/src/ServerExchange.h
@@ -17,6 +17,7 @@
   ~ServerExchange() override;
 
   const Request &request() const override { return Received; }
+  std::uint64_t connection() const override { return Connection->number(); }
   void respond(Response Whole) override;
   void startStream(ResponseHead Head) override;
   void write(std::string Part) override;
