--- a/rosemarylane/src/agent/EngineControl.cpp
+++ b/rosemarylane/src/agent/EngineControl.cpp
@@ -68,8 +68,8 @@
   for (const json::value &Item : Fields.at("loaded").as_array()) {
     const json::object &Loaded = Item.as_object();
     State.Loaded[core::EntryName(
-        std::string(std::string_view(Loaded.at("name").as_string())))] =
-        digest(Loaded.at("version"));
+        std::string(std::string_view(Loaded.at("name").as_string())))] = {
+        digest(Loaded.at("version")), number(Loaded, "generation")};
   }
   return State;
 }
--- a/rosemarylane/src/agent/EngineControl.h
+++ b/rosemarylane/src/agent/EngineControl.h
@@ -16,12 +16,21 @@
 
 namespace rosemarylane {
 
+/// A model or adapter that the engine has loaded.
+struct LoadedModel {
+  core::Digest Version;
+  /// The engine's generation at which it was loaded.
+  std::uint64_t Generation = 0;
+
+  bool operator==(const LoadedModel &) const = default;
+};
+
 /// What the engine says of itself.
 struct EngineState {
   std::uint64_t Generation = 0;
   std::uint64_t Fence = 0;
   bool Warm = false;
-  std::map<core::EntryName, core::Digest> Loaded;
+  std::map<core::EntryName, LoadedModel> Loaded;
   std::uint64_t FreeBytes = 0;
 
   bool operator==(const EngineState &) const = default;
--- a/rosemarylane/src/agent/WeightService.cpp
+++ b/rosemarylane/src/agent/WeightService.cpp
@@ -86,8 +86,8 @@
   std::vector<wire::Holding> holdings() const override {
     std::map<core::EntryName, wire::Holding> ByEntry;
     if (State)
-      for (const auto &[Name, Version] : State->Loaded)
-        ByEntry[Name].set_version(digestBytes(Version));
+      for (const auto &[Name, Model] : State->Loaded)
+        ByEntry[Name].set_version(digestBytes(Model.Version));
     for (const ServedVersion &S : Served)
       ByEntry[S.Entry].set_serving(true);
     for (const auto &[Name, Want] : Wants)
@@ -157,6 +157,10 @@
   /// Takes the engine's state as read; what changed without an order of ours
   /// is looked up anew before anything is served.
   void adopt(EngineState Seen) {
+    if (Ordering && !OrderEnded)
+      return;
+    Ordering.reset();
+    OrderEnded = false;
     bool Known = State && State->Generation == Seen.Generation &&
                  State->Loaded == Seen.Loaded;
     if (Known && ChunksKnown) {
@@ -167,9 +171,8 @@
       advance();
       return;
     }
-    if (Ordering)
-      return;
     State = std::move(Seen);
+    publish();
     refreshChunks();
   }
 
@@ -179,7 +182,6 @@
       ChunksKnown = Answered;
       if (!Answered)
         return;
-      publish();
       Exchange->storeChanged();
       advance();
     });
@@ -256,7 +258,7 @@
         begin(Name);
         return;
       }
-    for (const auto &[Name, Version] : State->Loaded)
+    for (const auto &[Name, Model] : State->Loaded)
       if (superfluous(Name)) {
         beginUnload(Name);
         return;
@@ -277,7 +279,8 @@
 
   core::Digest loadedVersion(const core::EntryName &Name) const {
     auto Found = State->Loaded.find(Name);
-    return Found == State->Loaded.end() ? core::Digest() : Found->second;
+    return Found == State->Loaded.end() ? core::Digest()
+                                        : Found->second.Version;
   }
 
   /// @return whether every chunk of \p Version is in the engine's memory.
@@ -419,10 +422,12 @@
     });
   }
 
-  /// An order has ended: what is true is read back.
+  /// An order has ended: what is true is read back. What the order did not
+  /// touch goes on being served meanwhile.
   void ended() {
-    Ordering.reset();
-    readAgain();
+    OrderEnded = true;
+    ++Doubts;
+    poll();
   }
 
   void engineFull(const core::Digest &Version) {
@@ -435,10 +440,10 @@
 
   void publish() {
     std::vector<ServedVersion> Next;
-    if (State && ChunksKnown)
-      for (const auto &[Name, Version] : State->Loaded)
+    if (State)
+      for (const auto &[Name, Model] : State->Loaded)
         if (Name != Ordering)
-          Next.push_back({Name, Version, State->Generation});
+          Next.push_back({Name, Model.Version, Model.Generation});
     bool Changed = !std::equal(Next.begin(), Next.end(), Served.begin(),
                                Served.end(), [](const auto &A, const auto &B) {
                                  return A.Entry == B.Entry &&
@@ -487,6 +492,8 @@
   std::map<core::EntryName, Want> Wants;
   /// The entry that an order is in progress for.
   std::optional<core::EntryName> Ordering;
+  /// The order has been answered, but not yet read back.
+  bool OrderEnded = false;
   std::vector<ServedVersion> Served;
   std::vector<std::function<void()>> ServedHooks;
   std::function<void(const core::EntryName &, std::function<void()>)>
