--- a/standins/src/EngineStandin.cpp
+++ b/standins/src/EngineStandin.cpp
@@ -42,7 +42,7 @@
 } // namespace
 
 EngineStandin::EngineStandin(runtime::Duty &On, EngineSettings Given)
-    : Standin(On), Settings(std::move(Given)),
+    : Standin(On), Settings(Given),
       Memory(Settings.MemoryBytes, Settings.CheckChunks),
       Warm(Settings.WarmAfter == 0) {}
 
@@ -131,8 +131,7 @@
   after(Settings.LoadTime, [=, this] {
     if (Restarting)
       return Call->abort();
-    Loaded[Model] = Sound ? Version : "corrupt";
-    ++Generation;
+    Loaded[Model] = {Sound ? Version : "corrupt", ++Generation};
     answer(Call, state());
   });
 }
@@ -148,8 +147,10 @@
 
 json::object EngineStandin::state() const {
   json::array List;
-  for (const auto &[Model, Version] : Loaded)
-    List.push_back(json::object{{"name", Model}, {"version", Version}});
+  for (const auto &[Name, Model] : Loaded)
+    List.push_back(json::object{{"name", Name},
+                                {"version", Model.Version},
+                                {"generation", Model.Generation}});
   return {{"generation", Generation},
           {"fence", Fence},
           {"warm", Warm},
@@ -161,9 +162,11 @@
 
 // Requests
 
-std::string EngineStandin::loadedVersion(const std::string &Model) const {
+EngineStandin::LoadedModel
+EngineStandin::loaded(const std::string &Model) const {
   auto Found = Loaded.find(Model);
-  return Found == Loaded.end() ? "unloaded" : Found->second;
+  return Found == Loaded.end() ? LoadedModel{"unloaded", Generation}
+                               : Found->second;
 }
 
 EngineStandin::JobPointer EngineStandin::makeJob(const Exchange &Call) const {
@@ -231,7 +234,7 @@
     return crash();
   if (Present->Made >= Present->Source.Tokens)
     return complete(Present);
-  Present->Source.Version = loadedVersion(Present->Source.Model);
+  Present->Source.Version = loaded(Present->Source.Model).Version;
   emit(*Present, Present->Source.token(Present->Made));
   ++Present->Made;
   after(Settings.TokenInterval, [this, Present] { makeToken(Present); });
@@ -246,16 +249,16 @@
     Present.Call->startStream(
         {200,
          {{"Content-Type", "text/event-stream"},
-          {"x-engine-generation", std::to_string(Generation)}}});
+          {"x-engine-generation",
+           std::to_string(loaded(Present.Source.Model).Generation)}}});
   json::object Choice{{"index", 0}, {"finish_reason", nullptr}};
   if (Present.Chat)
     Choice["delta"] = json::object{{"content", Token}};
   else
     Choice["text"] = Token;
-  json::object Chunk{
-      {"object", Present.Chat ? "chat.completion.chunk" : "text_completion"},
-      {"model", Present.Source.Model},
-      {"choices", json::array{std::move(Choice)}}};
+  json::object Chunk{{"object", objectName(Present.Chat, true)},
+                     {"model", Present.Source.Model},
+                     {"choices", json::array{std::move(Choice)}}};
   Present.Call->write("data: " + json::serialize(Chunk) + "\n\n");
 }
 
@@ -265,9 +268,8 @@
     Warm = true;
   const Exchange Call = Finished->Call;
   json::object Choice{{"index", 0}, {"finish_reason", "stop"}};
-  json::object Body{
-      {"object", Finished->Chat ? "chat.completion" : "text_completion"},
-      {"model", Finished->Source.Model}};
+  json::object Body{{"object", objectName(Finished->Chat, Finished->Stream)},
+                    {"model", Finished->Source.Model}};
   if (Finished->Stream && Finished->Chat)
     Choice["delta"] = json::object();
   else if (Finished->Chat)
@@ -283,7 +285,9 @@
     return Call->finish();
   }
   http::Response Whole = http::jsonResponse(200, json::serialize(Body));
-  Whole.Head.Fields.set("x-engine-generation", std::to_string(Generation));
+  Whole.Head.Fields.set(
+      "x-engine-generation",
+      std::to_string(loaded(Finished->Source.Model).Generation));
   Call->respond(std::move(Whole));
 }
 
@@ -317,9 +321,8 @@
 void EngineStandin::setOwnFaults(const json::object &Given) {
   if (const json::value *Swap = Given.if_contains("swap_version")) {
     const json::object &To = Swap->as_object();
-    Loaded[std::string(To.at("name").as_string())] =
-        std::string(To.at("version").as_string());
-    ++Generation;
+    Loaded[std::string(To.at("name").as_string())] = {
+        std::string(To.at("version").as_string()), ++Generation};
   }
   if (Given.contains("turn_cold")) {
     Warm = false;
--- a/standins/src/EngineStandin.h
+++ b/standins/src/EngineStandin.h
@@ -46,6 +46,12 @@
   void setOwnFaults(const boost::json::object &Settings) override;
 
 private:
+  /// A model or adapter in place.
+  struct LoadedModel {
+    std::string Version;
+    std::uint64_t Generation = 0;
+  };
+
   /// A request that waits or runs.
   struct Job {
     Exchange Call;
@@ -76,14 +82,13 @@
   void complete(const JobPointer &Finished);
   void forget(const JobPointer &Finished);
   void crash();
-  std::string loadedVersion(const std::string &Model) const;
+  LoadedModel loaded(const std::string &Model) const;
 
   EngineSettings Settings;
   EngineMemory Memory;
   std::uint64_t Generation = 1;
   std::uint64_t Fence = 0;
-  /// Model to version.
-  std::map<std::string, std::string> Loaded;
+  std::map<std::string, LoadedModel> Loaded;
   bool Warm;
   std::size_t AnswersWhileCold = 0;
   bool Restarting = false;
