--- /dev/null
+++ b/rosemarylane/tests/ConfigurationWriterTest.cpp
@@ -0,0 +1,262 @@
+#include "entry/ConfigurationWriter.h"
+
+#include "FakeStore.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace rosemarylane;
+
+namespace {
+
+using Fate = FakeStore::Fate;
+
+constexpr std::size_t HistoryLength = 400;
+/// Few, so that changes are given up within a history.
+constexpr unsigned MaxFailures = 3;
+
+core::Configuration withHostOut(core::Configuration Config,
+                                const std::string &Host) {
+  Config.HostsOut.emplace(Host);
+  return Config;
+}
+
+/// Operators that take hosts out of service through several entries at once;
+/// the order and the store's faults come from a list of choices.
+class OperatorHistory {
+public:
+  explicit OperatorHistory(std::vector<unsigned> Choices,
+                           bool LostLooksUnavailable = false)
+      : Choices(std::move(Choices)),
+        Writer(Store,
+               [this](std::chrono::milliseconds, std::function<void()> Work) {
+                 Delayed.push_back(std::move(Work));
+               },
+               {std::chrono::milliseconds(100), MaxFailures}) {
+    Store.LostLooksUnavailable = LostLooksUnavailable;
+    Store.OnWrite = [this](const std::string &Value) { onWrite(Value); };
+  }
+
+  void run() {
+    while (Next < Choices.size())
+      step();
+    check();
+  }
+
+  std::size_t Accepted = 0;
+  /// Answers that were not true, and revisions that did not rise by one.
+  std::size_t Broken = 0;
+  std::size_t Conflicts = 0;
+
+private:
+  void expect(bool Holds) {
+    if (!Holds)
+      ++Broken;
+  }
+
+  unsigned choose(std::size_t Bound) {
+    return Next < Choices.size() ? Choices[Next++] % Bound : 0;
+  }
+
+  void step() {
+    switch (choose(4)) {
+    case 0:
+      return choose(2) == 0 ? submit() : submitAtRevision();
+    case 1:
+      return runDelayed();
+    default:
+      return endCall();
+    }
+  }
+
+  /// Takes a host out, whatever the revision is.
+  void submit() {
+    std::string Host = "host-" + std::to_string(Changes++);
+    Writer.change(
+        changeOf(Host),
+        [Host](const core::StoredConfiguration &Stored)
+            -> core::Result<core::Configuration, ChangeRefusal> {
+          return withHostOut(Stored.Current, Host);
+        },
+        [this, Host](auto Outcome) { onDone(Host, Outcome); });
+  }
+
+  /// As an operator that read the revision in force and edits it.
+  void submitAtRevision() {
+    std::string Host = "host-" + std::to_string(Changes++);
+    std::uint64_t Expected = LastRevision;
+    Writer.change(
+        changeOf(Host),
+        [Host, Expected](const core::StoredConfiguration &Stored)
+            -> core::Result<core::Configuration, ChangeRefusal> {
+          if (Stored.Current.Revision != Expected)
+            return core::failure(
+                ChangeRefusal{ChangeRefusal::Kind::Conflict, "", {}});
+          return withHostOut(Stored.Current, Host);
+        },
+        [this, Host](auto Outcome) { onDone(Host, Outcome); });
+  }
+
+  static core::ConfigurationChange changeOf(const std::string &Id) {
+    core::ConfigurationChange Change;
+    Change.Id = Id;
+    return Change;
+  }
+
+  void runDelayed() {
+    if (Delayed.empty())
+      return;
+    std::size_t Index = choose(Delayed.size());
+    auto Work = std::move(Delayed[Index]);
+    Delayed.erase(Delayed.begin() + static_cast<std::ptrdiff_t>(Index));
+    Work();
+  }
+
+  void endCall() {
+    if (Store.waiting() == 0)
+      return;
+    std::size_t Index = choose(Store.waiting());
+    constexpr Fate Fates[] = {Fate::Answered,   Fate::Answered,
+                              Fate::Answered,   Fate::Unavailable,
+                              Fate::AnswerLost, Fate::Late};
+    Store.end(Index, Fates[choose(std::size(Fates))]);
+  }
+
+  void onWrite(const std::string &Value) {
+    auto Stored = core::parseStored(Value);
+    expect(Stored.has_value());
+    expect(Stored->Current.Revision == LastRevision + 1);
+    expect(Stored->History.back().Revision == Stored->Current.Revision);
+    expect(Made.insert(Stored->History.back().Id).second);
+    LastRevision = Stored->Current.Revision;
+  }
+
+  void onDone(
+      const std::string &Host,
+      const core::Result<core::StoredConfiguration, ChangeRefusal> &Outcome) {
+    if (Outcome) {
+      ++Accepted;
+      AcceptedHosts.insert(Host);
+      expect(Made.contains(Host));
+      return;
+    }
+    if (Outcome.error().What == ChangeRefusal::Kind::Unknown)
+      return;
+    if (Outcome.error().What == ChangeRefusal::Kind::Conflict)
+      ++Conflicts;
+    RefusedHosts.insert(Host);
+  }
+
+  /// An accepted change is never lost, and a refused one never made.
+  void check() {
+    auto Stored = core::parseStored(Store.Values[core::ConfigurationKey].Value);
+    expect(Stored.has_value());
+    for (const std::string &Host : AcceptedHosts)
+      expect(Stored->Current.HostsOut.contains(core::HostId(Host)));
+    for (const std::string &Host : RefusedHosts)
+      expect(!Stored->Current.HostsOut.contains(core::HostId(Host)));
+  }
+
+  std::vector<unsigned> Choices;
+  std::size_t Next = 0;
+  FakeStore Store;
+  std::vector<std::function<void()>> Delayed;
+  ConfigurationWriter Writer;
+  unsigned Changes = 0;
+  std::uint64_t LastRevision = 0;
+  std::set<std::string> Made;
+  std::set<std::string> AcceptedHosts;
+  std::set<std::string> RefusedHosts;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(configuration_writer)
+
+BOOST_AUTO_TEST_CASE(racing_operators_and_lost_answers) {
+  std::size_t Accepted = 0;
+  std::size_t Conflicts = 0;
+  BOOST_TEST(rc::check([&] {
+    auto Choices = *rc::gen::resize(
+        rc::kNominalSize, rc::gen::container<std::vector<unsigned>>(
+                              HistoryLength, rc::gen::inRange(0u, 1u << 16)));
+    OperatorHistory History(Choices);
+    History.run();
+    RC_ASSERT(History.Broken == 0u);
+    Accepted += History.Accepted;
+    Conflicts += History.Conflicts;
+  }));
+  BOOST_TEST_MESSAGE("accepted " << Accepted << ", lost races " << Conflicts);
+  BOOST_TEST(Accepted > 100u);
+  BOOST_TEST(Conflicts > 100u);
+}
+
+BOOST_AUTO_TEST_CASE(taking_a_lost_answer_for_a_failure_is_found_out) {
+  constexpr unsigned Histories = 100;
+  unsigned Broken = 0;
+  for (unsigned Seed = 0; Seed < Histories; ++Seed) {
+    std::mt19937 Source(Seed);
+    std::vector<unsigned> Choices(HistoryLength);
+    for (unsigned &Choice : Choices)
+      Choice = static_cast<unsigned>(Source());
+    OperatorHistory History(Choices, /*LostLooksUnavailable=*/true);
+    History.run();
+    Broken += History.Broken > 0 ? 1 : 0;
+  }
+  BOOST_TEST_MESSAGE(Broken << " of " << Histories << " histories broken");
+  BOOST_TEST(Broken > 0u);
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_answer_is_decided_by_the_change_id) {
+  FakeStore Store;
+  std::vector<std::function<void()>> Delayed;
+  ConfigurationWriter Writer(
+      Store, [&](std::chrono::milliseconds, std::function<void()> Work) {
+        Delayed.push_back(std::move(Work));
+      });
+  core::ConfigurationChange Change;
+  Change.Id = "one";
+  std::optional<std::uint64_t> Revision;
+  Writer.change(
+      Change,
+      [](const core::StoredConfiguration &Stored)
+          -> core::Result<core::Configuration, ChangeRefusal> {
+        return withHostOut(Stored.Current, "h");
+      },
+      [&](auto Outcome) { Revision = Outcome->Current.Revision; });
+  Store.end(0, Fate::Answered);
+  Store.end(0, Fate::AnswerLost);
+  Delayed.at(0)();
+  Store.end(0, Fate::Answered);
+  BOOST_TEST((Revision == std::uint64_t(1)));
+}
+
+BOOST_AUTO_TEST_CASE(an_outage_says_that_nothing_was_changed) {
+  FakeStore Store;
+  std::vector<std::function<void()>> Delayed;
+  ConfigurationWriter Writer(
+      Store, [&](std::chrono::milliseconds, std::function<void()> Work) {
+        Delayed.push_back(std::move(Work));
+      });
+  std::optional<ChangeRefusal::Kind> Refused;
+  Writer.change(
+      {},
+      [](const core::StoredConfiguration &Stored)
+          -> core::Result<core::Configuration, ChangeRefusal> {
+        return Stored.Current;
+      },
+      [&](auto Outcome) { Refused = Outcome.error().What; });
+  while (Store.waiting() > 0) {
+    Store.end(0, Fate::Unavailable);
+    if (Delayed.empty())
+      break;
+    auto Work = std::move(Delayed.back());
+    Delayed.clear();
+    Work();
+  }
+  BOOST_TEST((Refused == ChangeRefusal::Kind::Unavailable));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/rosemarylane/tests/FakeStore.h
@@ -0,0 +1,108 @@
+#ifndef ROSEMARYLANE_TESTS_FAKE_STORE_H
+#define ROSEMARYLANE_TESTS_FAKE_STORE_H
+
+#include "platform/KeyValue.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace rosemarylane {
+
+/// A key-value service whose calls take effect and are answered only when the
+/// test says so.
+class FakeStore : public platform::KeyValue {
+public:
+  enum class Fate {
+    Answered,
+    /// The call takes no effect, and its caller is told so.
+    Unavailable,
+    /// The call takes effect, and its answer is lost.
+    AnswerLost,
+    /// The answer is lost, and the call takes effect later.
+    Late,
+  };
+
+  void read(const std::string &Key,
+            Hook<platform::StoredValue> OnDone) override {
+    Calls.push_back([this, Key, OnDone = std::move(OnDone)](Fate How) {
+      if (How != Fate::Answered)
+        return OnDone(lost(How));
+      OnDone(Values[Key]);
+    });
+  }
+
+  void compareAndSwap(const std::string &Key, std::int64_t Expected,
+                      std::string Value,
+                      Hook<platform::SwapOutcome> OnDone) override {
+    Calls.push_back([this, Key, Expected, Value = std::move(Value),
+                     OnDone = std::move(OnDone)](Fate How) {
+      if (How == Fate::Unavailable)
+        return OnDone(lost(How));
+      if (How == Fate::Late) {
+        Calls.push_back(
+            [this, Key, Expected, Value](Fate) { swap(Key, Expected, Value); });
+        return OnDone(lost(How));
+      }
+      platform::SwapOutcome Outcome = swap(Key, Expected, Value);
+      if (How == Fate::AnswerLost)
+        return OnDone(lost(How));
+      OnDone(Outcome);
+    });
+  }
+
+  /// Watches never fire; the tests read.
+  std::unique_ptr<Watch>
+  watch(const std::string &, std::int64_t,
+        std::function<void(platform::StoredValue)>,
+        std::function<void(platform::StoreError)>) override {
+    return std::make_unique<Watch>();
+  }
+
+  std::size_t waiting() const { return Calls.size(); }
+
+  /// Lets the call at \p Index end.
+  void end(std::size_t Index, Fate How) {
+    auto Call = std::move(Calls[Index]);
+    Calls.erase(Calls.begin() + static_cast<std::ptrdiff_t>(Index));
+    Call(How);
+  }
+
+  /// Tells callers of a lost answer that the call failed: the naive reading,
+  /// which histories must find out.
+  bool LostLooksUnavailable = false;
+
+  std::map<std::string, platform::StoredValue> Values;
+  /// Told after each change of a value.
+  std::function<void(const std::string &Value)> OnWrite;
+
+private:
+  tl::unexpected<platform::StoreError> lost(Fate How) const {
+    auto Kind = How == Fate::Unavailable || LostLooksUnavailable
+                    ? platform::StoreError::Kind::Unavailable
+                    : platform::StoreError::Kind::Unknown;
+    return core::failure(platform::StoreError{Kind, "fault"});
+  }
+
+  platform::SwapOutcome swap(const std::string &Key, std::int64_t Expected,
+                             const std::string &Value) {
+    platform::StoredValue &Stored = Values[Key];
+    if (Stored.Revision != Expected)
+      return {false, Stored};
+    Stored.Value = Value;
+    Stored.Revision = ++LastRevision;
+    if (OnWrite)
+      OnWrite(Value);
+    return {true, Stored};
+  }
+
+  std::int64_t LastRevision = 0;
+  std::vector<std::function<void(Fate)>> Calls;
+};
+
+} // namespace rosemarylane
+
+#endif // ROSEMARYLANE_TESTS_FAKE_STORE_H
