Keep the ledger's values small: move claims that ran to segments

Cause: each compare-and-swap writes the whole value of a partition, and with 1000 answered keys of 500 bytes that was 308842 bytes for each key. Weighed: more partitions (fewer bytes, but nothing left to group: two store calls for each key), answers under keys of their own (a call more for each key), slots that are used again (a paused writer can overwrite a slot that is named by then), and segments under names never used again, which is taken: a segment is written first and named by the next swap, a value and its segments together always hold every claim that ran, and the key-value client learns to erase what is past the retention. Test: ledger_tests, platform_tests etcd_key_value.

--- a/libs/ledger/include/ledger/Claim.h
+++ b/libs/ledger/include/ledger/Claim.h
@@ -32,6 +32,9 @@
 /// The key under which the platform's service holds a partition.
 std::string partitionStoreKey(std::uint32_t Partition);
 
+/// The key under which the platform's service holds a segment of a partition.
+std::string segmentStoreKey(std::uint32_t Partition, const std::string &Name);
+
 /// An attempt at a request: enough to ask its agent what became of it.
 struct Attempt {
   /// 16 random bytes, unique over the fleet.
--- a/libs/ledger/include/ledger/Partition.h
+++ b/libs/ledger/include/ledger/Partition.h
@@ -17,6 +17,8 @@
   std::chrono::minutes Retention{60};
   /// A longer answer is not kept.
   std::size_t MaxAnswerBytes = 32 << 10;
+  /// Above this size claims that ran are moved to a segment.
+  std::size_t SealBytes = 16 << 10;
   /// Above this size answers are dropped, the oldest first.
   std::size_t MaxValueBytes = 192 << 10;
   /// Above this size no key is claimed.
@@ -28,11 +30,39 @@
   std::string Detail;
 };
 
-/// The claims of one partition, as they stand in one stored value.
+/// Claims that ran, moved out of a partition's value into one of their own.
+/// They never change, and so neither does the segment.
+class Segment {
+public:
+  Segment() = default;
+  explicit Segment(std::vector<Claim> Ran);
+
+  static core::Result<Segment, PartitionError> parse(std::string_view Value);
+  std::string format() const;
+
+  const Claim *find(const ClaimKey &Key) const;
+  const std::map<ClaimKey, Claim> &claims() const { return Claims; }
+  core::WallTime newest() const;
+
+private:
+  std::map<ClaimKey, Claim> Claims;
+};
+
+/// A segment, as its partition names it.
+struct SegmentReference {
+  /// Unique over all segments ever written.
+  std::string Name;
+  core::WallTime Newest;
+
+  bool operator==(const SegmentReference &) const = default;
+};
+
+/// The claims of one partition that are not in a segment, as they stand in one
+/// stored value, and the names of its segments.
 ///
 /// A plain value type with the rules of claiming and recording; the rules hold
 /// for the ledger because each new value replaces exactly the one that it was
-/// made from.
+/// made from. Whoever claims a key must have looked for it in the segments.
 class Partition {
 public:
   using Limits = PartitionLimits;
@@ -53,9 +83,20 @@
   /// attempt did not run is `Written` also when it holds no key.
   RecordReply record(const Record &Result, const Limits &Bounds);
 
-  /// Forgets claims older than the retention, and drops the oldest answers of a
-  /// value that is too large.
-  void trim(core::WallTime Now, const Limits &Bounds);
+  /// Forgets claims and segments older than the retention, and drops the oldest
+  /// answers of a value that is too large.
+  /// @return the names of the segments forgotten.
+  std::vector<std::string> trim(core::WallTime Now, const Limits &Bounds);
+
+  /// @return the claims that may go into a segment: those that ran.
+  std::vector<Claim> sealable() const;
+
+  /// Removes the claims that \p Sealed has too, and names the segment.
+  /// @return false if there was none of them: the segment is of no use.
+  bool moveTo(const Segment &Sealed, const std::string &Name);
+
+  const std::vector<SegmentReference> &segments() const { return Segments; }
+  bool hasSegment(const std::string &Name) const;
 
   const Claim *find(const ClaimKey &Key) const;
 
@@ -64,18 +105,25 @@
   std::size_t size() const { return Claims.size(); }
 
   bool operator==(const Partition &Other) const {
-    return Claims == Other.Claims;
+    return Claims == Other.Claims && Segments == Other.Segments;
   }
 
 private:
+  void dropAnswers(const Limits &Bounds);
+  void addSegment(SegmentReference Added);
   void insert(Claim Taken);
   void erase(std::map<ClaimKey, Claim>::iterator At);
   void resolve(Claim &Held, ClaimState State, std::string Answer);
 
   std::map<ClaimKey, Claim> Claims;
+  /// Oldest first.
+  std::vector<SegmentReference> Segments;
   std::size_t Bytes = 0;
 };
 
+/// The reply to \p Wanted when its key is taken by \p Existing.
+ClaimReply replyTo(const Claim &Wanted, const Claim &Existing);
+
 } // namespace rosemarylane::ledger
 
 #endif // ROSEMARYLANE_LEDGER_PARTITION_H
--- a/libs/ledger/include/ledger/PartitionCommitter.h
+++ b/libs/ledger/include/ledger/PartitionCommitter.h
@@ -8,6 +8,8 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -17,8 +19,10 @@
 
 /// A call on the platform's service that a committer wants made.
 struct StoreCall {
-  enum class Kind { Read, Swap };
+  enum class Kind { Read, Swap, Erase };
   Kind What = Kind::Read;
+  /// The segment that is meant; empty for the partition's own value.
+  std::string Segment;
   /// Only for a swap: the revision expected, and the new value.
   std::int64_t Expected = 0;
   std::string Value;
@@ -36,6 +40,8 @@
     Unavailable,
     /// The answer was lost: a swap may have taken effect.
     Lost,
+    /// The key of a segment is gone.
+    Erased,
   };
   Kind What = Kind::Unavailable;
   std::string Value;
@@ -67,7 +73,10 @@
   using ClaimDone = std::function<void(const ClaimReply &)>;
   using RecordDone = std::function<void(RecordReply)>;
 
-  explicit PartitionCommitter(Limits Bounds = {}) : Bounds(Bounds) {}
+  /// @param SegmentPrefix makes names of segments unique: random, and new for
+  /// each committer.
+  explicit PartitionCommitter(std::string SegmentPrefix, Limits Bounds = {})
+      : Bounds(Bounds), SegmentPrefix(std::move(SegmentPrefix)) {}
 
   void claim(Claim Wanted, core::TimePoint Now, ClaimDone OnDone);
 
@@ -105,10 +114,25 @@
     std::variant<std::monostate, ClaimReply, RecordReply> Reply;
   };
 
+  /// A segment that is not in the partition's value yet.
+  struct NewSegment {
+    std::string Name;
+    std::shared_ptr<const Segment> Claims;
+    bool Stored = false;
+  };
+
+  std::optional<StoreCall> nextSegmentCall();
+  StoreCall call(StoreCall Call);
+  void completeHead(StoreReply &Reply);
+  void completeSegment(StoreReply &Reply);
+  static bool failedCall(const StoreReply &Reply);
+  void startSegment();
+  void settleSegments();
+  const Claim *findSealed(const Partition &In, const ClaimKey &Key) const;
   void giveUpLate(core::TimePoint Now);
   ClaimReply lastKnown(const Claim &Wanted) const;
   std::optional<StoreCall> decide(core::WallTime Wall);
-  void apply(Operation &Op, Partition &To);
+  void apply(Operation &Op, Partition &To) const;
   bool settled(const Operation &Op) const;
   void adopt(StoreReply &Reply);
   void requeueBatch();
@@ -129,8 +153,18 @@
   /// Whether the swap may have taken effect although no answer said so.
   bool Ambiguous = false;
 
-  enum class Phase { Idle, Reading, Swapping };
-  Phase State = Phase::Idle;
+  /// The segments of the cached value, as far as they have been read.
+  std::map<std::string, std::shared_ptr<const Segment>> Sealed;
+  std::optional<NewSegment> Sealing;
+  std::string SegmentPrefix;
+  std::uint64_t SegmentsMade = 0;
+  /// Segments that the next value no longer names.
+  std::vector<std::string> Forgotten;
+  /// Segments that no value names any more.
+  std::vector<std::string> Unused;
+
+  /// The call in progress.
+  std::optional<StoreCall> InProgress;
   std::optional<core::TimePoint> RetryAt;
 };
 
--- a/libs/ledger/src/Claim.cpp
+++ b/libs/ledger/src/Claim.cpp
@@ -78,6 +78,10 @@
   return Text;
 }
 
+std::string segmentStoreKey(std::uint32_t Partition, const std::string &Name) {
+  return partitionStoreKey(Partition) + "/" + Name;
+}
+
 std::optional<core::WallTime> timeOfKey(std::string_view IdempotencyKey) {
   if (IdempotencyKey.size() == UuidLength)
     return timeOfUuid(IdempotencyKey);
--- a/libs/ledger/src/Partition.cpp
+++ b/libs/ledger/src/Partition.cpp
@@ -13,6 +13,14 @@
 /// What a claim takes in the stored value besides its texts.
 constexpr std::size_t ClaimOverheadBytes = 90;
 
+/// What the name of a segment takes.
+constexpr std::size_t SegmentReferenceBytes = 48;
+
+std::int64_t sinceEpoch(core::WallTime Time) {
+  return std::chrono::duration_cast<milliseconds>(Time.time_since_epoch())
+      .count();
+}
+
 std::size_t sizeOf(const Claim &C) {
   return ClaimOverheadBytes + C.Holder.Agent.str().size() +
          C.Holder.AgentAddress.size() + C.Answer.size();
@@ -65,6 +73,43 @@
 
 } // namespace
 
+Segment::Segment(std::vector<Claim> Ran) {
+  for (Claim &C : Ran) {
+    ClaimKey Key = C.Key;
+    Claims.emplace(std::move(Key), std::move(C));
+  }
+}
+
+core::Result<Segment, PartitionError> Segment::parse(std::string_view Value) {
+  stored::Segment Stored;
+  if (!Stored.ParseFromArray(Value.data(), static_cast<int>(Value.size())) ||
+      Stored.claims().empty())
+    return core::failure(PartitionError{"not a segment"});
+  std::vector<Claim> Ran;
+  for (const stored::Claim &C : Stored.claims())
+    Ran.push_back(readClaim(C));
+  return Segment(std::move(Ran));
+}
+
+std::string Segment::format() const {
+  stored::Segment Stored;
+  for (const auto &[Key, C] : Claims)
+    writeClaim(C, *Stored.add_claims());
+  return Stored.SerializeAsString();
+}
+
+const Claim *Segment::find(const ClaimKey &Key) const {
+  auto Found = Claims.find(Key);
+  return Found == Claims.end() ? nullptr : &Found->second;
+}
+
+core::WallTime Segment::newest() const {
+  core::WallTime Newest;
+  for (const auto &[Key, C] : Claims)
+    Newest = std::max(Newest, C.ClaimedAt);
+  return Newest;
+}
+
 core::Result<Partition, PartitionError>
 Partition::parse(std::string_view Value) {
   stored::Partition Stored;
@@ -76,6 +121,9 @@
       return core::failure(PartitionError{"a claim in no known state"});
     Result.insert(readClaim(C));
   }
+  for (const stored::SegmentReference &S : Stored.segments())
+    Result.addSegment(
+        {S.name(), core::WallTime(milliseconds(S.newest_claim_ms()))});
   return Result;
 }
 
@@ -83,6 +131,11 @@
   stored::Partition Stored;
   for (const auto &[Key, C] : Claims)
     writeClaim(C, *Stored.add_claims());
+  for (const SegmentReference &S : Segments) {
+    stored::SegmentReference &Reference = *Stored.add_segments();
+    Reference.set_name(S.Name);
+    Reference.set_newest_claim_ms(sinceEpoch(S.Newest));
+  }
   return Stored.SerializeAsString();
 }
 
@@ -94,7 +147,10 @@
     insert(Wanted);
     return {ClaimReply::Kind::Claimed, Wanted};
   }
-  const Claim &Existing = Found->second;
+  return replyTo(Wanted, Found->second);
+}
+
+ClaimReply replyTo(const Claim &Wanted, const Claim &Existing) {
   if (Existing.Request != Wanted.Request)
     return {ClaimReply::Kind::OtherRequest, Existing};
   bool Own = Existing.Holder.Id == Wanted.Holder.Id;
@@ -135,12 +191,26 @@
   return RecordReply::Replaced;
 }
 
-void Partition::trim(core::WallTime Now, const Limits &Bounds) {
+std::vector<std::string> Partition::trim(core::WallTime Now,
+                                         const Limits &Bounds) {
   for (auto At = Claims.begin(); At != Claims.end();) {
     auto Here = At++;
     if (Now - Here->second.ClaimedAt > Bounds.Retention)
       erase(Here);
   }
+  std::vector<std::string> Forgotten;
+  std::erase_if(Segments, [&](const SegmentReference &S) {
+    if (Now - S.Newest <= Bounds.Retention)
+      return false;
+    Forgotten.push_back(S.Name);
+    Bytes -= SegmentReferenceBytes;
+    return true;
+  });
+  dropAnswers(Bounds);
+  return Forgotten;
+}
+
+void Partition::dropAnswers(const Limits &Bounds) {
   if (Bytes <= Bounds.MaxValueBytes)
     return;
   std::vector<Claim *> Answered;
@@ -161,6 +231,38 @@
   return Found == Claims.end() ? nullptr : &Found->second;
 }
 
+std::vector<Claim> Partition::sealable() const {
+  std::vector<Claim> Ran;
+  for (const auto &[Key, C] : Claims)
+    if (C.State == ClaimState::Answered || C.State == ClaimState::AnswerDropped)
+      Ran.push_back(C);
+  return Ran;
+}
+
+bool Partition::moveTo(const Segment &Sealed, const std::string &Name) {
+  bool Moved = false;
+  for (const auto &[Key, C] : Sealed.claims()) {
+    auto Found = Claims.find(Key);
+    if (Found == Claims.end() || Found->second.Holder.Id != C.Holder.Id)
+      continue;
+    erase(Found);
+    Moved = true;
+  }
+  if (Moved)
+    addSegment({Name, Sealed.newest()});
+  return Moved;
+}
+
+bool Partition::hasSegment(const std::string &Name) const {
+  return std::any_of(Segments.begin(), Segments.end(),
+                     [&](const SegmentReference &S) { return S.Name == Name; });
+}
+
+void Partition::addSegment(SegmentReference Added) {
+  Bytes += SegmentReferenceBytes;
+  Segments.push_back(std::move(Added));
+}
+
 void Partition::insert(Claim Taken) {
   Bytes += sizeOf(Taken);
   ClaimKey Key = Taken.Key;
--- a/libs/platform/include/platform/EtcdKeyValue.h
+++ b/libs/platform/include/platform/EtcdKeyValue.h
@@ -22,9 +22,9 @@
 
 /// Creates the client.
 ///
-/// Uses `POST /v3/kv/range`, `/v3/kv/txn` and `/v3/watch` with base64 keys and
-/// values. Watches ask for progress notices, so that a silent connection is
-/// found.
+/// Uses `POST /v3/kv/range`, `/v3/kv/txn`, `/v3/kv/deleterange` and `/v3/watch`
+/// with base64 keys and values. Watches ask for progress notices, so that a
+/// silent connection is found.
 /// @param Io owns the sockets, @param Deliver runs the hooks; both outlive the
 /// client.
 std::unique_ptr<KeyValue> createEtcdKeyValue(runtime::Duty &Io,
--- a/libs/platform/include/platform/KeyValue.h
+++ b/libs/platform/include/platform/KeyValue.h
@@ -64,6 +64,9 @@
   virtual void compareAndSwap(const std::string &Key, std::int64_t Expected,
                               std::string Value, Hook<SwapOutcome> OnDone) = 0;
 
+  /// Removes \p Key, whatever its value. Told whether it existed.
+  virtual void erase(const std::string &Key, Hook<bool> OnDone) = 0;
+
   /// Calls \p OnChange with each later value of \p Key from \p FromRevision on.
   /// @param OnLost called once when the watch has ended for any reason; the
   /// caller starts another.
--- a/libs/platform/src/EtcdJson.cpp
+++ b/libs/platform/src/EtcdJson.cpp
@@ -115,6 +115,10 @@
   return Outcome;
 }
 
+bool parseErase(std::string_view Body) {
+  return number(json::parse(Body).as_object(), "deleted") > 0;
+}
+
 WatchMessage parseWatch(std::string_view Line) {
   json::value Parsed = json::parse(Line);
   WatchMessage Message;
--- a/libs/platform/src/EtcdJson.h
+++ b/libs/platform/src/EtcdJson.h
@@ -21,6 +21,9 @@
 /// @param Written the value that the request would write.
 SwapOutcome parseSwap(std::string_view Body, const std::string &Written);
 
+/// @return whether the key existed.
+bool parseErase(std::string_view Body);
+
 /// One line of a watch's answer.
 struct WatchMessage {
   /// Changes in order; none in a progress notice.
--- a/libs/platform/src/EtcdKeyValue.cpp
+++ b/libs/platform/src/EtcdKeyValue.cpp
@@ -115,6 +115,14 @@
                       std::move(OnDone));
   }
 
+  void erase(const std::string &Key, Hook<bool> OnDone) override {
+    auto Parse = [](const std::string &Body) {
+      return etcd_json::parseErase(Body);
+    };
+    call<bool>(CallKind::Write, "/v3/kv/deleterange",
+               etcd_json::rangeRequest(Key), Parse, std::move(OnDone));
+  }
+
   std::unique_ptr<Watch>
   watch(const std::string &Key, std::int64_t FromRevision,
         std::function<void(StoredValue)> OnChange,
--- a/libs/platform/tests/EtcdKeyValueTest.cpp
+++ b/libs/platform/tests/EtcdKeyValueTest.cpp
@@ -96,6 +96,18 @@
   BOOST_TEST(Value->Revision == 0);
 }
 
+BOOST_AUTO_TEST_CASE(erase_tells_whether_the_key_existed) {
+  std::string Asked;
+  serve([&](auto X) {
+    Asked = X->request().Target + X->request().Body;
+    X->respond(http::jsonResponse(200, R"({"deleted":"1"})"));
+  });
+  auto Erased = await<bool>([&](auto Hook) { Store->erase("k", Hook); });
+  BOOST_REQUIRE(Erased);
+  BOOST_TEST(*Erased);
+  BOOST_TEST(Asked == R"(/v3/kv/deleterange{"key":"aw=="})");
+}
+
 BOOST_AUTO_TEST_CASE(swap_tells_what_stands) {
   serve([](auto X) {
     bool Matches =
--- a/rosemarylane/src/entry/LedgerService.cpp
+++ b/rosemarylane/src/entry/LedgerService.cpp
@@ -5,7 +5,9 @@
 #include "ledger/PartitionCommitter.h"
 
 #include <array>
+#include <cstdio>
 #include <map>
+#include <random>
 
 namespace rosemarylane {
 
@@ -38,7 +40,10 @@
         WallStart(std::chrono::system_clock::now()),
         SteadyStart(std::chrono::steady_clock::now()),
         Tick(Context.Timers->every(TickInterval, *Context.Control,
-                                   [this] { onTick(); })) {}
+                                   [this] { onTick(); })) {
+    for (std::uint32_t P = 0; P < ledger::PartitionCount; ++P)
+      Committers.emplace_back(segmentPrefix(), Limits);
+  }
 
   void claim(const LedgerKey &Key, const ClaimedAttempt &Attempt,
              std::function<void(ClaimOutcome)> OnDone) override {
@@ -96,6 +101,14 @@
     std::function<void()> OnTimeout;
   };
 
+  /// 16 random hexadecimal digits.
+  static std::string segmentPrefix() {
+    std::random_device Source;
+    char Text[17];
+    std::snprintf(Text, sizeof(Text), "%08x%08x", Source(), Source());
+    return Text;
+  }
+
   static core::TimePoint now() { return std::chrono::steady_clock::now(); }
 
   /// Wall-clock time that does not step while the process runs, so that a step
@@ -259,17 +272,27 @@
     auto Call = Committers[P].next(now(), wallNow());
     if (!Call)
       return;
-    std::string Key = ledger::partitionStoreKey(P);
-    if (Call->What == ledger::StoreCall::Kind::Read)
+    std::string Key = Call->Segment.empty()
+                          ? ledger::partitionStoreKey(P)
+                          : ledger::segmentStoreKey(P, Call->Segment);
+    switch (Call->What) {
+    case ledger::StoreCall::Kind::Read:
       return Context.Store->read(Key, [this, P](auto Read) {
         onControl([this, P, Read = std::move(Read)] { onRead(P, Read); });
       });
-    Context.Store->compareAndSwap(
-        Key, Call->Expected, std::move(Call->Value), [this, P](auto Swapped) {
-          onControl([this, P, Swapped = std::move(Swapped)] {
-            onSwapped(P, Swapped);
+    case ledger::StoreCall::Kind::Swap:
+      return Context.Store->compareAndSwap(
+          Key, Call->Expected, std::move(Call->Value), [this, P](auto Swapped) {
+            onControl([this, P, Swapped = std::move(Swapped)] {
+              onSwapped(P, Swapped);
+            });
           });
-        });
+    case ledger::StoreCall::Kind::Erase:
+      return Context.Store->erase(Key, [this, P](auto Erased) {
+        onControl(
+            [this, P, Erased = std::move(Erased)] { onErased(P, Erased); });
+      });
+    }
   }
 
   /// Runs \p Work later on the control duty, never inside the call that led to
@@ -307,6 +330,14 @@
     complete(P, std::move(Reply));
   }
 
+  void onErased(std::uint32_t P,
+                const core::Result<bool, platform::StoreError> &Erased) {
+    ledger::StoreReply Reply;
+    Reply.What =
+        Erased ? ledger::StoreReply::Kind::Erased : failureKind(Erased.error());
+    complete(P, std::move(Reply));
+  }
+
   void complete(std::uint32_t P, ledger::StoreReply Reply) {
     Committers[P].complete(std::move(Reply), now());
     pump(P);
@@ -320,7 +351,7 @@
 
   std::vector<EntryPeer> LiveEntries;
   std::array<std::optional<EntryPeer>, ledger::PartitionCount> Preferred;
-  std::array<ledger::PartitionCommitter, ledger::PartitionCount> Committers;
+  std::vector<ledger::PartitionCommitter> Committers;
   std::map<std::uint64_t, Forwarded> Waiting;
   std::uint64_t LastForwarded = 0;
   std::map<core::HostId, core::TimePoint> Suspects;
--- a/rosemarylane/tests/FakeStore.h
+++ b/rosemarylane/tests/FakeStore.h
@@ -54,6 +54,14 @@
     });
   }
 
+  void erase(const std::string &Key, Hook<bool> OnDone) override {
+    Calls.push_back([this, Key, OnDone = std::move(OnDone)](Fate How) {
+      if (How != Fate::Answered)
+        return OnDone(lost(How));
+      OnDone(Values.erase(Key) > 0);
+    });
+  }
+
   /// Watches never fire; the tests read.
   std::unique_ptr<Watch>
   watch(const std::string &, std::int64_t,
--- a/standins/src/KeyValueStandin.cpp
+++ b/standins/src/KeyValueStandin.cpp
@@ -41,6 +41,8 @@
     Answer = put(Body);
   else if (Target == "/v3/kv/txn")
     Answer = txn(Body);
+  else if (Target == "/v3/kv/deleterange")
+    Answer = erase(Body);
   else if (Target == "/v3/watch") {
     watch(Call, Body.at("create_request").as_object());
     return true;
@@ -96,6 +98,16 @@
   return {{"header", header()}};
 }
 
+/// Watches are not told: the system watches no key that it erases.
+json::object KeyValueStandin::erase(const json::object &Body) {
+  ++Writes;
+  ++Revision;
+  json::object Answer{{"header", header()}};
+  if (Records.erase(text(Body, "key")) > 0)
+    Answer["deleted"] = "1";
+  return Answer;
+}
+
 json::object KeyValueStandin::txn(const json::object &Body) {
   bool Holds = true;
   for (const json::value &Item : Body.at("compare").as_array()) {
--- a/standins/src/KeyValueStandin.h
+++ b/standins/src/KeyValueStandin.h
@@ -45,6 +45,7 @@
 
   boost::json::object range(const boost::json::object &Body) const;
   boost::json::object put(const boost::json::object &Body);
+  boost::json::object erase(const boost::json::object &Body);
   boost::json::object txn(const boost::json::object &Body);
   void watch(const Exchange &Call, const boost::json::object &Body);
   void send(Watcher &To, const std::vector<const Record *> &Changes);
