Tell agents which targets are warm, so that a rollout goes on

Cause: heartbeats' 'warm' and 'failed_version' were dropped when entries passed members on, and a cold target without traffic never warms up: each agent saw no warm replica, so the serving floor kept all from switching. Ruled out: fetching (all chunks were held everywhere), fencing. Change: members carry both fields and their digest covers them; a target that has stood loaded for 5 s counts as warm.

--- a/libs/routing/include/routing/Member.h
+++ b/libs/routing/include/routing/Member.h
@@ -29,6 +29,10 @@
   core::Digest Fetching;
   std::uint32_t FetchedPermille = 0;
   std::string LoadError;
+  /// The target bears its full load.
+  bool Warm = false;
+  /// A version that could not be loaded.
+  core::Digest FailedVersion;
 
   bool operator==(const Holding &) const = default;
 };
--- a/libs/routing/src/Membership.cpp
+++ b/libs/routing/src/Membership.cpp
@@ -79,8 +79,10 @@
   std::string Text = M.Host.str() + '\n' + M.PeerAddress + '\n' +
                      std::to_string(M.Incarnation) + (M.Draining ? 'd' : 'a');
   for (const Holding &H : M.Holdings) {
-    Text += '\n' + H.Entry.str() + (H.Serving ? 's' : 'n');
+    Text +=
+        '\n' + H.Entry.str() + (H.Serving ? 's' : 'n') + (H.Warm ? 'w' : 'c');
     Text += H.Version.bytes();
+    Text += H.FailedVersion.bytes();
   }
   return core::rendezvousWeight(M.Role == MemberRole::Entry ? "entry" : "agent",
                                 Text);
--- a/rosemarylane/src/agent/WeightService.cpp
+++ b/rosemarylane/src/agent/WeightService.cpp
@@ -22,6 +22,9 @@
 constexpr int SilentPollsUntilDown = 2;
 /// Orders for a version that the engine turned down before it is given up.
 constexpr int LoadAttempts = 2;
+/// A target without traffic cannot warm up: after this long without a failure
+/// the rollout no longer waits for it.
+constexpr std::chrono::seconds WarmUpLimit{5};
 
 constexpr char StoppedElsewhere[] =
     "stopped: the version failed to load at another replica";
@@ -95,7 +98,7 @@
     std::vector<wire::Holding> Result;
     for (auto &[Name, Holding] : ByEntry) {
       Holding.set_entry(Name.str());
-      Holding.set_warm(State && State->Warm);
+      Holding.set_warm(countsAsWarm());
       Result.push_back(std::move(Holding));
     }
     return Result;
@@ -172,6 +175,7 @@
       return;
     }
     State = std::move(Seen);
+    ChangedAt = now();
     publish();
     refreshChunks();
   }
@@ -312,7 +316,7 @@
     swarm::ReplicaStatus Status{Host, {}, false, false};
     if (Host == Context.Config.Host) {
       Status.Loaded = loadedVersion(Name);
-      Status.Serving = serves(Name) && State->Warm;
+      Status.Serving = serves(Name) && countsAsWarm();
       return Status;
     }
     for (const wire::MemberSummary &Member : Heartbeats.agents())
@@ -327,6 +331,10 @@
     return Status;
   }
 
+  bool countsAsWarm() const {
+    return State && (State->Warm || now() - ChangedAt > WarmUpLimit);
+  }
+
   bool serves(const core::EntryName &Name) const {
     return std::any_of(Served.begin(), Served.end(),
                        [&](const ServedVersion &S) { return S.Entry == Name; });
@@ -484,6 +492,8 @@
 
   /// What was read back last; none while it is in doubt.
   std::optional<EngineState> State;
+  /// When the engine was last seen to have loaded or restarted.
+  core::TimePoint ChangedAt;
   bool ChunksKnown = false;
   bool Polling = false;
   /// Counts the reasons to doubt answers to questions asked before.
--- a/rosemarylane/src/common/MemberMessages.cpp
+++ b/rosemarylane/src/common/MemberMessages.cpp
@@ -24,6 +24,8 @@
   To.Fetching = digestFrom(From.fetching());
   To.FetchedPermille = From.fetched_permille();
   To.LoadError = From.load_error();
+  To.Warm = From.warm();
+  To.FailedVersion = digestFrom(From.failed_version());
   return To;
 }
 
@@ -38,6 +40,8 @@
   To.set_fetching(bytesOf(From.Fetching));
   To.set_fetched_permille(From.FetchedPermille);
   To.set_load_error(From.LoadError);
+  To.set_warm(From.Warm);
+  To.set_failed_version(bytesOf(From.FailedVersion));
 }
 
 void fillIdentity(const wire::Sender &From, routing::Member &To) {
--- /dev/null
+++ b/rosemarylane/tests/MemberMessagesTest.cpp
@@ -0,0 +1,57 @@
+#include "common/MemberMessages.h"
+#include "routing/Membership.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace rosemarylane;
+
+namespace {
+
+routing::Member agent() {
+  routing::Member M;
+  M.Host = core::HostId("host-1");
+  M.Region = core::RegionId("region-1");
+  M.FailureDomain = core::FailureDomainId("domain-1");
+  M.PeerAddress = "127.0.0.1:9000";
+  M.Incarnation = 7;
+  M.Sequence = 8;
+  M.Revision = 9;
+  M.Time = std::chrono::milliseconds(10);
+  routing::Holding H;
+  H.Entry = core::EntryName("draft");
+  H.Version = core::Digest::of("old");
+  H.Serving = true;
+  H.Credits = 1;
+  H.InProgress = 2;
+  H.Waiting = 3;
+  H.Latency = std::chrono::microseconds(4);
+  H.Fetching = core::Digest::of("new");
+  H.FetchedPermille = 500;
+  H.LoadError = "too large";
+  H.Warm = true;
+  H.FailedVersion = core::Digest::of("new");
+  M.Holdings.push_back(H);
+  return M;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(member_messages)
+
+BOOST_AUTO_TEST_CASE(summary_says_all_that_is_known_of_a_member) {
+  routing::Member M = agent();
+  BOOST_TEST((memberFrom(summaryOf(M, std::chrono::milliseconds(0))) == M));
+}
+
+/// Agents learn of one another's state only when the digest changes.
+BOOST_AUTO_TEST_CASE(digest_changes_with_all_that_a_rollout_waits_for) {
+  routing::Member M = agent();
+  auto Before = routing::identityDigest(M);
+  M.Holdings[0].Warm = false;
+  auto Cold = routing::identityDigest(M);
+  BOOST_TEST(Cold != Before);
+  M.Holdings[0].FailedVersion = {};
+  BOOST_TEST(routing::identityDigest(M) != Cold);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
