Tell peers of a new revision at once, and ask whoever is furthest ahead

Now a peer that is further ahead is asked although another was. Peers that are behind are told of a new revision when it comes into force, instead of with the next heartbeat. All histories now come from a seed and a length, so that they shrink to a beginning.

--- a/libs/core/include/core/ConfigurationDecisions.h
+++ b/libs/core/include/core/ConfigurationDecisions.h
@@ -3,8 +3,11 @@
 
 #include "core/Catalogue.h"
 #include "core/Ids.h"
+#include "core/Time.h"
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace rosemarylane::core {
@@ -17,15 +20,43 @@
 bool readsStore(const HostId &Self, const FailureDomainId &Domain,
                 const std::vector<HostId> &LiveEntries);
 
-/// What one side of an exchange of configurations does next.
-enum class ExchangeStep { Nothing, Ask, SendDocument };
+/// One process's side of the exchange of configurations with its peers: the
+/// side behind asks, the side ahead answers, and the higher revision always
+/// wins.
+class ConfigurationExchange {
+public:
+  /// What to do on a message.
+  enum class Step { Nothing, Ask, SendDocument };
 
-/// Decides what to do on a message from a peer: the side behind asks, and the
-/// side ahead answers.
-/// @param Asked whether the message is a request for the document.
-/// @param Known the revision that the asker has; used only if \p Asked.
-ExchangeStep exchangeStep(std::uint64_t Own, std::uint64_t OfPeer, bool Asked,
-                          std::uint64_t Known);
+  /// What a message tells of its sender's configuration.
+  struct Heard {
+    /// The revision in force at the sender.
+    std::uint64_t Revision = 0;
+    /// For a request of the document: the revision that the asker has.
+    std::optional<std::uint64_t> AskerKnows;
+  };
+
+  /// An answer that has not come after this long is asked for again. Until then
+  /// only a peer that is further ahead is asked.
+  static constexpr std::chrono::milliseconds AskTimeout{250};
+
+  /// @return the revision in force here; 0 before the first is known.
+  std::uint64_t revision() const { return InForce; }
+
+  /// Decides what to do on a message from a peer.
+  Step hear(const Heard &Message, TimePoint Now);
+
+  /// Takes a configuration from any source.
+  /// @return whether it is newer, and so in force from now on.
+  bool accept(std::uint64_t Revision);
+
+private:
+  std::uint64_t InForce = 0;
+  /// When a peer was asked last for a document that has not come, and the
+  /// revision that it had.
+  std::optional<TimePoint> AskedAt;
+  std::uint64_t AskedFor = 0;
+};
 
 /// What a workspace may see: operators everything, a caller its own workspace
 /// and entries.
--- a/libs/core/src/ConfigurationDecisions.cpp
+++ b/libs/core/src/ConfigurationDecisions.cpp
@@ -17,13 +17,26 @@
       });
 }
 
-ExchangeStep exchangeStep(std::uint64_t Own, std::uint64_t OfPeer, bool Asked,
-                          std::uint64_t Known) {
-  if (Asked && Known < Own)
-    return ExchangeStep::SendDocument;
-  if (OfPeer > Own)
-    return ExchangeStep::Ask;
-  return ExchangeStep::Nothing;
+ConfigurationExchange::Step ConfigurationExchange::hear(const Heard &Message,
+                                                        TimePoint Now) {
+  if (Message.AskerKnows && *Message.AskerKnows < InForce)
+    return Step::SendDocument;
+  if (Message.Revision <= InForce)
+    return Step::Nothing;
+  bool Waiting = AskedAt && Now - *AskedAt < AskTimeout;
+  if (Waiting && Message.Revision <= AskedFor)
+    return Step::Nothing;
+  AskedAt = Now;
+  AskedFor = Message.Revision;
+  return Step::Ask;
+}
+
+bool ConfigurationExchange::accept(std::uint64_t Revision) {
+  if (Revision <= InForce)
+    return false;
+  InForce = Revision;
+  AskedAt.reset();
+  return true;
 }
 
 Configuration visibleTo(const Workspace &Viewer, const Configuration &Config) {
--- a/libs/core/tests/ConfigurationDecisionsTest.cpp
+++ b/libs/core/tests/ConfigurationDecisionsTest.cpp
@@ -72,11 +72,20 @@
 }
 
 BOOST_AUTO_TEST_CASE(the_side_behind_asks) {
-  BOOST_TEST((exchangeStep(3, 4, false, 0) == ExchangeStep::Ask));
-  BOOST_TEST((exchangeStep(4, 3, true, 3) == ExchangeStep::SendDocument));
-  BOOST_TEST((exchangeStep(4, 3, false, 0) == ExchangeStep::Nothing));
-  BOOST_TEST((exchangeStep(4, 4, true, 4) == ExchangeStep::Nothing));
-  BOOST_TEST((exchangeStep(0, 0, true, 0) == ExchangeStep::Nothing));
+  using Step = ConfigurationExchange::Step;
+  ConfigurationExchange Side;
+  TimePoint Now{};
+  BOOST_TEST((Side.hear({0, 0}, Now) == Step::Nothing));
+  BOOST_TEST((Side.hear({4, std::nullopt}, Now) == Step::Ask));
+  BOOST_TEST((Side.hear({4, std::nullopt}, Now) == Step::Nothing));
+  Now += ConfigurationExchange::AskTimeout;
+  BOOST_TEST((Side.hear({4, std::nullopt}, Now) == Step::Ask));
+  BOOST_TEST(Side.accept(4));
+  BOOST_TEST(!Side.accept(3));
+  BOOST_TEST((Side.hear({3, 3}, Now) == Step::SendDocument));
+  BOOST_TEST((Side.hear({3, std::nullopt}, Now) == Step::Nothing));
+  BOOST_TEST((Side.hear({4, 4}, Now) == Step::Nothing));
+  BOOST_TEST((Side.hear({5, std::nullopt}, Now) == Step::Ask));
 }
 
 BOOST_AUTO_TEST_CASE(a_caller_sees_its_own_workspace) {
--- a/libs/ledger/tests/AtMostOnceTest.cpp
+++ b/libs/ledger/tests/AtMostOnceTest.cpp
@@ -11,9 +11,11 @@
 constexpr std::size_t HistoryLength = 6000;
 constexpr unsigned HistoriesOfVariant = 600;
 
-std::vector<unsigned> randomChoices(unsigned Seed) {
+/// The choices of one history: \p Length numbers from \p Seed, so that a
+/// failing history shrinks to its shortest beginning.
+std::vector<unsigned> randomChoices(unsigned Seed, std::size_t Length) {
   std::mt19937 Source(Seed);
-  std::vector<unsigned> Choices(HistoryLength);
+  std::vector<unsigned> Choices(Length);
   for (unsigned &Choice : Choices)
     Choice = static_cast<unsigned>(Source());
   return Choices;
@@ -23,7 +25,9 @@
 unsigned brokenHistories(LedgerVariant Variant) {
   unsigned Broken = 0;
   for (unsigned Seed = 0; Seed < HistoriesOfVariant; ++Seed)
-    if (LedgerHistory(randomChoices(Seed), Variant).run().MaxRuns > 1)
+    if (LedgerHistory(randomChoices(Seed, HistoryLength), Variant)
+            .run()
+            .MaxRuns > 1)
       ++Broken;
   return Broken;
 }
@@ -34,11 +38,11 @@
 
 BOOST_AUTO_TEST_CASE(no_history_runs_a_key_twice) {
   BOOST_TEST(rc::check([] {
-    // At the nominal size throughout: smaller sizes would only choose low
-    // numbers.
-    auto Choices = *rc::gen::resize(
-        rc::kNominalSize, rc::gen::container<std::vector<unsigned>>(
-                              HistoryLength, rc::gen::inRange(0u, 1u << 16)));
+    auto Seed =
+        *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0u, 1u << 30));
+    auto Length = *rc::gen::resize(
+        rc::kNominalSize, rc::gen::inRange<std::size_t>(1, HistoryLength));
+    auto Choices = randomChoices(Seed, Length);
     HistoryResult Result = LedgerHistory(Choices, LedgerVariant::Correct).run();
     RC_ASSERT(Result.MaxRuns <= 1u);
     RC_ASSERT(Result.WrongAnswers == 0u);
@@ -48,8 +52,9 @@
 BOOST_AUTO_TEST_CASE(long_histories_run_no_key_twice_and_do_answer) {
   HistoryResult Sum;
   for (unsigned Seed = 0; Seed < HistoriesOfVariant; ++Seed) {
-    HistoryResult Result =
-        LedgerHistory(randomChoices(Seed), LedgerVariant::Correct).run();
+    HistoryResult Result = LedgerHistory(randomChoices(Seed, HistoryLength),
+                                         LedgerVariant::Correct)
+                               .run();
     BOOST_REQUIRE(Result.MaxRuns <= 1u);
     BOOST_REQUIRE(Result.WrongAnswers == 0u);
     Sum.Claims += Result.Claims;
--- a/rosemarylane/src/common/ConfigurationService.cpp
+++ b/rosemarylane/src/common/ConfigurationService.cpp
@@ -18,8 +18,8 @@
 /// Between two tries at a store that does not answer, or whose watch ended.
 constexpr auto StoreRetryInterval = 500ms;
 
-/// A peer that has been asked is not asked again within this time.
-constexpr auto AskInterval = 250ms;
+/// A peer that was heard from within this time is told of a new revision.
+constexpr auto HeardFor = 3s;
 
 class ConfigurationServiceImpl final : public ConfigurationService {
 public:
@@ -43,34 +43,37 @@
   }
 
   void receive(const wire::Peer &From, const wire::Envelope &Message) override {
+    core::TimePoint Now = std::chrono::steady_clock::now();
     if (Message.has_configuration_document())
       takeDocument(From, Message.configuration_document());
-    bool Asked = Message.has_configuration_request();
-    std::uint64_t Known = Asked ? Message.configuration_request().known() : 0;
-    switch (core::exchangeStep(current()->Revision, Message.revision(), Asked,
-                               Known)) {
-    case core::ExchangeStep::Ask:
+    Heard[From] = {Now, Message.revision()};
+    core::ConfigurationExchange::Heard Told{Message.revision(), std::nullopt};
+    if (Message.has_configuration_request())
+      Told.AskerKnows = Message.configuration_request().known();
+    switch (Exchange.hear(Told, Now)) {
+    case core::ConfigurationExchange::Step::Ask:
       ask(From);
       break;
-    case core::ExchangeStep::SendDocument:
+    case core::ConfigurationExchange::Step::SendDocument:
       sendDocument(From);
       break;
-    case core::ExchangeStep::Nothing:
+    case core::ConfigurationExchange::Step::Nothing:
       break;
     }
   }
 
   void offer(std::shared_ptr<const core::Configuration> Newer) override {
+    if (!Exchange.accept(Newer->Revision))
+      return;
     {
       std::lock_guard<std::mutex> Lock(Mutex);
-      if (Newer->Revision <= InForce->Revision)
-        return;
       InForce = Newer;
     }
     Document.clear();
     telemetry::setLogRevision(Newer->Revision);
     telemetry::log(Level::Info, "configuration in force",
                    {{"revision", static_cast<std::int64_t>(Newer->Revision)}});
+    tellPeers();
     for (const ChangeHook &Hook : Hooks)
       Hook(Newer);
   }
@@ -152,7 +155,6 @@
     auto Parsed = core::parseConfiguration(Received.json());
     if (!Parsed)
       return refuse(From.Key, Parsed.error());
-    LastAsked.erase(From);
     offer(std::make_shared<core::Configuration>(std::move(*Parsed)));
   }
 
@@ -167,17 +169,23 @@
   }
 
   void ask(const wire::Peer &From) {
-    auto Now = std::chrono::steady_clock::now();
-    std::erase_if(LastAsked, [&](const auto &Asked) {
-      return Now - Asked.second >= AskInterval;
-    });
-    if (!LastAsked.try_emplace(From, Now).second)
-      return;
     wire::Envelope Message;
     Message.mutable_configuration_request()->set_known(current()->Revision);
     Send.send(From, std::move(Message));
   }
 
+  /// Lets the peers that are behind know of the new revision at once, so that
+  /// it does not wait for the next heartbeat: any message carries it.
+  void tellPeers() {
+    core::TimePoint Now = std::chrono::steady_clock::now();
+    std::erase_if(Heard, [&](const auto &Peer) {
+      return Now - Peer.second.At >= HeardFor;
+    });
+    for (const auto &[Peer, Last] : Heard)
+      if (Last.Revision < current()->Revision)
+        Send.send(Peer, wire::Envelope());
+  }
+
   void sendDocument(const wire::Peer &To) {
     auto Config = current();
     if (Document.empty())
@@ -194,6 +202,12 @@
   /// finds it gone.
   struct ReadingTurn {};
 
+  /// The last message from a peer, and the revision that it carried.
+  struct LastHeard {
+    core::TimePoint At;
+    std::uint64_t Revision = 0;
+  };
+
   ProcessContext &Context;
   const MessageSender &Send;
   const bool MayReadStore;
@@ -208,7 +222,9 @@
   std::shared_ptr<ReadingTurn> Reading;
   std::unique_ptr<platform::KeyValue::Watch> Watch;
   runtime::TimerService::Subscription Retry;
-  std::map<wire::Peer, std::chrono::steady_clock::time_point> LastAsked;
+  core::ConfigurationExchange Exchange;
+  /// The peers heard from lately.
+  std::map<wire::Peer, LastHeard> Heard;
 };
 
 } // namespace
--- a/rosemarylane/tests/ConfigurationWriterTest.cpp
+++ b/rosemarylane/tests/ConfigurationWriterTest.cpp
@@ -171,6 +171,16 @@
   std::set<std::string> RefusedHosts;
 };
 
+/// The choices of one history: \p Length numbers from \p Seed, so that a
+/// failing history shrinks to its shortest beginning.
+std::vector<unsigned> randomChoices(unsigned Seed, std::size_t Length) {
+  std::mt19937 Source(Seed);
+  std::vector<unsigned> Choices(Length);
+  for (unsigned &Choice : Choices)
+    Choice = static_cast<unsigned>(Source());
+  return Choices;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(configuration_writer)
@@ -179,9 +189,11 @@
   std::size_t Accepted = 0;
   std::size_t Conflicts = 0;
   BOOST_TEST(rc::check([&] {
-    auto Choices = *rc::gen::resize(
-        rc::kNominalSize, rc::gen::container<std::vector<unsigned>>(
-                              HistoryLength, rc::gen::inRange(0u, 1u << 16)));
+    auto Seed =
+        *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0u, 1u << 30));
+    auto Length = *rc::gen::resize(
+        rc::kNominalSize, rc::gen::inRange<std::size_t>(1, HistoryLength));
+    auto Choices = randomChoices(Seed, Length);
     OperatorHistory History(Choices);
     History.run();
     RC_ASSERT(History.Broken == 0u);
@@ -197,10 +209,7 @@
   constexpr unsigned Histories = 100;
   unsigned Broken = 0;
   for (unsigned Seed = 0; Seed < Histories; ++Seed) {
-    std::mt19937 Source(Seed);
-    std::vector<unsigned> Choices(HistoryLength);
-    for (unsigned &Choice : Choices)
-      Choice = static_cast<unsigned>(Source());
+    auto Choices = randomChoices(Seed, HistoryLength);
     OperatorHistory History(Choices, /*LostLooksUnavailable=*/true);
     History.run();
     Broken += History.Broken > 0 ? 1 : 0;
