Skip the second look at the generation where the answer's head comes last

Cause: each engine call cost one more exchange with the engine. Change: an answer with a Content-Length has its head written after its body, so the head's generation is the later look already.

--- a/rosemarylane/src/agent/TargetCall.cpp
+++ b/rosemarylane/src/agent/TargetCall.cpp
@@ -135,6 +135,9 @@
       return refuse(ledger::Ran::No, wire::REFUSAL_BUSY, "the engine is full");
     if (Generation && generationOf(Head.Fields) != Generation)
       return weightsChanged();
+    // A length is known only once the body is, so this head was written after
+    // the model's last token.
+    HeadAfterBody = Head.Fields.find("Content-Length").has_value();
     wire::Envelope Message;
     wire::RunHead &Out = *Message.mutable_run_head();
     *Out.mutable_id() = Id;
@@ -174,7 +177,7 @@
     if (Ended)
       return;
     if (!Error)
-      return Generation ? confirmGeneration() : complete();
+      return Generation && !HeadAfterBody ? confirmGeneration() : complete();
     TargetCallEnd How;
     How.Reason = wire::REFUSAL_TARGET_FAILED;
     How.Detail = Error->Detail;
@@ -258,6 +261,8 @@
   core::TimePoint StartedAt;
   std::chrono::nanoseconds FirstPartAfter{0};
   bool Ended = false;
+  /// The head already says at which generation the model ended.
+  bool HeadAfterBody = false;
   /// Bytes of the body passed on.
   std::uint64_t Offset = 0;
   wire::BodyChecksum Checksum;
