Plan the swarm: who asks whom for which chunk, as pure code

The change: ReaderRanks (gateways per region; one reader per chunk for the fleet, a region and a failure domain), SwarmPlanner (rarest first from a view of 20), UploadQueue (readers first, cap near one copy), ClassShare, OriginBudget, and a fleet in simulated time with origin-only and fixed-tree baselines.

--- /dev/null
+++ b/libs/swarm/src/ReaderRanks.cpp
@@ -0,0 +1,105 @@
+#include "swarm/ReaderRanks.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <xxhash.h>
+
+namespace rosemarylane::swarm {
+
+namespace {
+
+using Index = std::uint32_t;
+
+std::uint64_t weight(std::uint64_t KeyHash, std::uint64_t MemberHash) {
+  std::array<std::uint64_t, 2> Both{KeyHash, MemberHash};
+  return XXH3_64bits(Both.data(), sizeof(Both));
+}
+
+std::vector<std::uint64_t> hashes(const std::vector<EngineHost> &Members) {
+  std::vector<std::uint64_t> Result;
+  Result.reserve(Members.size());
+  for (const EngineHost &Member : Members)
+    Result.push_back(
+        XXH3_64bits(Member.Host.str().data(), Member.Host.str().size()));
+  return Result;
+}
+
+/// Keeps the two heaviest candidates of a scope.
+struct TopTwo {
+  std::array<Index, 2> Best{ReaderRanks::None, ReaderRanks::None};
+  std::array<std::uint64_t, 2> Weight{0, 0};
+
+  void offer(Index Candidate, std::uint64_t W) {
+    if (Best[0] == ReaderRanks::None || W > Weight[0]) {
+      Best[1] = Best[0];
+      Weight[1] = Weight[0];
+      Best[0] = Candidate;
+      Weight[0] = W;
+    } else if (Best[1] == ReaderRanks::None || W > Weight[1]) {
+      Best[1] = Candidate;
+      Weight[1] = W;
+    }
+  }
+};
+
+std::vector<Index> chooseGateways(std::uint64_t VersionHash,
+                                  const std::vector<EngineHost> &Members,
+                                  const std::vector<std::uint64_t> &Hashes) {
+  std::map<core::RegionId, std::vector<Index>> ByRegion;
+  for (Index I = 0; I < Members.size(); ++I)
+    ByRegion[Members[I].Region].push_back(I);
+  std::vector<Index> Result;
+  for (auto &[Region, Hosts] : ByRegion) {
+    std::sort(Hosts.begin(), Hosts.end(), [&](Index A, Index B) {
+      return weight(VersionHash, Hashes[A]) > weight(VersionHash, Hashes[B]);
+    });
+    std::set<core::FailureDomainId> Domains;
+    for (Index Host : Hosts)
+      Domains.insert(Members[Host].FailureDomain);
+    Hosts.resize(std::min(Hosts.size(),
+                          Domains.size() * ReaderRanks::GatewaysPerDomain));
+    Result.insert(Result.end(), Hosts.begin(), Hosts.end());
+  }
+  return Result;
+}
+
+} // namespace
+
+ReaderRanks::ReaderRanks(const core::Digest &Version,
+                         const std::vector<core::Digest> &Chunks,
+                         const std::vector<EngineHost> &Members, Index Self) {
+  std::vector<std::uint64_t> Hashes = hashes(Members);
+  std::vector<Index> Gateways =
+      chooseGateways(std::hash<core::Digest>()(Version), Members, Hashes);
+  GatewayCount = Gateways.size();
+  OwnGateway =
+      std::find(Gateways.begin(), Gateways.end(), Self) != Gateways.end();
+  std::vector<Index> Neighbours;
+  for (Index I = 0; I < Members.size(); ++I)
+    if (Members[I].FailureDomain == Members[Self].FailureDomain && I != Self)
+      Neighbours.push_back(I);
+
+  ByChunk.reserve(Chunks.size());
+  for (const core::Digest &Chunk : Chunks) {
+    std::uint64_t Key = std::hash<core::Digest>()(Chunk);
+    TopTwo Fleet;
+    TopTwo Region;
+    for (Index G : Gateways) {
+      std::uint64_t W = weight(Key, Hashes[G]);
+      Fleet.offer(G, W);
+      if (Members[G].Region == Members[Self].Region)
+        Region.offer(G, W);
+    }
+    Readers R{Fleet.Best, Region.Best, 0};
+    Index Reader = Region.Best[0];
+    if (Reader != Self) {
+      std::uint64_t Own = weight(Key, Hashes[Self]);
+      for (Index N : Neighbours)
+        R.DomainRank += N == Reader || weight(Key, Hashes[N]) > Own;
+    }
+    ByChunk.push_back(R);
+  }
+}
+
+} // namespace rosemarylane::swarm
--- /dev/null
+++ b/libs/swarm/tests/FleetSimulation.cpp
@@ -0,0 +1,509 @@
+#include "FleetSimulation.h"
+
+#include "swarm/SwarmPlanner.h"
+#include "swarm/UploadQueue.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+
+namespace rosemarylane::swarm::testing {
+
+namespace {
+
+using core::TimePoint;
+using Duration = std::chrono::nanoseconds;
+
+constexpr Duration CopyTime = std::chrono::seconds(10);
+constexpr Duration NearLatency = std::chrono::microseconds(500);
+constexpr Duration FarLatency = std::chrono::milliseconds(1);
+constexpr Duration HoldingsInterval = std::chrono::milliseconds(100);
+constexpr std::uint64_t ChunkBytes = 1 << 20;
+
+/// Runs actions in the order of their times.
+class EventLoop {
+public:
+  TimePoint now() const { return Now; }
+
+  void at(TimePoint When, std::function<void()> Work) {
+    std::size_t Slot;
+    if (Free.empty()) {
+      Slot = Works.size();
+      Works.emplace_back();
+    } else {
+      Slot = Free.back();
+      Free.pop_back();
+    }
+    Works[Slot] = std::move(Work);
+    Queue.push({When, Sequence++, Slot});
+  }
+
+  void after(Duration Delay, std::function<void()> Work) {
+    at(Now + Delay, std::move(Work));
+  }
+
+  bool runOne() {
+    if (Queue.empty())
+      return false;
+    Item Next = Queue.top();
+    Queue.pop();
+    Now = Next.When;
+    auto Work = std::move(Works[Next.Slot]);
+    Free.push_back(Next.Slot);
+    Work();
+    return true;
+  }
+
+private:
+  struct Item {
+    TimePoint When;
+    std::uint64_t Sequence;
+    std::size_t Slot;
+    bool operator<(const Item &Other) const {
+      return When != Other.When ? When > Other.When : Sequence > Other.Sequence;
+    }
+  };
+  TimePoint Now = TimePoint() + std::chrono::hours(1);
+  std::uint64_t Sequence = 0;
+  std::priority_queue<Item> Queue;
+  std::vector<std::function<void()>> Works;
+  std::vector<std::size_t> Free;
+};
+
+core::Digest chunkId(std::size_t Index) {
+  return core::Digest::of("chunk " + std::to_string(Index));
+}
+
+class Fleet {
+public:
+  explicit Fleet(const FleetSettings &Settings)
+      : Settings(Settings), ChunkTime(CopyTime / Settings.Chunks),
+        Random(Settings.Seed), RegionFree(Settings.Regions),
+        RegionChunks(Settings.Regions) {
+    for (std::size_t C = 0; C < Settings.Chunks; ++C) {
+      Ids.push_back(chunkId(C));
+      IndexOf[Ids.back()] = C;
+    }
+    makeHosts();
+  }
+
+  FleetResult run() {
+    Start = Loop.now();
+    for (std::size_t H = 0; H < Hosts.size(); ++H) {
+      setMembers(H);
+      tick(H);
+    }
+    subscribeAll();
+    for (std::size_t H = 0; H < Hosts.size(); ++H)
+      tellHoldings(H);
+    scheduleFaults();
+    while (Missing > 0 && elapsed() < Settings.Limit && Loop.runOne())
+      ;
+    return result();
+  }
+
+private:
+  struct Host {
+    EngineHost Place;
+    std::size_t Region = 0;
+    std::unique_ptr<SwarmPlanner> Planner;
+    std::unique_ptr<UploadQueue> Uploads;
+    std::vector<std::size_t> Subscribers;
+    bool Alive = true;
+    bool Silent = false;
+    bool Sending = false;
+    bool Telling = false;
+    TimePoint ToldAt{};
+    TimePoint DownlinkFree{};
+    std::size_t Sent = 0;
+    std::size_t Received = 0;
+    std::optional<TimePoint> Done;
+  };
+
+  static std::string hostName(std::size_t H) {
+    return "host-" + std::to_string(H);
+  }
+
+  PlannerSettings plannerSettings() const {
+    PlannerSettings P;
+    P.RequestTimeout = 20 * ChunkTime;
+    P.OriginTimeout = 200 * ChunkTime;
+    P.StallTimeout = 50 * ChunkTime;
+    P.BusyDelay = ChunkTime;
+    P.PollDelay = 2 * ChunkTime;
+    P.CopyTime = CopyTime;
+    return P;
+  }
+
+  void makeHosts() {
+    std::size_t Silent = static_cast<std::size_t>(
+        Settings.SilentPart * static_cast<double>(Settings.Hosts));
+    for (std::size_t H = 0; H < Settings.Hosts; ++H) {
+      Host &New = Hosts.emplace_back();
+      std::size_t Domain = H % Settings.FailureDomains;
+      New.Region = Domain % Settings.Regions;
+      New.Place = {core::HostId(hostName(H)),
+                   core::RegionId("region-" + std::to_string(New.Region)),
+                   core::FailureDomainId("domain-" + std::to_string(Domain))};
+      New.Silent = H < Silent;
+      New.Planner = SwarmPlanner::create(New.Place.Host, Version, Ids,
+                                         ChunkSet(Ids.size()),
+                                         plannerSettings(), Random());
+      New.Uploads = std::make_unique<UploadQueue>(UploadSettings());
+      IndexOfHost[New.Place.Host] = H;
+    }
+    Missing = Hosts.size();
+  }
+
+  double elapsed() const { return units(Loop.now()); }
+  double units(TimePoint T) const {
+    return std::chrono::duration<double>(T - Start) /
+           std::chrono::duration<double>(CopyTime);
+  }
+
+  // ---- Membership ----
+
+  void setMembers(std::size_t H) {
+    std::vector<EngineHost> Members;
+    for (const Host &Other : Hosts)
+      if (Other.Alive &&
+          (!Settings.Partitioned ||
+           Other.Place.FailureDomain == Hosts[H].Place.FailureDomain))
+        Members.push_back(Other.Place);
+    Hosts[H].Planner->setMembers(std::move(Members),
+                                 static_cast<std::uint32_t>(Settings.Hosts),
+                                 Loop.now());
+  }
+
+  void subscribeAll() {
+    for (Host &H : Hosts)
+      H.Subscribers.clear();
+    for (std::size_t H = 0; H < Hosts.size(); ++H)
+      if (Hosts[H].Alive)
+        for (const core::HostId &Peer : Hosts[H].Planner->view())
+          Hosts[IndexOfHost.at(Peer)].Subscribers.push_back(H);
+  }
+
+  void scheduleFaults() {
+    auto Dying = static_cast<std::size_t>(Settings.DyingPart *
+                                          static_cast<double>(Hosts.size()));
+    for (std::size_t I = 0; I < Dying; ++I) {
+      // Spread over the fleet's domains and over the time of a copy.
+      std::size_t H = I * Hosts.size() / Dying;
+      Loop.after(CopyTime * (I + 1) / (Dying + 1), [this, H] { kill(H); });
+    }
+  }
+
+  void kill(std::size_t H) {
+    Host &Dead = Hosts[H];
+    Dead.Alive = false;
+    if (!Dead.Done)
+      --Missing;
+    // The others learn of it when its heartbeats stop.
+    Loop.after(CopyTime / 20, [this] {
+      for (std::size_t I = 0; I < Hosts.size(); ++I)
+        if (Hosts[I].Alive)
+          setMembers(I);
+      subscribeAll();
+      for (std::size_t I = 0; I < Hosts.size(); ++I)
+        if (Hosts[I].Alive)
+          tellHoldings(I);
+    });
+  }
+
+  // ---- Requests ----
+
+  void tick(std::size_t H) {
+    if (!Hosts[H].Alive || Hosts[H].Done)
+      return;
+    plan(H);
+    Loop.after(ChunkTime, [this, H] { tick(H); });
+  }
+
+  void plan(std::size_t H) {
+    if (!Hosts[H].Alive || Hosts[H].Done)
+      return;
+    for (const ChunkFetch &Fetch :
+         Hosts[H].Planner->plan(Loop.now(), Settings.Chunks))
+      send(H, Fetch);
+  }
+
+  void send(std::size_t H, const ChunkFetch &Fetch) {
+    if (Fetch.From == ChunkFetch::Source::Origin) {
+      readOrigin(H, Fetch.Chunk, Fetch.Id);
+      return;
+    }
+    std::size_t Peer = IndexOfHost.at(Fetch.Host);
+    if (Hosts[Peer].Silent)
+      return;
+    Loop.after(latency(H, Peer),
+               [this, H, Peer, Fetch] { requested(Peer, H, Fetch); });
+  }
+
+  void requested(std::size_t H, std::size_t From, const ChunkFetch &Fetch) {
+    Host &Here = Hosts[H];
+    if (!Here.Alive)
+      return;
+    bool Reader = Fetch.From != ChunkFetch::Source::Neighbour;
+    bool Wait = Fetch.From == ChunkFetch::Source::RegionReader;
+    bool Held = Here.Planner->held().contains(Fetch.Chunk);
+    if (Reader && !Held)
+      Here.Planner->demanded(Fetch.Chunk, Fetch.From);
+    Upload Request{
+        Hosts[From].Place.Host, Version, Ids[Fetch.Chunk], Fetch.Id, ChunkBytes,
+        core::TrafficClass{},   Reader};
+    switch (Here.Uploads->offer(Request, Held, Wait,
+                                ChunkBytes * Settings.Chunks, Loop.now())) {
+    case UploadAnswer::Accepted:
+      pump(H);
+      return;
+    case UploadAnswer::Queued:
+      pump(H);
+      answer(H, From, Fetch.Id, FetchOutcome::Queued);
+      return;
+    case UploadAnswer::Busy:
+      answer(H, From, Fetch.Id, FetchOutcome::Busy);
+      return;
+    case UploadAnswer::NotHeld:
+      answer(H, From, Fetch.Id, FetchOutcome::NotHeld);
+      return;
+    }
+  }
+
+  void answer(std::size_t From, std::size_t To, std::uint64_t Id,
+              FetchOutcome Outcome) {
+    Loop.after(latency(From, To), [this, To, Id, Outcome] {
+      if (!Hosts[To].Alive)
+        return;
+      Hosts[To].Planner->finished(Id, Outcome, Loop.now());
+      plan(To);
+    });
+  }
+
+  // ---- Links ----
+
+  Duration latency(std::size_t A, std::size_t B) const {
+    return Hosts[A].Region == Hosts[B].Region ? NearLatency : FarLatency;
+  }
+
+  static TimePoint transmit(TimePoint &Free, TimePoint Ready, Duration Takes) {
+    Free = std::max(Free, Ready) + Takes;
+    return Free;
+  }
+
+  Duration rated(double Rate) const {
+    return Duration(static_cast<std::int64_t>(
+        static_cast<double>(ChunkTime.count()) / Rate));
+  }
+
+  void readOrigin(std::size_t H, std::size_t Chunk, std::uint64_t Id) {
+    ++OriginChunks;
+    TimePoint Sent =
+        transmit(OriginFree, Loop.now(), rated(Settings.OriginRate));
+    Loop.at(Sent + FarLatency, [this, H, Chunk, Id] { arrive(H, Chunk, Id); });
+  }
+
+  void pump(std::size_t H) {
+    Host &Here = Hosts[H];
+    if (Here.Sending || !Here.Alive)
+      return;
+    auto Next = Here.Uploads->next();
+    if (!Next)
+      return;
+    Here.Sending = true;
+    ++Here.Sent;
+    std::size_t To = IndexOfHost.at(Next->To);
+    std::size_t Chunk = IndexOf.at(Next->Chunk);
+    TimePoint Sent = Loop.now() + ChunkTime;
+    Loop.at(Sent, [this, H] {
+      Hosts[H].Sending = false;
+      pump(H);
+    });
+    TimePoint Arrives = Sent;
+    if (Hosts[To].Region != Here.Region) {
+      std::size_t Region = Hosts[To].Region;
+      ++RegionChunks[Region];
+      Arrives = std::max(Sent, transmit(RegionFree[Region], Loop.now(),
+                                        rated(Settings.RegionRate)));
+    }
+    Loop.at(Arrives + latency(H, To),
+            [this, To, Chunk, Id = Next->RequestId] { arrive(To, Chunk, Id); });
+  }
+
+  /// A chunk has come to the host's link; other chunks may be before it.
+  void arrive(std::size_t H, std::size_t Chunk, std::uint64_t Id) {
+    Host &Here = Hosts[H];
+    if (!Here.Alive)
+      return;
+    Here.DownlinkFree = std::max(Loop.now(), Here.DownlinkFree + ChunkTime);
+    Loop.at(Here.DownlinkFree, [this, H, Chunk, Id] { take(H, Chunk, Id); });
+  }
+
+  void take(std::size_t H, std::size_t Chunk, std::uint64_t Id) {
+    Host &Here = Hosts[H];
+    if (!Here.Alive)
+      return;
+    ++Here.Received;
+    bool Held = Here.Planner->held().contains(Chunk);
+    if (!Here.Planner->finished(Id, FetchOutcome::Stored, Loop.now()))
+      Here.Planner->storedLate(Chunk, Loop.now());
+    if (!Held) {
+      Here.Uploads->stored(Ids[Chunk]);
+      pump(H);
+      tellHoldings(H);
+    }
+    if (!Here.Done && Here.Planner->held().full()) {
+      Here.Done = Loop.now();
+      --Missing;
+    }
+    plan(H);
+  }
+
+  // ---- Holdings ----
+
+  void tellHoldings(std::size_t H) {
+    Host &Here = Hosts[H];
+    if (Here.Telling)
+      return;
+    Here.Telling = true;
+    Loop.at(std::max(Loop.now(), Here.ToldAt + HoldingsInterval), [this, H] {
+      Host &Here = Hosts[H];
+      Here.Telling = false;
+      Here.ToldAt = Loop.now();
+      if (!Here.Alive || Here.Silent)
+        return;
+      auto Held = std::make_shared<const ChunkSet>(Here.Planner->held());
+      for (std::size_t Peer : Here.Subscribers)
+        Loop.after(NearLatency, [this, H, Peer, Held] {
+          if (!Hosts[Peer].Alive || Hosts[Peer].Done)
+            return;
+          Hosts[Peer].Planner->peerHolds(Hosts[H].Place.Host, *Held,
+                                         Loop.now());
+          plan(Peer);
+        });
+    });
+  }
+
+  FleetResult result() const {
+    FleetResult R;
+    std::vector<double> Times;
+    std::size_t Received = 0;
+    std::size_t Useful = 0;
+    std::size_t LargestSent = 0;
+    for (const Host &H : Hosts) {
+      if (H.Done)
+        Times.push_back(units(*H.Done));
+      Received += H.Received;
+      Useful += H.Planner->held().count();
+      LargestSent = std::max(LargestSent, H.Sent);
+    }
+    auto Copies = [&](std::size_t Chunks) {
+      return static_cast<double>(Chunks) / static_cast<double>(Settings.Chunks);
+    };
+    std::sort(Times.begin(), Times.end());
+    R.Complete = Missing == 0;
+    if (!Times.empty()) {
+      R.P50 = Times[Times.size() / 2];
+      R.P95 = Times[Times.size() * 95 / 100];
+      R.All = Times.back();
+    }
+    R.OriginCopies = Copies(OriginChunks);
+    R.LargestUpload = Copies(LargestSent);
+    R.RegionCopies =
+        Copies(*std::max_element(RegionChunks.begin(), RegionChunks.end()));
+    R.DuplicatePart =
+        static_cast<double>(Received - Useful) / static_cast<double>(Received);
+    return R;
+  }
+
+  const FleetSettings Settings;
+  const Duration ChunkTime;
+  const core::Digest Version = core::Digest::of("version");
+  std::mt19937_64 Random;
+  EventLoop Loop;
+  TimePoint Start;
+  std::vector<core::Digest> Ids;
+  std::unordered_map<core::Digest, std::size_t> IndexOf;
+  std::unordered_map<core::HostId, std::size_t> IndexOfHost;
+  std::deque<Host> Hosts;
+  std::size_t Missing = 0;
+  std::size_t OriginChunks = 0;
+  TimePoint OriginFree{};
+  std::vector<TimePoint> RegionFree;
+  std::vector<std::size_t> RegionChunks;
+};
+
+/// Every host reads the whole copy over the origin's link, chunk by chunk in
+/// turn.
+FleetResult simulateOriginOnly(const FleetSettings &Settings) {
+  FleetResult R;
+  R.OriginCopies = static_cast<double>(Settings.Hosts);
+  R.All = std::max(1.0, R.OriginCopies / Settings.OriginRate);
+  R.P50 = R.P95 = R.All;
+  R.Complete = true;
+  return R;
+}
+
+/// A binary tree for the whole fleet: each host sends every chunk to two
+/// others, one after the other, so its link carries two copies.
+FleetResult simulateFixedTree(const FleetSettings &Settings) {
+  constexpr std::size_t Fanout = 2;
+  std::size_t N = Settings.Hosts;
+  double Chunk = 1.0 / static_cast<double>(Settings.Chunks);
+  std::vector<std::vector<double>> Has(
+      N, std::vector<double>(Settings.Chunks, 0.0));
+  std::vector<double> UplinkFree(N, 0.0);
+  for (std::size_t C = 0; C < Settings.Chunks; ++C) {
+    Has[0][C] =
+        std::max(static_cast<double>(C + 1) * Chunk,
+                 static_cast<double>(C + 1) * Chunk / Settings.OriginRate);
+    for (std::size_t H = 0; H < N; ++H)
+      for (std::size_t Child = Fanout * H + 1;
+           Child <= Fanout * H + Fanout && Child < N; ++Child) {
+        UplinkFree[H] = std::max(UplinkFree[H], Has[H][C]) + Chunk;
+        Has[Child][C] = UplinkFree[H];
+      }
+  }
+  std::vector<double> Times;
+  for (const auto &Chunks : Has)
+    Times.push_back(Chunks.back());
+  std::sort(Times.begin(), Times.end());
+  FleetResult R;
+  R.P50 = Times[N / 2];
+  R.P95 = Times[N * 95 / 100];
+  R.All = Times.back();
+  R.OriginCopies = 1;
+  R.LargestUpload = static_cast<double>(std::min(N - 1, Fanout));
+  R.Complete = true;
+  return R;
+}
+
+} // namespace
+
+FleetResult simulate(const FleetSettings &Settings) {
+  switch (Settings.How) {
+  case FleetSettings::Planner::OriginOnly:
+    return simulateOriginOnly(Settings);
+  case FleetSettings::Planner::FixedTree:
+    return simulateFixedTree(Settings);
+  case FleetSettings::Planner::Swarm:
+    break;
+  }
+  return Fleet(Settings).run();
+}
+
+std::string toString(const FleetResult &R) {
+  char Line[200];
+  std::snprintf(Line, sizeof(Line),
+                "p50 %.3f p95 %.3f all %.3f origin %.3f upload %.3f region "
+                "%.3f duplicates %.4f complete %d",
+                R.P50, R.P95, R.All, R.OriginCopies, R.LargestUpload,
+                R.RegionCopies, R.DuplicatePart, R.Complete);
+  return Line;
+}
+
+} // namespace rosemarylane::swarm::testing
--- /dev/null
+++ b/libs/swarm/tests/FleetTest.cpp
@@ -0,0 +1,65 @@
+/// Drives the swarm planner of whole fleets in simulated time, and holds the
+/// results against the targets and against naive planners.
+
+#include "FleetSimulation.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace rosemarylane::swarm::testing;
+
+namespace {
+
+constexpr double TimeTarget = 1.25;
+constexpr double FlatnessTarget = 1.15;
+constexpr double OriginTarget = 1.1;
+constexpr double OriginTargetWithDeaths = 2;
+constexpr double UploadTarget = 1.1;
+constexpr double DuplicateTarget = 0.02;
+/// One copy for each region, whatever the rounding to chunks.
+constexpr double RegionTarget = 1.0;
+
+FleetResult run(const FleetSettings &Settings) {
+  FleetResult Result = simulate(Settings);
+  BOOST_TEST_MESSAGE(Settings.Hosts << " hosts: " << toString(Result));
+  return Result;
+}
+
+FleetSettings fleetOf(std::size_t Hosts) {
+  FleetSettings Settings;
+  Settings.Hosts = Hosts;
+  return Settings;
+}
+
+FleetSettings largeFleet() {
+  FleetSettings Settings = fleetOf(840);
+  Settings.FailureDomains = 19;
+  Settings.Regions = 5;
+  return Settings;
+}
+
+void checkTargets(const FleetResult &Result) {
+  BOOST_TEST(Result.Complete);
+  BOOST_TEST(Result.All <= TimeTarget);
+  BOOST_TEST(Result.OriginCopies <= OriginTarget);
+  BOOST_TEST(Result.LargestUpload <= UploadTarget);
+  BOOST_TEST(Result.RegionCopies <= RegionTarget);
+  BOOST_TEST(Result.DuplicatePart <= DuplicateTarget);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(fleet)
+
+BOOST_AUTO_TEST_CASE(time_is_near_one_copy_and_flat) {
+  FleetResult Small = run(fleetOf(20));
+  checkTargets(Small);
+  FleetResult Large = run(fleetOf(160));
+  checkTargets(Large);
+  BOOST_TEST(Large.All <= FlatnessTarget * Small.All);
+}
+
+BOOST_AUTO_TEST_CASE(targets_hold_at_design_size) {
+  checkTargets(run(largeFleet()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
