--- a/libs/http/include/http/Exchange.h
+++ b/libs/http/include/http/Exchange.h
@@ -3,6 +3,7 @@
 
 #include "http/Message.h"
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -10,15 +11,20 @@
 
 /// The server's side of one request: answers it whole, or as a stream of parts.
 ///
-/// Shared by the server and the handler; every method may be called from any
-/// thread. Exactly one of `respond`, or `startStream` followed by `finish` or
-/// `abort`, ends the exchange; what comes after the end is ignored.
+/// Owned by the handler; every method may be called from any thread, while the
+/// server's duty lives. Exactly one of `respond`, or `startStream` followed by
+/// `finish` or `abort`, ends the exchange; what comes after the end is ignored.
+/// Dropping it unended aborts it.
 class Exchange {
 public:
   virtual ~Exchange() = default;
 
   virtual const Request &request() const = 0;
 
+  /// @return the number of the connection that brought the request; grows with
+  /// each connection that the server accepts.
+  virtual std::uint64_t connection() const { return 0; }
+
   /// Answers whole, with a `Content-Length`.
   virtual void respond(Response Whole) = 0;
 
--- /dev/null
+++ b/rosemarylane/src/agent/Gate.cpp
@@ -0,0 +1,472 @@
+#include "agent/Gate.h"
+
+#include "agent/TargetCall.h"
+#include "routing/Admission.h"
+#include "routing/WaitQueue.h"
+#include "telemetry/Log.h"
+
+#include <algorithm>
+#include <map>
+
+namespace rosemarylane {
+
+namespace {
+
+constexpr std::size_t RequestIdBytes = 16;
+constexpr std::chrono::milliseconds QueueTick{50};
+/// A plain service whose connection failed is not offered to entries for this
+/// long.
+constexpr std::chrono::milliseconds FailedServiceRest{1000};
+constexpr std::uint32_t BusyRetryAfterMs = 200;
+/// Requests that may wait at the agent: enough to keep the target busy between
+/// two answers, too few to wait long.
+constexpr std::size_t WaitingCapacity = 16;
+
+ledger::Ran toLedger(wire::Ran Ran) {
+  switch (Ran) {
+  case wire::RAN_NO:
+    return ledger::Ran::No;
+  case wire::RAN_YES:
+    return ledger::Ran::Yes;
+  default:
+    return ledger::Ran::Unknown;
+  }
+}
+
+wire::Ran toWire(ledger::Ran Ran) {
+  switch (Ran) {
+  case ledger::Ran::No:
+    return wire::RAN_NO;
+  case ledger::Ran::Yes:
+    return wire::RAN_YES;
+  case ledger::Ran::Unknown:
+    return wire::RAN_UNKNOWN;
+  }
+  return wire::RAN_UNKNOWN;
+}
+
+/// One attempt, from its arrival to its end.
+struct TargetRun {
+  wire::Peer From;
+  wire::RunRequest Request;
+  telemetry::Span Span;
+  core::TimePoint ArrivedAt;
+  /// The model's generation when the run was admitted; none for a plain
+  /// service.
+  std::optional<std::uint64_t> Generation;
+  bool Cancelled = false;
+  /// Null while the run waits.
+  std::shared_ptr<TargetCall> Call;
+  TargetCallEnd End;
+
+  bool running() const { return Call != nullptr; }
+};
+
+core::TimePoint now() { return std::chrono::steady_clock::now(); }
+
+class GateImpl final : public Gate {
+public:
+  GateImpl(ProcessContext &Context, const MessageSender &Send,
+           ConfigurationService &Configuration, HeartbeatService &Heartbeats,
+           WeightService *Weights)
+      : Context(Context), Send(Send), Configuration(Configuration),
+        Heartbeats(Heartbeats), Weights(Weights) {
+    Tick = Context.Timers->every(QueueTick, *Context.Control,
+                                 [this] { expireWaiting(); });
+    Configuration.onChange(
+        [this](const std::shared_ptr<const core::Configuration> &Config) {
+          applyConfiguration(*Config);
+        });
+    applyConfiguration(*Configuration.current());
+    if (!Weights)
+      return;
+    Weights->onServed([this] { Admit.turnedCold(); });
+    Weights->onReplace(
+        [this](const core::EntryName &Entry, std::function<void()> Drained) {
+          drainEntry(Entry, std::move(Drained));
+        });
+  }
+
+  void receive(const wire::Peer &From, const wire::Envelope &Message) override {
+    switch (Message.body_case()) {
+    case wire::Envelope::kRunRequest:
+      arrive(From, Message);
+      break;
+    case wire::Envelope::kCancelRequest:
+      cancel(Message.cancel_request().id().request());
+      break;
+    case wire::Envelope::kOutcomeQuery:
+      answerQuery(From, Message.outcome_query());
+      break;
+    default:
+      break;
+    }
+  }
+
+  std::vector<wire::Holding> holdings() const override {
+    std::vector<wire::Holding> All;
+    if (Weights)
+      All = Weights->holdings();
+    else
+      All.push_back(serviceHolding());
+    for (wire::Holding &H : All)
+      addLoad(H);
+    return All;
+  }
+
+  void drain(std::function<void()> Idle) override {
+    Draining = true;
+    OnIdle = std::move(Idle);
+    checkIdle();
+  }
+
+  std::size_t inProgress() const override { return Runs.size(); }
+
+private:
+  using Run = std::shared_ptr<TargetRun>;
+
+  // ---- Admission ----
+
+  void arrive(const wire::Peer &From, const wire::Envelope &Message) {
+    auto R = std::make_shared<TargetRun>();
+    R->From = From;
+    R->Request = Message.run_request();
+    R->Span = telemetry::Tracer::open(
+        "agent.run",
+        telemetry::TraceContext::fromHeader(Message.traceparent()));
+    R->ArrivedAt = now();
+    const wire::RunRequest &Request = R->Request;
+    if (Request.id().request().size() != RequestIdBytes)
+      return refuse(*R, wire::REFUSAL_MALFORMED, wire::RAN_NO,
+                    "malformed request id");
+    if (Request.agent_incarnation() != Context.Incarnation)
+      return refuse(*R, wire::REFUSAL_TARGET_FAILED, wire::RAN_NO,
+                    "the agent has restarted");
+    if (auto Known = alreadyKnown(*R))
+      return refuse(*R, wire::REFUSAL_CANCELLED, *Known,
+                    "the attempt was cancelled or came too late");
+    if (Runs.contains(Request.id().request()))
+      return;
+    if (auto Reason = refusalOf(*R))
+      return finishRefused(R, *Reason, wire::RAN_NO, "");
+    Runs.emplace(Request.id().request(), R);
+    if (Waiting.size() == 0 && admitted(classOf(*R)))
+      return start(R);
+    auto Deadline =
+        R->ArrivedAt + std::chrono::milliseconds(Request.deadline_ms());
+    if (auto Refused = Waiting.push(classOf(*R), Deadline, R))
+      finishRefused(*Refused, wire::REFUSAL_BUSY, wire::RAN_NO, "");
+  }
+
+  bool admitted(core::TrafficClass Class) {
+    return Admit.tryAdmit(Class) == routing::Admission::Decision::Admitted;
+  }
+
+  static core::TrafficClass classOf(const TargetRun &R) {
+    auto Lowest = static_cast<std::uint32_t>(core::TrafficClass::Batch);
+    return static_cast<core::TrafficClass>(
+        std::min(R.Request.traffic_class(), Lowest));
+  }
+
+  void applyConfiguration(const core::Configuration &Config) {
+    Admit.setCeiling(ceiling(Config));
+    Admit.setOutOfService(
+        Config.outOfService(Context.Config.Host, Context.Config.FailureDomain));
+  }
+
+  /// Registers the attempt.
+  /// @return what is known of it if it must not be started.
+  std::optional<wire::Ran> alreadyKnown(const TargetRun &R) {
+    const std::string &Id = R.Request.id().request();
+    core::TimePoint SentAfter = sentAfter(R.Request.agent_time_ms());
+    if (Runs.contains(Id) || Table.start(Id, SentAfter, R.ArrivedAt))
+      return std::nullopt;
+    return toWire(Table.query(Id, SentAfter, true, R.ArrivedAt).What);
+  }
+
+  core::TimePoint sentAfter(std::uint64_t AgentTimeMs) const {
+    return Context.StartedAt + std::chrono::milliseconds(AgentTimeMs);
+  }
+
+  /// Checks what does not depend on load.
+  std::optional<wire::RefusalReason> refusalOf(TargetRun &R) const {
+    const wire::RunRequest &Request = R.Request;
+    auto Config = Configuration.current();
+    if (Draining ||
+        Config->outOfService(Context.Config.Host, Context.Config.FailureDomain))
+      return wire::REFUSAL_OUT_OF_SERVICE;
+    auto Digest = core::Digest::fromBytes(Request.digest());
+    if (Digest && Heartbeats.quarantined(*Digest))
+      return wire::REFUSAL_QUARANTINED;
+    if (!Weights) {
+      if (Request.entry() != Context.Config.Target.Serves.str())
+        return wire::REFUSAL_UNKNOWN_ENTRY;
+      return std::nullopt;
+    }
+    const ServedVersion *Served = served(Request.entry());
+    if (!Served)
+      return wire::REFUSAL_UNKNOWN_ENTRY;
+    if (Served->Version.bytes() != Request.version())
+      return wire::REFUSAL_VERSION;
+    R.Generation = Served->Generation;
+    return std::nullopt;
+  }
+
+  const ServedVersion *served(const std::string &Entry) const {
+    for (const ServedVersion &S : Weights->served())
+      if (S.Entry.str() == Entry && !Replacing.contains(S.Entry))
+        return &S;
+    return nullptr;
+  }
+
+  std::uint32_t ceiling(const core::Configuration &Config) const {
+    std::uint32_t Ceiling = 1;
+    for (const core::CatalogueEntry &E : Config.Entries)
+      if (mine(E))
+        Ceiling = std::max(Ceiling, E.Limit.Concurrency);
+    return Ceiling;
+  }
+
+  bool mine(const core::CatalogueEntry &E) const {
+    if (Weights)
+      return E.Kind == core::TargetKind::Engine;
+    return E.Name == Context.Config.Target.Serves;
+  }
+
+  void startWaiting() {
+    auto MayStart = [this](core::TrafficClass Class) {
+      return admitted(Class);
+    };
+    while (auto Next = Waiting.pop(MayStart)) {
+      auto Reason = refusalOf(**Next);
+      if (!Reason) {
+        start(*Next);
+        continue;
+      }
+      Admit.finished(routing::Admission::Outcome::Abandoned, {});
+      finishRefused(*Next, *Reason, wire::RAN_NO, "");
+    }
+  }
+
+  void expireWaiting() {
+    for (const Run &R : Waiting.expire(now()))
+      finishRefused(R, wire::REFUSAL_DEADLINE, wire::RAN_NO, "");
+    startWaiting();
+  }
+
+  // ---- Running ----
+
+  void start(const Run &R) {
+    R->Call = TargetCall::start(
+        Context, Send, R->From, R->Request, R->Span.Context.header(),
+        R->Generation,
+        [this, R](TargetCallEnd How) { onCallEnd(R, std::move(How)); });
+  }
+
+  void onCallEnd(const Run &R, TargetCallEnd How) {
+    if (How.TargetInDoubt)
+      doubtTarget();
+    if (How.MayHaveDied)
+      suspectDeath();
+    R->End = std::move(How);
+    if (R->End.Reason != wire::REFUSAL_UNSPECIFIED)
+      refuse(*R, R->End.Reason, toWire(R->End.Ran), R->End.Detail);
+    end(R, R->End.Ran, R->End.Answer);
+  }
+
+  void doubtTarget() {
+    ServiceFailedAt = now();
+    if (Weights)
+      Weights->engineChanged();
+  }
+
+  /// If the target died, the requests in progress are reported as possible
+  /// causes.
+  void suspectDeath() {
+    if (!Weights)
+      return;
+    std::vector<core::Digest> Suspects;
+    for (const auto &[Id, R] : Runs)
+      if (R->running())
+        if (auto Digest = core::Digest::fromBytes(R->Request.digest()))
+          Suspects.push_back(*Digest);
+    Heartbeats.reportSuspects(std::move(Suspects));
+  }
+
+  // ---- Ending ----
+
+  void refuse(const TargetRun &R, wire::RefusalReason Reason, wire::Ran Ran,
+              const std::string &Detail) {
+    wire::Envelope Message;
+    wire::RunRefusal &Out = *Message.mutable_run_refusal();
+    *Out.mutable_id() = R.Request.id();
+    Out.set_reason(Reason);
+    Out.set_ran(Ran);
+    Out.set_detail(Detail);
+    if (Reason == wire::REFUSAL_BUSY)
+      Out.set_retry_after_ms(BusyRetryAfterMs);
+    Send.send(R.From, std::move(Message));
+  }
+
+  void finishRefused(const Run &R, wire::RefusalReason Reason, wire::Ran Ran,
+                     const std::string &Detail) {
+    refuse(*R, Reason, Ran, Detail);
+    end(R, toLedger(Ran), nullptr);
+  }
+
+  void end(const Run &R, ledger::Ran What,
+           std::shared_ptr<const ledger::HeldAnswer> Answer) {
+    const std::string Id = R->Request.id().request();
+    Runs.erase(Id);
+    if (R->running())
+      Admit.finished(outcomeOf(*R, What), R->End.FirstPartAfter);
+    else
+      Waiting.remove(R);
+    Table.finish(Id, What, std::move(Answer), now());
+    R->Span.Failed = What != ledger::Ran::Yes;
+    Context.Tracer->close(R->Span);
+    // Ends the call if it is still open.
+    R->Call.reset();
+    startWaiting();
+    checkReplacing();
+    checkIdle();
+  }
+
+  static routing::Admission::Outcome outcomeOf(const TargetRun &R,
+                                               ledger::Ran What) {
+    if (R.Cancelled)
+      return routing::Admission::Outcome::Abandoned;
+    return What == ledger::Ran::Yes ? routing::Admission::Outcome::Answered
+                                    : routing::Admission::Outcome::Failed;
+  }
+
+  void cancel(const std::string &Id) {
+    auto Found = Runs.find(Id);
+    if (Found == Runs.end())
+      return;
+    Run R = Found->second;
+    if (!R->running())
+      return finishRefused(R, wire::REFUSAL_CANCELLED, wire::RAN_NO, "");
+    // A request that may not be repeated runs to its end, so that its answer is
+    // known.
+    if (!R->Request.idempotent())
+      return;
+    R->Cancelled = true;
+    finishRefused(R, wire::REFUSAL_CANCELLED, wire::RAN_UNKNOWN, "");
+  }
+
+  void answerQuery(const wire::Peer &From, const wire::OutcomeQuery &Query) {
+    wire::Envelope Message;
+    wire::OutcomeReply &Out = *Message.mutable_outcome_reply();
+    *Out.mutable_id() = Query.id();
+    if (Query.agent_incarnation() != Context.Incarnation) {
+      Out.set_ran(wire::RAN_UNKNOWN);
+      Send.send(From, std::move(Message));
+      return;
+    }
+    if (Query.forbid())
+      withdrawWaiting(Query.id().request());
+    auto Outcome =
+        Table.query(Query.id().request(), sentAfter(Query.agent_time_ms()),
+                    Query.forbid(), now());
+    Out.set_ran(toWire(Outcome.What));
+    Out.set_in_progress(Outcome.InProgress);
+    if (Outcome.Answer) {
+      Out.set_held(true);
+      Out.set_status(Outcome.Answer->Status);
+      Out.set_body(Outcome.Answer->Body);
+      for (const auto &[Name, Value] : Outcome.Answer->Headers) {
+        wire::Header &H = *Out.add_headers();
+        H.set_name(Name);
+        H.set_value(Value);
+      }
+    }
+    Send.send(From, std::move(Message));
+  }
+
+  /// A forbidden attempt that only waits has not started.
+  void withdrawWaiting(const std::string &Id) {
+    auto Found = Runs.find(Id);
+    if (Found != Runs.end() && !Found->second->running())
+      finishRefused(Found->second, wire::REFUSAL_CANCELLED, wire::RAN_NO, "");
+  }
+
+  // ---- Draining ----
+
+  void drainEntry(const core::EntryName &Entry, std::function<void()> Drained) {
+    Replacing[Entry] = std::move(Drained);
+    checkReplacing();
+  }
+
+  /// Tells the weight service of each entry that no run uses any more.
+  void checkReplacing() {
+    std::vector<std::function<void()>> Ready;
+    std::erase_if(Replacing, [&](const auto &Item) {
+      bool Used = std::any_of(Runs.begin(), Runs.end(), [&](const auto &R) {
+        return R.second->running() &&
+               R.second->Request.entry() == Item.first.str();
+      });
+      if (!Used)
+        Ready.push_back(Item.second);
+      return !Used;
+    });
+    for (const auto &Drained : Ready)
+      Drained();
+  }
+
+  void checkIdle() {
+    if (Draining && Runs.empty() && OnIdle)
+      std::exchange(OnIdle, nullptr)();
+  }
+
+  // ---- Holdings ----
+
+  wire::Holding serviceHolding() const {
+    wire::Holding H;
+    H.set_entry(Context.Config.Target.Serves.str());
+    H.set_serving(now() - ServiceFailedAt > FailedServiceRest);
+    return H;
+  }
+
+  void addLoad(wire::Holding &H) const {
+    if (Draining || Replacing.contains(core::EntryName(H.entry())))
+      H.set_serving(false);
+    H.set_credits(Admit.credits(core::TrafficClass::Interactive));
+    H.set_in_progress(Admit.inProgress());
+    H.set_waiting(Waiting.size());
+    H.set_latency_us(
+        std::chrono::duration_cast<std::chrono::microseconds>(Admit.latency())
+            .count());
+  }
+
+  ProcessContext &Context;
+  const MessageSender &Send;
+  ConfigurationService &Configuration;
+  HeartbeatService &Heartbeats;
+  WeightService *Weights;
+  runtime::TimerService::Subscription Tick;
+
+  ledger::AttemptTable Table;
+  /// Attempts that wait or run, by request id.
+  std::map<std::string, Run> Runs;
+  routing::Admission Admit{1};
+  routing::WaitQueue<Run> Waiting{WaitingCapacity};
+  /// Entries whose version is about to be replaced: they take no new work.
+  std::map<core::EntryName, std::function<void()>> Replacing;
+  core::TimePoint ServiceFailedAt;
+  bool Draining = false;
+  std::function<void()> OnIdle;
+};
+
+} // namespace
+
+std::unique_ptr<Gate> Gate::create(ProcessContext &Context,
+                                   const MessageSender &Send,
+                                   ConfigurationService &Configuration,
+                                   HeartbeatService &Heartbeats,
+                                   WeightService *Weights) {
+  return std::make_unique<GateImpl>(Context, Send, Configuration, Heartbeats,
+                                    Weights);
+}
+
+} // namespace rosemarylane
