Fetch weights by the swarm planner, paced below live traffic

Cause: the thin path asked peers one by one and the origin after three refusals. The change: ChunkExchange drives a SwarmPlanner for each version; ChunkTransfers checks digests on a duty of its own; ChunkUploads answers by UploadQueue within the uplink's balance, from which live traffic is taken first; manifests are kept beside the chunks in the engine; chunks that no version needs are removed; an old version is unloaded first when both do not fit; byte counters by distance. Origin reads wait while a fleet that has just started is still seen bit by bit.

--- a/libs/swarm/include/swarm/ReaderRanks.h
+++ b/libs/swarm/include/swarm/ReaderRanks.h
@@ -44,10 +44,13 @@
   bool gateway() const { return OwnGateway; }
   /// @return the gateways of the whole fleet.
   std::size_t gateways() const { return GatewayCount; }
+  /// @return the gateways of the own region.
+  std::size_t regionGateways() const { return RegionGatewayCount; }
 
 private:
   std::vector<Readers> ByChunk;
   std::size_t GatewayCount = 0;
+  std::size_t RegionGatewayCount = 0;
   bool OwnGateway = false;
 };
 
--- a/libs/swarm/include/swarm/SwarmPlanner.h
+++ b/libs/swarm/include/swarm/SwarmPlanner.h
@@ -32,6 +32,10 @@
   std::chrono::nanoseconds PollDelay = std::chrono::milliseconds(100);
   /// Peers are heard for this long before the origin is read.
   std::chrono::nanoseconds ListenTime = std::chrono::milliseconds(300);
+  /// While fewer members are seen than there are replicas, the origin is read
+  /// once they have not changed for this long, as a fleet that has just started
+  /// is seen bit by bit.
+  std::chrono::nanoseconds SettleTime = std::chrono::seconds(1);
   /// The time that one copy takes over a host's link; paces the origin reads of
   /// a host that sees only part of the fleet.
   std::chrono::nanoseconds CopyTime = std::chrono::seconds(60);
@@ -105,12 +109,16 @@
   /// A peer asked this host for a chunk \p As a region's or the fleet's reader.
   virtual void demanded(std::size_t Chunk, ChunkFetch::Source As) = 0;
 
-  /// @param RemoteReads requests to the origin and other regions that pacing
-  /// allows now.
+  /// @param RemoteReads new requests to the origin and to other regions that
+  /// pacing allows now.
   /// @return the requests to send now.
   virtual std::vector<ChunkFetch> plan(core::TimePoint Now,
                                        std::size_t RemoteReads) = 0;
 
+  /// @return the hosts of the own region that read from the origin and other
+  /// regions; 0 before the members are known.
+  virtual std::size_t regionGateways() const = 0;
+
   /// A fetch ended. `Queued` does not end it.
   /// @return false if the fetch was given up before; for `Stored`, also if the
   /// chunk had come another way.
--- a/libs/swarm/src/ReaderRanks.cpp
+++ b/libs/swarm/src/ReaderRanks.cpp
@@ -73,6 +73,10 @@
   std::vector<Index> Gateways =
       chooseGateways(std::hash<core::Digest>()(Version), Members, Hashes);
   GatewayCount = Gateways.size();
+  RegionGatewayCount = static_cast<std::size_t>(
+      std::count_if(Gateways.begin(), Gateways.end(), [&](Index G) {
+        return Members[G].Region == Members[Self].Region;
+      }));
   OwnGateway =
       std::find(Gateways.begin(), Gateways.end(), Self) != Gateways.end();
   std::vector<Index> Neighbours;
--- a/libs/swarm/src/SwarmPlanner.cpp
+++ b/libs/swarm/src/SwarmPlanner.cpp
@@ -20,6 +20,8 @@
 
 /// Hosts behind the first in a failure domain that may step in for it.
 constexpr std::uint32_t StandbyRanks = 3;
+/// Settle times after which the origin is read although members still change.
+constexpr int SettlePeriods = 3;
 /// Of the version's chunks, the part that may be asked for twice at the end.
 constexpr std::size_t DuplicateDivisor = 100;
 
@@ -60,7 +62,7 @@
     assert(Own.size() == Ids.size());
   }
 
-  void setMembers(std::vector<EngineHost> Hosts, std::uint32_t Replicas,
+  void setMembers(std::vector<EngineHost> Hosts, std::uint32_t Wanted,
                   TimePoint Now) override {
     auto Mine = std::find_if(Hosts.begin(), Hosts.end(),
                              [&](const auto &H) { return H.Host == Self; });
@@ -68,6 +70,8 @@
       return;
     if (Members.empty())
       Started = Now;
+    MembersChanged = Now;
+    Replicas = Wanted;
     SelfIndex = static_cast<Index>(Mine - Hosts.begin());
     Members = std::move(Hosts);
     Ranks = ReaderRanks(Version, Ids, Members, SelfIndex);
@@ -123,6 +127,10 @@
     return Result;
   }
 
+  std::size_t regionGateways() const override {
+    return Members.empty() ? 0 : Ranks.regionGateways();
+  }
+
   bool finished(std::uint64_t Id, FetchOutcome Outcome,
                 TimePoint Now) override {
     auto Found = Fetches.find(Id);
@@ -219,6 +227,10 @@
   }
 
   bool listened(TimePoint Now) const {
+    if (Members.size() < Replicas &&
+        Now - MembersChanged < Settings.SettleTime &&
+        Now - Started < SettlePeriods * Settings.SettleTime)
+      return false;
     return Now - Started >= Settings.ListenTime ||
            std::all_of(View.begin(), View.end(),
                        [](const ViewPeer &P) { return P.Heard; });
@@ -355,7 +367,7 @@
     return Result;
   }
 
-  void planReads(TimePoint Now, std::size_t RemoteReads,
+  void planReads(TimePoint Now, std::size_t &RemoteReads,
                  std::vector<ChunkFetch> &Result) {
     std::erase_if(Reads, [&](std::size_t C) { return Own.contains(C); });
     for (std::size_t C : Reads)
@@ -364,7 +376,7 @@
   }
 
   /// Takes over from readers that bring nothing.
-  void planStepIns(TimePoint Now, std::size_t RemoteReads,
+  void planStepIns(TimePoint Now, std::size_t &RemoteReads,
                    std::vector<ChunkFetch> &Result) {
     auto Stalled = Now - LastProgress;
     if (Stalled <= Settings.StallTimeout)
@@ -379,7 +391,7 @@
     }
   }
 
-  void read(std::size_t Chunk, TimePoint Now, std::size_t RemoteReads,
+  void read(std::size_t Chunk, TimePoint Now, std::size_t &RemoteReads,
             std::vector<ChunkFetch> &Result) {
     std::vector<SourceChoice> Sources = sources(Chunk);
     if (Sources.empty())
@@ -387,15 +399,18 @@
     const SourceChoice &Choice =
         Sources[States[Chunk].Attempt % Sources.size()];
     if (remote(Choice.From) &&
-        Remote >= std::min(RemoteReads, Settings.RemoteReadsAtOnce))
+        (RemoteReads == 0 || Remote >= Settings.RemoteReadsAtOnce))
       return;
     if (Choice.From == ChunkFetch::Source::Origin) {
       bool First = Ranks.readers(Chunk).Fleet[0] == SelfIndex;
       if (!Budget.take(First, Now))
         return;
+      --RemoteReads;
       begin(Chunk, Choice.From, core::HostId(), Now, Result);
       return;
     }
+    if (remote(Choice.From))
+      --RemoteReads;
     begin(Chunk, Choice.From, Members[Choice.Host].Host, Now, Result);
   }
 
@@ -470,6 +485,7 @@
   std::mt19937_64 Random;
 
   std::vector<EngineHost> Members;
+  std::uint32_t Replicas = 0;
   Index SelfIndex = 0;
   ReaderRanks Ranks;
   OriginBudget Budget;
@@ -493,6 +509,7 @@
   std::size_t Remote = 0;
   std::size_t Duplicates = 0;
   TimePoint Started{};
+  TimePoint MembersChanged{};
   TimePoint LastProgress{};
   TimePoint NextExpiry{};
 };
--- a/rosemarylane/src/agent/ChunkExchange.cpp
+++ b/rosemarylane/src/agent/ChunkExchange.cpp
@@ -1,268 +1,496 @@
 #include "agent/ChunkExchange.h"
 
+#include "agent/ChunkTransfers.h"
+#include "agent/ChunkUploads.h"
+#include "agent/SharedVersion.h"
 #include "core/Rendezvous.h"
-#include "core/Time.h"
+#include "swarm/ClassShare.h"
+#include "swarm/TokenBucket.h"
 #include "telemetry/Log.h"
 
 #include <algorithm>
 #include <map>
-#include <unordered_map>
 
 namespace rosemarylane {
 
 namespace {
 
-constexpr std::chrono::milliseconds StepInterval{50};
-constexpr std::chrono::milliseconds RequestTimeout{3000};
-constexpr std::chrono::milliseconds RetryDelay{100};
-constexpr std::size_t RequestsAtOnce = 4;
-constexpr std::size_t UploadsAtOnce = 4;
-/// Peers asked in vain before the origin is asked instead.
-constexpr std::size_t PeersBeforeOrigin = 3;
+using core::TimePoint;
+using Status = ChunkTransfers::Status;
 
-core::TimePoint now() { return std::chrono::steady_clock::now(); }
+constexpr std::chrono::milliseconds StepInterval{10};
+/// The least time between two messages that tell a peer what is held here.
+constexpr std::chrono::milliseconds HoldingsInterval{100};
+/// A peer follows holdings for this long after it asked for them.
+constexpr std::chrono::seconds FollowFor{3};
+constexpr std::chrono::seconds FollowRenewal{1};
+constexpr std::chrono::milliseconds ManifestPoll{100};
+constexpr std::chrono::seconds ManifestTimeout{3};
+/// Bytes that an idle link may save up.
+constexpr std::uint64_t LinkBurst = 256 << 10;
+/// Of a link between regions, the part that weights may take.
+constexpr double RegionLinkPart = 0.8;
+/// Bytes by which a version may be ahead of its turn before it waits.
+constexpr double TurnSlack = 4 << 20;
+constexpr std::size_t Unpaced = 1 << 20;
 
-class SimpleChunkExchange final : public ChunkExchange {
+TimePoint now() { return std::chrono::steady_clock::now(); }
+
+swarm::FetchOutcome outcomeOf(Status How) {
+  switch (How) {
+  case Status::Data:
+    return swarm::FetchOutcome::Stored;
+  case Status::Busy:
+    return swarm::FetchOutcome::Busy;
+  case Status::NotHeld:
+    return swarm::FetchOutcome::NotHeld;
+  case Status::Queued:
+    return swarm::FetchOutcome::Queued;
+  case Status::Failed:
+    break;
+  }
+  return swarm::FetchOutcome::Failed;
+}
+
+class SwarmChunkExchange final : public ChunkExchange {
 public:
-  SimpleChunkExchange(ProcessContext &Context, const MessageSender &Send,
-                      ChunkStore &Store, Hooks To)
-      : Context(Context), Send(Send), Store(Store), To(std::move(To)),
+  SwarmChunkExchange(ProcessContext &Context, const MessageSender &Send,
+                     ChunkStore &Store, Hooks To)
+      : Context(Context), Send(Send), Store(Store),
+        To(std::move(To)), Self{Context.Config.Host, Context.Config.Region,
+                                Context.Config.FailureDomain},
+        Uplink(Context.Config.Bandwidth.Uplink, LinkBurst),
+        Downlink(Context.Config.Bandwidth.Downlink, LinkBurst),
+        RegionLink(Context.Config.Bandwidth.RegionLink, 0),
+        Metrics(*Context.Metrics), Transfers(Context, Send, Metrics),
+        Uploads(Send, Store, Uplink, Metrics),
         Alive(std::make_shared<bool>(true)) {
     Timer = Context.Timers->every(StepInterval, *Context.Control,
-                                  guarded([this] { step(); }));
+                                  [this, Guard = std::weak_ptr<bool>(Alive)] {
+                                    if (Guard.lock())
+                                      step();
+                                  });
   }
 
-  void setWanted(std::vector<Wanted> Versions) override {
-    std::map<core::Digest, Fetch> Next;
-    for (Wanted &Want : Versions) {
-      Fetch &Entry = Next[Want.Version];
-      if (auto Old = Fetches.find(Want.Version); Old != Fetches.end())
-        Entry = std::move(Old->second);
-      Entry.Want = std::move(Want);
+  void setWanted(std::vector<Wanted> Newer) override {
+    std::map<core::Digest, std::unique_ptr<SharedVersion>> Next;
+    for (Wanted &Want : Newer) {
+      core::Digest Version = Want.Version;
+      // Entries of the same version share it.
+      if (Next.contains(Version))
+        continue;
+      auto Old = Versions.find(Version);
+      if (Old == Versions.end()) {
+        Next[Version] = std::make_unique<SharedVersion>(std::move(Want));
+        continue;
+      }
+      bool Moved = Old->second->want().Peers != Want.Peers ||
+                   Old->second->want().Replicas != Want.Replicas;
+      Old->second->setWant(std::move(Want));
+      if (Moved)
+        Old->second->setMembers(now());
+      Next[Version] = std::move(Old->second);
     }
-    Fetches = std::move(Next);
-    std::erase_if(Requests, [&](const auto &Item) {
-      return !Fetches.contains(Item.second.Version);
-    });
+    for (const auto &[Version, Old] : Versions)
+      if (!Next.contains(Version)) {
+        Uploads.forget(Version);
+        Share.forget(Version);
+      }
+    Versions = std::move(Next);
     step();
   }
 
   const swarm::Manifest *manifest(const core::Digest &Version) const override {
-    auto Found = Fetches.find(Version);
-    if (Found == Fetches.end() || !Found->second.Manifest)
-      return nullptr;
-    return &*Found->second.Manifest;
+    auto Found = Versions.find(Version);
+    return Found == Versions.end() ? nullptr : Found->second->manifest();
   }
 
-  void storeChanged() override { step(); }
+  void storeChanged() override {
+    for (auto &[Version, Shared] : Versions)
+      Shared->compare(Store, now());
+    step();
+  }
 
   void receive(const wire::Peer &From, const wire::Envelope &Message) override {
     if (Message.has_chunk_request())
-      serve(From, Message.chunk_request());
+      serve(From, Message.sender(), Message.chunk_request());
     else if (Message.has_chunk_reply())
-      take(Message.chunk_reply());
+      Transfers.receive(Message.chunk_reply());
+    else if (Message.has_holdings_update())
+      takeHoldings(Message.sender(), Message.holdings_update());
   }
 
 private:
-  struct Fetch {
-    Wanted Want;
-    std::optional<swarm::Manifest> Manifest;
-    bool ReadingManifest = false;
-    /// Peers asked in vain for each chunk.
-    std::unordered_map<core::Digest, std::size_t> Misses;
-  };
-  struct Request {
-    core::Digest Version;
-    core::Digest Chunk;
-    bool FromOrigin = false;
-    core::TimePoint Deadline;
-  };
-
-  template <typename F> std::function<void()> guarded(F Work) {
-    return [Guard = std::weak_ptr<bool>(Alive), Work] {
-      if (Guard.lock())
-        Work();
-    };
+  SharedVersion *find(const core::Digest &Version) {
+    auto Found = Versions.find(Version);
+    return Found == Versions.end() ? nullptr : Found->second.get();
   }
 
+  // ---- Steps ----
+
   void step() {
-    expire();
-    for (auto &[Version, Entry] : Fetches) {
-      if (!Entry.Manifest) {
-        fetchManifest(Entry);
-        continue;
-      }
-      for (const swarm::ManifestChunk &Chunk : Entry.Manifest->Chunks) {
-        if (Requests.size() >= RequestsAtOnce)
-          return;
-        if (!Store.holds(Chunk.Id))
-          request(Entry, Chunk.Id);
-      }
+    TimePoint Now = now();
+    countLiveTraffic(Now);
+    for (auto &[Version, Shared] : Versions) {
+      if (!Shared->manifest())
+        fetchManifest(*Shared, Now);
+      tellHoldings(*Shared, Now);
     }
+    planFetches(Now);
+    Uploads.pump(Now);
+    Transfers.expire(Now);
   }
 
-  void expire() {
-    std::vector<Request> Late;
-    std::erase_if(Requests, [&](const auto &Item) {
-      if (Item.second.Deadline > now())
-        return false;
-      Late.push_back(Item.second);
-      return true;
+  /// Takes what live requests and answers moved out of the links' balances, so
+  /// that weights yield to them.
+  void countLiveTraffic(TimePoint Now) {
+    if (!Context.Peers)
+      return;
+    wire::PeerTraffic Traffic = Context.Peers->traffic();
+    std::uint64_t Out = subtract(Traffic.BytesOut, Uploads.bytesSent());
+    std::uint64_t In = subtract(Traffic.BytesIn, ReceivedFromPeers);
+    Uplink.take(subtract(Out, LiveOut), Now);
+    Downlink.take(subtract(In, LiveIn), Now);
+    LiveOut = std::max(LiveOut, Out);
+    LiveIn = std::max(LiveIn, In);
+  }
+
+  static std::uint64_t subtract(std::uint64_t A, std::uint64_t B) {
+    return A > B ? A - B : 0;
+  }
+
+  // ---- Chunks ----
+
+  /// Lets each version ask for chunks, in the order of their classes' turns.
+  void planFetches(TimePoint Now) {
+    std::vector<SharedVersion *> Active;
+    for (auto &[Version, Shared] : Versions)
+      if (Shared->planner() && !Shared->planner()->held().full())
+        Active.push_back(Shared.get());
+    std::sort(Active.begin(), Active.end(),
+              [&](const SharedVersion *A, const SharedVersion *B) {
+                return Share.turn(A->version()) < Share.turn(B->version());
+              });
+    for (SharedVersion *Shared : Active) {
+      bool Ahead = Share.turn(Shared->version()) >
+                   Share.turn(Active.front()->version()) + TurnSlack;
+      bool FirstIdle = Active.front()->InProgress.empty();
+      if (!Downlink.ready(Now) || (Ahead && !FirstIdle))
+        return;
+      plan(*Shared, Now);
+    }
+  }
+
+  void plan(SharedVersion &Shared, TimePoint Now) {
+    for (const swarm::ChunkFetch &Fetch :
+         Shared.planner()->plan(Now, remoteReads(Shared, Now)))
+      start(Shared, Fetch, Now);
+  }
+
+  /// @return requests to other regions and the origin that the thin link bears.
+  std::size_t remoteReads(SharedVersion &Shared, TimePoint Now) {
+    std::uint64_t Limit = Context.Config.Bandwidth.RegionLink;
+    std::size_t Gateways = Shared.planner()->regionGateways();
+    if (Limit == 0 || Gateways == 0)
+      return Unpaced;
+    auto Part = RegionLinkPart / static_cast<double>(Gateways);
+    RegionLink.setRate(
+        static_cast<std::uint64_t>(static_cast<double>(Limit) * Part), Now);
+    return RegionLink.ready(Now) ? 1 : 0;
+  }
+
+  void start(SharedVersion &Shared, const swarm::ChunkFetch &Fetch,
+             TimePoint Now) {
+    const swarm::ManifestChunk &Chunk = Shared.chunk(Fetch.Chunk);
+    ChunkTransfers::Asked What{Shared.version(), Chunk.Id};
+    if (Fetch.From != swarm::ChunkFetch::Source::Origin) {
+      const SharingPeer *Peer = Shared.peer(Fetch.Host);
+      if (!Peer)
+        return;
+      What.From = distance(Self, Peer->Host);
+      What.Address = Peer->Address;
+      What.Wait = Fetch.From == swarm::ChunkFetch::Source::RegionReader;
+    }
+    bool Remote =
+        What.From == Distance::Origin || What.From == Distance::Remote;
+    if (Remote)
+      RegionLink.take(Chunk.Bytes, Now);
+    Shared.InProgress.insert(Fetch.Id);
+    Transfers.ask(What, [this, Fetch, What](Status How, std::string Data) {
+      ended(What, Fetch, How, std::move(Data));
     });
-    for (const Request &R : Late)
-      missed(R);
   }
 
-  void missed(const Request &R) {
-    if (auto Entry = Fetches.find(R.Version); Entry != Fetches.end())
-      ++Entry->second.Misses[R.Chunk];
+  /// A fetch ended, or was queued; its version may have gone in between.
+  void ended(const ChunkTransfers::Asked &What, const swarm::ChunkFetch &Fetch,
+             Status How, std::string Data) {
+    SharedVersion *Shared = find(What.Version);
+    if (!Shared || !Shared->planner())
+      return;
+    // A refusal has taken nothing of the thin link.
+    bool Refused = How == Status::Busy || How == Status::NotHeld;
+    if (Refused && What.From == Distance::Remote)
+      RegionLink.give(Shared->chunk(Fetch.Chunk).Bytes, now());
+    if (How == Status::Data) {
+      received(*Shared, What, Fetch, std::move(Data));
+      return;
+    }
+    if (How != Status::Queued)
+      Shared->InProgress.erase(Fetch.Id);
+    Shared->planner()->finished(Fetch.Id, outcomeOf(How), now());
+    planFetches(now());
   }
 
-  void fetchManifest(Fetch &Entry) {
-    const core::Digest Version = Entry.Want.Version;
-    if (!Store.holds(Version)) {
-      request(Entry, Version);
+  void received(SharedVersion &Shared, const ChunkTransfers::Asked &What,
+                const swarm::ChunkFetch &Fetch, std::string Data) {
+    std::uint64_t Bytes = Data.size();
+    TimePoint Now = now();
+    Downlink.take(Bytes, Now);
+    Share.charge(Shared.version(), Shared.want().Class, Bytes);
+    if (What.From != Distance::Origin)
+      ReceivedFromPeers += Bytes;
+    Shared.InProgress.erase(Fetch.Id);
+    if (Store.holds(What.Id)) {
+      Metrics.duplicate(Bytes);
+      stored(What, Fetch);
       return;
     }
-    if (Entry.ReadingManifest)
+    Store.write(What.Id, std::move(Data), [this, What, Fetch](auto Written) {
+      if (Written)
+        stored(What, Fetch);
+      else
+        notStored(What, Fetch, Written.error());
+    });
+  }
+
+  void stored(const ChunkTransfers::Asked &What,
+              const swarm::ChunkFetch &Fetch) {
+    Uploads.stored(What.Id);
+    SharedVersion *Shared = find(What.Version);
+    if (!Shared || !Shared->planner())
       return;
-    Entry.ReadingManifest = true;
-    Store.read(Version, [this, Version](ChunkStore::Bytes Data) {
-      auto Found = Fetches.find(Version);
-      if (Found == Fetches.end())
-        return;
-      Found->second.ReadingManifest = false;
-      if (!Data)
+    TimePoint Now = now();
+    if (!Shared->planner()->finished(Fetch.Id, swarm::FetchOutcome::Stored,
+                                     Now))
+      Shared->planner()->storedLate(Fetch.Chunk, Now);
+    Shared->Untold = true;
+    if (Shared->planner()->held().full())
+      To.OnProgress(What.Version);
+    planFetches(Now);
+    Uploads.pump(Now);
+  }
+
+  void notStored(const ChunkTransfers::Asked &What,
+                 const swarm::ChunkFetch &Fetch, const EngineError &Error) {
+    SharedVersion *Shared = find(What.Version);
+    if (Shared && Shared->planner())
+      Shared->planner()->finished(Fetch.Id, swarm::FetchOutcome::Failed, now());
+    if (Error.What == EngineError::Kind::Full)
+      To.OnFull(What.Version);
+  }
+
+  // ---- Manifests ----
+
+  void fetchManifest(SharedVersion &Shared, TimePoint Now) {
+    if (Shared.ManifestAsked &&
+        Now - Shared.ManifestAskedAt > ManifestTimeout) {
+      Shared.ManifestAsked = false;
+      ++Shared.ManifestAttempt;
+    }
+    if (Shared.ManifestAsked || Now < Shared.ManifestRetryAt)
+      return;
+    Shared.ManifestAsked = true;
+    Shared.ManifestAskedAt = Now;
+    if (Store.holds(Shared.version()))
+      readManifest(Shared.version());
+    else
+      askManifest(Shared);
+  }
+
+  void readManifest(const core::Digest &Version) {
+    Store.read(Version, [this, Version](const ChunkStore::Bytes &Data) {
+      SharedVersion *Shared = find(Version);
+      if (!Shared)
         return;
-      auto Parsed = swarm::Manifest::parseVersion(Version, *Data);
+      Shared->ManifestAsked = false;
+      auto Parsed =
+          Data ? swarm::Manifest::parseVersion(Version, *Data)
+               : core::failure(swarm::ManifestError{"not in the engine"});
       if (!Parsed) {
         Store.remove(Version);
         return;
       }
-      Found->second.Manifest = std::move(*Parsed);
+      Shared->setManifest(std::move(*Parsed), Store, Context.Config, now());
       To.OnProgress(Version);
       step();
     });
   }
 
-  void request(Fetch &Entry, const core::Digest &Chunk) {
-    for (const auto &[Id, R] : Requests)
-      if (R.Chunk == Chunk)
-        return;
+  /// Asks the first in rank of the failure domain, who asks the first of the
+  /// fleet, who asks the origin; the next of them after a failure.
+  void askManifest(SharedVersion &Shared) {
     auto Ranked =
-        core::rendezvousRank(Chunk.hex(), Entry.Want.Peers,
+        core::rendezvousRank(Shared.version().bytes(), Shared.want().Peers,
                              [](const SharingPeer &P) -> std::string_view {
                                return P.Host.Host.str();
                              });
-    std::size_t Misses = Entry.Misses[Chunk];
-    bool First = Ranked.empty() || Ranked[0].Host.Host == Context.Config.Host;
-    Request R{Entry.Want.Version, Chunk, First || Misses >= PeersBeforeOrigin,
-              now() + RequestTimeout};
-    std::uint64_t Id = NextRequest++;
-    Requests.emplace(Id, R);
-    if (R.FromOrigin) {
-      askOrigin(Id, R);
-      return;
+    std::vector<const SharingPeer *> Sources;
+    auto First = std::find_if(Ranked.begin(), Ranked.end(), [&](const auto &P) {
+      return P.Host.FailureDomain == Self.FailureDomain;
+    });
+    bool FleetFirst = !Ranked.empty() && Ranked[0].Host.Host == Self.Host;
+    if (First != Ranked.end() && First->Host.Host != Self.Host)
+      Sources.push_back(&*First);
+    if (!Ranked.empty() && !FleetFirst)
+      Sources.push_back(&Ranked[0]);
+    Sources.push_back(nullptr);
+    const SharingPeer *From = Sources[Shared.ManifestAttempt % Sources.size()];
+    ChunkTransfers::Asked What{Shared.version(), Shared.version()};
+    if (From) {
+      What.From = distance(Self, From->Host);
+      What.Address = From->Address;
     }
-    const SharingPeer &Peer = Ranked[Misses % Ranked.size()];
-    wire::Envelope Message;
-    wire::ChunkRequest &Body = *Message.mutable_chunk_request();
-    Body.set_id(Id);
-    Body.set_version(std::string(R.Version.bytes()));
-    if (R.Chunk != R.Version)
-      Body.set_chunk(std::string(R.Chunk.bytes()));
-    Send.send(wire::Peer::at(Peer.Address), std::move(Message));
+    Transfers.ask(What, [this, What](Status How, std::string Data) {
+      manifestEnded(What, How, std::move(Data));
+    });
   }
 
-  void askOrigin(std::uint64_t Id, const Request &R) {
-    auto OnDone = [this, Id, Guard = std::weak_ptr<bool>(Alive),
-                   &Control = *Context.Control](
-                      core::Result<std::string, platform::StoreError> Answer) {
-      Control.postAlways([this, Id, Guard, Answer = std::move(Answer)] {
-        if (Guard.lock())
-          arrived(Id, Answer ? std::optional(*Answer) : std::nullopt);
-      });
-    };
-    if (R.Chunk == R.Version)
-      Context.Origin->fetchManifest(R.Version, OnDone);
-    else
-      Context.Origin->fetchChunk(R.Chunk, OnDone);
+  void manifestEnded(const ChunkTransfers::Asked &What, Status How,
+                     std::string Data) {
+    SharedVersion *Shared = find(What.Version);
+    if (!Shared || Shared->manifest())
+      return;
+    if (How != Status::Data) {
+      Shared->ManifestAsked = false;
+      Shared->ManifestRetryAt = now() + ManifestPoll;
+      if (How == Status::Failed)
+        ++Shared->ManifestAttempt;
+      return;
+    }
+    // Kept beside the chunks, so that a restarted agent needs nobody else.
+    Store.write(What.Version, std::move(Data),
+                [this, Version = What.Version](auto Written) {
+                  SharedVersion *Shared = find(Version);
+                  if (!Shared)
+                    return;
+                  Shared->ManifestAsked = false;
+                  if (Written)
+                    step();
+                  else if (Written.error().What == EngineError::Kind::Full)
+                    To.OnFull(Version);
+                });
   }
 
-  void take(const wire::ChunkReply &Reply) {
-    if (Reply.status() == wire::ChunkReply::STATUS_DATA)
-      arrived(Reply.id(), Reply.data());
-    else
-      arrived(Reply.id(), std::nullopt);
-  }
+  // ---- Peers ----
 
-  /// A request ended, with or without bytes.
-  void arrived(std::uint64_t Id, std::optional<std::string> Data) {
-    auto Found = Requests.find(Id);
-    if (Found == Requests.end())
+  void serve(const wire::Peer &From, const wire::Sender &Sender,
+             const wire::ChunkRequest &Request) {
+    auto Version = core::Digest::fromBytes(Request.version());
+    if (!Version) {
+      Uploads.refuse(From, Request.id(), wire::ChunkReply::STATUS_NOT_HELD);
       return;
-    Request R = Found->second;
-    if (!Data || core::Digest::of(*Data) != R.Chunk) {
-      if (Data)
-        telemetry::log(telemetry::Level::Warning, "corrupt chunk dropped",
-                       {{"chunk", R.Chunk.hex()}});
-      // Asked again after a pause.
-      Found->second.Deadline = now() + RetryDelay;
+    }
+    swarm::EngineHost Peer{core::HostId(Sender.host()),
+                           core::RegionId(Sender.region()),
+                           core::FailureDomainId(Sender.failure_domain())};
+    Distance Away = distance(Self, Peer);
+    if (Request.chunk().empty() && Store.holds(*Version)) {
+      Uploads.sendNow(From, Request.id(), *Version, Away);
       return;
     }
-    Found->second.Deadline = now() + RequestTimeout;
-    Store.write(R.Chunk, std::move(*Data), [this, Id, R](auto Written) {
-      Requests.erase(Id);
-      if (Written)
-        To.OnProgress(R.Version);
-      else if (Written.error().What == EngineError::Kind::Full)
-        To.OnFull(R.Version);
-      step();
-    });
+    SharedVersion *Shared = find(*Version);
+    auto Chunk = core::Digest::fromBytes(Request.chunk());
+    auto Index = Shared && Chunk ? Shared->indexOf(*Chunk) : std::nullopt;
+    if (!Index) {
+      Uploads.refuse(From, Request.id(), wire::ChunkReply::STATUS_NOT_HELD);
+      return;
+    }
+    bool ForReader = Away != Distance::Domain;
+    if (ForReader && !Store.holds(*Chunk))
+      Shared->planner()->demanded(
+          *Index, Request.wait() ? swarm::ChunkFetch::Source::RegionReader
+                                 : swarm::ChunkFetch::Source::FleetReader);
+    swarm::Upload What{Peer.Host,
+                       *Version,
+                       *Chunk,
+                       Request.id(),
+                       Shared->chunk(*Index).Bytes,
+                       Shared->want().Class,
+                       ForReader};
+    Uploads.offer({From, Away, std::move(What), ForReader && Request.wait(),
+                   Shared->totalBytes()},
+                  now());
   }
 
-  void serve(const wire::Peer &From, const wire::ChunkRequest &Request) {
-    auto Version = core::Digest::fromBytes(Request.version());
-    auto Chunk = Request.chunk().empty()
-                     ? Version
-                     : core::Digest::fromBytes(Request.chunk());
-    if (!Chunk || !Store.holds(*Chunk)) {
-      reply(From, Request.id(), wire::ChunkReply::STATUS_NOT_HELD, {});
+  void takeHoldings(const wire::Sender &Sender,
+                    const wire::HoldingsUpdate &Update) {
+    auto Version = core::Digest::fromBytes(Update.version());
+    SharedVersion *Shared = Version ? find(*Version) : nullptr;
+    if (!Shared || !Shared->planner())
       return;
+    core::HostId Peer(Sender.host());
+    TimePoint Now = now();
+    auto Held = swarm::ChunkSet::fromBytes(Shared->planner()->held().size(),
+                                           Update.bitmap());
+    if (Held)
+      Shared->planner()->peerHolds(Peer, std::move(*Held), Now);
+    if (Update.interested()) {
+      bool Known = Shared->follows(Peer);
+      Shared->follow(Peer, Now + FollowFor);
+      if (!Known)
+        tell(*Shared, Peer, /*Interested=*/false);
     }
-    if (Uploads >= UploadsAtOnce) {
-      reply(From, Request.id(), wire::ChunkReply::STATUS_BUSY, {});
+    planFetches(Now);
+  }
+
+  /// Tells followers what is held here when it has changed, and asks the peers
+  /// of the view for the same from time to time.
+  void tellHoldings(SharedVersion &Shared, TimePoint Now) {
+    if (!Shared.planner())
       return;
+    bool Whole = Shared.planner()->held().full();
+    if (!Whole && Now - Shared.RenewedAt >= FollowRenewal) {
+      Shared.RenewedAt = Now;
+      for (const core::HostId &Peer : Shared.planner()->view())
+        tell(Shared, Peer, /*Interested=*/true);
     }
-    ++Uploads;
-    Store.read(*Chunk, [this, From, Id = Request.id()](ChunkStore::Bytes Data) {
-      --Uploads;
-      reply(From, Id,
-            Data ? wire::ChunkReply::STATUS_DATA
-                 : wire::ChunkReply::STATUS_NOT_HELD,
-            Data);
-    });
+    if (!Shared.Untold || Now - Shared.ToldAt < HoldingsInterval)
+      return;
+    Shared.Untold = false;
+    Shared.ToldAt = Now;
+    for (const core::HostId &Peer : Shared.followers(Now))
+      tell(Shared, Peer, /*Interested=*/false);
   }
 
-  void reply(const wire::Peer &To, std::uint64_t Id,
-             wire::ChunkReply::Status Status, ChunkStore::Bytes Data) {
+  void tell(SharedVersion &Shared, const core::HostId &Host, bool Interested) {
+    const SharingPeer *Peer = Shared.peer(Host);
+    if (!Peer)
+      return;
     wire::Envelope Message;
-    wire::ChunkReply &Body = *Message.mutable_chunk_reply();
-    Body.set_id(Id);
-    Body.set_status(Status);
-    if (Data)
-      Body.set_data(*Data);
-    Send.send(To, std::move(Message));
+    wire::HoldingsUpdate &Body = *Message.mutable_holdings_update();
+    Body.set_version(std::string(Shared.version().bytes()));
+    Body.set_bitmap(Shared.planner()->held().bytes());
+    Body.set_interested(Interested);
+    Send.send(wire::Peer::at(Peer->Address), std::move(Message));
   }
 
   ProcessContext &Context;
   const MessageSender &Send;
   ChunkStore &Store;
   Hooks To;
-  std::map<core::Digest, Fetch> Fetches;
-  std::map<std::uint64_t, Request> Requests;
-  std::uint64_t NextRequest = 1;
-  std::size_t Uploads = 0;
+  const swarm::EngineHost Self;
+  swarm::TokenBucket Uplink;
+  swarm::TokenBucket Downlink;
+  /// This gateway's part of the link between regions.
+  swarm::TokenBucket RegionLink;
+  WeightMetrics Metrics;
+  ChunkTransfers Transfers;
+  ChunkUploads Uploads;
+  swarm::ClassShare Share;
+  std::map<core::Digest, std::unique_ptr<SharedVersion>> Versions;
+  std::uint64_t ReceivedFromPeers = 0;
+  std::uint64_t LiveOut = 0;
+  std::uint64_t LiveIn = 0;
   std::shared_ptr<bool> Alive;
   runtime::TimerService::Subscription Timer;
 };
@@ -273,8 +501,8 @@
                                                      const MessageSender &Send,
                                                      ChunkStore &Store,
                                                      Hooks To) {
-  return std::make_unique<SimpleChunkExchange>(Context, Send, Store,
-                                               std::move(To));
+  return std::make_unique<SwarmChunkExchange>(Context, Send, Store,
+                                              std::move(To));
 }
 
 } // namespace rosemarylane
--- a/rosemarylane/src/agent/ChunkExchange.h
+++ b/rosemarylane/src/agent/ChunkExchange.h
@@ -21,6 +21,8 @@
 struct SharingPeer {
   swarm::EngineHost Host;
   std::string Address;
+
+  bool operator==(const SharingPeer &) const = default;
 };
 
 /// Exchanges chunks with the origin and with other agents: fetches what is
@@ -33,6 +35,8 @@
   struct Wanted {
     core::Digest Version;
     core::TrafficClass Class = core::TrafficClass::Standard;
+    /// The replicas that the catalogue asks for.
+    std::uint32_t Replicas = 1;
     /// The agents that share the version, this one included.
     std::vector<SharingPeer> Peers;
   };
--- a/rosemarylane/src/agent/EngineControl.cpp
+++ b/rosemarylane/src/agent/EngineControl.cpp
@@ -67,9 +67,11 @@
   State.FreeBytes = number(Fields, "free_bytes");
   for (const json::value &Item : Fields.at("loaded").as_array()) {
     const json::object &Loaded = Item.as_object();
+    std::string_view Version(Loaded.at("version").as_string());
     State.Loaded[core::EntryName(
         std::string(std::string_view(Loaded.at("name").as_string())))] = {
-        digest(Loaded.at("version")), number(Loaded, "generation")};
+        core::Digest::parse(Version).value_or(core::Digest()),
+        number(Loaded, "generation")};
   }
   return State;
 }
--- a/rosemarylane/src/agent/WeightService.cpp
+++ b/rosemarylane/src/agent/WeightService.cpp
@@ -3,6 +3,7 @@
 #include "agent/ChunkExchange.h"
 #include "agent/ChunkStore.h"
 #include "agent/EngineControl.h"
+#include "agent/ReplicaView.h"
 #include "core/Time.h"
 #include "swarm/Placement.h"
 #include "swarm/Rollout.h"
@@ -11,6 +12,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <unordered_set>
 
 namespace rosemarylane {
 
@@ -32,11 +34,6 @@
   return std::string(D.bytes());
 }
 
-swarm::EngineHost engineHost(const wire::Sender &Member) {
-  return {core::HostId(Member.host()), core::RegionId(Member.region()),
-          core::FailureDomainId(Member.failure_domain())};
-}
-
 class EngineWeightService final : public WeightService {
 public:
   EngineWeightService(ProcessContext &Context, const MessageSender &Send,
@@ -64,7 +61,6 @@
                                         if (Guard.lock())
                                           poll();
                                       });
-    poll();
   }
 
   void receive(const wire::Peer &From, const wire::Envelope &Message) override {
@@ -111,6 +107,8 @@
     std::optional<core::EntryName> Base;
     std::string LoadError;
     int Attempts = 0;
+    /// The engine's memory does not hold the old and the new version.
+    bool NoRoom = false;
     core::TimePoint RetryAt{};
   };
 
@@ -154,26 +152,26 @@
     publish();
   }
 
-  /// Takes the engine's state as read; what changed without an order of ours
-  /// is looked up anew before anything is served.
+  /// Takes the engine's state as read; what changed is looked up anew.
   void adopt(EngineState Seen) {
     if (Ordering && !OrderEnded)
       return;
+    bool OwnOrder = OrderEnded;
+    bool Same = State && State->Generation == Seen.Generation &&
+                State->Loaded == Seen.Loaded;
+    bool WarmthChanged = State && State->Warm != Seen.Warm;
+    if (!Same && !OwnOrder && Seen.Loaded.empty())
+      forgetFailures();
     Ordering.reset();
     OrderEnded = false;
-    bool Known = State && State->Generation == Seen.Generation &&
-                 State->Loaded == Seen.Loaded;
-    if (Known && ChunksKnown) {
-      bool Warmed = State->Warm != Seen.Warm;
-      State = std::move(Seen);
-      if (Warmed)
-        Heartbeats.sendNow();
-      advance();
-      return;
-    }
     State = std::move(Seen);
     publish();
-    refreshChunks();
+    if (WarmthChanged)
+      Heartbeats.sendNow();
+    if (Same && ChunksKnown && !OwnOrder)
+      advance();
+    else
+      refreshChunks();
   }
 
   void refreshChunks() {
@@ -187,6 +185,15 @@
     });
   }
 
+  /// A restarted engine may load what it could not load before.
+  void forgetFailures() {
+    for (auto &[Name, W] : Wants) {
+      W.Attempts = 0;
+      W.LoadError.clear();
+      W.NoRoom = false;
+    }
+  }
+
   // ---- What the engine should hold ----
 
   /// Works out anew which entries this engine should hold.
@@ -194,7 +201,7 @@
     auto Config = Configuration.current();
     if (Config->Revision == 0)
       return;
-    std::vector<swarm::EngineHost> Agents = engineAgents();
+    std::vector<swarm::EngineHost> Agents = engineHosts(Heartbeats.agents());
     bool Listed =
         std::any_of(Agents.begin(), Agents.end(), [&](const auto &Agent) {
           return Agent.Host == Context.Config.Host;
@@ -221,14 +228,6 @@
     advance();
   }
 
-  std::vector<swarm::EngineHost> engineAgents() const {
-    std::vector<swarm::EngineHost> Agents;
-    for (const wire::MemberSummary &Member : Heartbeats.agents())
-      if (!Member.plain_service() && !Member.draining())
-        Agents.push_back(engineHost(Member.member()));
-    return Agents;
-  }
-
   /// Tells the exchange which versions to fetch, and whom to share them with.
   void share(const core::Configuration &Config,
              const std::vector<swarm::EngineHost> &Agents) {
@@ -238,7 +237,8 @@
           Member.member().peer_address();
     std::vector<ChunkExchange::Wanted> Versions;
     for (const auto &[Name, W] : Wants) {
-      ChunkExchange::Wanted V{W.Version, W.Class, {}};
+      ChunkExchange::Wanted V{
+          W.Version, W.Class, Config.entry(Name)->Replicas, {}};
       for (const swarm::EngineHost &Replica :
            swarm::replicaHosts(*Config.entry(Name), Config, Agents))
         V.Peers.push_back({Replica, Addresses[Replica.Host]});
@@ -259,10 +259,43 @@
         return;
       }
     for (const auto &[Name, Model] : State->Loaded)
-      if (superfluous(Name)) {
+      if (superfluous(Name) || mustMakeRoom(Name)) {
         beginUnload(Name);
         return;
       }
+    collectGarbage();
+  }
+
+  /// Whether the old version has to go before the new one fits.
+  bool mustMakeRoom(const core::EntryName &Name) const {
+    auto Found = Wants.find(Name);
+    return Found != Wants.end() && Found->second.NoRoom &&
+           loadedVersion(Name) != Found->second.Version &&
+           decide(Name, Found->second.Version) == swarm::SwitchDecision::Switch;
+  }
+
+  /// Removes chunks that no version needs, once only wanted versions are
+  /// loaded.
+  void collectGarbage() {
+    std::unordered_set<core::Digest> Needed;
+    for (const auto &[Name, W] : Wants) {
+      const swarm::Manifest *M = Exchange->manifest(W.Version);
+      if (!M)
+        return;
+      Needed.insert(W.Version);
+      for (const swarm::ManifestChunk &Chunk : M->Chunks)
+        Needed.insert(Chunk.Id);
+    }
+    for (const auto &[Name, Model] : State->Loaded)
+      if (auto W = Wants.find(Name);
+          W == Wants.end() || W->second.Version != Model.Version)
+        return;
+    std::vector<core::Digest> Unneeded;
+    for (const core::Digest &Id : Store.held())
+      if (!Needed.contains(Id))
+        Unneeded.push_back(Id);
+    for (const core::Digest &Id : Unneeded)
+      Store.remove(Id);
   }
 
   bool due(const core::EntryName &Name, Want &W) {
@@ -298,33 +331,14 @@
     const core::CatalogueEntry *Entry = Config->entry(Name);
     if (!Entry || Entry->Version != Version)
       return swarm::SwitchDecision::Wait;
-    std::vector<swarm::ReplicaStatus> Replicas;
-    for (const swarm::EngineHost &Replica :
-         swarm::replicaHosts(*Entry, *Config, engineAgents()))
-      Replicas.push_back(status(Replica.Host, Name, Version));
-    return swarm::decideSwitch(Context.Config.Host, Version,
-                               Entry->ServingFloor, Replicas);
-  }
-
-  swarm::ReplicaStatus status(const core::HostId &Host,
-                              const core::EntryName &Name,
-                              const core::Digest &Version) const {
-    swarm::ReplicaStatus Status{Host, {}, false, false};
-    if (Host == Context.Config.Host) {
-      Status.Loaded = loadedVersion(Name);
-      Status.Serving = serves(Name) && State->Warm;
-      return Status;
-    }
-    for (const wire::MemberSummary &Member : Heartbeats.agents())
-      if (Member.member().host() == Host.str())
-        for (const wire::Holding &H : Member.holdings())
-          if (H.entry() == Name.str()) {
-            Status.Loaded =
-                core::Digest::fromBytes(H.version()).value_or(core::Digest());
-            Status.Serving = H.serving() && H.warm();
-            Status.Failed = H.failed_version() == Version.bytes();
-          }
-    return Status;
+    return swarm::decideSwitch(
+        Context.Config.Host, Version, Entry->ServingFloor,
+        replicaStatuses(*Entry, *Config, Heartbeats.agents(), ownStatus(Name)));
+  }
+
+  swarm::ReplicaStatus ownStatus(const core::EntryName &Name) const {
+    return {Context.Config.Host, loadedVersion(Name),
+            serves(Name) && State->Warm, false};
   }
 
   bool serves(const core::EntryName &Name) const {
@@ -342,14 +356,12 @@
       return true;
     if (Config->outOfService(Context.Config.Host, Context.Config.FailureDomain))
       return false;
-    std::vector<swarm::EngineHost> Replicas =
-        swarm::replicaHosts(*Entry, *Config, engineAgents());
+    auto Replicas =
+        replicaStatuses(*Entry, *Config, Heartbeats.agents(), ownStatus(Name));
     // Kept until those that take over serve.
     return Replicas.size() >= Entry->Replicas &&
-           std::all_of(Replicas.begin(), Replicas.end(), [&](const auto &R) {
-             return R.Host != Context.Config.Host &&
-                    status(R.Host, Name, Entry->Version).Serving;
-           });
+           std::all_of(Replicas.begin(), Replicas.end(),
+                       [](const auto &R) { return R.Serving; });
   }
 
   /// Withdraws \p Name, lets requests end, then orders the load.
@@ -432,8 +444,11 @@
 
   void engineFull(const core::Digest &Version) {
     for (auto &[Name, W] : Wants)
-      if (W.Version == Version)
+      if (W.Version == Version) {
         W.LoadError = "the engine's memory is full";
+        W.NoRoom = true;
+      }
+    advance();
   }
 
   // ---- What is served ----
