--- a/rosemarylane/src/agent/ChunkExchange.cpp
+++ b/rosemarylane/src/agent/ChunkExchange.cpp
@@ -405,7 +405,7 @@
       Uploads.refuse(From, Request.id(), wire::ChunkReply::STATUS_NOT_HELD);
       return;
     }
-    bool ForReader = Away != Distance::Domain;
+    bool ForReader = Away != Distance::Domain || Request.wait();
     if (ForReader && !Store.holds(*Chunk))
       Shared->planner()->demanded(
           *Index, Request.wait() ? swarm::ChunkFetch::Source::RegionReader
@@ -417,9 +417,9 @@
                        Shared->chunk(*Index).Bytes,
                        Shared->want().Class,
                        ForReader};
-    Uploads.offer({From, Away, std::move(What), ForReader && Request.wait(),
-                   Shared->totalBytes()},
-                  now());
+    Uploads.offer(
+        {From, Away, std::move(What), Request.wait(), Shared->totalBytes()},
+        now());
   }
 
   void takeHoldings(const wire::Sender &Sender,
--- a/rosemarylane/src/agent/ReplicaView.cpp
+++ b/rosemarylane/src/agent/ReplicaView.cpp
@@ -15,13 +15,6 @@
   return nullptr;
 }
 
-bool idle(const core::EntryName &Entry, const Members &Fleet) {
-  return std::all_of(Fleet.begin(), Fleet.end(), [&](const auto &Member) {
-    const wire::Holding *H = holding(Member, Entry);
-    return !H || H->in_progress() + H->waiting() == 0;
-  });
-}
-
 } // namespace
 
 std::vector<swarm::EngineHost> engineHosts(const Members &Fleet) {
@@ -42,7 +35,6 @@
   std::map<core::HostId, const wire::MemberSummary *> ByHost;
   for (const wire::MemberSummary &Member : Fleet)
     ByHost[core::HostId(Member.member().host())] = &Member;
-  bool Idle = idle(Entry.Name, Fleet);
 
   std::vector<swarm::ReplicaStatus> Result;
   for (const swarm::EngineHost &Replica :
@@ -58,7 +50,7 @@
       continue;
     Status.Loaded =
         core::Digest::fromBytes(H->version()).value_or(core::Digest());
-    Status.Serving = H->serving() && (H->warm() || Idle);
+    Status.Serving = H->serving() && H->warm();
     Status.Failed = H->failed_version() == Entry.Version.bytes();
   }
   return Result;
--- a/rosemarylane/src/agent/ReplicaView.h
+++ b/rosemarylane/src/agent/ReplicaView.h
@@ -18,9 +18,6 @@
 
 /// @return the replicas of \p Entry in rank order, with what the fleet knows of
 /// each; \p Self stands for the own host.
-///
-/// A replica whose engine is cold counts as serving only while nobody asks for
-/// the entry: without requests it could never become warm.
 std::vector<swarm::ReplicaStatus>
 replicaStatuses(const core::CatalogueEntry &Entry,
                 const core::Configuration &Config, const Members &Fleet,
--- a/rosemarylane/src/agent/SharedVersion.cpp
+++ b/rosemarylane/src/agent/SharedVersion.cpp
@@ -1,5 +1,7 @@
 #include "agent/SharedVersion.h"
 
+#include "swarm/BaselinePlanners.h"
+
 #include <algorithm>
 #include <xxhash.h>
 
@@ -71,11 +73,22 @@
     if (Store.holds(Chunks[I].Id))
       Held.insert(I);
   }
+  swarm::PlannerSettings Limits =
+      plannerSettings(Config.Bandwidth, Largest, TotalBytes);
   const std::string &Self = Config.Host.str();
-  Planner = swarm::SwarmPlanner::create(
-      Config.Host, Want.Version, std::move(Ids), std::move(Held),
-      plannerSettings(Config.Bandwidth, Largest, TotalBytes),
-      XXH3_64bits(Self.data(), Self.size()));
+  switch (Config.Planner) {
+  case WeightPlanner::Swarm:
+    Planner = swarm::SwarmPlanner::create(
+        Config.Host, Want.Version, std::move(Ids), std::move(Held), Limits,
+        XXH3_64bits(Self.data(), Self.size()));
+    break;
+  case WeightPlanner::Origin:
+    Planner = swarm::createOriginPlanner(std::move(Held), Limits);
+    break;
+  case WeightPlanner::Tree:
+    Planner = swarm::createTreePlanner(Config.Host, std::move(Held), Limits);
+    break;
+  }
   setMembers(Now);
 }
 
--- a/rosemarylane/src/agent/WeightService.cpp
+++ b/rosemarylane/src/agent/WeightService.cpp
@@ -24,6 +24,8 @@
 constexpr int SilentPollsUntilDown = 2;
 /// Orders for a version that the engine turned down before it is given up.
 constexpr int LoadAttempts = 2;
+/// A cold engine without requests counts as warm after this long.
+constexpr std::chrono::seconds IdleUntilWarm{5};
 
 constexpr char StoppedElsewhere[] =
     "stopped: the version failed to load at another replica";
@@ -91,7 +93,7 @@
     std::vector<wire::Holding> Result;
     for (auto &[Name, Holding] : ByEntry) {
       Holding.set_entry(Name.str());
-      Holding.set_warm(State && State->Warm);
+      Holding.set_warm(countsAsWarm());
       Result.push_back(std::move(Holding));
     }
     return Result;
@@ -165,6 +167,10 @@
     Ordering.reset();
     OrderEnded = false;
     State = std::move(Seen);
+    if (!Same)
+      ChangedAt = now();
+    if (State->Requests > 0)
+      BusyAt = now();
     publish();
     if (WarmthChanged)
       Heartbeats.sendNow();
@@ -338,7 +344,14 @@
 
   swarm::ReplicaStatus ownStatus(const core::EntryName &Name) const {
     return {Context.Config.Host, loadedVersion(Name),
-            serves(Name) && State->Warm, false};
+            serves(Name) && countsAsWarm(), false};
+  }
+
+  /// A cold engine that nobody asks cannot become warm, so after a while it no
+  /// longer holds up the replicas behind it.
+  bool countsAsWarm() const {
+    return State &&
+           (State->Warm || now() - std::max(ChangedAt, BusyAt) > IdleUntilWarm);
   }
 
   bool serves(const core::EntryName &Name) const {
@@ -499,6 +512,10 @@
 
   /// What was read back last; none while it is in doubt.
   std::optional<EngineState> State;
+  /// When the engine was last seen to have loaded or restarted.
+  core::TimePoint ChangedAt;
+  /// When the engine was last seen with requests.
+  core::TimePoint BusyAt;
   bool ChunksKnown = false;
   bool Polling = false;
   /// Counts the reasons to doubt answers to questions asked before.
