--- a/rosemarylane/src/agent/EngineControl.h
+++ b/rosemarylane/src/agent/EngineControl.h
@@ -32,6 +32,8 @@
   bool Warm = false;
   std::map<core::EntryName, LoadedModel> Loaded;
   std::uint64_t FreeBytes = 0;
+  /// Requests that run or wait.
+  std::uint64_t Requests = 0;
 
   bool operator==(const EngineState &) const = default;
 };
