--- a/rosemarylane/tests/process/Fleet.cpp
+++ b/rosemarylane/tests/process/Fleet.cpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 #include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -31,7 +32,9 @@
 
 int takePorts() {
   static int Fleets = 0;
-  return FirstPort + PortsPerFleet * (Fleets++ % FleetsBeforeReuse);
+  const char *Given = std::getenv("PROCESS_TESTS_FIRST_PORT");
+  int First = Given ? std::atoi(Given) : FirstPort;
+  return First + PortsPerFleet * (Fleets++ % FleetsBeforeReuse);
 }
 
 std::string bearer(const char *Token) { return std::string("Bearer ") + Token; }
@@ -224,12 +227,14 @@
                                    {"limits", {{"concurrency", 8}}},
                                    {"replicas", Engines},
                                    {"version", Version}});
-  http::Request Put{
-      "PUT",
-      "/admin/v1/catalogue",
-      {{"Authorization", bearer(OperatorToken)}, {"If-Match", "\"0\""}},
-      json::serialize(
-          json::object{{"workspaces", Workspaces}, {"entries", Entries}})};
+  http::Request Put{"PUT",
+                    "/admin/v1/catalogue",
+                    {{"Authorization", bearer(OperatorToken)},
+                     {"If-Match", "\"0\""},
+                     // So that it can be repeated if its answer is lost.
+                     {"Idempotency-Key", "first-catalogue"}},
+                    json::serialize(json::object{{"workspaces", Workspaces},
+                                                 {"entries", Entries}})};
   CallResult Last;
   await("the catalogue is applied", StartLimit, [&] {
     Last = Caller.call(entries().front()->Http, Put, 2s);
@@ -378,8 +383,7 @@
 
 CallResult Fleet::orderDomain(Host &By, const std::string &FailureDomain,
                               bool Out) {
-  json::object Order{
-      {"kind", "failure_domain"}, {"name", FailureDomain}, {"out", Out}};
+  json::object Order{{"failure_domain", FailureDomain}, {"out", Out}};
   return Caller.call(By.Http,
                      {"POST",
                       "/admin/v1/out-of-service",
