Send the notice of a new revision with a body, so that it is taken

Cause: a message without a body counts as malformed at its receiver, so the notices were dropped and every change waited for the next heartbeat, as before. Ruled out: lost requests and the time-out of a request (traced in the demo: no request followed a notice). Now a message of its own, and the peer node asserts that what it sends has a body.

--- a/libs/wire/src/PeerNode.cpp
+++ b/libs/wire/src/PeerNode.cpp
@@ -245,6 +245,7 @@
 }
 
 bool PeerNode::send(const Peer &To, const Envelope &Message) {
+  assert(Message.body_case() != Envelope::BODY_NOT_SET);
   Command Out{Command::Kind::Send, To, Message.SerializeAsString()};
   if (!S->Commands.tryPush(std::move(Out))) {
     ++S->Dropped;
--- a/rosemarylane/src/common/ConfigurationService.cpp
+++ b/rosemarylane/src/common/ConfigurationService.cpp
@@ -175,15 +175,17 @@
   }
 
   /// Lets the peers that are behind know of the new revision at once, so that
-  /// it does not wait for the next heartbeat: any message carries it.
+  /// it does not wait for the next heartbeat.
   void tellPeers() {
     core::TimePoint Now = std::chrono::steady_clock::now();
     std::erase_if(Heard, [&](const auto &Peer) {
       return Now - Peer.second.At >= HeardFor;
     });
+    wire::Envelope Notice;
+    Notice.mutable_revision_notice();
     for (const auto &[Peer, Last] : Heard)
       if (Last.Revision < current()->Revision)
-        Send.send(Peer, wire::Envelope());
+        Send.send(Peer, Notice);
   }
 
   void sendDocument(const wire::Peer &To) {
