Router, and a model in which gate, queue, budget, quarantine and choice act together

Found one after another, each by the model's figures: - the ramp took the smallest smoothed latency as that without load; prompts of different length and cached prefixes made it back off without load, and two cache misses in a row looked cold. Now a probe at half of the limit shows whether latency depends on load, and four answers must look cold; - an eighth and a quarter of the limit kept free for higher classes cost goodput; the wait queue's order serves them as well.

--- a/libs/routing/include/routing/Quarantine.h
+++ b/libs/routing/include/routing/Quarantine.h
@@ -50,6 +50,9 @@
   /// @return whether it was news, to be passed on to other processes.
   bool add(const Incident &What, core::TimePoint Now);
 
+  /// A suspect was answered whole: it is clear until another death.
+  void acquit(const core::Digest &Request);
+
   Standing standing(const core::Digest &Request) const;
 
   /// Forgets requests that were last seen at a death long ago.
@@ -67,6 +70,7 @@
   struct Record {
     std::set<std::uint64_t> Deaths;
     core::TimePoint LastSeen;
+    bool Acquitted = false;
   };
   using Records = std::unordered_map<core::Digest, Record>;
 
--- a/libs/routing/include/routing/Ramp.h
+++ b/libs/routing/include/routing/Ramp.h
@@ -3,35 +3,40 @@
 
 #include <chrono>
 #include <cstdint>
-#include <optional>
 
 namespace rosemarylane::routing {
 
-/// How a ramp grows and backs off.
+/// How a ramp grows and backs off. Latencies are times to the first part of an
+/// answer.
 struct RampSettings {
   /// Requests in progress after a start.
   std::uint32_t Start = 1;
   /// A step up adds this part of the limit, and at least one.
   double Growth = 0.25;
-  /// Weight of a new sample in the smoothed latency.
-  double Smoothing = 0.2;
-  /// The ramp grows while the smoothed latency is below this multiple of the
-  /// latency without load.
+  /// Answers in a round at least: one prompt may take many times as long as
+  /// another.
+  std::uint32_t RoundSamples = 6;
+  /// Answers over which the latency without load is averaged.
+  std::uint32_t BaselineSamples = 12;
+  /// The ramp grows after a round whose mean latency is below this multiple of
+  /// the latency without load.
   double GrowBelow = 1.75;
-  /// The ramp backs off when the smoothed latency is above this multiple.
-  double BackOffAbove = 2.5;
   /// What is left of the limit after backing off.
   double BackOff = 0.75;
   /// What is left of the limit after a failure.
   double FailureBackOff = 0.5;
-  /// A sample above this multiple of the latency without load looks cold.
+  /// A latency above this multiple of the latency without load looks cold.
   double ColdAbove = 8.0;
-  /// Samples in a row that look cold after which the target counts as cold.
-  std::uint32_t ColdSamples = 2;
+  /// Latencies in a row that look cold after which the target counts as cold.
+  std::uint32_t ColdSamples = 4;
   /// Rounds after which the latency without load is measured again, in one
   /// round at `ProbePart` of the limit.
-  std::uint32_t ProbeRounds = 50;
+  std::uint32_t ProbeRounds = 120;
   double ProbePart = 0.5;
+  /// The ramp backs off if a probe shows that the mean latency of the round
+  /// before was above this multiple of the probe's: a target that is not loaded
+  /// answers as fast with half of the requests, a saturated one twice as fast.
+  double LoadedAbove = 1.6;
 };
 
 /// How many requests a target may have in progress: from one after a start up
@@ -40,10 +45,13 @@
 /// Works in rounds. A round ends when everything that was in progress at the
 /// last change of the limit has ended, and then as many requests as the limit:
 /// only then do the latencies speak for that limit. The limit is raised only if
-/// it was reached in the round. From time to time a round at half of the limit
-/// measures the latency without load again, so that neither a lucky sample nor
-/// a target that has become slower for good misleads it. A value type without a
-/// clock.
+/// it was reached in the round.
+///
+/// The latency without load is the mean over the first good rounds after a
+/// start. A round that looks loaded may only have had longer prompts, so before
+/// the ramp backs off, a probe round at half of the limit shows whether the
+/// latency depends on the load. From time to time a probe is made anyway. A
+/// value type without a clock.
 class Ramp {
 public:
   explicit Ramp(std::uint32_t Ceiling, RampSettings Settings = {});
@@ -69,8 +77,7 @@
   /// A request ended in a way that says nothing about the target.
   void abandoned(std::uint32_t InProgress);
 
-  /// @return the smoothed time to the first part of an answer; 0 before the
-  /// first.
+  /// @return the smoothed latency; 0 before the first answer.
   std::chrono::nanoseconds latency() const {
     return std::chrono::nanoseconds(static_cast<std::int64_t>(Smoothed));
   }
@@ -79,11 +86,17 @@
   std::uint32_t restarts() const { return Restarts; }
 
 private:
+  bool probing() const { return LimitBeforeProbe > 0; }
+  bool looksCold(double Latency) const;
   void takeSample(double Latency);
+  void extendBaseline();
   void beginRound(std::uint32_t InProgress);
   void countEnd(std::uint32_t InProgress);
   void endRound(std::uint32_t InProgress);
-  void beginProbe();
+  /// Changes the limit as the round shows.
+  /// @return false if a probe must show first whether load is the cause.
+  bool judgeRound(double Mean);
+  void beginProbe(double Mean);
   void endProbe();
   void setLimit(double Value);
 
@@ -97,21 +110,27 @@
   std::uint32_t RoundLeft;
   /// The limit was reached in this round.
   bool Reached = false;
-  /// Answers of this round that came, and samples in a row that look cold.
+  /// Answers of this round.
   std::uint32_t Samples = 0;
   double SampleSum = 0;
   std::uint32_t ColdInRow = 0;
   std::uint32_t Restarts = 0;
   std::uint32_t RoundsSinceProbe = 0;
+  /// The last probe showed load: each round is followed by another probe, and
+  /// the limit does not grow, until one shows none.
+  bool Loaded = false;
   /// The limit to go back to after a probe; 0 outside of one.
   std::uint32_t LimitBeforeProbe = 0;
-  /// Nanoseconds; 0 before the first sample.
+  /// For reports. Latencies are in nanoseconds, and 0 before the first answer.
   double Smoothed = 0;
-  /// The smoothed latency without load, in nanoseconds.
+  /// The mean latency without load, and the answers that it is made of: those
+  /// of the first rounds that did not look loaded.
   double Baseline = 0;
-  /// As measured by the probe before; while a probe runs, it tells a cold
-  /// target.
-  double ProvenBaseline = 0;
+  std::uint32_t BaselineCount = 0;
+  /// As it was before the probe that is running.
+  double BaselineBeforeProbe = 0;
+  /// The mean latency of the round before that probe.
+  double MeanBeforeProbe = 0;
 };
 
 } // namespace rosemarylane::routing
--- a/libs/routing/include/routing/WaitQueue.h
+++ b/libs/routing/include/routing/WaitQueue.h
@@ -85,6 +85,13 @@
     return Sum;
   }
 
+  /// @return how many more requests of \p Class would be taken, counting those
+  /// that displace others.
+  std::size_t room(core::TrafficClass Class) const {
+    std::size_t Fixed = sizeUpTo(Class);
+    return Capacity > Fixed ? Capacity - Fixed : 0;
+  }
+
   std::size_t size() const {
     std::size_t Sum = 0;
     for (const auto &Queue : Queues)
--- a/libs/routing/src/Admission.cpp
+++ b/libs/routing/src/Admission.cpp
@@ -6,19 +6,14 @@
 
 namespace {
 
-/// Parts of the limit that lower classes leave to higher ones.
-constexpr std::uint32_t StandardReserveDivisor = 8;
-constexpr std::uint32_t BatchReserveDivisor = 4;
+/// The part of a large limit that batch work leaves to higher classes. A small
+/// limit is not divided: there the wait queue's order is enough, and a slot
+/// kept free would cost more than it helps.
+constexpr std::uint32_t BatchReserveDivisor = 16;
 
 std::uint32_t limitOf(core::TrafficClass Class, std::uint32_t Limit) {
-  switch (Class) {
-  case core::TrafficClass::Interactive:
-    return Limit;
-  case core::TrafficClass::Standard:
-    return Limit - Limit / StandardReserveDivisor;
-  case core::TrafficClass::Batch:
+  if (Class == core::TrafficClass::Batch)
     return Limit - Limit / BatchReserveDivisor;
-  }
   return Limit;
 }
 
--- a/libs/routing/src/Quarantine.cpp
+++ b/libs/routing/src/Quarantine.cpp
@@ -29,6 +29,7 @@
       !Known.Deaths.insert(What.Death).second)
     return false;
   Known.LastSeen = Now;
+  Known.Acquitted = false;
   Sum += hashOf(What);
   return true;
 }
@@ -37,8 +38,16 @@
   auto Found = Requests.find(Request);
   if (Found == Requests.end())
     return Standing::Clear;
-  return Found->second.Deaths.size() >= Bounds.Deaths ? Standing::Quarantined
-                                                      : Standing::Suspect;
+  const Record &Known = Found->second;
+  if (Known.Deaths.size() >= Bounds.Deaths)
+    return Standing::Quarantined;
+  return Known.Acquitted ? Standing::Clear : Standing::Suspect;
+}
+
+void Quarantine::acquit(const core::Digest &Request) {
+  auto Found = Requests.find(Request);
+  if (Found != Requests.end())
+    Found->second.Acquitted = true;
 }
 
 void Quarantine::expire(core::TimePoint Now) {
--- a/libs/routing/src/Ramp.cpp
+++ b/libs/routing/src/Ramp.cpp
@@ -4,6 +4,13 @@
 
 namespace rosemarylane::routing {
 
+namespace {
+
+/// Weight of a new sample in the latency that is reported.
+constexpr double ReportSmoothing = 0.2;
+
+} // namespace
+
 Ramp::Ramp(std::uint32_t Ceiling, RampSettings Settings)
     : Settings(Settings), Ceiling(std::max<std::uint32_t>(1, Ceiling)) {
   setLimit(Settings.Start);
@@ -19,9 +26,11 @@
   ++Restarts;
   Smoothed = 0;
   Baseline = 0;
+  BaselineCount = 0;
   ColdInRow = 0;
   RoundsSinceProbe = 0;
   LimitBeforeProbe = 0;
+  Loaded = false;
   setLimit(Settings.Start);
   beginRound(InProgress);
 }
@@ -33,11 +42,9 @@
 
 void Ramp::answered(std::chrono::nanoseconds Latency,
                     std::uint32_t InProgress) {
-  double Value = static_cast<double>(Latency.count());
+  auto Value = static_cast<double>(Latency.count());
   if (Earlier == 0 && Value > 0) {
-    double Reference = LimitBeforeProbe > 0 ? ProvenBaseline : Baseline;
-    bool LooksCold = Reference > 0 && Value > Settings.ColdAbove * Reference;
-    ColdInRow = LooksCold ? ColdInRow + 1 : 0;
+    ColdInRow = looksCold(Value) ? ColdInRow + 1 : 0;
     if (ColdInRow >= Settings.ColdSamples) {
       restart(InProgress);
       return;
@@ -47,6 +54,13 @@
   countEnd(InProgress);
 }
 
+bool Ramp::looksCold(double Latency) const {
+  if (probing())
+    return Latency > Settings.ColdAbove * BaselineBeforeProbe;
+  return BaselineCount >= Settings.RoundSamples &&
+         Latency > Settings.ColdAbove * Baseline;
+}
+
 void Ramp::failed(std::uint32_t InProgress) {
   // Failures of requests from before the round have been answered already.
   if (Earlier > 0) {
@@ -63,10 +77,15 @@
 void Ramp::takeSample(double Latency) {
   ++Samples;
   SampleSum += Latency;
-  Smoothed = Smoothed == 0
-                 ? Latency
-                 : Smoothed + Settings.Smoothing * (Latency - Smoothed);
-  Baseline = Baseline == 0 ? Smoothed : std::min(Baseline, Smoothed);
+  Smoothed = Smoothed == 0 ? Latency
+                           : Smoothed + ReportSmoothing * (Latency - Smoothed);
+}
+
+void Ramp::extendBaseline() {
+  if (BaselineCount >= Settings.BaselineSamples)
+    return;
+  Baseline = (Baseline * BaselineCount + SampleSum) / (BaselineCount + Samples);
+  BaselineCount += Samples;
 }
 
 void Ramp::countEnd(std::uint32_t InProgress) {
@@ -79,38 +98,52 @@
 }
 
 void Ramp::endRound(std::uint32_t InProgress) {
-  if (LimitBeforeProbe > 0) {
+  if (probing()) {
     endProbe();
   } else if (Samples > 0) {
-    // The smoothed latency lags behind a limit that has just grown.
-    double Highest = std::max(Smoothed, SampleSum / Samples);
-    if (Smoothed > Settings.BackOffAbove * Baseline)
-      setLimit(Limit * Settings.BackOff);
-    else if (Reached && Highest < Settings.GrowBelow * Baseline)
-      setLimit(Limit + std::max(1.0, Limit * Settings.Growth));
-    if (++RoundsSinceProbe >= Settings.ProbeRounds)
-      beginProbe();
+    double Mean = SampleSum / Samples;
+    ++RoundsSinceProbe;
+    if (!judgeRound(Mean) || RoundsSinceProbe >= Settings.ProbeRounds)
+      beginProbe(Mean);
   }
   beginRound(InProgress);
 }
 
-void Ramp::beginProbe() {
+bool Ramp::judgeRound(double Mean) {
+  if (Loaded || (BaselineCount > 0 && Mean >= Settings.GrowBelow * Baseline))
+    return false;
+  extendBaseline();
+  if (Reached)
+    setLimit(Limit + std::max(1.0, Limit * Settings.Growth));
+  return true;
+}
+
+void Ramp::beginProbe(double Mean) {
   RoundsSinceProbe = 0;
   LimitBeforeProbe = Limit;
   setLimit(Limit * Settings.ProbePart);
-  Smoothed = 0;
-  ProvenBaseline = Baseline;
+  MeanBeforeProbe = Mean;
+  BaselineBeforeProbe = Baseline;
   Baseline = 0;
+  BaselineCount = 0;
 }
 
 void Ramp::endProbe() {
-  setLimit(LimitBeforeProbe);
+  double Resumed = LimitBeforeProbe;
   LimitBeforeProbe = 0;
+  if (Samples > 0)
+    extendBaseline();
+  else
+    Baseline = BaselineBeforeProbe;
+  Loaded = MeanBeforeProbe > Settings.LoadedAbove * Baseline;
+  setLimit(Loaded ? Resumed * Settings.BackOff : Resumed);
 }
 
 void Ramp::beginRound(std::uint32_t InProgress) {
   Earlier = InProgress;
-  RoundLeft = Limit;
+  // A probe lasts until the baseline is known again.
+  RoundLeft = std::max(Limit, probing() ? Settings.BaselineSamples
+                                        : Settings.RoundSamples);
   Reached = false;
   Samples = 0;
   SampleSum = 0;
--- /dev/null
+++ b/libs/routing/tests/RouterLoadTest.cpp
@@ -0,0 +1,153 @@
+#include "ServingModel.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+#include <iomanip>
+#include <sstream>
+
+using namespace rosemarylane::routing;
+using namespace rosemarylane::routing::model;
+
+namespace {
+
+constexpr std::uint32_t LoadSeed = 20261204;
+constexpr double FirstPartLimitMs = 490;
+
+/// A recorded load: Poisson arrivals of \p PerSecond, prompts and answers of
+/// exponential length, a fifth interactive, two fifths standard, the rest
+/// batch.
+std::vector<Arrival> recordLoad(double PerSecond, std::chrono::seconds Length,
+                                std::uint64_t Prefixes) {
+  std::mt19937_64 Draw(LoadSeed);
+  std::exponential_distribution<double> Gap(PerSecond);
+  std::exponential_distribution<double> Ms(1.0);
+  std::discrete_distribution<int> Class({20, 40, 40});
+  std::vector<Arrival> Load;
+  double At = 0;
+  while ((At += Gap(Draw)) < static_cast<double>(Length.count())) {
+    auto Millis = [&](double Mean) {
+      return std::chrono::duration_cast<rosemarylane::core::Duration>(
+          std::chrono::duration<double, std::milli>(Mean * Ms(Draw)));
+    };
+    Arrival What;
+    What.At = std::chrono::duration_cast<rosemarylane::core::Duration>(
+        std::chrono::duration<double>(At));
+    What.Class = static_cast<TrafficClass>(Class(Draw));
+    What.Prefix = Prefixes > 0 ? 1 + Draw() % Prefixes : 0;
+    What.Prefill = 20ms + Millis(40);
+    What.Decode = 40ms + Millis(100);
+    Load.push_back(What);
+  }
+  return Load;
+}
+
+/// Requests a second that the targets bear, without cached prefixes.
+double capacity(const Settings &How) {
+  constexpr double MeanSeconds = 0.2;
+  return How.Targets * How.Bears / MeanSeconds;
+}
+
+std::string line(const std::string &Name, const Result &Out) {
+  std::ostringstream Text;
+  Text << std::fixed << std::setprecision(1) << Name << ": answered "
+       << Out.answered() << ", refusals " << Out.Refusals << ", retries "
+       << Out.Retries << " of " << Out.FirstAttempts << ", p50 "
+       << Out.percentile(0.5) << " ms, p99 " << Out.percentile(0.99)
+       << " ms, limits";
+  for (std::uint32_t Limit : Out.Limits)
+    Text << " " << Limit;
+  return Text.str();
+}
+
+/// Half of the capacity, and \p Callers that send the same killing request at
+/// one instant and repeat it without pause.
+Result runWithKillers(int Callers) {
+  Settings How;
+  How.Patience = 3000ms;
+  How.CallersRetry = true;
+  How.MeasureFrom = 10s;
+  auto Load = recordLoad(0.5 * capacity(How), 30s, 0);
+  Arrival Killer;
+  Killer.At = 12s;
+  Killer.Prefix = 77;
+  Killer.Kills = true;
+  auto At = std::find_if(Load.begin(), Load.end(),
+                         [&](const Arrival &A) { return A.At >= Killer.At; });
+  Load.insert(At, Callers, Killer);
+  Result Out = run(How, Policy::Router, Load);
+  BOOST_TEST_MESSAGE(line("request that kills targets", Out));
+  BOOST_TEST_MESSAGE("deaths " << Out.Deaths << " with " << Callers
+                               << " callers");
+  return Out;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(router_load)
+
+BOOST_AUTO_TEST_CASE(compared_on_one_recorded_load) {
+  Settings How;
+  How.Targets = 12;
+  How.Patience = 2000ms;
+  How.MeasureFrom = 10s;
+  // Warm targets with fixed limits: what differs is the choice alone.
+  How.Limits.Start = How.Concurrency;
+  How.Limits.GrowBelow = 1e9;
+  How.Limits.ProbeRounds = 1000000;
+  auto Load = recordLoad(0.85 * capacity(How), 30s, 60);
+  Result RoundRobin = run(How, Policy::RoundRobin, Load);
+  Result TwoRandom = run(How, Policy::TwoRandom, Load);
+  Result Chosen = run(How, Policy::Router, Load);
+  BOOST_TEST_MESSAGE(line("round robin", RoundRobin));
+  BOOST_TEST_MESSAGE(line("two random choices", TwoRandom));
+  BOOST_TEST_MESSAGE(line("router", Chosen));
+  BOOST_TEST(Chosen.percentile(0.99) <= RoundRobin.percentile(0.99));
+  BOOST_TEST(Chosen.percentile(0.99) <= TwoRandom.percentile(0.99));
+  BOOST_TEST(Chosen.percentile(0.5) <= TwoRandom.percentile(0.5));
+  BOOST_TEST(Chosen.Refusals <= RoundRobin.Refusals);
+  BOOST_TEST(Chosen.Refusals <= TwoRandom.Refusals);
+}
+
+BOOST_AUTO_TEST_CASE(retry_storm_at_four_times_the_capacity) {
+  Settings How;
+  How.CallersRetry = true;
+  How.MeasureFrom = 10s;
+  auto Load = recordLoad(4 * capacity(How), 30s, 0);
+  Result Out = run(How, Policy::Router, Load);
+  BOOST_TEST_MESSAGE(line("retry storm", Out));
+  BOOST_TEST_MESSAGE("interactive p99 "
+                     << Out.percentile(TrafficClass::Interactive, 0.99)
+                     << " ms, answered " << Out.Answered[0] << " of "
+                     << Out.Offered[0]);
+  double Possible = capacity(How) * 20;
+  BOOST_TEST_MESSAGE("goodput " << Out.Goodput << " of " << Possible);
+  BOOST_TEST(Out.Goodput >= 0.95 * Possible);
+  BOOST_TEST(Out.percentile(TrafficClass::Interactive, 0.99) <=
+             FirstPartLimitMs);
+  BOOST_TEST(Out.Retries <= 0.1 * static_cast<double>(Out.FirstAttempts));
+  BOOST_TEST(Out.MostInProgress <= How.Concurrency);
+
+  // The load is one that nothing but admission control survives.
+  How.AdmissionControl = false;
+  Result Naive = run(How, Policy::TwoRandom, Load);
+  BOOST_TEST_MESSAGE(line("without admission control", Naive));
+  BOOST_TEST(Naive.Goodput < 0.5 * Possible);
+}
+
+BOOST_AUTO_TEST_CASE(one_request_that_kills_targets) {
+  // Its caller sends it again the moment it fails, each time through the next
+  // entry.
+  Result Out = runWithKillers(1);
+  BOOST_TEST(Out.Deaths <= 2);
+  BOOST_TEST(Out.answered() >= 0.99 * (Out.offered() - 1));
+}
+
+BOOST_AUTO_TEST_CASE(copies_of_a_killing_request_at_the_same_instant) {
+  // Each failure domain may run a copy before any has heard of a death; then
+  // one more target runs it, alone.
+  Result Out = runWithKillers(8);
+  BOOST_TEST(Out.Deaths <= Settings().FailureDomains + 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/routing/tests/ServingModel.cpp
@@ -0,0 +1,511 @@
+#include "ServingModel.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <list>
+#include <map>
+
+namespace rosemarylane::routing::model {
+
+void EventLoop::after(core::Duration Delay, std::function<void()> Work) {
+  Events.push({Now + Delay, NextOrder++, std::move(Work)});
+}
+
+void EventLoop::runUntil(TimePoint End) {
+  while (!Events.empty() && Events.top().At <= End) {
+    Event Next = Events.top();
+    Events.pop();
+    Now = Next.At;
+    Next.Work();
+  }
+  Now = End;
+}
+
+namespace {
+
+double percentileOf(std::vector<double> Values, double Part) {
+  if (Values.empty())
+    return 0;
+  std::sort(Values.begin(), Values.end());
+  auto Index = static_cast<std::size_t>(
+      std::ceil(Part * static_cast<double>(Values.size())) - 1);
+  return Values[std::min(Index, Values.size() - 1)];
+}
+
+struct Caller {
+  Arrival What;
+  core::Digest Digest;
+  TimePoint FirstTry;
+  /// False for callers from before the measurement.
+  bool Measured = false;
+};
+
+/// One request of a caller at one entry.
+struct Request {
+  std::shared_ptr<Caller> From;
+  std::size_t Entry = 0;
+  TimePoint ArrivedAt;
+  TimePoint SentAt;
+  std::size_t Target = 0;
+  int Attempts = 0;
+  std::set<std::size_t> Refused;
+};
+using RequestPtr = std::shared_ptr<Request>;
+
+struct Run {
+  RequestPtr Of;
+  TimePoint AdmittedAt;
+  core::Duration FirstPart{0};
+};
+using RunPtr = std::shared_ptr<Run>;
+
+struct Target {
+  Target(const Settings &How)
+      : Gate(How.Concurrency, How.Limits), Waiting(How.Concurrency) {}
+  core::HostId Host;
+  int FailureDomain = 0;
+  Admission Gate;
+  WaitQueue<RequestPtr> Waiting;
+  std::vector<RunPtr> Running;
+  std::list<std::uint64_t> Cache;
+  bool Dead = false;
+  std::uint64_t Deaths = 0;
+  core::Duration Latency{0};
+};
+
+struct Entry {
+  int FailureDomain = 0;
+  Router Choice;
+  RequestQueue<RequestPtr> Queue;
+  RetryBudget Budget;
+  Quarantine Known;
+  /// By target, then by class.
+  std::vector<std::array<Router::Target, 3>> Reports;
+  std::vector<bool> Alive;
+  std::size_t NextTarget = 0;
+};
+
+class Model {
+public:
+  Model(const Settings &How, Policy Which)
+      : How(How), Which(Which), Draw(How.Seed) {
+    Catalogue.Name = core::EntryName("model");
+    Catalogue.Limit.Concurrency = How.Concurrency;
+    Catalogue.Limit.Queue = 256;
+    for (int I = 0; I < How.Targets; ++I) {
+      Targets.emplace_back(How);
+      Targets.back().Host = core::HostId("agent-" + std::to_string(I));
+      Targets.back().FailureDomain = I % How.FailureDomains;
+    }
+    Entries.resize(How.Entries);
+    for (int I = 0; I < How.Entries; ++I) {
+      Entries[I].FailureDomain = I % How.FailureDomains;
+      Entries[I].Reports.resize(How.Targets);
+      Entries[I].Alive.resize(How.Targets, false);
+    }
+    for (std::size_t I = 0; I < Targets.size(); ++I)
+      report(I);
+    for (std::size_t I = 0; I < Entries.size(); ++I)
+      tick(I);
+  }
+
+  Result run(const std::vector<Arrival> &Load) {
+    Loop.runUntil(Loop.now() + 1s);
+    TimePoint Start = Loop.now();
+    for (const Arrival &What : Load) {
+      Loop.runUntil(Start + What.At);
+      auto From = std::make_shared<Caller>();
+      From->What = What;
+      From->Digest = What.Kills
+                         ? core::Digest::of("killer")
+                         : core::Digest::of(std::to_string(NextCaller++));
+      From->FirstTry = Loop.now();
+      if (!Out.Measuring && What.At >= How.MeasureFrom) {
+        Out = Result();
+        Out.Measuring = true;
+      }
+      From->Measured = Out.Measuring;
+      ++Out.Offered[index(What.Class)];
+      ask(From);
+    }
+    LoadEnded = true;
+    for (const Target &T : Targets)
+      Out.Limits.push_back(T.Gate.limit());
+    Loop.runUntil(Loop.now() + How.Patience + 5s);
+    return std::move(Out);
+  }
+
+private:
+  static std::size_t index(TrafficClass Class) {
+    return static_cast<std::size_t>(Class);
+  }
+
+  // ---- Callers ----
+
+  void ask(const std::shared_ptr<Caller> &From) {
+    auto R = std::make_shared<Request>();
+    R->From = From;
+    R->Entry = NextEntry++ % Entries.size();
+    Loop.after(How.Hop, [this, R] {
+      R->ArrivedAt = Loop.now();
+      arrive(R);
+    });
+  }
+
+  void refuse(const RequestPtr &R) {
+    ++Out.Refusals;
+    Loop.after(How.Hop, [this, R] {
+      if (How.CallersRetry && Loop.now() - R->From->FirstTry < How.Patience)
+        return ask(R->From);
+      fail(*R->From);
+    });
+  }
+
+  void fail(const Caller &From) {
+    if (From.Measured)
+      ++Out.Failed[index(From.What.Class)];
+  }
+
+  void answer(const RequestPtr &R, core::Duration FirstPart) {
+    auto Class = index(R->From->What.Class);
+    core::Duration Total =
+        R->SentAt - R->From->FirstTry + FirstPart + 2 * How.Hop;
+    // An answer that begins after the caller has left is of no use.
+    if (Total > How.Patience)
+      return fail(*R->From);
+    if (Out.Measuring && !LoadEnded)
+      ++Out.Goodput;
+    if (!R->From->Measured)
+      return;
+    ++Out.Answered[Class];
+    Out.FirstPartMs[Class].push_back(
+        std::chrono::duration<double, std::milli>(Total).count());
+  }
+
+  // ---- Entries ----
+
+  void arrive(const RequestPtr &R) {
+    Entry &E = Entries[R->Entry];
+    if (standing(*R) == Quarantine::Standing::Quarantined)
+      return refuse(R);
+    if (How.AdmissionControl &&
+        E.Queue.mustWait(Catalogue, R->From->What.Class))
+      return wait(R);
+    if (trySend(R))
+      E.Queue.startedAtOnce(Catalogue, Loop.now());
+    else
+      wait(R);
+  }
+
+  void wait(const RequestPtr &R) {
+    R->Refused.clear();
+    for (auto &Out : Entries[R->Entry].Queue.push(
+             Catalogue, R->From->What.Class, R->ArrivedAt + How.TargetWait, R,
+             Loop.now()))
+      refuse(Out.Request);
+  }
+
+  /// The caller's connection is closed.
+  bool gone(const Request &R) const {
+    return Loop.now() - R.From->FirstTry >= How.Patience;
+  }
+
+  bool trySend(const RequestPtr &R) {
+    if (gone(*R)) {
+      fail(*R->From);
+      return true;
+    }
+    auto Picked = choose(*R);
+    if (!Picked)
+      return false;
+    Entry &E = Entries[R->Entry];
+    R->Target = *Picked;
+    R->SentAt = Loop.now();
+    ++(R->Attempts++ == 0 ? Out.FirstAttempts : Out.Retries);
+    if (R->Attempts == 1)
+      E.Budget.firstAttempt();
+    E.Choice.started(Targets[*Picked].Host);
+    Loop.after(How.Hop, [this, R] { offer(R); });
+    return true;
+  }
+
+  Quarantine::Standing standing(const Request &R) const {
+    return Entries[R.Entry].Known.standing(R.From->Digest);
+  }
+
+  static std::uint64_t hashOf(const Request &R) {
+    return std::hash<core::Digest>()(R.From->Digest);
+  }
+
+  std::optional<std::size_t> choose(const Request &R) {
+    Entry &E = Entries[R.Entry];
+    std::vector<std::size_t> Index;
+    std::vector<Router::Target> Candidates;
+    for (std::size_t I = 0; I < Targets.size(); ++I)
+      if (E.Alive[I] && !R.Refused.contains(I)) {
+        Index.push_back(I);
+        Candidates.push_back(E.Reports[I][index(R.From->What.Class)]);
+      }
+    if (Index.empty())
+      return std::nullopt;
+    switch (Which) {
+    case Policy::RoundRobin:
+      return Index[E.NextTarget++ % Index.size()];
+    case Policy::TwoRandom: {
+      std::size_t A = Draw() % Index.size();
+      std::size_t B = Draw() % Index.size();
+      auto Load = [&](std::size_t I) {
+        return Candidates[I].InProgress + Candidates[I].Waiting;
+      };
+      return Index[Load(A) <= Load(B) ? A : B];
+    }
+    case Policy::Router: {
+      if (standing(R) == Quarantine::Standing::Suspect)
+        return Index[*E.Choice.chooseForSuspect(Candidates, hashOf(R))];
+      auto Picked = E.Choice.choose(Candidates, R.From->What.Prefix, Loop.now(),
+                                    [this] { return Draw(); });
+      if (!Picked)
+        return std::nullopt;
+      return Index[*Picked];
+    }
+    }
+    return std::nullopt;
+  }
+
+  void onRefused(const RequestPtr &R) {
+    Entry &E = Entries[R->Entry];
+    R->Refused.insert(R->Target);
+    bool Late = Loop.now() - R->ArrivedAt > How.TargetWait;
+    if (Late || standing(*R) == Quarantine::Standing::Quarantined ||
+        !E.Budget.tryRetry())
+      return refuse(R);
+    if (!trySend(R))
+      wait(R);
+  }
+
+  void dispatchQueue(std::size_t Which) {
+    Entries[Which].Queue.dispatch(
+        Loop.now(), [this](const RequestPtr &R) { return trySend(R); });
+  }
+
+  void tick(std::size_t Which) {
+    for (auto &Late : Entries[Which].Queue.expire(Loop.now()))
+      refuse(Late.Request);
+    dispatchQueue(Which);
+    Loop.after(25ms, [this, Which] { tick(Which); });
+  }
+
+  // ---- Targets ----
+
+  void offer(const RequestPtr &R) {
+    Target &T = Targets[R->Target];
+    if (T.Dead)
+      return reply(R, Router::Outcome::Failed, {}, [this, R] { onRefused(R); });
+    if (!How.AdmissionControl)
+      return start(R);
+    // One suspect at a time, so that a second death tells which it was.
+    if (standing(*R) == Quarantine::Standing::Suspect &&
+        std::any_of(
+            T.Running.begin(), T.Running.end(), [&](const RunPtr &Other) {
+              return standing(*Other->Of) == Quarantine::Standing::Suspect;
+            }))
+      return busy(R);
+    if (T.Gate.tryAdmit(R->From->What.Class) == Admission::Decision::Admitted)
+      return start(R);
+    if (auto Out = T.Waiting.push(R->From->What.Class,
+                                  R->ArrivedAt + How.TargetWait, R))
+      busy(*Out);
+  }
+
+  void busy(const RequestPtr &R) {
+    reply(R, Router::Outcome::Busy, {}, [this, R] { onRefused(R); });
+  }
+
+  /// Ends an attempt at the entry. Each reply carries the target's load.
+  void reply(const RequestPtr &R, Router::Outcome Ended, core::Duration Latency,
+             std::function<void()> Work) {
+    Loop.after(How.Hop, [this, R, Ended, Latency,
+                         Load = loadOf(Targets[R->Target]),
+                         Work = std::move(Work)] {
+      Entry &E = Entries[R->Entry];
+      E.Choice.finished(Targets[R->Target].Host, Ended, Latency, Loop.now());
+      if (How.LoadInReplies)
+        takeReport(E, R->Target, Load);
+      Work();
+      dispatchQueue(R->Entry);
+    });
+  }
+
+  void start(const RequestPtr &R) {
+    Target &T = Targets[R->Target];
+    if (gone(*R))
+      return cancelled(R);
+    auto Running = std::make_shared<Run>();
+    Running->Of = R;
+    Running->AdmittedAt = Loop.now();
+    T.Running.push_back(Running);
+    Out.MostInProgress =
+        std::max<std::uint32_t>(Out.MostInProgress, T.Running.size());
+    const Arrival &What = R->From->What;
+    if (What.Kills) {
+      Loop.after(5ms, [this, R] { die(R->Target); });
+      return;
+    }
+    double Slow =
+        std::max(1.0, static_cast<double>(T.Running.size()) / How.Bears);
+    double Prefill = cached(T, What.Prefix) ? 0.3 : 1.0;
+    auto FirstPart = std::chrono::duration_cast<core::Duration>(What.Prefill *
+                                                                Slow * Prefill);
+    auto Rest = std::chrono::duration_cast<core::Duration>(What.Decode * Slow);
+    Running->FirstPart = Loop.now() - R->SentAt + FirstPart;
+    T.Latency =
+        T.Latency.count() == 0 ? FirstPart : (T.Latency * 4 + FirstPart) / 5;
+    core::Duration Left = R->From->FirstTry + How.Patience - Loop.now();
+    if (FirstPart > Left)
+      Loop.after(Left, [this, Running] {
+        if (std::erase(Targets[Running->Of->Target].Running, Running) > 0)
+          cancelled(Running->Of);
+      });
+    else
+      Loop.after(FirstPart + Rest,
+                 [this, Running, FirstPart] { finish(Running, FirstPart); });
+  }
+
+  /// The caller has closed its connection, and the entry has passed that on.
+  void cancelled(const RequestPtr &R) {
+    fail(*R->From);
+    if (How.AdmissionControl)
+      Targets[R->Target].Gate.finished(Admission::Outcome::Abandoned, {});
+    reply(R, Router::Outcome::Abandoned, {}, [] {});
+    startWaiting(Targets[R->Target]);
+  }
+
+  bool cached(Target &T, std::uint64_t Prefix) {
+    if (Prefix == 0)
+      return false;
+    auto Found = std::find(T.Cache.begin(), T.Cache.end(), Prefix);
+    bool Hit = Found != T.Cache.end();
+    if (Hit)
+      T.Cache.erase(Found);
+    T.Cache.push_front(Prefix);
+    if (T.Cache.size() > How.CachedPrefixes)
+      T.Cache.pop_back();
+    return Hit;
+  }
+
+  void finish(const RunPtr &Running, core::Duration FirstPart) {
+    RequestPtr R = Running->Of;
+    Target &T = Targets[R->Target];
+    if (std::erase(T.Running, Running) == 0)
+      return;
+    if (How.AdmissionControl)
+      T.Gate.finished(Admission::Outcome::Answered, FirstPart);
+    reply(R, Router::Outcome::Answered, FirstPart, [this, R, Running] {
+      Entries[R->Entry].Known.acquit(R->From->Digest);
+      answer(R, Running->FirstPart);
+    });
+    startWaiting(T);
+  }
+
+  void startWaiting(Target &T) {
+    for (const RequestPtr &Late : T.Waiting.expire(Loop.now()))
+      busy(Late);
+    while (auto Next = T.Waiting.pop([&](TrafficClass Class) {
+      return T.Gate.tryAdmit(Class) == Admission::Decision::Admitted;
+    }))
+      start(*Next);
+  }
+
+  void die(std::size_t Which) {
+    Target &T = Targets[Which];
+    if (T.Dead)
+      return;
+    T.Dead = true;
+    ++Out.Deaths;
+    std::uint64_t Death = deathId(T.Host.str(), 1, ++T.Deaths);
+    auto Lost = std::move(T.Running);
+    T.Running.clear();
+    for (const RunPtr &Running : Lost) {
+      RequestPtr R = Running->Of;
+      T.Gate.finished(Admission::Outcome::Abandoned, {});
+      Loop.after(How.Hop, [this, D = R->From->Digest, Death] {
+        for (Entry &E : Entries)
+          E.Known.add({D, Death}, Loop.now());
+      });
+      reply(R, Router::Outcome::Failed, {}, [this, R] { onRefused(R); });
+    }
+    while (auto Next = T.Waiting.pop([](TrafficClass) { return true; }))
+      busy(*Next);
+    T.Gate.turnedCold();
+    Loop.after(How.RestartAfterDeath, [&T] { T.Dead = false; });
+  }
+
+  std::array<Router::Target, 3> loadOf(const Target &T) const {
+    std::array<Router::Target, 3> Load;
+    for (std::size_t Class = 0; Class < Load.size(); ++Class) {
+      Router::Target &Now = Load[Class];
+      auto Of = static_cast<TrafficClass>(Class);
+      Now.Host = T.Host;
+      Now.Credits = T.Gate.credits(Of) + T.Waiting.room(Of);
+      Now.Slots = T.Gate.credits(Of);
+      Now.InProgress = T.Running.size();
+      Now.Waiting = T.Waiting.size();
+      Now.Latency = T.Latency;
+    }
+    return Load;
+  }
+
+  void takeReport(Entry &E, std::size_t Which,
+                  const std::array<Router::Target, 3> &Load) {
+    E.Reports[Which] = Load;
+    for (Router::Target &Report : E.Reports[Which])
+      Report.Where = E.FailureDomain == Targets[Which].FailureDomain
+                         ? Router::Distance::FailureDomain
+                         : Router::Distance::Region;
+    E.Choice.reported(Targets[Which].Host);
+  }
+
+  void report(std::size_t Which) {
+    Target &T = Targets[Which];
+    Loop.after(How.ReportLag, [this, Which, Load = loadOf(T), Alive = !T.Dead] {
+      for (Entry &E : Entries) {
+        takeReport(E, Which, Load);
+        E.Alive[Which] = Alive;
+      }
+    });
+    Loop.after(How.ReportPeriod, [this, Which] { report(Which); });
+  }
+
+  Settings How;
+  Policy Which;
+  EventLoop Loop;
+  std::mt19937_64 Draw;
+  core::CatalogueEntry Catalogue;
+  std::deque<Target> Targets;
+  std::deque<Entry> Entries;
+  std::size_t NextEntry = 0;
+  std::uint64_t NextCaller = 0;
+  bool LoadEnded = false;
+  Result Out;
+};
+
+} // namespace
+
+double Result::percentile(double Part) const {
+  std::vector<double> All;
+  for (const auto &Class : FirstPartMs)
+    All.insert(All.end(), Class.begin(), Class.end());
+  return percentileOf(std::move(All), Part);
+}
+
+double Result::percentile(TrafficClass Class, double Part) const {
+  return percentileOf(FirstPartMs[static_cast<std::size_t>(Class)], Part);
+}
+
+Result run(const Settings &How, Policy Which,
+           const std::vector<Arrival> &Load) {
+  return Model(How, Which).run(Load);
+}
+
+} // namespace rosemarylane::routing::model
