--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -59,7 +59,7 @@
 ServerConnection::ServerConnection(
     boost::asio::ip::tcp::socket Socket, const ServerSettings &Settings,
     std::shared_ptr<std::atomic<std::size_t>> InProgress, ConnectionHooks Hooks)
-    : Socket(std::move(Socket)), Settings(Settings),
+    : Socket(std::move(Socket)), Settings(Settings), Number(Hooks.Number),
       InProgress(std::move(InProgress)), Hooks(std::move(Hooks)),
       ReadTimer(this->Socket.get_executor()),
       WriteTimer(this->Socket.get_executor()) {
@@ -91,9 +91,10 @@
   Socket.close(Ignored);
   ReadTimer.cancel();
   WriteTimer.cancel();
-  if (Answering) {
-    Answering = false;
+  if (Answering || AwaitingLast)
     --*InProgress;
+  AwaitingLast = false;
+  if (std::exchange(Answering, false)) {
     if (auto Exchange = Current.lock())
       Exchange->gone();
   }
@@ -173,7 +174,8 @@
   Answering = true;
   AnswerEnded = false;
   Streaming = false;
-  ++*InProgress;
+  if (!std::exchange(AwaitingLast, false))
+    ++*InProgress;
   auto Exchange = std::make_shared<ServerExchange>(
       shared_from_this(), ++ExchangeId, std::move(Received));
   Current = Exchange;
@@ -191,13 +193,15 @@
   HeadOnly = false;
   Answering = true;
   AnswerEnded = false;
-  ++*InProgress;
+  if (!std::exchange(AwaitingLast, false))
+    ++*InProgress;
   Current.reset();
   respond(++ExchangeId, problemResponse(Status, Title, Detail, "no"));
 }
 
 void ServerConnection::armReadTimeout() {
-  ReadTimer.expires_after(Settings.ReadTimeout);
+  ReadTimer.expires_after(AwaitingLast ? Settings.DrainGrace
+                                       : Settings.ReadTimeout);
   ReadTimer.async_wait([Weak = weak_from_this()](error_code Error) {
     auto Self = Weak.lock();
     if (Self && !Error)
@@ -278,6 +282,10 @@
 void ServerConnection::abort(std::uint64_t Id) {
   if (!present(Id))
     return;
+  KeepAlive = false;
+  // The missing last chunk tells; what was written still arrives.
+  if (Streaming && Chunked && !HeadOnly)
+    return endAnswer();
   // A reset tells also a caller that reads until the close.
   error_code Ignored;
   Socket.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
@@ -339,9 +347,13 @@
 
 void ServerConnection::afterAnswer() {
   Answering = false;
-  --*InProgress;
+  if (!KeepAlive || !Draining)
+    --*InProgress;
   if (!KeepAlive)
     return linger();
+  // The caller may take the connection for kept: a request on its way is still
+  // answered.
+  AwaitingLast = Draining;
   armReadTimeout();
   // Posted, since the handler may still be on the stack.
   boost::asio::post(Socket.get_executor(), [Self = shared_from_this()] {
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -21,9 +21,11 @@
 class ServerConnection;
 class ServerExchange;
 
-/// What a connection tells its server.
+/// What a connection is given by its server.
 struct ConnectionHooks {
   Server::Handler OnRequest;
+  /// The number of the connection.
+  std::uint64_t Number = 0;
   /// The connection has closed; called once.
   std::function<void(ServerConnection &)> OnClosed;
 };
@@ -48,7 +50,10 @@
 
   /// The present or next answer is the connection's last.
   void drain();
-  bool idle() const { return !Answering && !ReceivingRequest && !Lingering; }
+  /// @return whether nothing is in progress and no time limit of its own runs.
+  bool idle() const {
+    return !Answering && !ReceivingRequest && !Lingering && !AwaitingLast;
+  }
 
   /// @name The exchange's side; \p Id tells the present exchange from earlier
   /// ones.
@@ -61,6 +66,7 @@
   /// @}
 
   boost::asio::any_io_executor executor() { return Socket.get_executor(); }
+  std::uint64_t number() const { return Number; }
   std::size_t queuedBytes() const { return Queued; }
 
 private:
@@ -91,6 +97,7 @@
 
   boost::asio::ip::tcp::socket Socket;
   const ServerSettings &Settings;
+  const std::uint64_t Number;
   std::shared_ptr<std::atomic<std::size_t>> InProgress;
   ConnectionHooks Hooks;
   boost::asio::steady_timer ReadTimer;
@@ -120,6 +127,9 @@
   std::atomic<std::size_t> Queued{0};
 
   bool Draining = false;
+  /// Drained with an answer that did not say so: counts as in progress until
+  /// the grace is over.
+  bool AwaitingLast = false;
   /// The last answer is out; what still comes is discarded until the caller
   /// closes.
   bool Lingering = false;
--- a/rosemarylane/src/agent/WeightService.cpp
+++ b/rosemarylane/src/agent/WeightService.cpp
@@ -3,6 +3,7 @@
 #include "agent/ChunkExchange.h"
 #include "agent/ChunkStore.h"
 #include "agent/EngineControl.h"
+#include "agent/ReplicaView.h"
 #include "core/Time.h"
 #include "swarm/Placement.h"
 #include "swarm/Rollout.h"
@@ -11,6 +12,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <unordered_set>
 
 namespace rosemarylane {
 
@@ -22,6 +24,8 @@
 constexpr int SilentPollsUntilDown = 2;
 /// Orders for a version that the engine turned down before it is given up.
 constexpr int LoadAttempts = 2;
+/// A cold engine without requests counts as warm after this long.
+constexpr std::chrono::seconds IdleUntilWarm{5};
 
 constexpr char StoppedElsewhere[] =
     "stopped: the version failed to load at another replica";
@@ -32,11 +36,6 @@
   return std::string(D.bytes());
 }
 
-swarm::EngineHost engineHost(const wire::Sender &Member) {
-  return {core::HostId(Member.host()), core::RegionId(Member.region()),
-          core::FailureDomainId(Member.failure_domain())};
-}
-
 class EngineWeightService final : public WeightService {
 public:
   EngineWeightService(ProcessContext &Context, const MessageSender &Send,
@@ -64,7 +63,6 @@
                                         if (Guard.lock())
                                           poll();
                                       });
-    poll();
   }
 
   void receive(const wire::Peer &From, const wire::Envelope &Message) override {
@@ -86,8 +84,8 @@
   std::vector<wire::Holding> holdings() const override {
     std::map<core::EntryName, wire::Holding> ByEntry;
     if (State)
-      for (const auto &[Name, Version] : State->Loaded)
-        ByEntry[Name].set_version(digestBytes(Version));
+      for (const auto &[Name, Model] : State->Loaded)
+        ByEntry[Name].set_version(digestBytes(Model.Version));
     for (const ServedVersion &S : Served)
       ByEntry[S.Entry].set_serving(true);
     for (const auto &[Name, Want] : Wants)
@@ -95,7 +93,7 @@
     std::vector<wire::Holding> Result;
     for (auto &[Name, Holding] : ByEntry) {
       Holding.set_entry(Name.str());
-      Holding.set_warm(State && State->Warm);
+      Holding.set_warm(countsAsWarm());
       Result.push_back(std::move(Holding));
     }
     return Result;
@@ -111,6 +109,8 @@
     std::optional<core::EntryName> Base;
     std::string LoadError;
     int Attempts = 0;
+    /// The engine's memory does not hold the old and the new version.
+    bool NoRoom = false;
     core::TimePoint RetryAt{};
   };
 
@@ -154,23 +154,30 @@
     publish();
   }
 
-  /// Takes the engine's state as read; what changed without an order of ours
-  /// is looked up anew before anything is served.
+  /// Takes the engine's state as read; what changed is looked up anew.
   void adopt(EngineState Seen) {
-    bool Known = State && State->Generation == Seen.Generation &&
-                 State->Loaded == Seen.Loaded;
-    if (Known && ChunksKnown) {
-      bool Warmed = State->Warm != Seen.Warm;
-      State = std::move(Seen);
-      if (Warmed)
-        Heartbeats.sendNow();
-      advance();
-      return;
-    }
-    if (Ordering)
+    if (Ordering && !OrderEnded)
       return;
+    bool OwnOrder = OrderEnded;
+    bool Same = State && State->Generation == Seen.Generation &&
+                State->Loaded == Seen.Loaded;
+    bool WarmthChanged = State && State->Warm != Seen.Warm;
+    if (!Same && !OwnOrder && Seen.Loaded.empty())
+      forgetFailures();
+    Ordering.reset();
+    OrderEnded = false;
     State = std::move(Seen);
-    refreshChunks();
+    if (!Same)
+      ChangedAt = now();
+    if (State->Requests > 0)
+      BusyAt = now();
+    publish();
+    if (WarmthChanged)
+      Heartbeats.sendNow();
+    if (Same && ChunksKnown && !OwnOrder)
+      advance();
+    else
+      refreshChunks();
   }
 
   void refreshChunks() {
@@ -179,12 +186,20 @@
       ChunksKnown = Answered;
       if (!Answered)
         return;
-      publish();
       Exchange->storeChanged();
       advance();
     });
   }
 
+  /// A restarted engine may load what it could not load before.
+  void forgetFailures() {
+    for (auto &[Name, W] : Wants) {
+      W.Attempts = 0;
+      W.LoadError.clear();
+      W.NoRoom = false;
+    }
+  }
+
   // ---- What the engine should hold ----
 
   /// Works out anew which entries this engine should hold.
@@ -192,7 +207,7 @@
     auto Config = Configuration.current();
     if (Config->Revision == 0)
       return;
-    std::vector<swarm::EngineHost> Agents = engineAgents();
+    std::vector<swarm::EngineHost> Agents = engineHosts(Heartbeats.agents());
     bool Listed =
         std::any_of(Agents.begin(), Agents.end(), [&](const auto &Agent) {
           return Agent.Host == Context.Config.Host;
@@ -219,14 +234,6 @@
     advance();
   }
 
-  std::vector<swarm::EngineHost> engineAgents() const {
-    std::vector<swarm::EngineHost> Agents;
-    for (const wire::MemberSummary &Member : Heartbeats.agents())
-      if (!Member.plain_service() && !Member.draining())
-        Agents.push_back(engineHost(Member.member()));
-    return Agents;
-  }
-
   /// Tells the exchange which versions to fetch, and whom to share them with.
   void share(const core::Configuration &Config,
              const std::vector<swarm::EngineHost> &Agents) {
@@ -236,7 +243,8 @@
           Member.member().peer_address();
     std::vector<ChunkExchange::Wanted> Versions;
     for (const auto &[Name, W] : Wants) {
-      ChunkExchange::Wanted V{W.Version, W.Class, {}};
+      ChunkExchange::Wanted V{
+          W.Version, W.Class, Config.entry(Name)->Replicas, {}};
       for (const swarm::EngineHost &Replica :
            swarm::replicaHosts(*Config.entry(Name), Config, Agents))
         V.Peers.push_back({Replica, Addresses[Replica.Host]});
@@ -256,11 +264,44 @@
         begin(Name);
         return;
       }
-    for (const auto &[Name, Version] : State->Loaded)
-      if (superfluous(Name)) {
+    for (const auto &[Name, Model] : State->Loaded)
+      if (superfluous(Name) || mustMakeRoom(Name)) {
         beginUnload(Name);
         return;
       }
+    collectGarbage();
+  }
+
+  /// Whether the old version has to go before the new one fits.
+  bool mustMakeRoom(const core::EntryName &Name) const {
+    auto Found = Wants.find(Name);
+    return Found != Wants.end() && Found->second.NoRoom &&
+           loadedVersion(Name) != Found->second.Version &&
+           decide(Name, Found->second.Version) == swarm::SwitchDecision::Switch;
+  }
+
+  /// Removes chunks that no version needs, once only wanted versions are
+  /// loaded.
+  void collectGarbage() {
+    std::unordered_set<core::Digest> Needed;
+    for (const auto &[Name, W] : Wants) {
+      const swarm::Manifest *M = Exchange->manifest(W.Version);
+      if (!M)
+        return;
+      Needed.insert(W.Version);
+      for (const swarm::ManifestChunk &Chunk : M->Chunks)
+        Needed.insert(Chunk.Id);
+    }
+    for (const auto &[Name, Model] : State->Loaded)
+      if (auto W = Wants.find(Name);
+          W == Wants.end() || W->second.Version != Model.Version)
+        return;
+    std::vector<core::Digest> Unneeded;
+    for (const core::Digest &Id : Store.held())
+      if (!Needed.contains(Id))
+        Unneeded.push_back(Id);
+    for (const core::Digest &Id : Unneeded)
+      Store.remove(Id);
   }
 
   bool due(const core::EntryName &Name, Want &W) {
@@ -277,7 +318,8 @@
 
   core::Digest loadedVersion(const core::EntryName &Name) const {
     auto Found = State->Loaded.find(Name);
-    return Found == State->Loaded.end() ? core::Digest() : Found->second;
+    return Found == State->Loaded.end() ? core::Digest()
+                                        : Found->second.Version;
   }
 
   /// @return whether every chunk of \p Version is in the engine's memory.
@@ -295,33 +337,21 @@
     const core::CatalogueEntry *Entry = Config->entry(Name);
     if (!Entry || Entry->Version != Version)
       return swarm::SwitchDecision::Wait;
-    std::vector<swarm::ReplicaStatus> Replicas;
-    for (const swarm::EngineHost &Replica :
-         swarm::replicaHosts(*Entry, *Config, engineAgents()))
-      Replicas.push_back(status(Replica.Host, Name, Version));
-    return swarm::decideSwitch(Context.Config.Host, Version,
-                               Entry->ServingFloor, Replicas);
-  }
-
-  swarm::ReplicaStatus status(const core::HostId &Host,
-                              const core::EntryName &Name,
-                              const core::Digest &Version) const {
-    swarm::ReplicaStatus Status{Host, {}, false, false};
-    if (Host == Context.Config.Host) {
-      Status.Loaded = loadedVersion(Name);
-      Status.Serving = serves(Name) && State->Warm;
-      return Status;
-    }
-    for (const wire::MemberSummary &Member : Heartbeats.agents())
-      if (Member.member().host() == Host.str())
-        for (const wire::Holding &H : Member.holdings())
-          if (H.entry() == Name.str()) {
-            Status.Loaded =
-                core::Digest::fromBytes(H.version()).value_or(core::Digest());
-            Status.Serving = H.serving() && H.warm();
-            Status.Failed = H.failed_version() == Version.bytes();
-          }
-    return Status;
+    return swarm::decideSwitch(
+        Context.Config.Host, Version, Entry->ServingFloor,
+        replicaStatuses(*Entry, *Config, Heartbeats.agents(), ownStatus(Name)));
+  }
+
+  swarm::ReplicaStatus ownStatus(const core::EntryName &Name) const {
+    return {Context.Config.Host, loadedVersion(Name),
+            serves(Name) && countsAsWarm(), false};
+  }
+
+  /// A cold engine that nobody asks cannot become warm, so after a while it no
+  /// longer holds up the replicas behind it.
+  bool countsAsWarm() const {
+    return State &&
+           (State->Warm || now() - std::max(ChangedAt, BusyAt) > IdleUntilWarm);
   }
 
   bool serves(const core::EntryName &Name) const {
@@ -339,14 +369,12 @@
       return true;
     if (Config->outOfService(Context.Config.Host, Context.Config.FailureDomain))
       return false;
-    std::vector<swarm::EngineHost> Replicas =
-        swarm::replicaHosts(*Entry, *Config, engineAgents());
+    auto Replicas =
+        replicaStatuses(*Entry, *Config, Heartbeats.agents(), ownStatus(Name));
     // Kept until those that take over serve.
     return Replicas.size() >= Entry->Replicas &&
-           std::all_of(Replicas.begin(), Replicas.end(), [&](const auto &R) {
-             return R.Host != Context.Config.Host &&
-                    status(R.Host, Name, Entry->Version).Serving;
-           });
+           std::all_of(Replicas.begin(), Replicas.end(),
+                       [](const auto &R) { return R.Serving; });
   }
 
   /// Withdraws \p Name, lets requests end, then orders the load.
@@ -419,26 +447,31 @@
     });
   }
 
-  /// An order has ended: what is true is read back.
+  /// An order has ended: what is true is read back. What the order did not
+  /// touch goes on being served meanwhile.
   void ended() {
-    Ordering.reset();
-    readAgain();
+    OrderEnded = true;
+    ++Doubts;
+    poll();
   }
 
   void engineFull(const core::Digest &Version) {
     for (auto &[Name, W] : Wants)
-      if (W.Version == Version)
+      if (W.Version == Version) {
         W.LoadError = "the engine's memory is full";
+        W.NoRoom = true;
+      }
+    advance();
   }
 
   // ---- What is served ----
 
   void publish() {
     std::vector<ServedVersion> Next;
-    if (State && ChunksKnown)
-      for (const auto &[Name, Version] : State->Loaded)
+    if (State)
+      for (const auto &[Name, Model] : State->Loaded)
         if (Name != Ordering)
-          Next.push_back({Name, Version, State->Generation});
+          Next.push_back({Name, Model.Version, Model.Generation});
     bool Changed = !std::equal(Next.begin(), Next.end(), Served.begin(),
                                Served.end(), [](const auto &A, const auto &B) {
                                  return A.Entry == B.Entry &&
@@ -479,6 +512,10 @@
 
   /// What was read back last; none while it is in doubt.
   std::optional<EngineState> State;
+  /// When the engine was last seen to have loaded or restarted.
+  core::TimePoint ChangedAt;
+  /// When the engine was last seen with requests.
+  core::TimePoint BusyAt;
   bool ChunksKnown = false;
   bool Polling = false;
   /// Counts the reasons to doubt answers to questions asked before.
@@ -487,6 +524,8 @@
   std::map<core::EntryName, Want> Wants;
   /// The entry that an order is in progress for.
   std::optional<core::EntryName> Ordering;
+  /// The order has been answered, but not yet read back.
+  bool OrderEnded = false;
   std::vector<ServedVersion> Served;
   std::vector<std::function<void()>> ServedHooks;
   std::function<void(const core::EntryName &, std::function<void()>)>
