--- a/libs/routing/include/routing/Ramp.h
+++ b/libs/routing/include/routing/Ramp.h
@@ -33,6 +33,8 @@
   /// round at `ProbePart` of the limit.
   std::uint32_t ProbeRounds = 120;
   double ProbePart = 0.5;
+  /// Rounds in a row above that multiple after which a probe is made.
+  std::uint32_t SlowRounds = 2;
   /// The ramp backs off if a probe shows that the mean latency of the round
   /// before was above this multiple of the probe's: a target that is not loaded
   /// answers as fast with half of the requests, a saturated one twice as fast.
@@ -114,6 +116,7 @@
   std::uint32_t Samples = 0;
   double SampleSum = 0;
   std::uint32_t ColdInRow = 0;
+  std::uint32_t SlowInRow = 0;
   std::uint32_t Restarts = 0;
   std::uint32_t RoundsSinceProbe = 0;
   /// The last probe showed load: each round is followed by another probe, and
--- a/libs/routing/src/Ramp.cpp
+++ b/libs/routing/src/Ramp.cpp
@@ -28,6 +28,7 @@
   Baseline = 0;
   BaselineCount = 0;
   ColdInRow = 0;
+  SlowInRow = 0;
   RoundsSinceProbe = 0;
   LimitBeforeProbe = 0;
   Loaded = false;
@@ -110,8 +111,12 @@
 }
 
 bool Ramp::judgeRound(double Mean) {
-  if (Loaded || (BaselineCount > 0 && Mean >= Settings.GrowBelow * Baseline))
+  bool Slow = BaselineCount > 0 && Mean >= Settings.GrowBelow * Baseline;
+  SlowInRow = Slow ? SlowInRow + 1 : 0;
+  if (Loaded || SlowInRow >= Settings.SlowRounds)
     return false;
+  if (Slow)
+    return true;
   extendBaseline();
   if (Reached)
     setLimit(Limit + std::max(1.0, Limit * Settings.Growth));
@@ -119,6 +124,7 @@
 }
 
 void Ramp::beginProbe(double Mean) {
+  SlowInRow = 0;
   RoundsSinceProbe = 0;
   LimitBeforeProbe = Limit;
   setLimit(Limit * Settings.ProbePart);
