Choose targets by routing::Router; quarantine and load reports between processes

Cause: choice was inline and saw load only by heartbeats; suspects of a death travelled without naming the death, so one death reported by each broken connection would have counted several times. Change: TargetSelector joins membership, quarantine and Router. Agents send their load after each attempt. QuarantineNotice carries pairs of request and death; losses within 250 ms at one agent are one death; a suspect runs alone at its one target. Metric rosemarylane_target_choices_total. Not run yet: a killing request against running processes.

--- a/libs/routing/include/routing/Member.h
+++ b/libs/routing/include/routing/Member.h
@@ -5,6 +5,7 @@
 #include "core/Digest.h"
 #include "core/Ids.h"
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -14,18 +15,29 @@
 
 enum class MemberRole { Entry, Agent };
 
+constexpr std::size_t TrafficClasses = 3;
+
+/// How busy a target is, in its agent's words.
+struct Load {
+  /// Requests that would start at once.
+  std::uint32_t Credits = 0;
+  std::uint32_t InProgress = 0;
+  std::uint32_t Waiting = 0;
+  /// Smoothed time to the first part of an answer.
+  std::chrono::microseconds Latency{0};
+  /// By class: requests that would be taken, to run or to wait.
+  std::array<std::uint32_t, TrafficClasses> ClassRoom{};
+
+  bool operator==(const Load &) const = default;
+};
+
 /// One catalogue entry as held by one target, in its agent's words.
 struct Holding {
   core::EntryName Entry;
   /// The version loaded; none for a plain service.
   core::Digest Version;
   bool Serving = false;
-  /// Requests that the agent would still take.
-  std::uint32_t Credits = 0;
-  std::uint32_t InProgress = 0;
-  std::uint32_t Waiting = 0;
-  /// Smoothed time to the first part of an answer.
-  std::chrono::microseconds Latency{0};
+  Load Busy;
   core::Digest Fetching;
   std::uint32_t FetchedPermille = 0;
   std::string LoadError;
--- a/libs/routing/include/routing/Membership.h
+++ b/libs/routing/include/routing/Membership.h
@@ -64,6 +64,10 @@
   void confirm(const Key &Who, std::uint64_t Incarnation,
                std::chrono::milliseconds Age, core::TimePoint Now);
 
+  /// Takes a newer load of an agent, told \p Time after its start.
+  void updateLoad(const Key &Who, std::uint64_t Incarnation, const Load &Now,
+                  std::chrono::milliseconds Time, core::TimePoint At);
+
   /// This process was paused for \p Gap, during which nothing could be heard:
   /// the silence is not held against the members.
   void discountPause(core::Duration Gap);
--- a/libs/routing/include/routing/Router.h
+++ b/libs/routing/include/routing/Router.h
@@ -88,8 +88,8 @@
   /// A newer load report of the target came.
   void reported(const core::HostId &Host);
 
-  /// Drops what is known of a target that has gone.
-  void forget(const core::HostId &Host);
+  /// Drops what is known of the targets that have \p Gone.
+  void forgetIf(const std::function<bool(const core::HostId &)> &Gone);
 
   /// @return attempts of this process in progress at the target.
   std::uint32_t inProgress(const core::HostId &Host) const;
--- a/libs/routing/src/Membership.cpp
+++ b/libs/routing/src/Membership.cpp
@@ -40,6 +40,20 @@
   Found->second.HeardAt = std::max(Found->second.HeardAt, Now - Age);
 }
 
+void Membership::updateLoad(const Key &Who, std::uint64_t Incarnation,
+                            const Load &Now, std::chrono::milliseconds Time,
+                            core::TimePoint At) {
+  auto Found = Records.find(Who);
+  if (Found == Records.end() || Found->second.What.Incarnation != Incarnation ||
+      Found->second.What.Time > Time)
+    return;
+  Record &Known = Found->second;
+  Known.What.Time = Time;
+  Known.HeardAt = std::max(Known.HeardAt, At);
+  for (Holding &H : Known.What.Holdings)
+    H.Busy = Now;
+}
+
 void Membership::discountPause(core::Duration Gap) {
   for (auto &[Who, Known] : Records)
     Known.HeardAt += Gap;
--- a/libs/routing/src/Router.cpp
+++ b/libs/routing/src/Router.cpp
@@ -169,7 +169,9 @@
   Found->second.Full = false;
 }
 
-void Router::forget(const core::HostId &Host) { Locals.erase(Host); }
+void Router::forgetIf(const std::function<bool(const core::HostId &)> &Gone) {
+  std::erase_if(Locals, [&](const auto &Item) { return Gone(Item.first); });
+}
 
 std::uint32_t Router::inProgress(const core::HostId &Host) const {
   return static_cast<std::uint32_t>(local(Host).InProgress);
--- a/rosemarylane/src/agent/Gate.cpp
+++ b/rosemarylane/src/agent/Gate.cpp
@@ -1,6 +1,7 @@
 #include "agent/Gate.h"
 
 #include "agent/TargetCall.h"
+#include "common/MemberMessages.h"
 #include "routing/Admission.h"
 #include "routing/WaitQueue.h"
 #include "telemetry/Log.h"
@@ -149,6 +150,9 @@
       return;
     if (auto Reason = refusalOf(*R))
       return finishRefused(R, *Reason, wire::RAN_NO, "");
+    if (isSuspect(*R) && suspectRunning())
+      return finishRefused(R, wire::REFUSAL_BUSY, wire::RAN_NO,
+                           "another request that may kill targets is running");
     Runs.emplace(Request.id().request(), R);
     if (Waiting.size() == 0 && admitted(classOf(*R)))
       return start(R);
@@ -158,6 +162,17 @@
       finishRefused(*Refused, wire::REFUSAL_BUSY, wire::RAN_NO, "");
   }
 
+  bool isSuspect(const TargetRun &R) const {
+    auto Digest = core::Digest::fromBytes(R.Request.digest());
+    return Digest && Heartbeats.suspected(*Digest);
+  }
+
+  /// Suspects run one at a time, so that another death tells which it was.
+  bool suspectRunning() const {
+    return std::any_of(Runs.begin(), Runs.end(),
+                       [&](const auto &R) { return isSuspect(*R.second); });
+  }
+
   bool admitted(core::TrafficClass Class) {
     return Admit.tryAdmit(Class) == routing::Admission::Decision::Admitted;
   }
@@ -327,7 +342,11 @@
     Context.Tracer->close(R->Span);
     // Ends the call if it is still open.
     R->Call.reset();
+    if (What == ledger::Ran::Yes)
+      if (auto Digest = core::Digest::fromBytes(R->Request.digest()))
+        Heartbeats.acquit(*Digest);
     startWaiting();
+    reportLoad(R->From);
     checkReplacing();
     checkIdle();
   }
@@ -431,12 +450,29 @@
   void addLoad(wire::Holding &H) const {
     if (Draining || Replacing.contains(core::EntryName(H.entry())))
       H.set_serving(false);
-    H.set_credits(Admit.credits(core::TrafficClass::Interactive));
-    H.set_in_progress(Admit.inProgress());
-    H.set_waiting(Waiting.size());
-    H.set_latency_us(
-        std::chrono::duration_cast<std::chrono::microseconds>(Admit.latency())
-            .count());
+    setLoad(load(), H);
+  }
+
+  routing::Load load() const {
+    routing::Load Now;
+    Now.Credits = Admit.credits(core::TrafficClass::Interactive);
+    Now.InProgress = Admit.inProgress();
+    Now.Waiting = Waiting.size();
+    Now.Latency =
+        std::chrono::duration_cast<std::chrono::microseconds>(Admit.latency());
+    for (std::size_t I = 0; I < Now.ClassRoom.size(); ++I) {
+      auto Class = static_cast<core::TrafficClass>(I);
+      Now.ClassRoom[I] = Admit.credits(Class) + Waiting.room(Class);
+    }
+    return Now;
+  }
+
+  /// Tells the entry of an ended attempt the load, so that its next choice does
+  /// not wait for a heartbeat.
+  void reportLoad(const wire::Peer &To) {
+    wire::Envelope Message;
+    *Message.mutable_load_report() = reportOf(load());
+    Send.send(To, std::move(Message));
   }
 
   ProcessContext &Context;
--- a/rosemarylane/src/agent/HeartbeatService.cpp
+++ b/rosemarylane/src/agent/HeartbeatService.cpp
@@ -2,10 +2,10 @@
 
 #include "common/MemberMessages.h"
 #include "core/Time.h"
+#include "routing/Quarantine.h"
 #include "telemetry/Log.h"
 
 #include <map>
-#include <unordered_set>
 
 namespace rosemarylane {
 
@@ -19,8 +19,8 @@
 /// An entry that has not answered for this long is tried only if the platform
 /// lists it.
 constexpr std::chrono::milliseconds EntryForgetAfter{10000};
-/// Heartbeats that repeat the same suspects, since any one may be lost.
-constexpr int SuspectRepeats = 4;
+/// Losses of the target's connections within this time are one death.
+constexpr std::chrono::milliseconds SameDeathWithin{250};
 
 class HeartbeatServiceImpl : public HeartbeatService {
 public:
@@ -45,9 +45,8 @@
       takeMembers(Message.members_reply());
       break;
     case wire::Envelope::kQuarantineNotice:
-      for (const std::string &Bytes : Message.quarantine_notice().digests())
-        if (auto D = core::Digest::fromBytes(Bytes))
-          Quarantined.insert(*D);
+      for (const auto &What : incidentsFrom(Message.quarantine_notice()))
+        Known.add(What, std::chrono::steady_clock::now());
       break;
     default:
       break;
@@ -69,8 +68,7 @@
       return !Item.second.Listed &&
              Now - Item.second.LastHeard > EntryForgetAfter;
     });
-    if (!Suspects.empty() && ++SuspectsSent >= SuspectRepeats)
-      Suspects.clear();
+    Known.expire(Now);
   }
 
   const std::vector<wire::MemberSummary> &agents() const override {
@@ -81,15 +79,36 @@
   }
 
   void reportSuspects(std::vector<core::Digest> Requests) override {
-    Suspects.insert(Suspects.end(), Requests.begin(), Requests.end());
-    SuspectsSent = 0;
+    core::TimePoint Now = std::chrono::steady_clock::now();
+    // Each request in progress notices the same death by itself.
+    if (Deaths == 0 || Now - LastDeath > SameDeathWithin) {
+      ++Deaths;
+      LastDeath = Now;
+    }
+    std::uint64_t Death = routing::deathId(Context.Config.Host.str(),
+                                           Context.Incarnation, Deaths);
+    std::vector<routing::Quarantine::Incident> News;
+    for (const core::Digest &Request : Requests)
+      if (Known.add({Request, Death}, Now))
+        News.push_back({Request, Death});
+    wire::Envelope Message;
+    *Message.mutable_quarantine_notice() = noticeOf(News);
+    for (const auto &[Address, Link] : Entries)
+      Send.send(wire::Peer::at(Address), Message);
     sendNow();
   }
 
   bool quarantined(const core::Digest &Request) const override {
-    return Quarantined.contains(Request);
+    return Known.standing(Request) ==
+           routing::Quarantine::Standing::Quarantined;
+  }
+
+  bool suspected(const core::Digest &Request) const override {
+    return Known.standing(Request) == routing::Quarantine::Standing::Suspect;
   }
 
+  void acquit(const core::Digest &Request) override { Known.acquit(Request); }
+
   void startDraining() override {
     Draining = true;
     sendNow();
@@ -114,8 +133,7 @@
     Beat.set_serves(Target.Serves.str());
     for (wire::Holding &H : Holdings())
       *Beat.add_holdings() = std::move(H);
-    for (const core::Digest &D : Suspects)
-      Beat.add_suspects(std::string(D.bytes()));
+    Beat.set_quarantine_digest(Known.digest());
     return Message;
   }
 
@@ -155,10 +173,18 @@
       for (const wire::Sender &Entry : Reply.entries())
         link(Entry.peer_address());
     }
+    if (Reply.quarantine_digest() != Known.digest() && Known.size() > 0)
+      sendNotice(Address);
     if (Reply.members_digest() != MembersDigest)
       requestMembers(Address);
   }
 
+  void sendNotice(const std::string &Address) {
+    wire::Envelope Message;
+    *Message.mutable_quarantine_notice() = noticeOf(Known.incidents());
+    Send.send(wire::Peer::at(Address), std::move(Message));
+  }
+
   void requestMembers(const std::string &Address) {
     wire::Envelope Message;
     Message.mutable_members_request()->set_known_digest(MembersDigest);
@@ -184,9 +210,9 @@
   std::vector<wire::MemberSummary> Agents;
   std::uint64_t MembersDigest = 0;
   std::vector<std::function<void()>> Hooks;
-  std::vector<core::Digest> Suspects;
-  int SuspectsSent = 0;
-  std::unordered_set<core::Digest> Quarantined;
+  routing::Quarantine Known;
+  std::uint64_t Deaths = 0;
+  core::TimePoint LastDeath;
   runtime::TimerService::Subscription HeartbeatTimer;
   runtime::TimerService::Subscription HostListTimer;
 };
--- a/rosemarylane/src/agent/HeartbeatService.h
+++ b/rosemarylane/src/agent/HeartbeatService.h
@@ -45,6 +45,13 @@
   /// @return whether requests with this digest have killed targets.
   virtual bool quarantined(const core::Digest &Request) const = 0;
 
+  /// @return whether a request with this digest may have killed a target: it
+  /// runs alone among such requests.
+  virtual bool suspected(const core::Digest &Request) const = 0;
+
+  /// A request with this digest was answered whole.
+  virtual void acquit(const core::Digest &Request) = 0;
+
   virtual void startDraining() = 0;
 };
 
--- a/rosemarylane/src/common/MemberMessages.cpp
+++ b/rosemarylane/src/common/MemberMessages.cpp
@@ -1,5 +1,7 @@
 #include "common/MemberMessages.h"
 
+#include <algorithm>
+
 namespace rosemarylane {
 
 namespace {
@@ -12,15 +14,35 @@
   return D.none() ? std::string() : std::string(D.bytes());
 }
 
+template <typename Message> routing::Load loadFrom(const Message &From) {
+  routing::Load To;
+  To.Credits = From.credits();
+  To.InProgress = From.in_progress();
+  To.Waiting = From.waiting();
+  To.Latency = std::chrono::microseconds(From.latency_us());
+  for (std::size_t I = 0; I < To.ClassRoom.size(); ++I)
+    if (static_cast<int>(I) < From.class_room_size())
+      To.ClassRoom[I] = From.class_room(static_cast<int>(I));
+  return To;
+}
+
+template <typename Message>
+void fillLoad(const routing::Load &From, Message &To) {
+  To.set_credits(From.Credits);
+  To.set_in_progress(From.InProgress);
+  To.set_waiting(From.Waiting);
+  To.set_latency_us(From.Latency.count());
+  To.clear_class_room();
+  for (std::uint32_t Room : From.ClassRoom)
+    To.add_class_room(Room);
+}
+
 routing::Holding holdingFrom(const wire::Holding &From) {
   routing::Holding To;
   To.Entry = core::EntryName(From.entry());
   To.Version = digestFrom(From.version());
   To.Serving = From.serving();
-  To.Credits = From.credits();
-  To.InProgress = From.in_progress();
-  To.Waiting = From.waiting();
-  To.Latency = std::chrono::microseconds(From.latency_us());
+  To.Busy = loadFrom(From);
   To.Fetching = digestFrom(From.fetching());
   To.FetchedPermille = From.fetched_permille();
   To.LoadError = From.load_error();
@@ -33,10 +55,7 @@
   To.set_entry(From.Entry.str());
   To.set_version(bytesOf(From.Version));
   To.set_serving(From.Serving);
-  To.set_credits(From.Credits);
-  To.set_in_progress(From.InProgress);
-  To.set_waiting(From.Waiting);
-  To.set_latency_us(From.Latency.count());
+  fillLoad(From.Busy, To);
   To.set_fetching(bytesOf(From.Fetching));
   To.set_fetched_permille(From.FetchedPermille);
   To.set_load_error(From.LoadError);
@@ -114,4 +133,36 @@
   return Sender;
 }
 
+routing::Load loadOf(const wire::LoadReport &Report) {
+  return loadFrom(Report);
+}
+
+void setLoad(const routing::Load &Now, wire::Holding &Of) { fillLoad(Now, Of); }
+
+wire::LoadReport reportOf(const routing::Load &Now) {
+  wire::LoadReport Report;
+  fillLoad(Now, Report);
+  return Report;
+}
+
+std::vector<routing::Quarantine::Incident>
+incidentsFrom(const wire::QuarantineNotice &Notice) {
+  std::vector<routing::Quarantine::Incident> All;
+  int Count = std::min(Notice.digests_size(), Notice.deaths_size());
+  for (int I = 0; I < Count; ++I)
+    if (auto Request = core::Digest::fromBytes(Notice.digests(I)))
+      All.push_back({*Request, Notice.deaths(I)});
+  return All;
+}
+
+wire::QuarantineNotice
+noticeOf(const std::vector<routing::Quarantine::Incident> &Incidents) {
+  wire::QuarantineNotice Notice;
+  for (const auto &What : Incidents) {
+    Notice.add_digests(std::string(What.Request.bytes()));
+    Notice.add_deaths(What.Death);
+  }
+  return Notice;
+}
+
 } // namespace rosemarylane
--- a/rosemarylane/src/common/MemberMessages.h
+++ b/rosemarylane/src/common/MemberMessages.h
@@ -2,9 +2,11 @@
 #define ROSEMARYLANE_COMMON_MEMBER_MESSAGES_H
 
 #include "routing/Member.h"
+#include "routing/Quarantine.h"
 #include "wire/wire.pb.h"
 
 #include <chrono>
+#include <vector>
 
 namespace rosemarylane {
 
@@ -20,6 +22,15 @@
 /// @return what identifies \p M as a peer.
 wire::Sender senderOf(const routing::Member &M);
 
+routing::Load loadOf(const wire::LoadReport &Report);
+wire::LoadReport reportOf(const routing::Load &Now);
+void setLoad(const routing::Load &Now, wire::Holding &Of);
+
+std::vector<routing::Quarantine::Incident>
+incidentsFrom(const wire::QuarantineNotice &Notice);
+wire::QuarantineNotice
+noticeOf(const std::vector<routing::Quarantine::Incident> &Incidents);
+
 } // namespace rosemarylane
 
 #endif // ROSEMARYLANE_COMMON_MEMBER_MESSAGES_H
--- a/rosemarylane/src/entry/MembershipService.cpp
+++ b/rosemarylane/src/entry/MembershipService.cpp
@@ -3,13 +3,14 @@
 #include "common/MemberMessages.h"
 #include "core/Rendezvous.h"
 #include "core/Time.h"
+#include "entry/TargetSelector.h"
 #include "routing/Membership.h"
+#include "routing/Quarantine.h"
 #include "telemetry/Log.h"
 
 #include <algorithm>
 #include <map>
 #include <optional>
-#include <random>
 
 namespace rosemarylane {
 
@@ -34,7 +35,7 @@
                         ConfigurationService &Configuration)
       : Context(Context), Send(Send), Configuration(Configuration),
         Members({}, Context.Config.FailureDomain),
-        Random(std::random_device{}()) {}
+        Selector(Context.Config, Members, Suspects, *Context.Metrics) {}
 
   void start() {
     LastTick = now();
@@ -58,6 +59,12 @@
            Message.membership_summary().members())
         observe(memberFrom(S), milliseconds(S.age_ms()));
       break;
+    case wire::Envelope::kLoadReport:
+      takeLoad(Message);
+      break;
+    case wire::Envelope::kQuarantineNotice:
+      takeNotice(Message.quarantine_notice());
+      break;
     case wire::Envelope::kMembersRequest:
       answerMembers(From);
       break;
@@ -74,42 +81,17 @@
   }
 
   std::optional<Choice> choose(const Wanted &Request) override {
-    std::vector<Candidate> Local;
-    std::vector<Candidate> Remote;
-    auto Config = Configuration.current();
-    core::TimePoint Now = now();
-    Members.forEachPresent(Now, [&](const Membership::Record &Known) {
-      auto Found = candidate(Known, Request, *Config, Now);
-      if (!Found)
-        return;
-      bool Own = Known.What.FailureDomain == Context.Config.FailureDomain;
-      (Own ? Local : Remote).push_back(*Found);
-    });
-    const Candidate *Picked = pick(Local);
-    if (!Picked || Picked->Free <= 0) {
-      const Candidate *Spilled = pick(Remote);
-      if (Spilled && (!Picked || Spilled->Free > 0))
-        Picked = Spilled;
-    }
-    if (!Picked)
-      return std::nullopt;
-    ++InProgress[Picked->Of->Host];
-    const Member &To = *Picked->Of;
-    return Choice{.Agent = To.Host,
-                  .AgentAddress = To.PeerAddress,
-                  .AgentIncarnation = To.Incarnation,
-                  .AgentTime = To.Time,
-                  .FailureDomain = To.FailureDomain,
-                  .Version = Picked->Held->Version};
+    return Selector.choose(Request, *Configuration.current(), now());
   }
 
-  void finished(const core::HostId &Agent, const Finish &) override {
-    auto Found = InProgress.find(Agent);
-    if (Found != InProgress.end() && --Found->second == 0)
-      InProgress.erase(Found);
+  void finished(const core::HostId &Agent, const Finish &How) override {
+    Selector.finished(Agent, How, now());
   }
 
-  bool quarantined(const core::Digest &) const override { return false; }
+  bool quarantined(const core::Digest &Request) const override {
+    return Suspects.standing(Request) ==
+           routing::Quarantine::Standing::Quarantined;
+  }
 
   std::vector<MemberStatus> status() const override {
     std::vector<MemberStatus> All;
@@ -133,55 +115,47 @@
   }
 
 private:
-  struct Candidate {
-    const Member *Of;
-    const routing::Holding *Held;
-    /// Requests that the target would still take, by the last heartbeat and
-    /// what was sent since.
-    std::int64_t Free;
-    double Load;
-  };
-
   static core::TimePoint now() { return std::chrono::steady_clock::now(); }
 
-  std::optional<Candidate> candidate(const Membership::Record &Known,
-                                     const Wanted &Request,
-                                     const core::Configuration &Config,
-                                     core::TimePoint Now) const {
-    const Member &M = Known.What;
-    if (M.Role != MemberRole::Agent || M.Draining ||
-        Members.state(Known, Now) != Membership::State::Alive ||
-        Request.Excluded.contains(M.Host) ||
-        Config.outOfService(M.Host, M.FailureDomain))
-      return std::nullopt;
-    for (const routing::Holding &H : M.Holdings) {
-      if (H.Entry != Request.Entry || !H.Serving)
-        continue;
-      auto Own = InProgress.find(M.Host);
-      std::int64_t Sent = Own == InProgress.end() ? 0 : Own->second;
-      double Busy = static_cast<double>(H.InProgress + H.Waiting) + Sent;
-      return Candidate{&M, &H, static_cast<std::int64_t>(H.Credits) - Sent,
-                       Busy / std::max<double>(1, H.Credits + H.InProgress)};
-    }
-    return std::nullopt;
+  void observe(Member Told, milliseconds Age) {
+    if (Told.Host == Context.Config.Host && Told.Role == MemberRole::Entry)
+      return;
+    if (Members.observe(Told, Age, now()) && Told.Role == MemberRole::Agent)
+      Selector.reported(Told.Host);
   }
 
-  /// The less loaded of two random candidates, if any.
-  const Candidate *pick(const std::vector<Candidate> &From) {
-    if (From.empty())
-      return nullptr;
-    std::uniform_int_distribution<std::size_t> Index(0, From.size() - 1);
-    const Candidate &A = From[Index(Random)];
-    const Candidate &B = From[Index(Random)];
-    if ((A.Free > 0) != (B.Free > 0))
-      return A.Free > 0 ? &A : &B;
-    return A.Load <= B.Load ? &A : &B;
+  void takeLoad(const wire::Envelope &Message) {
+    const wire::Sender &From = Message.sender();
+    core::HostId Host(From.host());
+    Members.updateLoad({MemberRole::Agent, Host}, From.incarnation(),
+                       loadOf(Message.load_report()),
+                       milliseconds(From.time_ms()), now());
+    Selector.reported(Host);
   }
 
-  void observe(Member Told, milliseconds Age) {
-    if (Told.Host == Context.Config.Host && Told.Role == MemberRole::Entry)
+  // ---- Requests that kill targets ----
+
+  /// Takes over what is news, and tells the other entries of the fleet at once.
+  void takeNotice(const wire::QuarantineNotice &Notice) {
+    std::vector<routing::Quarantine::Incident> News;
+    for (const auto &What : incidentsFrom(Notice))
+      if (Suspects.add(What, now()))
+        News.push_back(What);
+    if (News.empty())
       return;
-    Members.observe(Told, Age, now());
+    telemetry::log(telemetry::Level::Warning, "requests seen at a death",
+                   {{"requests", static_cast<std::int64_t>(News.size())}});
+    wire::Envelope Message;
+    *Message.mutable_quarantine_notice() = noticeOf(News);
+    for (const std::string &Address :
+         entryAddresses([](const core::FailureDomainId &) { return true; }))
+      Send.send(wire::Peer::at(Address), Message);
+  }
+
+  void sendNotice(const wire::Peer &To) {
+    wire::Envelope Message;
+    *Message.mutable_quarantine_notice() = noticeOf(Suspects.incidents());
+    Send.send(To, std::move(Message));
   }
 
   void observeSelf() {
@@ -206,6 +180,8 @@
     LastTick = Now;
     observeSelf();
     Members.expire(Now);
+    Suspects.expire(Now);
+    Selector.forgetOthers();
     sendHeartbeats();
     tellEntries();
   }
@@ -214,6 +190,7 @@
     wire::Envelope Message;
     Message.mutable_heartbeat()->set_sequence(Sequence);
     Message.mutable_heartbeat()->set_draining(Draining);
+    Message.mutable_heartbeat()->set_quarantine_digest(Suspects.digest());
     for (const std::string &Address :
          entryAddresses([&](const core::FailureDomainId &D) {
            return D == Context.Config.FailureDomain;
@@ -246,7 +223,11 @@
     Body.set_draining(Draining);
     if (Message.sender().role() == wire::ROLE_AGENT)
       fillReply(Message.heartbeat(), Body);
+    Body.set_quarantine_digest(Suspects.digest());
     Send.send(From, std::move(Reply));
+    if (Message.heartbeat().quarantine_digest() != Suspects.digest() &&
+        Suspects.size() > 0)
+      sendNotice(From);
   }
 
   void fillReply(const wire::Heartbeat &Beat, wire::HeartbeatReply &Reply) {
@@ -363,13 +344,12 @@
   const MessageSender &Send;
   ConfigurationService &Configuration;
   Membership Members;
-  std::mt19937_64 Random;
+  routing::Quarantine Suspects;
+  TargetSelector Selector;
   std::uint64_t Sequence = 0;
   bool Draining = false;
   core::TimePoint LastTick;
   std::vector<platform::ListedHost> Listed;
-  /// Attempts of this process at each target.
-  std::map<core::HostId, std::int64_t> InProgress;
   std::vector<std::function<void(std::vector<LedgerService::EntryPeer>,
                                  std::vector<core::HostId>)>>
       EntryHooks;
--- a/rosemarylane/src/entry/MembershipService.h
+++ b/rosemarylane/src/entry/MembershipService.h
@@ -29,8 +29,8 @@
          ConfigurationService &Configuration);
   virtual ~MembershipService() = default;
 
-  /// Handles Heartbeat, HeartbeatReply, MembershipSummary, MembersRequest and
-  /// QuarantineNotice.
+  /// Handles Heartbeat, HeartbeatReply, MembershipSummary, MembersRequest,
+  /// LoadReport and QuarantineNotice.
   virtual void receive(const wire::Peer &From,
                        const wire::Envelope &Message) = 0;
 
@@ -48,6 +48,10 @@
     std::uint64_t PrefixHash = 0;
     /// Agents that have refused this request already.
     std::set<core::HostId> Excluded;
+    core::TrafficClass Class = core::TrafficClass::Standard;
+    /// Names the request: one that may have killed a target is kept to one
+    /// target.
+    core::Digest Digest;
   };
 
   /// A target, with the version that it serves.
--- a/rosemarylane/src/entry/RequestHandler.cpp
+++ b/rosemarylane/src/entry/RequestHandler.cpp
@@ -128,8 +128,9 @@
   bool tryDispatch(const Pending &R) {
     if (R->Ended)
       return true;
-    auto Target = With.Members.choose(
-        {R->entry().Name, R->Parsed.PrefixHash, R->Excluded});
+    auto Target =
+        With.Members.choose({R->entry().Name, R->Parsed.PrefixHash, R->Excluded,
+                             R->entry().Class, R->Parsed.Digest});
     if (!Target && !R->Excluded.empty()) {
       // Each target has refused once; the load there may have changed.
       R->Excluded.clear();
--- /dev/null
+++ b/rosemarylane/src/entry/TargetSelector.cpp
@@ -0,0 +1,137 @@
+#include "entry/TargetSelector.h"
+
+#include <algorithm>
+
+namespace rosemarylane {
+
+using routing::Member;
+using routing::MemberRole;
+using routing::Membership;
+using routing::Router;
+
+namespace {
+
+prometheus::Family<prometheus::Counter> &
+choices(prometheus::Registry &Metrics) {
+  return prometheus::BuildCounter()
+      .Name("rosemarylane_target_choices_total")
+      .Help("Choices of a target, by how far away it is")
+      .Register(Metrics);
+}
+
+} // namespace
+
+TargetSelector::TargetSelector(const Settings &Own, const Membership &Members,
+                               const routing::Quarantine &Suspects,
+                               prometheus::Registry &Metrics)
+    : Own(Own), Members(Members), Suspects(Suspects),
+      Random(std::random_device{}()),
+      Local(choices(Metrics).Add({{"target", "failure_domain"}})),
+      SpilledToRegion(choices(Metrics).Add({{"target", "region"}})),
+      SpilledToFleet(choices(Metrics).Add({{"target", "fleet"}})),
+      NoTarget(choices(Metrics).Add({{"target", "none"}})) {}
+
+std::optional<MembershipService::Choice>
+TargetSelector::choose(const MembershipService::Wanted &Request,
+                       const core::Configuration &Config, core::TimePoint Now) {
+  bool Suspect = Suspects.standing(Request.Digest) ==
+                 routing::Quarantine::Standing::Suspect;
+  auto From = candidates(Request, Config, Suspect, Now);
+  std::vector<Router::Target> Targets;
+  Targets.reserve(From.size());
+  for (const Candidate &C : From)
+    Targets.push_back(targetOf(C, Request.Class));
+  auto Picked = Suspect
+                    ? Choice.chooseForSuspect(
+                          Targets, std::hash<core::Digest>()(Request.Digest))
+                    : Choice.choose(Targets, Request.PrefixHash, Now,
+                                    [this] { return Random(); });
+  if (!Picked) {
+    NoTarget.Increment();
+    return std::nullopt;
+  }
+  count(Targets[*Picked].Where);
+  const Member &To = *From[*Picked].Of;
+  Choice.started(To.Host);
+  return MembershipService::Choice{.Agent = To.Host,
+                                   .AgentAddress = To.PeerAddress,
+                                   .AgentIncarnation = To.Incarnation,
+                                   .AgentTime = To.Time,
+                                   .FailureDomain = To.FailureDomain,
+                                   .Version = From[*Picked].Held->Version};
+}
+
+std::vector<TargetSelector::Candidate>
+TargetSelector::candidates(const MembershipService::Wanted &Request,
+                           const core::Configuration &Config, bool Suspect,
+                           core::TimePoint Now) const {
+  std::vector<Candidate> Found;
+  for (const auto &[Who, Known] : Members.records()) {
+    const Member &M = Known.What;
+    if (M.Role != MemberRole::Agent || M.Draining ||
+        Members.state(Known, Now) != Membership::State::Alive ||
+        Config.outOfService(M.Host, M.FailureDomain))
+      continue;
+    // A suspect keeps to its one target, also when that is busy.
+    if (!Suspect && Request.Excluded.contains(M.Host))
+      continue;
+    auto Held = std::find_if(M.Holdings.begin(), M.Holdings.end(),
+                             [&](const routing::Holding &H) {
+                               return H.Entry == Request.Entry && H.Serving;
+                             });
+    if (Held != M.Holdings.end())
+      Found.push_back({&M, &*Held});
+  }
+  return Found;
+}
+
+Router::Target TargetSelector::targetOf(const Candidate &From,
+                                        core::TrafficClass Class) const {
+  const routing::Load &Busy = From.Held->Busy;
+  Router::Target T;
+  T.Host = From.Of->Host;
+  T.Where = From.Of->FailureDomain == Own.FailureDomain
+                ? Router::Distance::FailureDomain
+            : From.Of->Region == Own.Region ? Router::Distance::Region
+                                            : Router::Distance::Fleet;
+  T.Slots = Busy.Credits;
+  T.Credits =
+      std::max(Busy.Credits, Busy.ClassRoom[static_cast<std::size_t>(Class)]);
+  T.InProgress = Busy.InProgress;
+  T.Waiting = Busy.Waiting;
+  T.Latency = Busy.Latency;
+  return T;
+}
+
+void TargetSelector::finished(const core::HostId &Agent,
+                              const MembershipService::Finish &How,
+                              core::TimePoint Now) {
+  using Kind = MembershipService::Finish::Kind;
+  Router::Outcome Outcome = Router::Outcome::Abandoned;
+  if (How.What == Kind::Answered && How.TimeToFirstByte.count() > 0)
+    Outcome = Router::Outcome::Answered;
+  else if (How.What == Kind::Lost || How.Reason == wire::REFUSAL_TARGET_FAILED)
+    Outcome = Router::Outcome::Failed;
+  else if (How.What == Kind::Refused && How.Reason == wire::REFUSAL_BUSY)
+    Outcome = Router::Outcome::Busy;
+  Choice.finished(Agent, Outcome, How.TimeToFirstByte, Now);
+}
+
+void TargetSelector::forgetOthers() {
+  Choice.forgetIf([this](const core::HostId &Host) {
+    return !Members.find({MemberRole::Agent, Host});
+  });
+}
+
+void TargetSelector::count(Router::Distance Where) {
+  switch (Where) {
+  case Router::Distance::FailureDomain:
+    return Local.Increment();
+  case Router::Distance::Region:
+    return SpilledToRegion.Increment();
+  case Router::Distance::Fleet:
+    return SpilledToFleet.Increment();
+  }
+}
+
+} // namespace rosemarylane
--- /dev/null
+++ b/rosemarylane/src/entry/TargetSelector.h
@@ -0,0 +1,71 @@
+#ifndef ROSEMARYLANE_ENTRY_TARGET_SELECTOR_H
+#define ROSEMARYLANE_ENTRY_TARGET_SELECTOR_H
+
+#include "common/Settings.h"
+#include "core/Catalogue.h"
+#include "core/Time.h"
+#include "entry/MembershipService.h"
+#include "routing/Membership.h"
+#include "routing/Quarantine.h"
+#include "routing/Router.h"
+
+#include <optional>
+#include <prometheus/counter.h>
+#include <prometheus/registry.h>
+#include <random>
+#include <vector>
+
+namespace rosemarylane {
+
+/// An entry's choice of a target among the members that serve a catalogue entry
+/// and are not out of service.
+///
+/// On the control duty; the members and the quarantine outlive it.
+class TargetSelector {
+public:
+  TargetSelector(const Settings &Own, const routing::Membership &Members,
+                 const routing::Quarantine &Suspects,
+                 prometheus::Registry &Metrics);
+
+  /// @see MembershipService::choose
+  std::optional<MembershipService::Choice>
+  choose(const MembershipService::Wanted &Request,
+         const core::Configuration &Config, core::TimePoint Now);
+
+  /// @see MembershipService::finished
+  void finished(const core::HostId &Agent, const MembershipService::Finish &How,
+                core::TimePoint Now);
+
+  /// A newer load of the agent is in the membership.
+  void reported(const core::HostId &Agent) { Choice.reported(Agent); }
+
+  /// Drops what was known of agents that are no longer members.
+  void forgetOthers();
+
+private:
+  struct Candidate {
+    const routing::Member *Of;
+    const routing::Holding *Held;
+  };
+
+  std::vector<Candidate> candidates(const MembershipService::Wanted &Request,
+                                    const core::Configuration &Config,
+                                    bool Suspect, core::TimePoint Now) const;
+  routing::Router::Target targetOf(const Candidate &From,
+                                   core::TrafficClass Class) const;
+  void count(routing::Router::Distance Where);
+
+  const Settings &Own;
+  const routing::Membership &Members;
+  const routing::Quarantine &Suspects;
+  routing::Router Choice;
+  std::mt19937_64 Random;
+  prometheus::Counter &Local;
+  prometheus::Counter &SpilledToRegion;
+  prometheus::Counter &SpilledToFleet;
+  prometheus::Counter &NoTarget;
+};
+
+} // namespace rosemarylane
+
+#endif // ROSEMARYLANE_ENTRY_TARGET_SELECTOR_H
