--- a/rosemarylane/src/common/Settings.cpp
+++ b/rosemarylane/src/common/Settings.cpp
@@ -60,6 +60,7 @@
     readTarget(Result.Target);
     readBandwidth(Result.Bandwidth);
     readPlanner(Result.Planner);
+    readLedger(Result.LedgerRetention);
     Result.TraceFile = text(Root, "trace_file");
     if (Root.contains("log_level"))
       Result.LogLevel = text(Root, "log_level");
@@ -144,6 +145,16 @@
       Planner = WeightPlanner::Tree;
   }
 
+  void readLedger(std::chrono::minutes &Retention) {
+    if (!Root.contains("ledger"))
+      return;
+    if (Kind == ProcessKind::Agent)
+      report("$.ledger", "no ledger: only an entry keeps one");
+    const json::object &Object = Root.at("ledger").as_object();
+    if (const json::value *Value = Object.if_contains("retention_minutes"))
+      Retention = std::chrono::minutes(Value->to_number<std::int64_t>());
+  }
+
   ProcessKind Kind;
   const json::object &Root;
   core::DocumentErrors Errors;
--- a/rosemarylane/src/common/Settings.h
+++ b/rosemarylane/src/common/Settings.h
@@ -6,6 +6,7 @@
 #include "core/Ids.h"
 #include "core/Result.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -54,6 +55,9 @@
   BandwidthSettings Bandwidth;
   /// Agents only.
   WeightPlanner Planner = WeightPlanner::Swarm;
+  /// Entries only: how long the at-most-once ledger remembers a key. The same
+  /// at every entry, since each forgets what it finds to be older.
+  std::chrono::minutes LedgerRetention{60};
   /// Spans are appended here; empty discards them.
   std::string TraceFile;
   std::string LogLevel = "info";
--- a/rosemarylane/src/common/SettingsSchema.h
+++ b/rosemarylane/src/common/SettingsSchema.h
@@ -53,6 +53,12 @@
         "planner": {"type": "string", "enum": ["swarm", "origin", "tree"],
           "description": "\"swarm\", \"origin\" or \"tree\""}
       }},
+    "ledger": {"type": "object", "description": "the at-most-once ledger",
+      "additionalProperties": false,
+      "properties": {
+        "retention_minutes": {"type": "integer", "minimum": 15, "maximum": 1440,
+          "description": "minutes: a whole number from 15 to 1440, the same at every entry"}
+      }},
     "trace_file": {"type": "string", "description": "a path, or \"\" for no spans"},
     "log_level": {"type": "string", "enum": ["debug", "info", "warning", "error"],
       "description": "\"debug\", \"info\", \"warning\" or \"error\""}
--- a/rosemarylane/src/entry/LedgerService.cpp
+++ b/rosemarylane/src/entry/LedgerService.cpp
@@ -36,7 +36,7 @@
 class LedgerServiceImpl final : public LedgerService {
 public:
   LedgerServiceImpl(ProcessContext &Context, const MessageSender &Send)
-      : Context(Context), Send(Send),
+      : Context(Context), Send(Send), Limits(limitsOf(Context.Config)),
         WallStart(std::chrono::system_clock::now()),
         SteadyStart(std::chrono::steady_clock::now()),
         Tick(Context.Timers->every(TickInterval, *Context.Control,
@@ -101,6 +101,12 @@
     std::function<void()> OnTimeout;
   };
 
+  static ledger::CommitterLimits limitsOf(const Settings &Config) {
+    ledger::CommitterLimits Limits;
+    Limits.Values.Retention = Config.LedgerRetention;
+    return Limits;
+  }
+
   /// 16 random hexadecimal digits.
   static std::string segmentPrefix() {
     std::random_device Source;
--- a/rosemarylane/tests/SettingsTest.cpp
+++ b/rosemarylane/tests/SettingsTest.cpp
@@ -32,10 +32,12 @@
 
 BOOST_AUTO_TEST_CASE(entry_settings) {
   auto Parsed =
-      parseSettings(ProcessKind::Entry, document(R"(,"log_level":"debug")"));
+      parseSettings(ProcessKind::Entry, document(R"(,"log_level":"debug",
+        "ledger":{"retention_minutes":90})"));
   BOOST_REQUIRE(Parsed.has_value());
   BOOST_TEST(Parsed->PeerAddress == "127.0.0.1:9001");
   BOOST_TEST(Parsed->LogLevel == "debug");
+  BOOST_TEST((Parsed->LedgerRetention == std::chrono::minutes(90)));
 }
 
 BOOST_AUTO_TEST_CASE(agent_settings) {
@@ -56,6 +58,9 @@
                         document(R"(,"target":{"address":"127.0.0.1:7"})",
                                  "localhost:80")) == "$.listen.http $.target");
   BOOST_TEST(errorPaths(ProcessKind::Agent, document("")) == "$.target");
+  BOOST_TEST(errorPaths(ProcessKind::Entry,
+                        document(R"(,"ledger":{"retention_minutes":5})")) ==
+             "$.ledger.retention_minutes");
   BOOST_TEST(errorPaths(ProcessKind::Agent,
                         document(R"(,"target":{"address":"127.0.0.1:0",
         "kind":"service"})")) == "$.target.address $.target.serves");
