Membership traffic that does not grow with the fleet: turns, changes, digests

Ruled out: agents that beat to a few entries, with a relay of their load inside the domain - more protocol, and as many bytes. Change: heartbeats go to all of up to three entries and to more in turn, with time limits to match; for each pair of failure domains one ranked entry on each side exchanges what changed, short rows of load every 2 s (6 s to other regions) and the digest of the view; the receiver passes it on inside its domain; agents ask one entry for changes of the list since a version. After: membership suite (7 cases) and scripts/demo pass.

--- a/libs/routing/include/routing/Membership.h
+++ b/libs/routing/include/routing/Membership.h
@@ -20,9 +20,10 @@
   std::chrono::milliseconds SuspectAfter{1000};
   /// As above, for a member of another failure domain, which is heard of
   /// through summaries.
-  std::chrono::milliseconds RemoteSuspectAfter{3500};
+  std::chrono::milliseconds RemoteSuspectAfter{6000};
   /// It no longer counts as a member.
   std::chrono::milliseconds DeadAfter{5000};
+  std::chrono::milliseconds RemoteDeadAfter{12000};
   /// What was known of it is dropped.
   std::chrono::milliseconds ForgetAfter{60000};
   /// Members kept at most; further ones are not taken.
@@ -64,6 +65,25 @@
   void confirm(const Key &Who, std::uint64_t Incarnation,
                std::chrono::milliseconds Age, core::TimePoint Now);
 
+  /// Changes the time limits, as the number of entries changes.
+  void setLimits(MembershipSettings Limits) { Settings = Limits; }
+
+  /// The member is known not to be alive any more.
+  void markGone(const Key &Who, core::TimePoint Now);
+
+  /// The members of \p Domain that are not dead are known to have been alive
+  /// \p Age ago.
+  void confirmAll(const core::FailureDomainId &Domain,
+                  std::chrono::milliseconds Age, core::TimePoint Now);
+
+  /// @return the members of \p Domain in a state no worse than \p Worst, each
+  /// with its `identityDigest`.
+  std::map<Key, std::uint64_t> view(const core::FailureDomainId &Domain,
+                                    State Worst, core::TimePoint Now) const;
+
+  /// The configuration in force at the member.
+  void noteRevision(const Key &Who, std::uint64_t Revision);
+
   /// Takes a newer load of an agent, told \p Time after its start.
   void updateLoad(const Key &Who, std::uint64_t Incarnation, const Load &Now,
                   std::chrono::milliseconds Time, core::TimePoint At);
@@ -96,6 +116,12 @@
 /// which versions it serves; not its load.
 std::uint64_t identityDigest(const Member &M);
 
+/// Names a view, whatever the order of its members.
+std::uint64_t digestOf(const std::map<Membership::Key, std::uint64_t> &View);
+
+/// The short name of a member in a `LoadRow`.
+std::uint32_t shortHash(const core::HostId &Host);
+
 } // namespace rosemarylane::routing
 
 #endif // ROSEMARYLANE_ROUTING_MEMBERSHIP_H
--- a/libs/routing/src/Membership.cpp
+++ b/libs/routing/src/Membership.cpp
@@ -40,6 +40,39 @@
   Found->second.HeardAt = std::max(Found->second.HeardAt, Now - Age);
 }
 
+void Membership::markGone(const Key &Who, core::TimePoint Now) {
+  auto Found = Records.find(Who);
+  if (Found == Records.end())
+    return;
+  auto Silence = std::max(Settings.DeadAfter, Settings.RemoteDeadAfter);
+  Found->second.HeardAt = std::min(Found->second.HeardAt, Now - Silence);
+}
+
+void Membership::confirmAll(const core::FailureDomainId &Domain,
+                            std::chrono::milliseconds Age,
+                            core::TimePoint Now) {
+  for (auto &[Who, Known] : Records)
+    if (Known.What.FailureDomain == Domain && state(Known, Now) != State::Dead)
+      Known.HeardAt = std::max(Known.HeardAt, Now - Age);
+}
+
+std::map<Membership::Key, std::uint64_t>
+Membership::view(const core::FailureDomainId &Domain, State Worst,
+                 core::TimePoint Now) const {
+  std::map<Key, std::uint64_t> View;
+  for (const auto &[Who, Known] : Records)
+    if (Known.What.FailureDomain == Domain && state(Known, Now) <= Worst)
+      View.emplace(Who, identityDigest(Known.What));
+  return View;
+}
+
+void Membership::noteRevision(const Key &Who, std::uint64_t Revision) {
+  auto Found = Records.find(Who);
+  if (Found != Records.end())
+    Found->second.What.Revision =
+        std::max(Found->second.What.Revision, Revision);
+}
+
 void Membership::updateLoad(const Key &Who, std::uint64_t Incarnation,
                             const Load &Now, std::chrono::milliseconds Time,
                             core::TimePoint At) {
@@ -69,7 +102,7 @@
                                     core::TimePoint Now) const {
   auto Silent = Now - Of.HeardAt;
   bool Remote = Of.What.FailureDomain != Own;
-  if (Silent >= Settings.DeadAfter)
+  if (Silent >= (Remote ? Settings.RemoteDeadAfter : Settings.DeadAfter))
     return State::Dead;
   if (Silent >= (Remote ? Settings.RemoteSuspectAfter : Settings.SuspectAfter))
     return State::Suspect;
@@ -102,4 +135,15 @@
                                 Text);
 }
 
+std::uint64_t digestOf(const std::map<Membership::Key, std::uint64_t> &View) {
+  std::uint64_t Sum = 0;
+  for (const auto &[Who, Digest] : View)
+    Sum += Digest;
+  return Sum;
+}
+
+std::uint32_t shortHash(const core::HostId &Host) {
+  return static_cast<std::uint32_t>(core::rendezvousWeight("host", Host.str()));
+}
+
 } // namespace rosemarylane::routing
--- /dev/null
+++ b/libs/routing/tests/MembershipTest.cpp
@@ -0,0 +1,204 @@
+#include "routing/Membership.h"
+#include "routing/ChangeLog.h"
+#include "routing/HeartbeatSchedule.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <rapidcheck.h>
+#include <set>
+#include <tuple>
+#include <vector>
+
+using namespace rosemarylane::routing;
+using namespace std::chrono_literals;
+using rosemarylane::core::FailureDomainId;
+using rosemarylane::core::HostId;
+using rosemarylane::core::TimePoint;
+
+namespace {
+
+const FailureDomainId Own("here");
+
+Member member(int Host, std::uint64_t Incarnation, std::uint64_t Sequence) {
+  Member M;
+  M.Host = HostId("host-" + std::to_string(Host));
+  M.FailureDomain = Own;
+  M.Incarnation = Incarnation;
+  M.Sequence = Sequence;
+  return M;
+}
+
+Membership::Key key(int Host) {
+  return {MemberRole::Agent, HostId("host-" + std::to_string(Host))};
+}
+
+/// A heartbeat or a line of a summary, as it arrives: perhaps late, twice, or
+/// after a newer one.
+struct Arrival {
+  int Host;
+  std::uint64_t Incarnation;
+  std::uint64_t Sequence;
+  std::chrono::milliseconds Age;
+  std::chrono::milliseconds After;
+};
+
+std::vector<Arrival> arrivals() {
+  std::vector<Arrival> All;
+  int Count = *rc::gen::inRange(0, 120);
+  for (int I = 0; I < Count; ++I)
+    All.push_back({*rc::gen::inRange(0, 4),
+                   static_cast<std::uint64_t>(*rc::gen::inRange(1, 4)),
+                   static_cast<std::uint64_t>(*rc::gen::inRange(1, 30)),
+                   std::chrono::milliseconds(*rc::gen::inRange(0, 3000)),
+                   std::chrono::milliseconds(*rc::gen::inRange(0, 800))});
+  return All;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(membership)
+
+BOOST_AUTO_TEST_CASE(agrees_with_keeping_every_message) {
+  BOOST_TEST(rc::check("late, repeated and reordered messages", [] {
+    MembershipSettings Limits;
+    Membership Members(Limits, Own);
+    TimePoint Now{1h};
+    // The naive version keeps all messages and looks for the newest each time.
+    std::vector<std::pair<Arrival, TimePoint>> Kept;
+    for (const Arrival &What : arrivals()) {
+      Now += What.After;
+      Members.observe(member(What.Host, What.Incarnation, What.Sequence),
+                      What.Age, Now);
+      Kept.push_back({What, Now - What.Age});
+      for (int Host = 0; Host < 4; ++Host) {
+        auto Newest = std::tuple<std::uint64_t, std::uint64_t>(0, 0);
+        TimePoint Heard{};
+        for (const auto &[Old, At] : Kept)
+          if (Old.Host == Host)
+            Newest = std::max(Newest, {Old.Incarnation, Old.Sequence});
+        for (const auto &[Old, At] : Kept)
+          if (Old.Host == Host && Old.Incarnation == std::get<0>(Newest))
+            Heard = std::max(Heard, At);
+        const Membership::Record *Known = Members.find(key(Host));
+        RC_ASSERT((Known != nullptr) == (std::get<0>(Newest) > 0));
+        if (!Known)
+          continue;
+        RC_ASSERT(Known->What.Incarnation == std::get<0>(Newest));
+        RC_ASSERT(Known->What.Sequence == std::get<1>(Newest));
+        RC_ASSERT(Known->HeardAt == Heard);
+        RC_ASSERT((Members.state(*Known, Now) == Membership::State::Alive) ==
+                  (Now - Heard < Limits.SuspectAfter));
+      }
+    }
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_member_gets_no_new_work_and_is_forgotten) {
+  Membership Members({}, Own);
+  TimePoint Start{1h};
+  Members.observe(member(1, 1, 1), 0ms, Start);
+  const Membership::Record &Known = *Members.find(key(1));
+  BOOST_TEST((Members.state(Known, Start + 999ms) == Membership::State::Alive));
+  BOOST_TEST((Members.state(Known, Start + 1s) == Membership::State::Suspect));
+  BOOST_TEST((Members.state(Known, Start + 5s) == Membership::State::Dead));
+  Members.expire(Start + 60s);
+  BOOST_TEST(Members.records().empty());
+  // An old summary does not bring it back.
+  BOOST_TEST(!Members.observe(member(1, 1, 1), 60s, Start + 60s));
+}
+
+BOOST_AUTO_TEST_CASE(own_pause_is_not_held_against_the_members) {
+  Membership Members({}, Own);
+  TimePoint Start{1h};
+  Members.observe(member(1, 1, 1), 0ms, Start);
+  TimePoint Woken = Start + 30s;
+  Members.discountPause(30s);
+  BOOST_TEST((Members.state(*Members.find(key(1)), Woken) ==
+              Membership::State::Alive));
+}
+
+BOOST_AUTO_TEST_CASE(bounded) {
+  MembershipSettings Limits;
+  Limits.Capacity = 50;
+  Membership Members(Limits, Own);
+  for (int Host = 0; Host < 200; ++Host)
+    Members.observe(member(Host, 1, 1), 0ms, TimePoint{1h});
+  BOOST_TEST(Members.records().size() == 50u);
+}
+
+BOOST_AUTO_TEST_CASE(load_of_a_predecessor_is_not_taken) {
+  Membership Members({}, Own);
+  Member M = member(1, 2, 1);
+  M.Holdings.resize(1);
+  M.Time = 100ms;
+  Members.observe(M, 0ms, TimePoint{1h});
+  Load Busy;
+  Busy.Credits = 5;
+  Members.updateLoad(key(1), 1, Busy, 200ms, TimePoint{1h});
+  BOOST_TEST(Members.find(key(1))->What.Holdings[0].Busy.Credits == 0u);
+  Members.updateLoad(key(1), 2, Busy, 50ms, TimePoint{1h});
+  BOOST_TEST(Members.find(key(1))->What.Holdings[0].Busy.Credits == 0u);
+  Members.updateLoad(key(1), 2, Busy, 200ms, TimePoint{1h});
+  BOOST_TEST(Members.find(key(1))->What.Holdings[0].Busy.Credits == 5u);
+}
+
+BOOST_AUTO_TEST_CASE(changes_bring_any_older_view_up_to_date) {
+  BOOST_TEST(rc::check("changes since a version against the whole view", [] {
+    ChangeLog Log(3);
+    std::map<Membership::Key, std::uint64_t> View;
+    // A follower that asks now and then, from its own version.
+    std::set<Membership::Key> Follower;
+    std::map<Membership::Key, std::uint64_t> Digests;
+    std::uint64_t Version = 0;
+    int Steps = *rc::gen::inRange(0, 80);
+    for (int I = 0; I < Steps; ++I) {
+      int Host = *rc::gen::inRange(0, 12);
+      if (*rc::gen::inRange(0, 3) == 0)
+        View.erase(key(Host));
+      else
+        View[key(Host)] = *rc::gen::inRange(1, 4);
+      Log.update(View);
+      if (*rc::gen::inRange(0, 4) != 0)
+        continue;
+      auto Changes = Log.since(Version);
+      if (Changes.All)
+        Digests.clear();
+      for (const auto &Who : Changes.Changed)
+        Digests[Who] = View.at(Who);
+      for (const auto &Who : Changes.Gone)
+        Digests.erase(Who);
+      Version = Log.version();
+      RC_ASSERT(Digests == View);
+      // Nothing changed since: nothing is told again.
+      if (Version > 0) {
+        auto Again = Log.since(Version);
+        RC_ASSERT(Again.Changed.empty() && Again.Gone.empty());
+      }
+    }
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(heartbeats_reach_every_peer_within_the_interval) {
+  BOOST_TEST(rc::check("rotation", [] {
+    int Count = *rc::gen::inRange(1, 40);
+    std::vector<std::string> Peers;
+    for (int I = 0; I < Count; ++I)
+      Peers.push_back(std::to_string(I));
+    HeartbeatSchedule Turns;
+    std::map<std::string, int> Last;
+    auto Rounds =
+        HeartbeatSchedule::interval(Peers.size()) / HeartbeatSchedule::Period;
+    for (int Round = 0; Round < 60; ++Round) {
+      auto Now = Turns.next(Peers);
+      RC_ASSERT(Now.size() <= HeartbeatSchedule::Fanout);
+      for (const auto &Peer : Now)
+        Last[Peer] = Round;
+      if (Round >= Rounds)
+        for (const auto &Peer : Peers)
+          RC_ASSERT(Round - Last[Peer] <= Rounds);
+    }
+  }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/rosemarylane/src/agent/HeartbeatService.cpp
+++ b/rosemarylane/src/agent/HeartbeatService.cpp
@@ -2,6 +2,7 @@
 
 #include "common/MemberMessages.h"
 #include "core/Time.h"
+#include "routing/HeartbeatSchedule.h"
 #include "routing/Quarantine.h"
 #include "telemetry/Log.h"
 
@@ -11,11 +12,10 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds HeartbeatPeriod{300};
 constexpr std::chrono::milliseconds HostListPeriod{3000};
-/// An entry that has not answered for this long is reached over a new
-/// connection.
-constexpr std::chrono::milliseconds ReplyTimeout{1200};
+/// The list of agents is taken from another entry when its source has been
+/// silent for this long.
+constexpr std::chrono::milliseconds SourceTimeout{3000};
 /// An entry that has not answered for this long is tried only if the platform
 /// lists it.
 constexpr std::chrono::milliseconds EntryForgetAfter{10000};
@@ -31,8 +31,9 @@
   void start() {
     HostListTimer = Context.Timers->every(HostListPeriod, *Context.Control,
                                           [this] { readHostList(); });
-    HeartbeatTimer = Context.Timers->every(HeartbeatPeriod, *Context.Control,
-                                           [this] { sendNow(); });
+    HeartbeatTimer =
+        Context.Timers->every(routing::HeartbeatSchedule::Period,
+                              *Context.Control, [this] { tick(); });
     readHostList();
   }
 
@@ -42,7 +43,7 @@
       takeReply(Message);
       break;
     case wire::Envelope::kMembersReply:
-      takeMembers(Message.members_reply());
+      takeMembers(Message);
       break;
     case wire::Envelope::kQuarantineNotice:
       for (const auto &What : incidentsFrom(Message.quarantine_notice()))
@@ -54,21 +55,10 @@
   }
 
   void sendNow() override {
-    wire::Envelope Message = heartbeat();
-    core::TimePoint Now = std::chrono::steady_clock::now();
-    for (auto &[Address, Link] : Entries) {
-      if (Now - Link.RepliedAt > ReplyTimeout) {
-        Context.Peers->reconnect(Address);
-        Link.RepliedAt = Now;
-      }
-      Message.mutable_heartbeat()->set_known_entries(Link.EntriesDigest);
-      Send.send(wire::Peer::at(Address), Message);
-    }
-    std::erase_if(Entries, [&](const auto &Item) {
-      return !Item.second.Listed &&
-             Now - Item.second.LastHeard > EntryForgetAfter;
-    });
-    Known.expire(Now);
+    std::vector<std::string> All;
+    for (const auto &[Address, Link] : Entries)
+      All.push_back(Address);
+    sendTo(All);
   }
 
   const std::vector<wire::MemberSummary> &agents() const override {
@@ -115,6 +105,34 @@
   }
 
 private:
+  void tick() {
+    core::TimePoint Now = std::chrono::steady_clock::now();
+    std::erase_if(Entries, [&](const auto &Item) {
+      return !Item.second.Listed &&
+             Now - Item.second.LastHeard > EntryForgetAfter;
+    });
+    Known.expire(Now);
+    std::vector<std::string> All;
+    for (const auto &[Address, Link] : Entries)
+      All.push_back(Address);
+    sendTo(Turns.next(All));
+  }
+
+  void sendTo(const std::vector<std::string> &Addresses) {
+    wire::Envelope Message = heartbeat();
+    core::TimePoint Now = std::chrono::steady_clock::now();
+    auto Timeout = 3 * routing::HeartbeatSchedule::interval(Entries.size());
+    for (const std::string &Address : Addresses) {
+      EntryLink &Link = Entries[Address];
+      if (Now - Link.RepliedAt > Timeout) {
+        Context.Peers->reconnect(Address);
+        Link.RepliedAt = Now;
+      }
+      Message.mutable_heartbeat()->set_known_entries(Link.EntriesDigest);
+      Send.send(wire::Peer::at(Address), Message);
+    }
+  }
+
   /// An entry that heartbeats go to.
   struct EntryLink {
     bool Listed = false;
@@ -175,8 +193,24 @@
     }
     if (Reply.quarantine_digest() != Known.digest() && Known.size() > 0)
       sendNotice(Address);
-    if (Reply.members_digest() != MembersDigest)
-      requestMembers(Address);
+    noteMembersVersion(Message);
+  }
+
+  /// Keeps to one entry as the source of the list of agents, as long as it
+  /// answers: the versions of the list are that entry's own.
+  void noteMembersVersion(const wire::Envelope &Message) {
+    const std::string &Address = Message.sender().peer_address();
+    core::TimePoint Now = std::chrono::steady_clock::now();
+    auto Current = Entries.find(Source.Address);
+    bool Silent = Current == Entries.end() ||
+                  Now - Current->second.LastHeard > SourceTimeout;
+    if (Source.Address != Address && !Silent)
+      return;
+    if (Source.Address != Address ||
+        Source.Incarnation != Message.sender().incarnation())
+      Source = {Address, Message.sender().incarnation(), 0};
+    if (Message.heartbeat_reply().members_version() != Source.Version)
+      requestMembers();
   }
 
   void sendNotice(const std::string &Address) {
@@ -185,21 +219,39 @@
     Send.send(wire::Peer::at(Address), std::move(Message));
   }
 
-  void requestMembers(const std::string &Address) {
+  void requestMembers() {
     wire::Envelope Message;
-    Message.mutable_members_request()->set_known_digest(MembersDigest);
-    Send.send(wire::Peer::at(Address), std::move(Message));
+    Message.mutable_members_request()->set_known_version(Source.Version);
+    Send.send(wire::Peer::at(Source.Address), std::move(Message));
   }
 
-  void takeMembers(const wire::MembersReply &Reply) {
-    if (Reply.digest() == MembersDigest)
+  void takeMembers(const wire::Envelope &Message) {
+    const wire::MembersReply &Reply = Message.members_reply();
+    if (Message.sender().peer_address() != Source.Address ||
+        Message.sender().incarnation() != Source.Incarnation ||
+        Reply.version() <= Source.Version)
       return;
-    MembersDigest = Reply.digest();
-    Agents.assign(Reply.members().begin(), Reply.members().end());
+    Source.Version = Reply.version();
+    if (!Reply.partial())
+      ByHost.clear();
+    for (const wire::MemberSummary &M : Reply.members())
+      ByHost[M.member().host()] = M;
+    for (const std::string &Host : Reply.gone())
+      ByHost.erase(Host);
+    Agents.clear();
+    for (const auto &[Host, M] : ByHost)
+      Agents.push_back(M);
     for (auto &Hook : Hooks)
       Hook();
   }
 
+  /// The entry that the list of agents comes from.
+  struct ListSource {
+    std::string Address;
+    std::uint64_t Incarnation = 0;
+    std::uint64_t Version = 0;
+  };
+
   ProcessContext &Context;
   const MessageSender &Send;
   HoldingsSource Holdings;
@@ -208,7 +260,9 @@
   /// By peer address.
   std::map<std::string, EntryLink> Entries;
   std::vector<wire::MemberSummary> Agents;
-  std::uint64_t MembersDigest = 0;
+  std::map<std::string, wire::MemberSummary> ByHost;
+  ListSource Source;
+  routing::HeartbeatSchedule Turns;
   std::vector<std::function<void()>> Hooks;
   routing::Quarantine Known;
   std::uint64_t Deaths = 0;
--- /dev/null
+++ b/rosemarylane/src/entry/SummaryExchange.cpp
@@ -0,0 +1,265 @@
+#include "entry/SummaryExchange.h"
+
+#include "common/MemberMessages.h"
+#include "core/Rendezvous.h"
+
+#include <algorithm>
+#include <set>
+
+namespace rosemarylane {
+
+using routing::Member;
+using routing::MemberRole;
+using routing::Membership;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Rows of load go to domains of the same region this often, and to others less
+/// often.
+constexpr milliseconds NearLoadPeriod{2000};
+constexpr milliseconds FarLoadPeriod{6000};
+/// Hosts of the platform's list that are tried while no entry of a failure
+/// domain is known.
+constexpr std::size_t ListedTried = 2;
+
+milliseconds ageOf(const Membership::Record &Known, core::TimePoint Now) {
+  return std::chrono::duration_cast<milliseconds>(Now - Known.HeardAt);
+}
+
+} // namespace
+
+SummaryExchange::SummaryExchange(const Settings &Own, Membership &Members,
+                                 Hooks Parts)
+    : Own(Own), Members(Members), Parts(std::move(Parts)) {}
+
+void SummaryExchange::tick(const std::vector<Listed> &Hosts,
+                           core::TimePoint Now) {
+  Log.update(ownView(Now));
+  std::set<core::FailureDomainId> Domains;
+  for (const Listed &H : Hosts)
+    Domains.insert(H.FailureDomain);
+  for (const auto &[Who, Known] : Members.records())
+    if (Who.Role == MemberRole::Entry)
+      Domains.insert(Known.What.FailureDomain);
+  Domains.erase(Own.FailureDomain);
+  for (const core::FailureDomainId &To : Domains) {
+    if (!servesLink(To, Now)) {
+      Links.erase(To);
+      continue;
+    }
+    for (const std::string &Address : addresses(To, Hosts, Now))
+      sendSummary(To, Address, Now);
+  }
+}
+
+SummaryExchange::View SummaryExchange::ownView(core::TimePoint Now) const {
+  return Members.view(Own.FailureDomain, Membership::State::Alive, Now);
+}
+
+SummaryExchange::View
+SummaryExchange::toldView(const core::FailureDomainId &Domain,
+                          core::TimePoint Now) const {
+  return Members.view(Domain, Membership::State::Suspect, Now);
+}
+
+std::vector<std::string>
+SummaryExchange::addresses(const core::FailureDomainId &Domain,
+                           const std::vector<Listed> &Hosts,
+                           core::TimePoint Now) const {
+  std::string Key = Own.FailureDomain.str() + '>' + Domain.str();
+  if (const Member *Entry = rankedEntry(Key, Domain, Now))
+    return {Entry->PeerAddress};
+  std::vector<std::string> Found;
+  for (const Listed &H : Hosts)
+    if (H.FailureDomain == Domain && Found.size() < ListedTried)
+      Found.push_back(H.Address);
+  return Found;
+}
+
+bool SummaryExchange::servesLink(const core::FailureDomainId &To,
+                                 core::TimePoint Now) const {
+  std::string Key = Own.FailureDomain.str() + '>' + To.str();
+  const Member *Entry = rankedEntry(Key, Own.FailureDomain, Now);
+  return Entry && Entry->Host == Own.Host;
+}
+
+const Member *SummaryExchange::rankedEntry(const std::string &Key,
+                                           const core::FailureDomainId &Domain,
+                                           core::TimePoint Now) const {
+  const Member *Best = nullptr;
+  std::uint64_t BestWeight = 0;
+  for (const auto &[Who, Known] : Members.records()) {
+    if (Who.Role != MemberRole::Entry || Known.What.FailureDomain != Domain ||
+        Known.What.Draining ||
+        Members.state(Known, Now) != Membership::State::Alive)
+      continue;
+    std::uint64_t Weight = core::rendezvousWeight(Key, Who.Host.str());
+    if (!Best || Weight > BestWeight) {
+      Best = &Known.What;
+      BestWeight = Weight;
+    }
+  }
+  return Best;
+}
+
+core::Duration SummaryExchange::loadPeriod(const core::FailureDomainId &To,
+                                           core::TimePoint Now) const {
+  for (const auto &[Who, Known] : Members.records())
+    if (Known.What.FailureDomain == To)
+      return Known.What.Region == Own.Region ? NearLoadPeriod : FarLoadPeriod;
+  return FarLoadPeriod;
+}
+
+void SummaryExchange::sendSummary(const core::FailureDomainId &To,
+                                  const std::string &Address,
+                                  core::TimePoint Now) {
+  Link &At = Links[To];
+  if (At.Address != Address)
+    At = {Address, 0, {}};
+  auto Changes = Log.since(At.Sent);
+  wire::Envelope Message;
+  wire::MembershipSummary &Summary = *Message.mutable_membership_summary();
+  Summary.set_failure_domain(Own.FailureDomain.str());
+  Summary.set_partial(!Changes.All);
+  Summary.set_view_digest(routing::digestOf(ownView(Now)));
+  for (const Membership::Key &Who : Changes.Changed)
+    addMember(Summary, Who, Now);
+  for (const Membership::Key &Who : Changes.Gone) {
+    wire::Sender &Gone = *Summary.add_gone();
+    Gone.set_host(Who.Host.str());
+    Gone.set_role(Who.Role == MemberRole::Entry ? wire::ROLE_ENTRY
+                                                : wire::ROLE_AGENT);
+  }
+  if (Now - At.LoadsSentAt >= loadPeriod(To, Now)) {
+    addLoads(Summary, Own.FailureDomain, Now);
+    At.LoadsSentAt = Now;
+  }
+  At.Sent = Log.version();
+  Parts.Send(wire::Peer::at(Address), std::move(Message));
+}
+
+void SummaryExchange::sendAll(const wire::Peer &To,
+                              const core::FailureDomainId &Domain,
+                              core::TimePoint Now) {
+  auto View =
+      Domain == Own.FailureDomain ? ownView(Now) : toldView(Domain, Now);
+  if (View.empty())
+    return;
+  wire::Envelope Message;
+  wire::MembershipSummary &Summary = *Message.mutable_membership_summary();
+  Summary.set_failure_domain(Domain.str());
+  Summary.set_view_digest(routing::digestOf(View));
+  for (const auto &[Who, Digest] : View)
+    addMember(Summary, Who, Now);
+  Parts.Send(To, std::move(Message));
+}
+
+void SummaryExchange::addMember(wire::MembershipSummary &Summary,
+                                const Membership::Key &Who,
+                                core::TimePoint Now) const {
+  if (const Membership::Record *Known = Members.find(Who))
+    *Summary.add_members() = summaryOf(Known->What, ageOf(*Known, Now));
+}
+
+void SummaryExchange::addLoads(wire::MembershipSummary &Summary,
+                               const core::FailureDomainId &Domain,
+                               core::TimePoint Now) const {
+  for (const auto &[Who, Known] : Members.records()) {
+    if (Known.What.FailureDomain != Domain ||
+        Members.state(Known, Now) != Membership::State::Alive)
+      continue;
+    wire::LoadRow &Row = *Summary.add_loads();
+    Row.set_member(routing::shortHash(Who.Host));
+    Row.set_time_ms(Known.What.Time.count());
+    Row.set_revision(Known.What.Revision);
+    if (Known.What.Holdings.empty())
+      continue;
+    const routing::Load &Busy = Known.What.Holdings.front().Busy;
+    Row.set_credits(Busy.Credits);
+    Row.set_in_progress(Busy.InProgress);
+    Row.set_waiting(Busy.Waiting);
+    Row.set_latency_ms(
+        std::chrono::duration_cast<milliseconds>(Busy.Latency).count());
+  }
+}
+
+void SummaryExchange::receive(const wire::Peer &From,
+                              const wire::Envelope &Message,
+                              core::TimePoint Now) {
+  const wire::MembershipSummary &Summary = Message.membership_summary();
+  core::FailureDomainId Domain(Summary.failure_domain());
+  if (Summary.want_all())
+    return sendAll(From, Domain, Now);
+  // The own failure domain is heard directly.
+  if (Domain == Own.FailureDomain)
+    return;
+  std::set<Membership::Key> Told;
+  for (const wire::MemberSummary &S : Summary.members()) {
+    Member M = memberFrom(S);
+    Told.insert({M.Role, M.Host});
+    Members.observe(M, milliseconds(S.age_ms()), Now);
+  }
+  for (const wire::Sender &Gone : Summary.gone())
+    Members.markGone({Gone.role() == wire::ROLE_ENTRY ? MemberRole::Entry
+                                                      : MemberRole::Agent,
+                      core::HostId(Gone.host())},
+                     Now);
+  if (!Summary.partial())
+    for (const auto &[Who, Digest] : toldView(Domain, Now))
+      if (!Told.contains(Who))
+        Members.markGone(Who, Now);
+  takeLoads(Summary, Domain, Now);
+  if (routing::digestOf(toldView(Domain, Now)) == Summary.view_digest())
+    Members.confirmAll(Domain, milliseconds(Summary.age_ms()), Now);
+  else if (Summary.partial()) {
+    wire::Envelope Ask;
+    Ask.mutable_membership_summary()->set_failure_domain(Domain.str());
+    Ask.mutable_membership_summary()->set_want_all(true);
+    Parts.Send(From, std::move(Ask));
+  }
+  if (Message.sender().failure_domain() == Domain.str())
+    relay(Summary, Now);
+}
+
+void SummaryExchange::takeLoads(const wire::MembershipSummary &Summary,
+                                const core::FailureDomainId &Domain,
+                                core::TimePoint Now) {
+  if (Summary.loads_size() == 0)
+    return;
+  std::map<std::uint32_t, Membership::Key> ByHash;
+  for (const auto &[Who, Known] : Members.records())
+    if (Known.What.FailureDomain == Domain)
+      ByHash.emplace(routing::shortHash(Who.Host), Who);
+  for (const wire::LoadRow &Row : Summary.loads()) {
+    auto Found = ByHash.find(Row.member());
+    if (Found == ByHash.end())
+      continue;
+    const Membership::Key &Who = Found->second;
+    Members.noteRevision(Who, Row.revision());
+    if (Who.Role != MemberRole::Agent)
+      continue;
+    routing::Load Busy;
+    Busy.Credits = Row.credits();
+    Busy.InProgress = Row.in_progress();
+    Busy.Waiting = Row.waiting();
+    Busy.Latency = milliseconds(Row.latency_ms());
+    Members.updateLoad(Who, Members.find(Who)->What.Incarnation, Busy,
+                       milliseconds(Row.time_ms()),
+                       Now - milliseconds(Summary.age_ms()));
+    Parts.OnLoad(Who.Host);
+  }
+}
+
+void SummaryExchange::relay(const wire::MembershipSummary &Summary,
+                            core::TimePoint Now) {
+  wire::Envelope Message;
+  *Message.mutable_membership_summary() = Summary;
+  for (const auto &[Who, Known] : Members.records())
+    if (Who.Role == MemberRole::Entry && Who.Host != Own.Host &&
+        Known.What.FailureDomain == Own.FailureDomain &&
+        Members.state(Known, Now) != Membership::State::Dead)
+      Parts.Send(wire::Peer::at(Known.What.PeerAddress), Message);
+}
+
+} // namespace rosemarylane
