--- a/libs/routing/include/routing/Membership.h
+++ b/libs/routing/include/routing/Membership.h
@@ -119,7 +119,7 @@
 /// Names a view, whatever the order of its members.
 std::uint64_t digestOf(const std::map<Membership::Key, std::uint64_t> &View);
 
-/// The short name of a member in a `LoadRow`.
+/// The short name of a member in a table of loads.
 std::uint32_t shortHash(const core::HostId &Host);
 
 } // namespace rosemarylane::routing
--- a/rosemarylane/src/entry/SummaryExchange.cpp
+++ b/rosemarylane/src/entry/SummaryExchange.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-/// Rows of load go to domains of the same region this often, and to others less
+/// Loads go to domains of the same region this often, and to others less
 /// often.
 constexpr milliseconds NearLoadPeriod{2000};
 constexpr milliseconds FarLoadPeriod{6000};
@@ -23,6 +23,8 @@
 /// domain is known.
 constexpr std::size_t ListedTried = 2;
 
+using Deciseconds = std::chrono::duration<std::int64_t, std::deci>;
+
 milliseconds ageOf(const Membership::Record &Known, core::TimePoint Now) {
   return std::chrono::duration_cast<milliseconds>(Now - Known.HeardAt);
 }
@@ -132,7 +134,7 @@
                                                 : wire::ROLE_AGENT);
   }
   if (Now - At.LoadsSentAt >= loadPeriod(To, Now)) {
-    addLoads(Summary, Own.FailureDomain, Now);
+    addLoads(*Summary.mutable_loads(), Now);
     At.LoadsSentAt = Now;
   }
   At.Sent = Log.version();
@@ -162,25 +164,25 @@
     *Summary.add_members() = summaryOf(Known->What, ageOf(*Known, Now));
 }
 
-void SummaryExchange::addLoads(wire::MembershipSummary &Summary,
-                               const core::FailureDomainId &Domain,
+void SummaryExchange::addLoads(wire::LoadTable &Table,
                                core::TimePoint Now) const {
-  for (const auto &[Who, Known] : Members.records()) {
-    if (Known.What.FailureDomain != Domain ||
-        Members.state(Known, Now) != Membership::State::Alive)
-      continue;
-    wire::LoadRow &Row = *Summary.add_loads();
-    Row.set_member(routing::shortHash(Who.Host));
-    Row.set_time_ms(Known.What.Time.count());
-    Row.set_revision(Known.What.Revision);
-    if (Known.What.Holdings.empty())
-      continue;
-    const routing::Load &Busy = Known.What.Holdings.front().Busy;
-    Row.set_credits(Busy.Credits);
-    Row.set_in_progress(Busy.InProgress);
-    Row.set_waiting(Busy.Waiting);
-    Row.set_latency_ms(
+  std::uint64_t Newest = 0;
+  for (const auto &[Who, Digest] : ownView(Now))
+    Newest = std::max(Newest, Members.find(Who)->What.Revision);
+  Table.set_revision(Newest);
+  for (const auto &[Who, Digest] : ownView(Now)) {
+    const Member &M = Members.find(Who)->What;
+    routing::Load Busy;
+    if (!M.Holdings.empty())
+      Busy = M.Holdings.front().Busy;
+    Table.add_member(routing::shortHash(M.Host));
+    Table.add_credits(Busy.Credits);
+    Table.add_in_progress(Busy.InProgress);
+    Table.add_waiting(Busy.Waiting);
+    Table.add_latency_ms(
         std::chrono::duration_cast<milliseconds>(Busy.Latency).count());
+    Table.add_time_ds(std::chrono::duration_cast<Deciseconds>(M.Time).count());
+    Table.add_revisions_behind(Newest - M.Revision);
   }
 }
 
@@ -209,7 +211,7 @@
     for (const auto &[Who, Digest] : toldView(Domain, Now))
       if (!Told.contains(Who))
         Members.markGone(Who, Now);
-  takeLoads(Summary, Domain, Now);
+  takeLoads(Summary.loads(), Domain, milliseconds(Summary.age_ms()), Now);
   if (routing::digestOf(toldView(Domain, Now)) == Summary.view_digest())
     Members.confirmAll(Domain, milliseconds(Summary.age_ms()), Now);
   else if (Summary.partial()) {
@@ -222,31 +224,34 @@
     relay(Summary, Now);
 }
 
-void SummaryExchange::takeLoads(const wire::MembershipSummary &Summary,
+void SummaryExchange::takeLoads(const wire::LoadTable &Table,
                                 const core::FailureDomainId &Domain,
-                                core::TimePoint Now) {
-  if (Summary.loads_size() == 0)
+                                milliseconds Age, core::TimePoint Now) {
+  int Rows = Table.member_size();
+  for (int Column : {Table.credits_size(), Table.in_progress_size(),
+                     Table.waiting_size(), Table.latency_ms_size(),
+                     Table.time_ds_size(), Table.revisions_behind_size()})
+    Rows = std::min(Rows, Column);
+  if (Rows == 0)
     return;
   std::map<std::uint32_t, Membership::Key> ByHash;
-  for (const auto &[Who, Known] : Members.records())
-    if (Known.What.FailureDomain == Domain)
-      ByHash.emplace(routing::shortHash(Who.Host), Who);
-  for (const wire::LoadRow &Row : Summary.loads()) {
-    auto Found = ByHash.find(Row.member());
-    if (Found == ByHash.end())
+  for (const auto &[Who, Digest] : toldView(Domain, Now))
+    ByHash.emplace(routing::shortHash(Who.Host), Who);
+  for (int I = 0; I < Rows; ++I) {
+    auto Found = ByHash.find(Table.member(I));
+    if (Found == ByHash.end() || Table.revisions_behind(I) > Table.revision())
       continue;
     const Membership::Key &Who = Found->second;
-    Members.noteRevision(Who, Row.revision());
+    Members.noteRevision(Who, Table.revision() - Table.revisions_behind(I));
     if (Who.Role != MemberRole::Agent)
       continue;
     routing::Load Busy;
-    Busy.Credits = Row.credits();
-    Busy.InProgress = Row.in_progress();
-    Busy.Waiting = Row.waiting();
-    Busy.Latency = milliseconds(Row.latency_ms());
+    Busy.Credits = Table.credits(I);
+    Busy.InProgress = Table.in_progress(I);
+    Busy.Waiting = Table.waiting(I);
+    Busy.Latency = milliseconds(Table.latency_ms(I));
     Members.updateLoad(Who, Members.find(Who)->What.Incarnation, Busy,
-                       milliseconds(Row.time_ms()),
-                       Now - milliseconds(Summary.age_ms()));
+                       Deciseconds(Table.time_ds(I)), Now - Age);
     Parts.OnLoad(Who.Host);
   }
 }
--- a/rosemarylane/src/entry/SummaryExchange.h
+++ b/rosemarylane/src/entry/SummaryExchange.h
@@ -19,7 +19,7 @@
 ///
 /// For each pair of domains one ranked entry on each side talks to the other;
 /// the receiver passes on to its own domain what it is told. A summary carries
-/// the members that changed since the last one, short rows of load from time to
+/// the members that changed since the last one, loads from time to
 /// time, and the digest of the whole view: a receiver whose view differs asks
 /// for all. On the control duty; the members outlive it.
 class SummaryExchange {
@@ -81,10 +81,10 @@
   void addMember(wire::MembershipSummary &Summary,
                  const routing::Membership::Key &Who,
                  core::TimePoint Now) const;
-  void addLoads(wire::MembershipSummary &Summary,
-                const core::FailureDomainId &Domain, core::TimePoint Now) const;
-  void takeLoads(const wire::MembershipSummary &Summary,
-                 const core::FailureDomainId &Domain, core::TimePoint Now);
+  void addLoads(wire::LoadTable &Table, core::TimePoint Now) const;
+  void takeLoads(const wire::LoadTable &Table,
+                 const core::FailureDomainId &Domain,
+                 std::chrono::milliseconds Age, core::TimePoint Now);
   void relay(const wire::MembershipSummary &Summary, core::TimePoint Now);
 
   const Settings &Own;
