Answer a call that may not be repeated without waiting for its record

Cause: the caller's whole answer was held back until the ledger's record was in the store, so it came only when an outage ended; the same for callers that followed the holder of the key. Until the record is written the agent answers for the attempt, and a failed outcome is recorded as before; only a claim to be given up is still awaited, since the next claim depends on it.

--- a/rosemarylane/src/entry/ClaimResolver.cpp
+++ b/rosemarylane/src/entry/ClaimResolver.cpp
@@ -91,31 +91,35 @@
                   "the agent that may have run it does not answer"));
     if (Outcome.InProgress)
       return later(C, [this, C, Holder] { follow(C, Holder); });
-    AttemptResult Result;
     if (Outcome.Ran == ledger::Ran::No)
-      Result.What = AttemptResult::Kind::NotRun;
-    else if (Outcome.Answer)
-      Result = {AttemptResult::Kind::Answered, std::move(Outcome.Answer)};
-    Ledger.record(C->Key, Holder, Result,
-                  [this, C, Result, Ran = Outcome.Ran](bool Written) {
-                    onRecorded(C, Result, Ran, Written);
-                  });
+      return release(C, Holder);
+    // The caller does not wait for the record: the store may be down.
+    if (Outcome.Answer) {
+      Ledger.record(C->Key, Holder,
+                    {AttemptResult::Kind::Answered, Outcome.Answer},
+                    [](bool) {});
+      return C->OnDone(std::move(*Outcome.Answer));
+    }
+    Ledger.record(C->Key, Holder, {AttemptResult::Kind::Unknown, {}},
+                  [](bool) {});
+    C->OnDone(refusal(Outcome.Ran == ledger::Ran::Yes
+                          ? ProblemKind::AnswerGone
+                          : ProblemKind::OutcomeUnknown,
+                      Outcome.Ran));
   }
 
-  void onRecorded(const CasePtr &C, const AttemptResult &Result,
-                  ledger::Ran Ran, bool Written) {
-    switch (Result.What) {
-    case AttemptResult::Kind::Answered:
-      return C->OnDone(*Result.Answer);
-    case AttemptResult::Kind::NotRun:
-      // If the record was not written, another process may have been first.
-      return Written ? claim(C) : later(C, [this, C] { claim(C); });
-    case AttemptResult::Kind::Unknown:
-      return C->OnDone(refusal(Ran == ledger::Ran::Yes
-                                   ? ProblemKind::AnswerGone
-                                   : ProblemKind::OutcomeUnknown,
-                               Ran));
-    }
+  /// Gives up the claim of a holder whose attempt will never run, and claims
+  /// anew.
+  void release(const CasePtr &C, const ClaimedAttempt &Holder) {
+    Ledger.record(C->Key, Holder, {AttemptResult::Kind::NotRun, {}},
+                  [this, C](bool Written) {
+                    // If the record was not written, another process may have
+                    // been first.
+                    if (Written)
+                      claim(C);
+                    else
+                      later(C, [this, C] { claim(C); });
+                  });
   }
 
   /// Goes on with \p Next after a pause, or gives up at the deadline.
--- a/rosemarylane/src/entry/RequestHandler.cpp
+++ b/rosemarylane/src/entry/RequestHandler.cpp
@@ -197,11 +197,18 @@
       Result = {AttemptResult::Kind::Answered, R->Answer};
     else if (End.Ran == ledger::Ran::No)
       Result.What = AttemptResult::Kind::NotRun;
+    if (Result.What != AttemptResult::Kind::NotRun) {
+      // The caller does not wait for the record: the store may be down, and
+      // until it is written the agent answers for the attempt.
+      With.Ledger.record(R->ledgerKey(), R->claim(), std::move(Result),
+                         [](bool) {});
+      return settle(R, End, /*MayRunAgain=*/false);
+    }
     // Another attempt claims the key anew: if this claim was not given up, or
     // another process was first, the ledger says so.
     With.Ledger.record(
         R->ledgerKey(), R->claim(), Result,
-        [this, R, End](bool) { settle(R, End, End.Ran == ledger::Ran::No); });
+        [this, R, End](bool) { settle(R, End, /*MayRunAgain=*/true); });
   }
 
   /// Answers, or sends another attempt.
--- a/rosemarylane/tests/process/AtMostOnceTest.cpp
+++ b/rosemarylane/tests/process/AtMostOnceTest.cpp
@@ -12,10 +12,11 @@
 
 /// Sends the order through every entry at the same time.
 std::vector<CallResult> sendThroughAll(Fleet &F, const std::string &Key,
-                                       const std::string &Body) {
+                                       const std::string &Body,
+                                       std::chrono::milliseconds Limit = 20s) {
   std::vector<std::future<CallResult>> Sent;
   for (Fleet::Host *Entry : F.entries())
-    Sent.push_back(F.caller().start(Entry->Http, F.order(Key, Body)));
+    Sent.push_back(F.caller().start(Entry->Http, F.order(Key, Body), Limit));
   std::vector<CallResult> Results;
   for (auto &Each : Sent)
     Results.push_back(Each.get());
@@ -149,10 +150,19 @@
   Fleet F(Options);
   auto Entries = F.entries();
   auto First = F.caller().start(Entries[0]->Http, F.order("mid", "tankard"));
+  // A second caller learns of the claim while the store is up.
+  auto Follower = F.caller().start(Entries[3]->Http, F.order("mid", "tankard"));
   Fleet::await("the order runs", 5s, [&] { return F.runs("mid") == 1; });
+  std::this_thread::sleep_for(100ms);
   F.setFaults(F.platform(), R"({"only":"/v3/","outage":true})");
-  auto During = sendThroughAll(F, "mid", "tankard");
-  std::vector<CallResult> Results{First.get()};
+  auto During = sendThroughAll(F, "mid", "tankard", 5s);
+  BOOST_REQUIRE(First.wait_for(5s) == std::future_status::ready);
+  BOOST_REQUIRE(Follower.wait_for(5s) == std::future_status::ready);
+  std::vector<CallResult> Results{First.get(), Follower.get()};
+  BOOST_TEST(Results[0].ok(), "the first caller gets its answer");
+  BOOST_TEST(Results[1].ok(), "so does one that followed it");
+  for (const CallResult &R : During)
+    BOOST_TEST(R.whole(), "answered or refused: " << R.Error);
   Results.insert(Results.end(), During.begin(), During.end());
   checkAnswers(F, "mid", Results);
   F.setFaults(F.platform(), R"({"outage":false})");
--- a/rosemarylane/tests/process/Fleet.cpp
+++ b/rosemarylane/tests/process/Fleet.cpp
@@ -27,6 +27,9 @@
 constexpr char OperatorToken[] = "operator-token";
 constexpr char CallerToken[] = "caller-token";
 
+/// What an engine answers unless its arguments say otherwise.
+constexpr std::size_t TokensOfAnswer = 16;
+
 constexpr auto StartLimit = 20s;
 
 int takePorts() {
@@ -247,11 +250,9 @@
       await("chat through " + Entry->Name, StartLimit, [&] {
         return Caller.call(Entry->Http, chat("ready?", false)).ok();
       });
-    int Tries = 0;
     if (!serviceAgents().empty())
       await("an order through " + Entry->Name, StartLimit, [&] {
-        std::string Key =
-            "ready-" + Entry->Name + "-" + std::to_string(++Tries);
+        std::string Key = "ready-" + std::to_string(++Orders);
         return Caller.call(Entry->Http, order(Key, "ready")).ok();
       });
   }
@@ -315,7 +316,7 @@
   Source.Model = "draft";
   Source.Version = Version;
   Source.Prompt = Prompt;
-  Source.Tokens = Tokens;
+  Source.Tokens = TokensOfAnswer;
   return Source.text();
 }
 
--- a/rosemarylane/tests/process/Fleet.h
+++ b/rosemarylane/tests/process/Fleet.h
@@ -57,6 +57,8 @@
   std::vector<Host *> engineAgents();
 
   void startHost(Host &H);
+  /// Waits until every entry answers chats and orders.
+  void awaitServing();
 
   /// A call to the service that may not be repeated.
   http::Request order(const std::string &Key, const std::string &Body) const;
@@ -82,8 +84,6 @@
   std::string storeRelayControl() const { return RelayControl; }
   ChildProcess &platformProcess() { return *PlatformProcess; }
   HttpCaller &caller() { return Caller; }
-  /// The number of tokens of an engine's answer.
-  std::size_t tokens() const { return Tokens; }
 
   /// Waits until \p Holds, and fails the test otherwise.
   static void await(const std::string &What, std::chrono::milliseconds Limit,
@@ -101,7 +101,6 @@
   void listHosts();
   void registerVersion();
   void applyCatalogue();
-  void awaitServing();
   std::vector<Host *> byRole(const std::string &Role);
   std::string logFile(const std::string &Name) const;
 
@@ -113,7 +112,7 @@
   std::string Store;
   std::string RelayControl;
   std::string Version;
-  std::size_t Tokens = 16;
+  int Orders = 0;
   std::unique_ptr<ChildProcess> PlatformProcess;
   std::unique_ptr<ChildProcess> RelayProcess;
   std::vector<std::unique_ptr<Host>> Hosts;
