Keep revisions rising when the key-value service has lost its data

Cause: a first document applied to an emptied service got revision 1 and was accepted, but every process keeps the higher revision it has, so it never came into force. A change now gets a revision above the one in force at the entry too. Also: no workspace can have the all-zero digest, which stands for an absent token; the history prints times. Test: process_tests -t configuration/store_has_lost_its_data (without the change the answer is revision 1), core_tests.

--- a/libs/core/include/core/StoredConfiguration.h
+++ b/libs/core/include/core/StoredConfiguration.h
@@ -64,7 +64,9 @@
 
 /// Makes \p Next the configuration in force under the next revision, and
 /// records the change.
-/// @param Change its `Revision` and `Summary` are filled in.
+/// @param Change its `Summary` is filled in. Its `Revision` is one known to be
+/// in force and becomes the new one: it is above the stored one only if the
+/// store has lost its data, and then keeps revisions rising.
 StoredConfiguration withChange(const StoredConfiguration &Before,
                                Configuration Next, ConfigurationChange Change);
 
--- a/libs/core/src/ConfigurationCodec.cpp
+++ b/libs/core/src/ConfigurationCodec.cpp
@@ -142,6 +142,10 @@
   void checkWorkspace(std::size_t Index) {
     const Workspace &W = Config.Workspaces[Index];
     std::string At = "$.workspaces[" + std::to_string(Index) + "]";
+    // Stands for "no token" wherever tokens are compared.
+    if (W.TokenDigest.none())
+      report(At, "token_sha256", quoted(W.TokenDigest.hex()),
+             "the digest of a token, not all zeros");
     for (std::size_t I = 0; I < Index; ++I) {
       std::string Other = "$.workspaces[" + std::to_string(I) + "]";
       if (Config.Workspaces[I].Name == W.Name)
--- a/libs/core/src/StoredConfiguration.cpp
+++ b/libs/core/src/StoredConfiguration.cpp
@@ -201,7 +201,7 @@
 StoredConfiguration withChange(const StoredConfiguration &Before,
                                Configuration Next, ConfigurationChange Change) {
   StoredConfiguration After = Before;
-  Next.Revision = Before.Current.Revision + 1;
+  Next.Revision = std::max(Before.Current.Revision, Change.Revision) + 1;
   Change.Revision = Next.Revision;
   Change.Summary = describeDifference(Before.Current, Next);
   if (Change.Summary.size() > MaxSummaryLines) {
--- a/libs/core/tests/ConfigurationCodecTest.cpp
+++ b/libs/core/tests/ConfigurationCodecTest.cpp
@@ -112,6 +112,12 @@
              "$.workspaces[1].name $.workspaces[1].token_sha256");
 }
 
+BOOST_AUTO_TEST_CASE(no_workspace_has_the_absent_token) {
+  BOOST_TEST(errorPaths(R"({"workspaces":[{"name":"a","token_sha256":")" +
+                        std::string(64, '0') + "\"}]}") ==
+             "$.workspaces[0].token_sha256");
+}
+
 BOOST_AUTO_TEST_CASE(not_json) {
   BOOST_TEST(errorPaths("{\"entries\": [}") == "$");
   BOOST_TEST(errorPaths("") == "$");
--- a/libs/core/tests/ConfigurationDecisionsTest.cpp
+++ b/libs/core/tests/ConfigurationDecisionsTest.cpp
@@ -111,6 +111,15 @@
   BOOST_TEST(!parseStored("{").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(revisions_rise_although_the_store_lost_its_data) {
+  ConfigurationChange Change = change("again");
+  Change.Revision = 10;
+  StoredConfiguration Stored =
+      withChange(StoredConfiguration(), sample(), Change);
+  BOOST_TEST(Stored.Current.Revision == 11u);
+  BOOST_TEST(Stored.History.back().Revision == 11u);
+}
+
 BOOST_AUTO_TEST_CASE(history_is_bounded) {
   StoredConfiguration Stored;
   for (std::size_t I = 0; I < MaxHistory + 5; ++I)
--- a/rosemarylane/src/ctl/CtlCommand.cpp
+++ b/rosemarylane/src/ctl/CtlCommand.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/json.hpp>
 #include <chrono>
+#include <ctime>
 #include <iostream>
 #include <thread>
 
@@ -30,6 +31,16 @@
                             : json::serialize(*Value);
 }
 
+/// @return the time as `2026-01-31T23:59:59Z`.
+std::string timeText(std::int64_t Milliseconds) {
+  std::time_t Seconds = Milliseconds / 1000;
+  std::tm Parts{};
+  gmtime_r(&Seconds, &Parts);
+  char Text[32];
+  std::strftime(Text, sizeof(Text), "%FT%TZ", &Parts);
+  return Text;
+}
+
 /// Prints what the service refused, and picks the exit code.
 ExitCode refused(const http::Response &Answer) {
   std::cerr << Answer.Head.Status << ": " << Answer.Body << "\n";
@@ -211,8 +222,9 @@
       return ExitCode::Ok;
     for (const json::value &Change : Answer->at("history").as_array()) {
       std::cout << "revision " << text(Change, "revision") << "  by "
-                << text(Change, "by") << "  " << text(Change, "at_ms")
-                << " ms  " << text(Change, "id") << "\n";
+                << text(Change, "by") << "  "
+                << timeText(Change.at("at_ms").to_number<std::int64_t>())
+                << "  " << text(Change, "id") << "\n";
       for (const json::value &Line : Change.at("summary").as_array())
         std::cout << "  " << std::string(Line.as_string()) << "\n";
     }
--- a/rosemarylane/src/entry/AdminApi.cpp
+++ b/rosemarylane/src/entry/AdminApi.cpp
@@ -258,9 +258,10 @@
       return Call->respond(
           adminProblem(400, "The Idempotency-Key is too long"));
     Change.At = std::chrono::system_clock::now();
+    auto InForce = Configuration.current();
+    Change.Revision = InForce->Revision;
     core::Digest Token = presentedToken(Call->request());
-    if (const core::Workspace *By =
-            Configuration.current()->workspaceByToken(Token))
+    if (const core::Workspace *By = InForce->workspaceByToken(Token))
       Change.By = By->Name;
     std::string Id = Change.Id;
     Writer.change(
--- a/rosemarylane/tests/process/ConfigurationTest.cpp
+++ b/rosemarylane/tests/process/ConfigurationTest.cpp
@@ -19,6 +19,9 @@
 /// An accepted configuration is in force everywhere reachable within this time.
 constexpr auto InForceWithin = 2s;
 
+/// `rosemarylane/configuration` in base64, as the key-value service takes keys.
+constexpr char EncodedKey[] = "cm9zZW1hcnlsYW5lL2NvbmZpZ3VyYXRpb24=";
+
 constexpr char Outage[] = R"({"only":"/v3/","outage":true})";
 constexpr char NoOutage[] = R"({"only":"/v3/","outage":false})";
 
@@ -158,6 +161,23 @@
   awaitInForce(F, allHosts(F), Revision + 1);
 }
 
+BOOST_AUTO_TEST_CASE(store_has_lost_its_data) {
+  Fleet F({});
+  auto Accepted = F.caller().call(F.entries()[0]->Http, hostOut("gone"));
+  awaitInForce(F, allHosts(F), revisionOf(Accepted));
+  auto Kept =
+      F.caller().call(F.entries()[0]->Http, adminRequest("GET", "catalogue"));
+  BOOST_REQUIRE(F.caller()
+                    .post(F.platform(), "/v3/kv/deleterange",
+                          R"({"key":")" + std::string(EncodedKey) + "\"}")
+                    .ok());
+  auto Request = adminRequest("PUT", "catalogue", Kept.body());
+  Request.Fields.set("If-Match", "\"0\"");
+  auto Again = F.caller().call(F.entries()[1]->Http, Request);
+  BOOST_TEST(revisionOf(Again) == 3u);
+  awaitInForce(F, allHosts(F), 3);
+}
+
 BOOST_AUTO_TEST_CASE(store_answer_lost_after_the_write) {
   Fleet F({});
   F.setFaults(F.platform(), R"({"only":"/v3/kv/txn","lose_answers":1})");
