Serve hosts that join late, and fetch anew after an engine lost its memory

Peers that had given their copy refused an engine that had restarted empty until their count was reset after 10 s; its manifest was not put back; and ids of a replaced planner could be taken for those of its successor. The change: beyond the cap one chunk is given after each pause; a version whose manifest the engine has lost is fetched anew; fetches carry their planner's epoch.

--- a/libs/swarm/include/swarm/UploadQueue.h
+++ b/libs/swarm/include/swarm/UploadQueue.h
@@ -51,6 +51,9 @@
   /// Copies of one version that a host gives before it leaves the rest to
   /// others.
   double CopiesCap = 1.05;
+  /// Beyond the cap, a neighbour is still served after this long without an
+  /// upload: a host that joins late finds a fleet that has given enough.
+  std::chrono::nanoseconds CapPause = std::chrono::milliseconds(100);
   /// A version that was not asked for during this time starts a new count.
   std::chrono::nanoseconds CountReset = std::chrono::seconds(10);
 };
@@ -59,7 +62,7 @@
 ///
 /// Requests of other failure domains go first, since whole domains wait for
 /// them; versions share the link by class; a host that has given about one copy
-/// sends neighbours elsewhere, except for chunks that it has never given.
+/// sends most neighbours elsewhere, except for chunks that it has never given.
 /// Pure; not thread-safe.
 class UploadQueue {
 public:
@@ -87,11 +90,12 @@
   struct VersionCount {
     std::uint64_t Bytes = 0;
     core::TimePoint LastOffer{};
+    core::TimePoint LastAccepted{};
     std::unordered_map<core::Digest, std::uint32_t> Given;
   };
 
-  bool overCap(const Upload &Request, std::uint64_t VersionBytes,
-               core::TimePoint Now);
+  bool admit(const Upload &Request, std::uint64_t VersionBytes,
+             core::TimePoint Now);
   std::optional<Upload> take(std::deque<Upload> &From);
 
   UploadSettings Settings;
--- a/libs/swarm/src/UploadQueue.cpp
+++ b/libs/swarm/src/UploadQueue.cpp
@@ -19,17 +19,19 @@
 
 } // namespace
 
-bool UploadQueue::overCap(const Upload &Request, std::uint64_t VersionBytes,
-                          core::TimePoint Now) {
+bool UploadQueue::admit(const Upload &Request, std::uint64_t VersionBytes,
+                        core::TimePoint Now) {
   VersionCount &Count = Counts[Request.Version];
   if (Now - Count.LastOffer > Settings.CountReset)
     Count = {};
-  auto Limit = Settings.CopiesCap * static_cast<double>(VersionBytes);
+  Count.LastOffer = Now;
+  double Limit = Settings.CopiesCap * static_cast<double>(VersionBytes);
   bool Over = static_cast<double>(Count.Bytes + Request.Bytes) > Limit &&
               !Request.ForReader && Count.Given.contains(Request.Chunk);
-  if (!Over)
-    Count.LastOffer = Now;
-  return Over;
+  if (Over && Now - Count.LastAccepted < Settings.CapPause)
+    return false;
+  Count.LastAccepted = Now;
+  return true;
 }
 
 UploadAnswer UploadQueue::offer(const Upload &Request, bool Held, bool Wait,
@@ -50,7 +52,7 @@
     return Request.ForReader ? UploadAnswer::Queued : UploadAnswer::Accepted;
   std::size_t Limit =
       Request.ForReader ? Settings.ReadersWaiting : Settings.NeighboursWaiting;
-  if (Lane.size() >= Limit || overCap(Request, VersionBytes, Now))
+  if (Lane.size() >= Limit || !admit(Request, VersionBytes, Now))
     return UploadAnswer::Busy;
   Lane.push_back(Request);
   return Request.ForReader ? UploadAnswer::Queued : UploadAnswer::Accepted;
--- a/rosemarylane/src/agent/ChunkExchange.cpp
+++ b/rosemarylane/src/agent/ChunkExchange.cpp
@@ -52,6 +52,17 @@
   return swarm::FetchOutcome::Failed;
 }
 
+swarm::UploadSettings uploadSettings(const BandwidthSettings &Links) {
+  constexpr int BurstsUntilCapPause = 5;
+  constexpr std::chrono::milliseconds UnlimitedPause{10};
+  swarm::UploadSettings Settings;
+  Settings.CapPause = UnlimitedPause;
+  if (Links.Uplink > 0)
+    Settings.CapPause = std::chrono::nanoseconds(
+        BurstsUntilCapPause * LinkBurst * std::nano::den / Links.Uplink);
+  return Settings;
+}
+
 class SwarmChunkExchange final : public ChunkExchange {
 public:
   SwarmChunkExchange(ProcessContext &Context, const MessageSender &Send,
@@ -63,7 +74,8 @@
         Downlink(Context.Config.Bandwidth.Downlink, LinkBurst),
         RegionLink(Context.Config.Bandwidth.RegionLink, 0),
         Metrics(*Context.Metrics), Transfers(Context, Send, Metrics),
-        Uploads(Send, Store, Uplink, Metrics),
+        Uploads(Send, Store, Uplink, Metrics,
+                uploadSettings(Context.Config.Bandwidth)),
         Alive(std::make_shared<bool>(true)) {
     Timer = Context.Timers->every(StepInterval, *Context.Control,
                                   [this, Guard = std::weak_ptr<bool>(Alive)] {
@@ -216,11 +228,22 @@
     if (Remote)
       RegionLink.take(Chunk.Bytes, Now);
     Shared.InProgress.insert(Fetch.Id);
-    Transfers.ask(What, [this, Fetch, What](Status How, std::string Data) {
-      ended(What, Fetch, How, std::move(Data));
+    Transfers.ask(What, [this, Fetch, What,
+                         Epoch = Shared.epoch()](Status How, std::string Data) {
+      ended(What, current(What.Version, Fetch, Epoch), How, std::move(Data));
     });
   }
 
+  /// @return \p Fetch, or one that nobody waits for if another planner has
+  /// taken over since.
+  swarm::ChunkFetch current(const core::Digest &Version,
+                            swarm::ChunkFetch Fetch, std::uint64_t Epoch) {
+    SharedVersion *Shared = find(Version);
+    if (!Shared || Shared->epoch() != Epoch)
+      Fetch.Id = 0;
+    return Fetch;
+  }
+
   /// A fetch ended, or was queued; its version may have gone in between.
   void ended(const ChunkTransfers::Asked &What, const swarm::ChunkFetch &Fetch,
              Status How, std::string Data) {
@@ -320,7 +343,8 @@
         Store.remove(Version);
         return;
       }
-      Shared->setManifest(std::move(*Parsed), Store, Context.Config, now());
+      Shared->setManifest(std::move(*Parsed), Store, Context.Config,
+                          NextEpoch++, now());
       To.OnProgress(Version);
       step();
     });
@@ -406,7 +430,7 @@
       return;
     }
     bool ForReader = Away != Distance::Domain || Request.wait();
-    if (ForReader && !Store.holds(*Chunk))
+    if (ForReader && Shared->planner() && !Store.holds(*Chunk))
       Shared->planner()->demanded(
           *Index, Request.wait() ? swarm::ChunkFetch::Source::RegionReader
                                  : swarm::ChunkFetch::Source::FleetReader);
@@ -435,10 +459,8 @@
     if (Held)
       Shared->planner()->peerHolds(Peer, std::move(*Held), Now);
     if (Update.interested()) {
-      bool Known = Shared->follows(Peer);
       Shared->follow(Peer, Now + FollowFor);
-      if (!Known)
-        tell(*Shared, Peer, /*Interested=*/false);
+      tell(*Shared, Peer, /*Interested=*/false);
     }
     planFetches(Now);
   }
@@ -488,6 +510,7 @@
   ChunkUploads Uploads;
   swarm::ClassShare Share;
   std::map<core::Digest, std::unique_ptr<SharedVersion>> Versions;
+  std::uint64_t NextEpoch = 1;
   std::uint64_t ReceivedFromPeers = 0;
   std::uint64_t LiveOut = 0;
   std::uint64_t LiveIn = 0;
--- a/rosemarylane/src/agent/ChunkUploads.h
+++ b/rosemarylane/src/agent/ChunkUploads.h
@@ -20,9 +20,10 @@
 class ChunkUploads {
 public:
   ChunkUploads(const MessageSender &Send, ChunkStore &Store,
-               swarm::TokenBucket &Uplink, WeightMetrics &Metrics)
+               swarm::TokenBucket &Uplink, WeightMetrics &Metrics,
+               swarm::UploadSettings Limits)
       : Send(Send), Store(Store), Uplink(Uplink), Metrics(Metrics),
-        Queue(swarm::UploadSettings()) {}
+        Queue(Limits) {}
 
   /// A request for a chunk of a known version.
   struct Request {
--- a/rosemarylane/src/agent/SharedVersion.cpp
+++ b/rosemarylane/src/agent/SharedVersion.cpp
@@ -59,9 +59,12 @@
 }
 
 void SharedVersion::setManifest(swarm::Manifest Whole, const ChunkStore &Store,
-                                const Settings &Config, core::TimePoint Now) {
+                                const Settings &Config, std::uint64_t NewEpoch,
+                                core::TimePoint Now) {
+  Epoch = NewEpoch;
   Chunks = Whole.distinctChunks();
   Manifest = std::move(Whole);
+  TotalBytes = 0;
   std::vector<core::Digest> Ids;
   swarm::ChunkSet Held(Chunks.size());
   std::uint64_t Largest = 0;
@@ -105,6 +108,14 @@
 void SharedVersion::compare(const ChunkStore &Store, core::TimePoint Now) {
   if (!Planner)
     return;
+  if (!Store.holds(Want.Version)) {
+    Manifest.reset();
+    Planner.reset();
+    Chunks.clear();
+    ChunkIndex.clear();
+    InProgress.clear();
+    return;
+  }
   for (std::size_t I = 0; I < Chunks.size(); ++I) {
     bool Held = Store.holds(Chunks[I].Id);
     if (Held == Planner->held().contains(I))
--- a/rosemarylane/src/agent/SharedVersion.h
+++ b/rosemarylane/src/agent/SharedVersion.h
@@ -39,13 +39,16 @@
   }
 
   /// Takes the manifest, and plans the fetch of what \p Store does not hold.
+  /// @param Epoch differs for each planner, whose fetch ids start anew.
   void setManifest(swarm::Manifest Whole, const ChunkStore &Store,
-                   const Settings &Config, core::TimePoint Now);
+                   const Settings &Config, std::uint64_t Epoch,
+                   core::TimePoint Now);
 
   /// Tells the planner who shares the version.
   void setMembers(core::TimePoint Now);
 
-  /// Brings the planner to what \p Store holds.
+  /// Brings the planner to what \p Store holds; without the manifest there, the
+  /// engine has lost its memory, and the version is fetched anew.
   void compare(const ChunkStore &Store, core::TimePoint Now);
 
   /// Null before the manifest is known.
@@ -54,15 +57,13 @@
     return Chunks[Index];
   }
   std::optional<std::size_t> indexOf(const core::Digest &Chunk) const;
+  std::uint64_t epoch() const { return Epoch; }
   std::uint64_t totalBytes() const { return TotalBytes; }
 
   // Those who want to hear of each change of what is held here.
   void follow(const core::HostId &Host, core::TimePoint Until) {
     Followers[Host] = Until;
   }
-  bool follows(const core::HostId &Host) const {
-    return Followers.contains(Host);
-  }
   std::vector<core::HostId> followers(core::TimePoint Now);
 
   // What the exchange remembers between its steps.
@@ -86,6 +87,7 @@
   std::vector<swarm::ManifestChunk> Chunks;
   std::unordered_map<core::Digest, std::size_t> ChunkIndex;
   std::uint64_t TotalBytes = 0;
+  std::uint64_t Epoch = 0;
   std::unique_ptr<swarm::SwarmPlanner> Planner;
   std::map<core::HostId, core::TimePoint> Followers;
 };
