--- a/rosemarylane/tests/process/Fleet.cpp
+++ b/rosemarylane/tests/process/Fleet.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-constexpr int FirstPort = 25100;
+constexpr int DefaultFirstPort = 25100;
 /// Ports of one fleet, and how many fleets follow before the ports come round.
 constexpr int PortsPerFleet = 60;
 constexpr int FleetsBeforeReuse = 13;
@@ -28,15 +28,12 @@
 constexpr char OperatorToken[] = "operator-token";
 constexpr char CallerToken[] = "caller-token";
 
-/// What an engine answers unless its arguments say otherwise.
-constexpr std::size_t TokensOfAnswer = 16;
-
 constexpr auto StartLimit = 20s;
 
 int takePorts() {
   static int Fleets = 0;
   const char *Given = std::getenv("PROCESS_TESTS_FIRST_PORT");
-  int First = Given ? std::atoi(Given) : FirstPort;
+  int First = Given ? std::atoi(Given) : DefaultFirstPort;
   return First + PortsPerFleet * (Fleets++ % FleetsBeforeReuse);
 }
 
