--- a/bench/src/experiments/AtMostOnce.cpp
+++ b/bench/src/experiments/AtMostOnce.cpp
@@ -14,6 +14,8 @@
 using std::chrono::seconds;
 
 constexpr seconds Length{6};
+/// The platform's service answers in milliseconds.
+constexpr std::chrono::milliseconds StoreLatency{3};
 constexpr double Rates[] = {10, 50, 150, 400};
 
 /// What the platform has counted so far.
@@ -93,6 +95,9 @@
   Shape.EngineOptions = fastEngine();
   auto Running = orThrow(Fleet::start(Shape));
   serveDraft(*Running);
+  orThrow(Running->setFaults(Running->platformAddress(),
+                             R"({"only": "/v3/kv/", "latency_ms": )" +
+                                 std::to_string(StoreLatency.count()) + "}"));
   json::array Runs;
   Chart Drawn;
   Drawn.Title = "Store calls for each idempotency key";
@@ -110,7 +115,9 @@
   double Most = mostRunsOfOneKey(*Running);
   writeChart(Options, Drawn);
   orThrow(Running->stop());
-  return {{"runs", std::move(Runs)}, {"most_runs_of_one_key", Most}};
+  return {{"store_latency_ms", StoreLatency.count()},
+          {"runs", std::move(Runs)},
+          {"most_runs_of_one_key", Most}};
 }
 
 } // namespace rosemarylane::bench
--- a/bench/src/experiments/Config.cpp
+++ b/bench/src/experiments/Config.cpp
@@ -40,16 +40,23 @@
   return Lowest;
 }
 
+void setStoreFaults(Fleet &Running, const std::string &Json) {
+  orThrow(Running.setFaults(Running.platformAddress(), Json));
+}
+
 /// Makes one change and measures how long after its acceptance the last process
 /// has it in force.
 std::chrono::nanoseconds timeOneChange(Fleet &Running, bool Out, bool Outage) {
   double Known =
       metric(Running, Running.entries().front().HttpAddress, RevisionMetric);
+  // Without watches, only the entry that wrote the change learns of it from
+  // the store.
+  if (Outage)
+    setStoreFaults(Running, R"({"only": "/v3/watch", "outage": true})");
   orThrow(Running.ctl({Out ? "out" : "in", "failure-domain", "domain-2"}));
   auto Accepted = Clock::now();
   if (Outage)
-    orThrow(
-        Running.setFaults(Running.platformAddress(), R"({"outage": true})"));
+    setStoreFaults(Running, R"({"only": "/v3/", "outage": true})");
   while (lowestRevision(Running) <= Known) {
     if (Clock::now() - Accepted > Limit)
       throw ExperimentError("a change is not in force everywhere in time");
@@ -57,8 +64,7 @@
   }
   auto Took = Clock::now() - Accepted;
   if (Outage)
-    orThrow(
-        Running.setFaults(Running.platformAddress(), R"({"outage": false})"));
+    setStoreFaults(Running, R"({"outage": false})");
   return Took;
 }
 
--- a/bench/src/experiments/FailureDomain.cpp
+++ b/bench/src/experiments/FailureDomain.cpp
@@ -82,15 +82,20 @@
   std::vector<std::unique_ptr<Process>> Orders;
 };
 
+/// Kinds of calls: what is sent to a cut-off entry cannot be answered by the
+/// others.
+constexpr unsigned ThroughStayingEntry = 0;
+constexpr unsigned ThroughLeavingEntry = 1;
+
 /// The entries that the platform's balancer sends to at that time.
-std::vector<std::string> reachable(Fleet &Running, bool Cut,
-                                   std::chrono::nanoseconds At) {
+std::vector<const FleetMember *> reachable(Fleet &Running, bool Cut,
+                                           std::chrono::nanoseconds At) {
   bool Excluded = Cut && At >= LeavesAt + BalancerDetection && At < ReturnsAt;
-  std::vector<std::string> Addresses;
-  for (FleetMember &Entry : Running.entries())
+  std::vector<const FleetMember *> Entries;
+  for (const FleetMember &Entry : Running.entries())
     if (!Excluded || Entry.FailureDomain != LeavingDomain)
-      Addresses.push_back(Entry.HttpAddress);
-  return Addresses;
+      Entries.push_back(&Entry);
+  return Entries;
 }
 
 /// One row for each second, and the curves of the chart.
@@ -154,9 +159,11 @@
     Changes.onTime(SinceStart);
   };
   Load.Next = [&](std::uint64_t Number, std::mt19937_64 &) {
-    auto Addresses = reachable(*Running, Cut, Now);
-    return Call{Addresses[Number % Addresses.size()],
-                chatRequest("draft", "leave and return"), 0};
+    auto Entries = reachable(*Running, Cut, Now);
+    const FleetMember &To = *Entries[Number % Entries.size()];
+    return Call{To.HttpAddress, chatRequest("draft", "leave and return"),
+                To.FailureDomain == LeavingDomain ? ThroughLeavingEntry
+                                                  : ThroughStayingEntry};
   };
   auto Records = runLoad(Running->http().client(), Load);
   Changes.finish();
@@ -169,6 +176,10 @@
   json::array Rows = rowsBySecond(Records, Changes.takenThere(), Drawn);
   writeChart(Options, Drawn);
   LoadSummary All = summarize(Records, seconds(0), Length);
+  LoadSummary Elsewhere =
+      summarize(Records, seconds(0), Length, [](const CallRecord &R) {
+        return R.Kind == ThroughStayingEntry;
+      });
   LoadSummary Before = summarize(Records, seconds(2), LeavesAt);
   LoadSummary Out = summarize(Records, LeavesAt + BalancerDetection, ReturnsAt);
   orThrow(Running->stop());
@@ -179,6 +190,7 @@
           {"served", All.Served},
           {"refused", All.Refused},
           {"failed", All.Failed},
+          {"failed_through_staying_entries", Elsewhere.Failed},
           {"p99_before_ms", toMilliseconds(Before.Whole.quantile(0.99))},
           {"p99_while_out_ms", toMilliseconds(Out.Whole.quantile(0.99))},
           {"not_served", failures(Records)},
