--- /dev/null
+++ b/libs/ledger/tests/GroupCommitTest.cpp
@@ -0,0 +1,195 @@
+#include "ledger/PartitionCommitter.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+using namespace rosemarylane;
+using namespace rosemarylane::ledger;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr unsigned Keys = 1000;
+constexpr std::size_t AnswerBytes = 500;
+/// The platform's service takes a megabyte; values stay well below.
+constexpr std::size_t MaxValueBytes = 256 << 10;
+/// Store calls for segments, among those for a key.
+constexpr double MaxSegmentCallsPerKey = 0.1;
+
+/// What commits cost the store.
+struct Cost {
+  unsigned Calls = 0;
+  std::size_t Bytes = 0;
+};
+
+/// A store that answers every call, and counts.
+class CountingStore {
+public:
+  StoreReply execute(const StoreCall &Call) {
+    ++Spent.Calls;
+    Stored &Value = Values[Call.Segment];
+    LargestValue = std::max(LargestValue, Call.Value.size());
+    if (Call.What == StoreCall::Kind::Swap && Call.Expected == Value.Revision) {
+      Spent.Bytes += Call.Value.size();
+      Value = {Call.Value, ++LastRevision};
+      return {StoreReply::Kind::Swapped, Value.Bytes, Value.Revision};
+    }
+    Spent.Bytes += Value.Bytes.size();
+    StoreReply Reply{StoreReply::Kind::Found, Value.Bytes, Value.Revision};
+    if (Call.What == StoreCall::Kind::Erase) {
+      Values.erase(Call.Segment);
+      Reply.What = StoreReply::Kind::Erased;
+    }
+    return Reply;
+  }
+
+  std::size_t values() const { return Values.size(); }
+
+  Cost Spent;
+  std::size_t LargestValue = 0;
+
+private:
+  struct Stored {
+    std::string Bytes;
+    std::int64_t Revision = 0;
+  };
+  /// By segment; the partition's own value under the empty name.
+  std::map<std::string, Stored> Values;
+  std::int64_t LastRevision = 0;
+};
+
+Claim claimOf(unsigned Number) {
+  std::string Name = std::to_string(Number);
+  Claim C;
+  C.Key = claimKey(core::WorkspaceId("w"), Name);
+  C.Request = requestHash(core::Digest::of(Name));
+  C.Holder = {std::string(16 - Name.size(), '0') + Name,
+              core::HostId("nairobi-1-target-3"), "10.0.0.17:9001", 1, 1ms};
+  return C;
+}
+
+void settle(PartitionCommitter &Committer, CountingStore &Store,
+            core::WallTime Wall = {}) {
+  core::TimePoint Now{};
+  while (auto Call = Committer.next(Now, Wall))
+    Committer.complete(Store.execute(*Call), Now);
+}
+
+/// Claims and answers every key of one partition, \p Group at a time.
+Cost costOf(unsigned Group) {
+  PartitionCommitter Committer("test");
+  CountingStore Store;
+  unsigned Claimed = 0;
+  for (unsigned First = 0; First < Keys; First += Group) {
+    for (unsigned I = First; I < First + Group; ++I)
+      Committer.claim(claimOf(I), core::TimePoint(),
+                      [&](const ClaimReply &Reply) {
+                        if (Reply.What == ClaimReply::Kind::Claimed)
+                          ++Claimed;
+                      });
+    settle(Committer, Store);
+    for (unsigned I = First; I < First + Group; ++I) {
+      Claim C = claimOf(I);
+      Committer.record({C.Key, C.Holder.Id, Outcome::Answered,
+                        std::string(AnswerBytes, 'x')},
+                       [](RecordReply Reply) {
+                         BOOST_TEST((Reply == RecordReply::Written));
+                       });
+    }
+    settle(Committer, Store);
+  }
+  BOOST_TEST(Claimed == Keys);
+  BOOST_TEST(Store.LargestValue < MaxValueBytes);
+  return Store.Spent;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(group_commit)
+
+BOOST_AUTO_TEST_CASE(a_group_shares_its_store_calls) {
+  for (unsigned Group : {1u, 4u, 20u}) {
+    Cost Spent = costOf(Group);
+    double CallsPerKey = static_cast<double>(Spent.Calls) / Keys;
+    BOOST_TEST_MESSAGE("groups of " << Group << ": " << CallsPerKey
+                                    << " store calls and " << Spent.Bytes / Keys
+                                    << " bytes for each key");
+    // Two for each group, and a few for segments.
+    BOOST_TEST(CallsPerKey <= 2.0 / Group + MaxSegmentCallsPerKey);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_repeat_of_an_answered_key_costs_no_call) {
+  PartitionCommitter Committer("test");
+  CountingStore Store;
+  Claim C = claimOf(1);
+  Committer.claim(C, core::TimePoint(), [](const ClaimReply &) {});
+  settle(Committer, Store);
+  Committer.record({C.Key, C.Holder.Id, Outcome::Answered, "x"},
+                   [](RecordReply) {});
+  settle(Committer, Store);
+  unsigned Before = Store.Spent.Calls;
+  std::string Answer;
+  C.Holder.Id = "another attempt.";
+  Committer.claim(C, core::TimePoint(), [&](const ClaimReply &Reply) {
+    Answer = Reply.Found.Answer;
+  });
+  settle(Committer, Store);
+  BOOST_TEST(Answer == "x");
+  BOOST_TEST(Store.Spent.Calls == Before);
+}
+
+BOOST_AUTO_TEST_CASE(segments_are_read_by_others_and_erased_when_old) {
+  CommitterLimits Bounds;
+  CountingStore Store;
+  PartitionCommitter First("first", Bounds);
+  for (unsigned I = 0; I < 100; ++I) {
+    Claim C = claimOf(I);
+    First.claim(C, core::TimePoint(), [](const ClaimReply &) {});
+    settle(First, Store);
+    First.record(
+        {C.Key, C.Holder.Id, Outcome::Answered, std::string(AnswerBytes, 'x')},
+        [](RecordReply) {});
+    settle(First, Store);
+  }
+  BOOST_TEST(Store.values() > 2u);
+
+  PartitionCommitter Second("second", Bounds);
+  unsigned Answered = 0;
+  for (unsigned I = 0; I < 100; ++I) {
+    Claim C = claimOf(I);
+    C.Holder.Id = "another attempt.";
+    Second.claim(C, core::TimePoint(), [&](const ClaimReply &Reply) {
+      if (Reply.What == ClaimReply::Kind::Answered &&
+          Reply.Found.Answer.size() == AnswerBytes)
+        ++Answered;
+    });
+    settle(Second, Store);
+  }
+  BOOST_TEST(Answered == 100u);
+
+  Claim Late = claimOf(1000);
+  auto Later = core::WallTime(Bounds.Values.Retention + 1min);
+  Late.ClaimedAt = Later;
+  Second.claim(Late, core::TimePoint(), [](const ClaimReply &) {});
+  settle(Second, Store, Later);
+  BOOST_TEST(Store.values() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(an_outage_refuses_claims_by_their_deadline) {
+  PartitionCommitter Committer("test");
+  core::TimePoint Now{};
+  std::optional<ClaimReply> Reply;
+  Committer.claim(claimOf(1), Now, [&](const ClaimReply &R) { Reply = R; });
+  while (Now < core::TimePoint() + 2s) {
+    if (Committer.next(Now, core::WallTime()))
+      Committer.complete({StoreReply::Kind::Unavailable, {}, 0}, Now);
+    Now += 10ms;
+  }
+  BOOST_REQUIRE(Reply.has_value());
+  BOOST_TEST((Reply->What == ClaimReply::Kind::Unavailable));
+  BOOST_TEST(!Reply->MayBeStored);
+  BOOST_TEST(Committer.waiting() == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
