--- a/bench/include/bench/Fleet.h
+++ b/bench/include/bench/Fleet.h
@@ -32,6 +32,9 @@
   std::uint16_t BasePort = 26000;
   std::vector<std::string> PlatformOptions;
   std::vector<std::string> EngineOptions;
+  /// One process for all engine stand-ins, for large fleets; none can then be
+  /// killed by itself.
+  bool ShareEngineProcess = false;
   std::vector<std::string> ServiceOptions;
   /// Bytes a second for weights at each agent; 0 means no limit.
   std::uint64_t Uplink = 0;
@@ -51,6 +54,7 @@
   /// Empty for an entry.
   std::string TargetAddress;
   std::unique_ptr<Process> Program;
+  /// Null for an entry, and for an engine that shares its process.
   std::unique_ptr<Process> Target;
 };
 
@@ -132,13 +136,22 @@
                                                const std::string &Target);
   std::string logPath(const std::string &Name) const;
   std::string takeAddress();
+  core::Result<void, FleetError>
+  startStandin(const std::string &Name, std::vector<std::string> Arguments,
+               const std::vector<std::string> &Options,
+               std::unique_ptr<Process> &Into);
+  core::Result<void, FleetError> startTarget(const FleetShape &Shape,
+                                             FleetMember &Agent);
 
   std::string Directory;
   std::uint16_t NextPort = 0;
+  /// The next address of an engine that shares its process.
+  std::uint16_t NextEnginePort = 0;
   std::string HostsJson;
   std::string PlatformAddress;
   std::unique_ptr<HttpCaller> Http;
   std::unique_ptr<Process> Platform;
+  std::unique_ptr<Process> SharedEngines;
   std::vector<FleetMember> Entries;
   std::vector<FleetMember> Agents;
 };
--- a/bench/src/Experiment.cpp
+++ b/bench/src/Experiment.cpp
@@ -31,7 +31,8 @@
        "service while a failure domain leaves and returns; parts: planned, cut",
        runFailureDomain},
       {"replicas",
-       "time until a version has its replicas; parts: swarm, origin, tree",
+       "time until a version has its replicas; parts: a number of hosts, "
+       "origin, tree",
        runReplicas},
       {"config",
        "time until a configuration is in force everywhere; parts: normal, "
--- a/bench/src/Fleet.cpp
+++ b/bench/src/Fleet.cpp
@@ -20,6 +20,7 @@
 constexpr std::chrono::seconds StartLimit{20};
 constexpr std::chrono::seconds StopLimit{15};
 constexpr std::chrono::seconds CtlLimit{15};
+constexpr int SharedEngineThreads = 2;
 
 void writeFile(const std::string &Path, const std::string &Text) {
   std::ofstream(Path) << Text;
@@ -30,6 +31,17 @@
   return {std::istreambuf_iterator<char>(File), {}};
 }
 
+std::string loopback(std::uint16_t Port) {
+  return "127.0.0.1:" + std::to_string(Port);
+}
+
+std::uint16_t engineCount(const FleetShape &Shape) {
+  unsigned Count = 0;
+  for (const DomainShape &Domain : Shape.Domains)
+    Count += Domain.Engines;
+  return std::uint16_t(Count);
+}
+
 json::object workspace(const char *Name, const char *Role, const char *Token) {
   return {{"name", Name},
           {"role", Role},
@@ -74,9 +86,7 @@
     std::filesystem::remove_all(Directory);
 }
 
-std::string Fleet::takeAddress() {
-  return "127.0.0.1:" + std::to_string(NextPort++);
-}
+std::string Fleet::takeAddress() { return loopback(NextPort++); }
 
 std::string Fleet::logPath(const std::string &Name) const {
   return Directory + "/" + Name + ".log";
@@ -84,6 +94,9 @@
 
 void Fleet::plan(const FleetShape &Shape) {
   PlatformAddress = takeAddress();
+  NextEnginePort = NextPort;
+  if (Shape.ShareEngineProcess)
+    NextPort += engineCount(Shape);
   for (const DomainShape &Domain : Shape.Domains) {
     for (unsigned I = 1; I <= Domain.Entries; ++I)
       planMember(Shape, Domain, Domain.Name + "-entry-" + std::to_string(I),
@@ -120,7 +133,10 @@
   Member.PeerAddress = takeAddress();
   Member.TargetKind = Target;
   if (!IsEntry)
-    Member.TargetAddress = takeAddress();
+    Member.TargetAddress =
+        Shape.ShareEngineProcess && Target == core::TargetKind::Engine
+            ? loopback(NextEnginePort++)
+            : takeAddress();
   writeFile(Directory + "/" + Host + ".json", settings(Shape, Domain, Member));
   (IsEntry ? Entries : Agents).push_back(std::move(Member));
 }
@@ -154,30 +170,42 @@
   return json::serialize(Document);
 }
 
+core::Result<void, FleetError>
+Fleet::startStandin(const std::string &Name, std::vector<std::string> Arguments,
+                    const std::vector<std::string> &Options,
+                    std::unique_ptr<Process> &Into) {
+  Arguments.insert(Arguments.begin(), ROSEMARYLANE_STANDIN);
+  Arguments.insert(Arguments.end(), Options.begin(), Options.end());
+  return Process::start(std::move(Arguments), logPath(Name))
+      .map(
+          [&](std::unique_ptr<Process> Started) { Into = std::move(Started); });
+}
+
+core::Result<void, FleetError> Fleet::startTarget(const FleetShape &Shape,
+                                                  FleetMember &Agent) {
+  std::string Name = Agent.Host + "-target";
+  if (Agent.TargetKind == core::TargetKind::Service)
+    return startStandin(Name, {"service", "--listen", Agent.TargetAddress},
+                        Shape.ServiceOptions, Agent.Target);
+  if (!Shape.ShareEngineProcess)
+    return startStandin(Name, {"engine", "--listen", Agent.TargetAddress},
+                        Shape.EngineOptions, Agent.Target);
+  if (SharedEngines)
+    return {};
+  return startStandin("engines",
+                      {"engine", "--listen", Agent.TargetAddress, "--count",
+                       std::to_string(engineCount(Shape)), "--threads",
+                       std::to_string(SharedEngineThreads)},
+                      Shape.EngineOptions, SharedEngines);
+}
+
 core::Result<void, FleetError> Fleet::startStandins(const FleetShape &Shape) {
-  auto Spawn = [&](const std::string &Name, const char *Kind,
-                   const std::string &Address,
-                   const std::vector<std::string> &Options,
-                   std::unique_ptr<Process> &Into) {
-    std::vector<std::string> Arguments{ROSEMARYLANE_STANDIN, Kind, "--listen",
-                                       Address};
-    Arguments.insert(Arguments.end(), Options.begin(), Options.end());
-    return Process::start(std::move(Arguments), logPath(Name))
-        .map([&](std::unique_ptr<Process> Started) {
-          Into = std::move(Started);
-        });
-  };
-  auto Done = Spawn("platform", "platform", PlatformAddress,
-                    Shape.PlatformOptions, Platform);
-  for (FleetMember &Agent : Agents) {
-    if (!Done)
-      return Done;
-    bool Engine = Agent.TargetKind == core::TargetKind::Engine;
-    Done = Spawn(Agent.Host + "-target", Engine ? "engine" : "service",
-                 Agent.TargetAddress,
-                 Engine ? Shape.EngineOptions : Shape.ServiceOptions,
-                 Agent.Target);
-  }
+  auto Done =
+      startStandin("platform", {"platform", "--listen", PlatformAddress},
+                   Shape.PlatformOptions, Platform);
+  for (FleetMember &Agent : Agents)
+    if (Done)
+      Done = startTarget(Shape, Agent);
   if (Done)
     Done = waitAnswering(PlatformAddress, "/v1/hosts");
   for (FleetMember &Agent : Agents)
@@ -333,8 +361,11 @@
     Fronts.emplace_back(Entry.Host, Entry.Program.get());
   for (FleetMember &Agent : Agents) {
     Backs.emplace_back(Agent.Host, Agent.Program.get());
-    Targets.emplace_back(Agent.Host + "-target", Agent.Target.get());
+    if (Agent.Target)
+      Targets.emplace_back(Agent.Host + "-target", Agent.Target.get());
   }
+  if (SharedEngines)
+    Targets.emplace_back("engines", SharedEngines.get());
   StopAll(std::move(Fronts));
   StopAll(std::move(Backs));
   StopAll(std::move(Targets));
--- a/bench/src/experiments/Replicas.cpp
+++ b/bench/src/experiments/Replicas.cpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
+#include <map>
 #include <set>
 #include <thread>
 
@@ -23,15 +24,20 @@
 constexpr std::uint64_t ChunkBytes = 128 << 10;
 constexpr std::uint64_t VersionBytes = 64 * ChunkBytes;
 /// A copy over a host's link takes this long.
-constexpr seconds CopyTime{4};
+constexpr seconds CopyTime{8};
 /// In the time that a host's link carries two copies, the origin's carries
 /// four.
 constexpr std::uint64_t HostRate = VersionBytes / CopyTime.count();
 constexpr std::uint64_t OriginRate = 2 * HostRate;
-constexpr double LiveRatePerHost = 1;
-constexpr std::chrono::milliseconds PollInterval{50};
-constexpr seconds Limit{60};
-constexpr unsigned HostCounts[] = {10, 20, 40};
+constexpr char RemoteRegion[] = "region-2";
+constexpr std::uint64_t NextVersionSeed = 1000;
+constexpr double LiveRatePerHost = 8;
+constexpr double MaxLiveRate = 160;
+constexpr std::chrono::milliseconds PollInterval{20};
+constexpr seconds Limit{120};
+constexpr unsigned HostCounts[] = {10, 20, 40, 80, 160};
+/// Hosts of the baselines, which take far longer.
+constexpr unsigned BaselineHosts[] = {10, 20};
 
 /// One fleet of engines that gets a new version.
 class Rollout {
@@ -42,24 +48,27 @@
     FleetShape Shape;
     Shape.BasePort = Options.BasePort;
     Shape.Domains = domainShapes(DomainCount, 1, 0);
+    Shape.Domains.back().Region = RemoteRegion;
     for (unsigned I = 0; I < Hosts; ++I)
       ++Shape.Domains[I % DomainCount].Engines;
     Shape.EngineOptions = fastEngine();
+    Shape.ShareEngineProcess = true;
     Shape.PlatformOptions = originRate(OriginRate);
     Shape.Uplink = HostRate;
     Shape.Downlink = HostRate;
     Shape.Planner = Planner;
     Running = orThrow(Fleet::start(Shape));
-    serveDraft(*Running);
+    Draft = serveDraft(*Running);
   }
 
   json::object run() {
     auto Before = liveLoad(seconds(4));
     double OriginBefore = originBytes();
-    core::Digest Version = orThrow(
-        Running->makeVersion("next", VersionBytes, ChunkBytes, Options.Seed));
-    core::Digest Draft =
-        orThrow(Running->makeVersion("draft", 1 << 20, 128 << 10, 1));
+    double CrossedBefore = crossedBytes();
+    std::map<std::string, double> UploadsBefore = uploads();
+    // The seed parts its chunks from those of the version that serves already.
+    core::Digest Version = orThrow(Running->makeVersion(
+        "next", VersionBytes, ChunkBytes, NextVersionSeed + Options.Seed));
     json::array Entries{modelEntry("draft", Draft, "interactive", Hosts),
                         modelEntry("next", Version, "standard", Hosts)};
     orThrow(Running->apply(json::serialize(Entries)));
@@ -79,7 +88,10 @@
         {"all", part(Times, 1)},
         {"complete", Times.size() == Hosts},
         {"origin_copies", Copies},
-        {"upload_max_copies", largestUpload() / double(VersionBytes)},
+        {"region_copies",
+         (crossedBytes() - CrossedBefore) / double(VersionBytes)},
+        {"upload_max_copies",
+         largestUpload(UploadsBefore) / double(VersionBytes)},
         {"live_p99_before_ms", P99(Before)},
         {"live_p99_during_ms", P99(During)},
         {"live_p99_ratio", P99(During) / std::max(0.001, P99(Before))}};
@@ -94,7 +106,7 @@
 private:
   std::vector<CallRecord> liveLoad(std::chrono::nanoseconds Length) {
     LoadShape Load;
-    Load.RatePerSecond = LiveRatePerHost * Hosts;
+    Load.RatePerSecond = std::min(MaxLiveRate, LiveRatePerHost * Hosts);
     Load.Length = Length;
     Load.Seed = Options.Seed;
     Load.Next = [this](std::uint64_t Number, std::mt19937_64 &) {
@@ -142,12 +154,30 @@
     return counter(*Running, Running->platformAddress(), "origin_bytes");
   }
 
-  double largestUpload() {
-    double Largest = 0;
+  /// Bytes that the agents of the remote region drew from other regions'
+  /// agents or from the origin.
+  double crossedBytes() {
+    double Sum = 0;
+    for (FleetMember &Agent : Running->agents())
+      if (Agent.FailureDomain == "domain-" + std::to_string(DomainCount))
+        for (const char *Source : {R"(source="remote")", R"(source="origin")"})
+          Sum += metric(*Running, Agent.HttpAddress,
+                        "rosemarylane_weight_download_bytes_total", Source);
+    return Sum;
+  }
+
+  std::map<std::string, double> uploads() {
+    std::map<std::string, double> Bytes;
     for (FleetMember &Agent : Running->agents())
-      Largest =
-          std::max(Largest, metric(*Running, Agent.HttpAddress,
-                                   "rosemarylane_weight_upload_bytes_total"));
+      Bytes[Agent.Host] = metric(*Running, Agent.HttpAddress,
+                                 "rosemarylane_weight_upload_bytes_total");
+    return Bytes;
+  }
+
+  double largestUpload(const std::map<std::string, double> &Before) {
+    double Largest = 0;
+    for (const auto &[Host, Bytes] : uploads())
+      Largest = std::max(Largest, Bytes - Before.at(Host));
     return Largest;
   }
 
@@ -161,19 +191,27 @@
   std::string Planner;
   unsigned Hosts;
   std::unique_ptr<Fleet> Running;
+  core::Digest Draft;
   std::vector<double> Curve;
 };
 
 } // namespace
 
 json::object runReplicas(const ExperimentOptions &Options) {
-  std::string Planner = Options.Part.empty() ? "swarm" : Options.Part;
+  std::string Planner = "swarm";
+  std::vector<unsigned> Counts(std::begin(HostCounts), std::end(HostCounts));
+  if (Options.Part == "origin" || Options.Part == "tree") {
+    Planner = Options.Part;
+    Counts.assign(std::begin(BaselineHosts), std::end(BaselineHosts));
+  } else if (!Options.Part.empty()) {
+    Counts = {unsigned(std::stoul(Options.Part))};
+  }
   json::array Runs;
   Chart Drawn;
   Drawn.Title = "Replicas of a new version over time (" + Planner + ")";
   Drawn.XLabel = "time, in copies over a host link";
   Drawn.YLabel = "part ready";
-  for (unsigned Hosts : HostCounts) {
+  for (unsigned Hosts : Counts) {
     Rollout One(Options, Planner, Hosts);
     Runs.push_back(One.run());
     Options.Say(json::serialize(Runs.back()));
