--- a/bench/src/Experiment.cpp
+++ b/bench/src/Experiment.cpp
@@ -43,7 +43,7 @@
       {"overload", "goodput and latency by class above capacity", runOverload},
       {"control-cost",
        "bytes, processor time and memory by role; parts: entries, agents, "
-       "catalogue, domains, changes",
+       "catalogue, holdings, full-domain, domains, changes",
        runControlCost},
   };
   return All;
--- a/bench/src/experiments/ControlCost.cpp
+++ b/bench/src/experiments/ControlCost.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
+#include <cmath>
 #include <thread>
 
 namespace rosemarylane::bench {
@@ -19,12 +20,18 @@
 constexpr std::uint64_t VersionBytes = 64 << 10;
 constexpr std::uint64_t ChunkBytes = 64 << 10;
 
+/// One of 19 failure domains that share 320 entries and 1,600 agents.
+constexpr double FullDomainEntries = 17;
+constexpr double FullDomainAgents = 84;
+
 /// The size of a fleet at one point of a slope.
 struct FleetSize {
   unsigned Domains = 3;
   unsigned EntriesPerDomain = 2;
   unsigned EnginesPerDomain = 2;
   unsigned CatalogueEntries = 1;
+  /// How many of them each engine holds.
+  unsigned HeldEntries = 1;
   double ChangesPerSecond = 0;
 };
 
@@ -39,29 +46,35 @@
   static const std::vector<Axis> All{
       {"entries",
        {3, 6, 12, 24},
-       [](double X) {
-         return FleetSize{3, unsigned(X) / 3, 2, 1, 0};
-       }},
+       [](double X) { return FleetSize{.EntriesPerDomain = unsigned(X) / 3}; }},
       {"agents",
-       {3, 12, 24, 48},
-       [](double X) {
-         return FleetSize{3, 2, unsigned(X) / 3, 1, 0};
-       }},
+       {6, 24, 48, 96},
+       [](double X) { return FleetSize{.EnginesPerDomain = unsigned(X) / 3}; }},
       {"catalogue",
        {1, 50, 200, 800},
+       [](double X) { return FleetSize{.CatalogueEntries = unsigned(X)}; }},
+      {"holdings",
+       {1, 2, 4, 8},
        [](double X) {
-         return FleetSize{3, 2, 2, unsigned(X), 0};
+         return FleetSize{.CatalogueEntries = unsigned(X),
+                          .HeldEntries = unsigned(X)};
+       }},
+      {"full-domain",
+       {0.25, 0.5, 0.75, 1},
+       [](double X) {
+         return FleetSize{
+             .Domains = 1,
+             .EntriesPerDomain = unsigned(std::lround(X * FullDomainEntries)),
+             .EnginesPerDomain = unsigned(std::lround(X * FullDomainAgents))};
        }},
       {"domains",
-       {1, 3, 6, 12},
+       {2, 4, 8, 16},
        [](double X) {
-         return FleetSize{unsigned(X), 2, 1, 1, 0};
+         return FleetSize{.Domains = unsigned(X), .EnginesPerDomain = 1};
        }},
       {"changes",
        {0, 1, 2, 4},
-       [](double X) {
-         return FleetSize{3, 2, 2, 1, X};
-       }},
+       [](double X) { return FleetSize{.ChangesPerSecond = X}; }},
   };
   return All;
 }
@@ -102,16 +115,16 @@
        (After.PeerMessages - Before.PeerMessages) / Seconds}};
 }
 
-/// Applies a catalogue of that many entries; only the first is held by engines
-/// at more than one replica.
-void applyCatalogue(Fleet &Running, unsigned Count) {
+/// Applies a catalogue of which every engine holds the first entries.
+void applyCatalogue(Fleet &Running, const FleetSize &Size) {
   auto Engines = unsigned(Running.agents().size());
   core::Digest Version =
       orThrow(Running.makeVersion("control", VersionBytes, ChunkBytes, 1));
   json::array Entries;
-  for (unsigned I = 0; I < Count; ++I)
+  for (unsigned I = 0; I < Size.CatalogueEntries; ++I)
     Entries.push_back(modelEntry("model-" + std::to_string(I), Version,
-                                 "standard", I == 0 ? Engines : 1));
+                                 "standard",
+                                 I < Size.HeldEntries ? Engines : 0));
   orThrow(Running.apply(json::serialize(Entries)));
 }
 
@@ -140,8 +153,9 @@
   Shape.Domains =
       domainShapes(Size.Domains, Size.EntriesPerDomain, Size.EnginesPerDomain);
   Shape.EngineOptions = fastEngine();
+  Shape.ShareEngineProcess = true;
   auto Running = orThrow(Fleet::start(Shape));
-  applyCatalogue(*Running, Size.CatalogueEntries);
+  applyCatalogue(*Running, Size);
   waitServed(*Running, "model-0");
   std::this_thread::sleep_for(Settle);
   const std::string &Platform = Running->platformAddress();
