Judge overload against the capacity measured in the same run

On a busy machine the engines' timers slip, so the nominal capacity was never there. The part without admission control sends the same load straight to the engines.

--- a/bench/src/Experiment.cpp
+++ b/bench/src/Experiment.cpp
@@ -16,9 +16,7 @@
 constexpr std::uint64_t DraftBytes = 1 << 20;
 constexpr std::uint64_t DraftChunkBytes = 128 << 10;
 constexpr std::chrono::seconds ServeLimit{30};
-constexpr int SteadyTokens = 8;
 constexpr std::chrono::microseconds SteadyTokenInterval{10000};
-constexpr int SteadyConcurrency = 8;
 
 std::string bearer() { return std::string("Bearer ") + Fleet::CallerToken; }
 
@@ -123,13 +121,9 @@
           "--first-token-us",
           "0",
           "--concurrency",
-          std::to_string(SteadyConcurrency)};
+          std::to_string(SteadyEngineConcurrency)};
 }
 
-const double SteadyEngineRequestsPerSecond =
-    SteadyConcurrency /
-    std::chrono::duration<double>(SteadyTokens * SteadyTokenInterval).count();
-
 std::vector<std::string> originRate(std::uint64_t BytesPerSecond) {
   return {"--origin-rate", std::to_string(BytesPerSecond)};
 }
--- a/bench/src/Experiment.h
+++ b/bench/src/Experiment.h
@@ -85,8 +85,8 @@
 /// Options of an engine stand-in with a known capacity.
 std::vector<std::string> steadyEngine();
 
-/// Requests a second that one `steadyEngine` completes at most.
-extern const double SteadyEngineRequestsPerSecond;
+/// Requests that one `steadyEngine` runs at a time.
+constexpr int SteadyEngineConcurrency = 8;
 
 /// Options of a platform stand-in whose origin sends at most that many bytes a
 /// second.
--- a/bench/src/experiments/Overload.cpp
+++ b/bench/src/experiments/Overload.cpp
@@ -3,6 +3,7 @@
 #include "Experiment.h"
 
 #include <array>
+#include <atomic>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 #include <thread>
@@ -18,11 +19,15 @@
 constexpr seconds WarmUp{3};
 constexpr seconds Length{9};
 constexpr seconds Pause{3};
+constexpr seconds CapacityLength{3};
+/// An answer that comes later is of no use to its caller.
+constexpr seconds CallerPatience{2};
 constexpr std::array<const char *, 3> Classes{"interactive", "standard",
                                               "batch"};
 /// Shares of the load by class.
 constexpr std::array<double, 3> Shares{0.2, 0.3, 0.5};
 constexpr double Factors[] = {0.5, 1, 2, 4};
+constexpr double WorstFactor = 4;
 constexpr std::uint64_t VersionBytes = 1 << 20;
 constexpr std::uint64_t ChunkBytes = 128 << 10;
 
@@ -43,8 +48,31 @@
     waitServed(Running, Class);
 }
 
+/// @return the requests a second that the engines complete when each always has
+/// as many callers as its batch takes.
+double measureCapacity(Fleet &Running) {
+  std::atomic<std::size_t> Done{0};
+  auto End = std::chrono::steady_clock::now() + CapacityLength;
+  std::vector<std::thread> Callers;
+  for (FleetMember &Agent : Running.agents())
+    for (int I = 0; I < SteadyEngineConcurrency; ++I)
+      Callers.emplace_back([&, Address = Agent.TargetAddress] {
+        while (std::chrono::steady_clock::now() < End) {
+          auto Answer = Running.http().call(
+              Address, chatRequest(Classes.front(), "capacity"));
+          if (Answer && Answer->Head.Status == 200)
+            ++Done;
+        }
+      });
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  return double(Done) / toSeconds(CapacityLength);
+}
+
+/// Offers \p Factor times \p Capacity, through the system or, for comparison,
+/// straight to the engines in turn.
 json::object measureFactor(Fleet &Running, const ExperimentOptions &Options,
-                           double Factor, double Capacity) {
+                           double Factor, double Capacity, bool Direct) {
   LoadShape Load;
   Load.RatePerSecond = Factor * Capacity;
   Load.Length = WarmUp + Length;
@@ -53,16 +81,21 @@
     std::discrete_distribution<unsigned> ClassOf(Shares.begin(), Shares.end());
     unsigned Kind = ClassOf(Random);
     auto &Entries = Running.entries();
-    return Call{Entries[Number % Entries.size()].HttpAddress,
-                chatRequest(Classes[Kind], "overload"), Kind};
+    auto &Agents = Running.agents();
+    const std::string &Address =
+        Direct ? Agents[Number % Agents.size()].TargetAddress
+               : Entries[Number % Entries.size()].HttpAddress;
+    return Call{Address, chatRequest(Classes[Kind], "overload"), Kind};
   };
   auto Records = runLoad(Running.http().client(), Load);
   double Goodput = 0;
   json::array ByClass;
   for (unsigned Kind = 0; Kind < Classes.size(); ++Kind) {
     LoadSummary Part =
-        summarize(Records, WarmUp, Load.Length,
-                  [Kind](const CallRecord &R) { return R.Kind == Kind; });
+        summarize(Records, WarmUp, Load.Length, [Kind](const CallRecord &R) {
+          return R.Kind == Kind &&
+                 (R.How != Outcome::Served || R.Whole <= CallerPatience);
+        });
     Goodput += double(Part.Served) / toSeconds(Length);
     ByClass.push_back(json::object{
         {"class", Classes[Kind]},
@@ -73,8 +106,9 @@
         {"p50_ms", toMilliseconds(Part.Whole.quantile(0.5))},
         {"p99_ms", toMilliseconds(Part.Whole.quantile(0.99))}});
   }
-  Options.Say(std::to_string(Factor) + " of capacity: goodput " +
-              std::to_string(Goodput / Capacity) + " of capacity");
+  Options.Say(std::string(Direct ? "direct, " : "") + std::to_string(Factor) +
+              " of capacity: goodput " + std::to_string(Goodput / Capacity) +
+              " of capacity");
   return {{"factor", Factor},
           {"offered_per_second", Load.RatePerSecond},
           {"goodput_per_second", Goodput},
@@ -91,8 +125,7 @@
   Shape.EngineOptions = steadyEngine();
   auto Running = orThrow(Fleet::start(Shape));
   serveClasses(*Running);
-  double Capacity =
-      SteadyEngineRequestsPerSecond * double(Running->agents().size());
+  double Capacity = measureCapacity(*Running);
   Chart Drawn;
   Drawn.Title = "Goodput under overload";
   Drawn.XLabel = "offered load, of capacity";
@@ -100,15 +133,22 @@
   Drawn.Curves = {{"goodput", {}}};
   json::array Runs;
   for (double Factor : Factors) {
-    json::object Run = measureFactor(*Running, Options, Factor, Capacity);
+    json::object Run =
+        measureFactor(*Running, Options, Factor, Capacity, false);
     Drawn.Curves[0].Points.push_back(
         {Factor, Run.at("goodput_of_capacity").to_number<double>()});
     Runs.push_back(std::move(Run));
     std::this_thread::sleep_for(Pause);
   }
+  double CapacityAfter = measureCapacity(*Running);
+  json::object WithoutAdmission =
+      measureFactor(*Running, Options, WorstFactor, Capacity, true);
   writeChart(Options, Drawn);
   orThrow(Running->stop());
-  return {{"capacity_per_second", Capacity}, {"runs", std::move(Runs)}};
+  return {{"capacity_per_second", Capacity},
+          {"capacity_after_per_second", CapacityAfter},
+          {"runs", std::move(Runs)},
+          {"without_admission", std::move(WithoutAdmission)}};
 }
 
 } // namespace rosemarylane::bench
