--- a/bench/src/experiments/ControlCost.cpp
+++ b/bench/src/experiments/ControlCost.cpp
@@ -15,7 +15,8 @@
 
 using Clock = std::chrono::steady_clock;
 
-constexpr std::chrono::seconds Settle{4};
+constexpr std::chrono::seconds LoadLimit{60};
+constexpr std::chrono::seconds Settle{5};
 constexpr std::chrono::seconds Measure{6};
 constexpr std::uint64_t VersionBytes = 64 << 10;
 constexpr std::uint64_t ChunkBytes = 64 << 10;
@@ -126,6 +127,7 @@
                                  "standard",
                                  I < Size.HeldEntries ? Engines : 0));
   orThrow(Running.apply(json::serialize(Entries)));
+  orThrow(Running.waitLoaded(Version, LoadLimit));
 }
 
 /// Makes changes at a steady rate for the time of the measurement.
@@ -163,6 +165,7 @@
   RoleUsage AgentsBefore = roleUsage(*Running, Running->agents());
   double ReadsBefore = counter(*Running, Platform, "reads");
   double WritesBefore = counter(*Running, Platform, "writes");
+  double ListReadsBefore = counter(*Running, Platform, "host_list_reads");
   auto Start = Clock::now();
   measureWhileChanging(*Running, Size.ChangesPerSecond);
   double Seconds = toSeconds(Clock::now() - Start);
@@ -172,6 +175,8 @@
       AgentsBefore, roleUsage(*Running, Running->agents()), Seconds);
   double Reads = counter(*Running, Platform, "reads") - ReadsBefore;
   double Writes = counter(*Running, Platform, "writes") - WritesBefore;
+  double ListReads =
+      counter(*Running, Platform, "host_list_reads") - ListReadsBefore;
   double Watches = counter(*Running, Platform, "watches");
   Options.Say(std::string(Growing.Name) + " " + std::to_string(int(X)) +
               ": entry " + json::serialize(Entry) + " agent " +
@@ -182,7 +187,8 @@
           {"agent", std::move(Agent)},
           {"store_reads_per_second", Reads / Seconds},
           {"store_writes_per_second", Writes / Seconds},
-          {"store_watches", Watches}};
+          {"store_watches", Watches},
+          {"host_list_reads_per_second", ListReads / Seconds}};
 }
 
 /// The slope of one measured value of one role over the points.
