--- a/rosemarylane/tests/process/Fleet.cpp
+++ b/rosemarylane/tests/process/Fleet.cpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 #include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -27,11 +28,16 @@
 constexpr char OperatorToken[] = "operator-token";
 constexpr char CallerToken[] = "caller-token";
 
+/// What an engine answers unless its arguments say otherwise.
+constexpr std::size_t TokensOfAnswer = 16;
+
 constexpr auto StartLimit = 20s;
 
 int takePorts() {
   static int Fleets = 0;
-  return FirstPort + PortsPerFleet * (Fleets++ % FleetsBeforeReuse);
+  const char *Given = std::getenv("PROCESS_TESTS_FIRST_PORT");
+  int First = Given ? std::atoi(Given) : FirstPort;
+  return First + PortsPerFleet * (Fleets++ % FleetsBeforeReuse);
 }
 
 std::string bearer(const char *Token) { return std::string("Bearer ") + Token; }
@@ -224,12 +230,14 @@
                                    {"limits", {{"concurrency", 8}}},
                                    {"replicas", Engines},
                                    {"version", Version}});
-  http::Request Put{
-      "PUT",
-      "/admin/v1/catalogue",
-      {{"Authorization", bearer(OperatorToken)}, {"If-Match", "\"0\""}},
-      json::serialize(
-          json::object{{"workspaces", Workspaces}, {"entries", Entries}})};
+  http::Request Put{"PUT",
+                    "/admin/v1/catalogue",
+                    {{"Authorization", bearer(OperatorToken)},
+                     {"If-Match", "\"0\""},
+                     // So that it can be repeated if its answer is lost.
+                     {"Idempotency-Key", "first-catalogue"}},
+                    json::serialize(json::object{{"workspaces", Workspaces},
+                                                 {"entries", Entries}})};
   CallResult Last;
   await("the catalogue is applied", StartLimit, [&] {
     Last = Caller.call(entries().front()->Http, Put, 2s);
@@ -247,11 +255,9 @@
       await("chat through " + Entry->Name, StartLimit, [&] {
         return Caller.call(Entry->Http, chat("ready?", false)).ok();
       });
-    int Tries = 0;
     if (!serviceAgents().empty())
       await("an order through " + Entry->Name, StartLimit, [&] {
-        std::string Key =
-            "ready-" + Entry->Name + "-" + std::to_string(++Tries);
+        std::string Key = "ready-" + std::to_string(++Orders);
         return Caller.call(Entry->Http, order(Key, "ready")).ok();
       });
   }
@@ -315,7 +321,7 @@
   Source.Model = "draft";
   Source.Version = Version;
   Source.Prompt = Prompt;
-  Source.Tokens = Tokens;
+  Source.Tokens = TokensOfAnswer;
   return Source.text();
 }
 
@@ -378,8 +384,7 @@
 
 CallResult Fleet::orderDomain(Host &By, const std::string &FailureDomain,
                               bool Out) {
-  json::object Order{
-      {"kind", "failure_domain"}, {"name", FailureDomain}, {"out", Out}};
+  json::object Order{{"failure_domain", FailureDomain}, {"out", Out}};
   return Caller.call(By.Http,
                      {"POST",
                       "/admin/v1/out-of-service",
