--- a/rosemarylane/src/entry/ConfigurationWriter.h
+++ b/rosemarylane/src/entry/ConfigurationWriter.h
@@ -56,7 +56,7 @@
   /// How often and for how long a change is tried.
   struct Retry {
     std::chrono::milliseconds Interval{100};
-    unsigned MaxFailures = 20;
+    unsigned MaxFailures = 8;
   };
 
   /// @param Later runs work after a delay, on the same duty.
