Hold the ledger's writes to a budget, so that load shares them

Cause: with processes, no group formed at all up to 400 keys a second: 2.02 writes for each key and 780 writes a second, more than the several hundred that the service takes. A write takes 3 ms, and 64 partitions seldom had two claims in that time. Ruled out: fewer partitions alone, which holds nothing back; a fixed delay, which every call would pay. Change: 16 partitions, each with 20 swaps a second and a burst of 20; what comes meanwhile shares the next. Tests: ledger_tests group_commit, process_tests -t at_most_once.

--- a/libs/ledger/include/ledger/Claim.h
+++ b/libs/ledger/include/ledger/Claim.h
@@ -24,8 +24,9 @@
 
 RequestHash requestHash(const core::Digest &Request);
 
-/// Values that the ledger is spread over.
-inline constexpr std::uint32_t PartitionCount = 64;
+/// Values that the ledger is spread over. Few, so that under load many claims
+/// share a write.
+inline constexpr std::uint32_t PartitionCount = 16;
 
 std::uint32_t partitionOf(const ClaimKey &Key);
 
--- a/libs/ledger/include/ledger/Partition.h
+++ b/libs/ledger/include/ledger/Partition.h
@@ -17,8 +17,9 @@
   std::chrono::minutes Retention{60};
   /// A longer answer is not kept.
   std::size_t MaxAnswerBytes = 32 << 10;
-  /// Above this size claims that ran are moved to a segment.
-  std::size_t SealBytes = 16 << 10;
+  /// Above this size claims that ran are moved to a segment; at least, that is:
+  /// with many segments to name, each is made larger.
+  std::size_t SealBytes = 8 << 10;
   /// Above this size answers are dropped, the oldest first.
   std::size_t MaxValueBytes = 192 << 10;
   /// Above this size no key is claimed.
@@ -88,6 +89,9 @@
   /// @return the names of the segments forgotten.
   std::vector<std::string> trim(core::WallTime Now, const Limits &Bounds);
 
+  /// @return whether claims that ran should be moved to a segment.
+  bool needsSeal(const Limits &Bounds) const;
+
   /// @return the claims that may go into a segment: those that ran.
   std::vector<Claim> sealable() const;
 
--- a/libs/ledger/include/ledger/PartitionCommitter.h
+++ b/libs/ledger/include/ledger/PartitionCommitter.h
@@ -54,6 +54,12 @@
   /// A claim that is not certain after this long is answered `Unavailable`.
   std::chrono::milliseconds ClaimDeadline{1500};
   std::chrono::milliseconds RetryInterval{50};
+  /// Swaps are spaced by this much once the burst is used up: what comes
+  /// meanwhile shares the next. Times the number of partitions, this keeps to
+  /// what the platform's service takes.
+  std::chrono::milliseconds SwapInterval{50};
+  /// Swaps that may follow each other at once.
+  unsigned SwapBurst = 20;
   /// Claims waiting above this number are answered `Unavailable` at once.
   std::size_t MaxWaiting = 4096;
 };
@@ -131,7 +137,9 @@
   const Claim *findSealed(const Partition &In, const ClaimKey &Key) const;
   void giveUpLate(core::TimePoint Now);
   ClaimReply lastKnown(const Claim &Wanted) const;
-  std::optional<StoreCall> decide(core::WallTime Wall);
+  std::optional<StoreCall> decide(core::TimePoint Now, core::WallTime Wall);
+  bool maySwap(core::TimePoint Now) const;
+  void countSwap(core::TimePoint Now);
   void apply(Operation &Op, Partition &To) const;
   bool settled(const Operation &Op) const;
   void adopt(StoreReply &Reply);
@@ -166,6 +174,8 @@
   /// The call in progress.
   std::optional<StoreCall> InProgress;
   std::optional<core::TimePoint> RetryAt;
+  /// When the burst is whole again: each swap adds an interval.
+  core::TimePoint BurstWholeAt;
 };
 
 } // namespace rosemarylane::ledger
--- a/libs/ledger/src/Partition.cpp
+++ b/libs/ledger/src/Partition.cpp
@@ -231,6 +231,13 @@
   return Found == Claims.end() ? nullptr : &Found->second;
 }
 
+bool Partition::needsSeal(const Limits &Bounds) const {
+  // A value is written whole, claims and names alike: claims twice as large as
+  // the names keep the sum near its least.
+  std::size_t Names = Segments.size() * SegmentReferenceBytes;
+  return Bytes - Names > std::max(Bounds.SealBytes, 2 * Names);
+}
+
 std::vector<Claim> Partition::sealable() const {
   std::vector<Claim> Ran;
   for (const auto &[Key, C] : Claims)
--- a/libs/ledger/src/PartitionCommitter.cpp
+++ b/libs/ledger/src/PartitionCommitter.cpp
@@ -33,17 +33,25 @@
   if (auto Call = nextSegmentCall())
     return Call;
   if (!Queue.empty() || (Sealing && Sealing->Stored))
-    return decide(Wall);
+    return decide(Now, Wall);
   return std::nullopt;
 }
 
+bool PartitionCommitter::maySwap(core::TimePoint Now) const {
+  return BurstWholeAt <= Now + Bounds.SwapInterval * (Bounds.SwapBurst - 1);
+}
+
+void PartitionCommitter::countSwap(core::TimePoint Now) {
+  BurstWholeAt = std::max(BurstWholeAt, Now) + Bounds.SwapInterval;
+}
+
 /// @return the next read, write or removal of a segment, if one is needed.
 std::optional<StoreCall> PartitionCommitter::nextSegmentCall() {
   if (!Queue.empty())
     for (const SegmentReference &S : Cached->segments())
       if (!Sealed.contains(S.Name))
         return call({StoreCall::Kind::Read, S.Name, 0, {}});
-  if (!Sealing && Cached->bytes() > Bounds.Values.SealBytes)
+  if (!Sealing && Cached->needsSeal(Bounds.Values))
     startSegment();
   if (Sealing && !Sealing->Stored)
     return call(
@@ -217,7 +225,8 @@
   return Reply;
 }
 
-std::optional<StoreCall> PartitionCommitter::decide(core::WallTime Wall) {
+std::optional<StoreCall> PartitionCommitter::decide(core::TimePoint Now,
+                                                    core::WallTime Wall) {
   Next = *Cached;
   Forgotten = Next.trim(Wall, Bounds.Values);
   bool Moves = Sealing && Sealing->Stored &&
@@ -241,7 +250,10 @@
         return Reply ? Reply->What == ClaimReply::Kind::Claimed
                      : std::get<RecordReply>(Op.Reply) == RecordReply::Written;
       });
-  if (Changes) {
+  if (Changes && !maySwap(Now)) {
+    Queue = std::move(Open);
+  } else if (Changes) {
+    countSwap(Now);
     Batch.assign(std::make_move_iterator(Open.begin()),
                  std::make_move_iterator(Open.end()));
     NextValue = Next.format();
--- a/libs/ledger/tests/GroupCommitTest.cpp
+++ b/libs/ledger/tests/GroupCommitTest.cpp
@@ -31,6 +31,7 @@
     LargestValue = std::max(LargestValue, Call.Value.size());
     if (Call.What == StoreCall::Kind::Swap && Call.Expected == Value.Revision) {
       Spent.Bytes += Call.Value.size();
+      Swaps += Call.Segment.empty() ? 1 : 0;
       Value = {Call.Value, ++LastRevision};
       return {StoreReply::Kind::Swapped, Value.Bytes, Value.Revision};
     }
@@ -45,7 +46,9 @@
 
   std::size_t values() const { return Values.size(); }
 
+  core::TimePoint Now{};
   Cost Spent;
+  unsigned Swaps = 0;
   std::size_t LargestValue = 0;
 
 private:
@@ -68,11 +71,19 @@
   return C;
 }
 
+/// Makes the committer's calls until nothing waits; time passes while it paces
+/// its swaps.
 void settle(PartitionCommitter &Committer, CountingStore &Store,
             core::WallTime Wall = {}) {
-  core::TimePoint Now{};
-  while (auto Call = Committer.next(Now, Wall))
-    Committer.complete(Store.execute(*Call), Now);
+  for (;;) {
+    auto Call = Committer.next(Store.Now, Wall);
+    if (Call)
+      Committer.complete(Store.execute(*Call), Store.Now);
+    else if (Committer.waiting() > 0)
+      Store.Now += 10ms;
+    else
+      return;
+  }
 }
 
 /// Claims and answers every key of one partition, \p Group at a time.
@@ -82,11 +93,10 @@
   unsigned Claimed = 0;
   for (unsigned First = 0; First < Keys; First += Group) {
     for (unsigned I = First; I < First + Group; ++I)
-      Committer.claim(claimOf(I), core::TimePoint(),
-                      [&](const ClaimReply &Reply) {
-                        if (Reply.What == ClaimReply::Kind::Claimed)
-                          ++Claimed;
-                      });
+      Committer.claim(claimOf(I), Store.Now, [&](const ClaimReply &Reply) {
+        if (Reply.What == ClaimReply::Kind::Claimed)
+          ++Claimed;
+      });
     settle(Committer, Store);
     for (unsigned I = First; I < First + Group; ++I) {
       Claim C = claimOf(I);
@@ -123,7 +133,7 @@
   PartitionCommitter Committer("test");
   CountingStore Store;
   Claim C = claimOf(1);
-  Committer.claim(C, core::TimePoint(), [](const ClaimReply &) {});
+  Committer.claim(C, Store.Now, [](const ClaimReply &) {});
   settle(Committer, Store);
   Committer.record({C.Key, C.Holder.Id, Outcome::Answered, "x"},
                    [](RecordReply) {});
@@ -131,7 +141,7 @@
   unsigned Before = Store.Spent.Calls;
   std::string Answer;
   C.Holder.Id = "another attempt.";
-  Committer.claim(C, core::TimePoint(), [&](const ClaimReply &Reply) {
+  Committer.claim(C, Store.Now, [&](const ClaimReply &Reply) {
     Answer = Reply.Found.Answer;
   });
   settle(Committer, Store);
@@ -139,13 +149,47 @@
   BOOST_TEST(Store.Spent.Calls == Before);
 }
 
+BOOST_AUTO_TEST_CASE(load_above_the_budget_shares_swaps) {
+  constexpr unsigned ClaimsPerSecond = 200;
+  constexpr auto Length = 10s;
+  CommitterLimits Bounds;
+  PartitionCommitter Committer("test", Bounds);
+  CountingStore Store;
+  unsigned Claimed = 0;
+  for (unsigned I = 0; I < ClaimsPerSecond * Length.count(); ++I) {
+    Store.Now += 1000ms / ClaimsPerSecond;
+    Committer.claim(claimOf(I), Store.Now, [&](const ClaimReply &Reply) {
+      Claimed += Reply.What == ClaimReply::Kind::Claimed ? 1 : 0;
+    });
+    while (auto Call = Committer.next(Store.Now, core::WallTime()))
+      Committer.complete(Store.execute(*Call), Store.Now);
+  }
+  settle(Committer, Store);
+  BOOST_TEST(Claimed == ClaimsPerSecond * Length.count());
+  BOOST_TEST(Store.Swaps <= Bounds.SwapBurst + Length / Bounds.SwapInterval);
+}
+
+BOOST_AUTO_TEST_CASE(a_claim_below_the_budget_does_not_wait) {
+  PartitionCommitter Committer("test");
+  CountingStore Store;
+  for (unsigned I = 0; I < 100; ++I) {
+    Store.Now += 60ms;
+    bool Claimed = false;
+    Committer.claim(claimOf(I), Store.Now,
+                    [&](const ClaimReply &) { Claimed = true; });
+    while (auto Call = Committer.next(Store.Now, core::WallTime()))
+      Committer.complete(Store.execute(*Call), Store.Now);
+    BOOST_TEST(Claimed);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(segments_are_read_by_others_and_erased_when_old) {
   CommitterLimits Bounds;
   CountingStore Store;
   PartitionCommitter First("first", Bounds);
   for (unsigned I = 0; I < 100; ++I) {
     Claim C = claimOf(I);
-    First.claim(C, core::TimePoint(), [](const ClaimReply &) {});
+    First.claim(C, Store.Now, [](const ClaimReply &) {});
     settle(First, Store);
     First.record(
         {C.Key, C.Holder.Id, Outcome::Answered, std::string(AnswerBytes, 'x')},
@@ -159,7 +203,7 @@
   for (unsigned I = 0; I < 100; ++I) {
     Claim C = claimOf(I);
     C.Holder.Id = "another attempt.";
-    Second.claim(C, core::TimePoint(), [&](const ClaimReply &Reply) {
+    Second.claim(C, Store.Now, [&](const ClaimReply &Reply) {
       if (Reply.What == ClaimReply::Kind::Answered &&
           Reply.Found.Answer.size() == AnswerBytes)
         ++Answered;
@@ -171,7 +215,7 @@
   Claim Late = claimOf(1000);
   auto Later = core::WallTime(Bounds.Values.Retention + 1min);
   Late.ClaimedAt = Later;
-  Second.claim(Late, core::TimePoint(), [](const ClaimReply &) {});
+  Second.claim(Late, Store.Now, [](const ClaimReply &) {});
   settle(Second, Store, Later);
   BOOST_TEST(Store.values() == 1u);
 }
