--- a/libs/ledger/include/ledger/Claim.h
+++ b/libs/ledger/include/ledger/Claim.h
@@ -121,6 +121,15 @@
 /// version 7 or a ULID.
 std::optional<core::WallTime> timeOfKey(std::string_view IdempotencyKey);
 
+/// The wall clocks of callers and entries may differ by this much.
+inline constexpr std::chrono::minutes ClockTolerance{5};
+
+/// Decides whether a key may be claimed at \p Now: a key that tells that its
+/// claim may have been forgotten, or that it would outlive its claim, may not.
+/// A key that carries no time always may.
+bool usableKey(std::string_view IdempotencyKey, core::WallTime Now,
+               std::chrono::minutes Retention);
+
 } // namespace rosemarylane::ledger
 
 #endif // ROSEMARYLANE_LEDGER_CLAIM_H
--- a/libs/ledger/src/Claim.cpp
+++ b/libs/ledger/src/Claim.cpp
@@ -90,4 +90,13 @@
   return std::nullopt;
 }
 
+bool usableKey(std::string_view IdempotencyKey, core::WallTime Now,
+               std::chrono::minutes Retention) {
+  auto MadeAt = timeOfKey(IdempotencyKey);
+  if (!MadeAt)
+    return true;
+  auto Age = Now - *MadeAt;
+  return -ClockTolerance <= Age && Age <= Retention - 2 * ClockTolerance;
+}
+
 } // namespace rosemarylane::ledger
--- /dev/null
+++ b/libs/ledger/tests/RetentionTest.cpp
@@ -0,0 +1,93 @@
+#include "ledger/Claim.h"
+#include "ledger/Partition.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdio>
+#include <rapidcheck.h>
+
+using namespace rosemarylane;
+using namespace rosemarylane::ledger;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::WallTime Start{1000h};
+
+/// A UUID of version 7 made at \p Time.
+std::string uuidAt(core::WallTime Time) {
+  auto Milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(
+                          Time.time_since_epoch())
+                          .count();
+  char Text[48];
+  std::snprintf(Text, sizeof(Text), "%08llx-%04llx-7000-8000-000000000000",
+                static_cast<unsigned long long>(Milliseconds) >> 16,
+                static_cast<unsigned long long>(Milliseconds) & 0xffff);
+  return Text;
+}
+
+/// How far a clock is ahead of true time: all lie within the tolerance of each
+/// other.
+std::chrono::seconds clockOffset() {
+  auto Span = std::chrono::seconds(ClockTolerance).count();
+  return std::chrono::seconds(*rc::gen::resize(
+      rc::kNominalSize, rc::gen::inRange<std::int64_t>(0, Span + 1)));
+}
+
+std::chrono::seconds duration(std::chrono::seconds Limit) {
+  return std::chrono::seconds(*rc::gen::resize(
+      rc::kNominalSize, rc::gen::inRange<std::int64_t>(0, Limit.count())));
+}
+
+/// @return whether an entry that commits at \p Now, by its own clock, forgets a
+/// claim.
+bool forgets(core::WallTime ClaimedAt, core::WallTime Now,
+             const PartitionLimits &Bounds) {
+  Partition P;
+  Claim C;
+  C.Key = ClaimKey("k");
+  C.ClaimedAt = ClaimedAt;
+  P.claim(C, Bounds);
+  P.trim(Now, Bounds);
+  return P.size() == 0;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(retention)
+
+BOOST_AUTO_TEST_CASE(a_timed_key_is_refused_before_it_can_be_forgotten) {
+  BOOST_TEST(rc::check([] {
+    PartitionLimits Bounds;
+    auto ClaimClock = clockOffset();
+    auto ForgetClock = clockOffset();
+    auto RepeatClock = clockOffset();
+    // The key may be made by a clock that is wrong: most of all, as far ahead
+    // as is accepted.
+    auto Ahead = std::chrono::seconds(ClockTolerance) - duration(2min);
+    auto Key = uuidAt(Start + ClaimClock + Ahead);
+    RC_ASSERT(usableKey(Key, Start + ClaimClock, Bounds.Retention));
+    // Around the moment at which the claim is forgotten.
+    auto ForgottenAt =
+        Start + ClaimClock + Bounds.Retention - ForgetClock + duration(1min);
+    auto RepeatedAt = ForgottenAt + duration(1min);
+    bool Forgotten =
+        forgets(Start + ClaimClock, ForgottenAt + ForgetClock, Bounds);
+    bool Usable = usableKey(Key, RepeatedAt + RepeatClock, Bounds.Retention);
+    RC_ASSERT(!(Forgotten && Usable));
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(a_key_without_time_is_always_usable) {
+  BOOST_TEST(usableKey("order-17", Start, 60min));
+}
+
+BOOST_AUTO_TEST_CASE(a_timed_key_is_usable_while_it_is_young) {
+  std::string Key = uuidAt(Start);
+  BOOST_TEST(usableKey(Key, Start, 60min));
+  BOOST_TEST(usableKey(Key, Start - 5min, 60min));
+  BOOST_TEST(!usableKey(Key, Start - 6min, 60min));
+  BOOST_TEST(usableKey(Key, Start + 50min, 60min));
+  BOOST_TEST(!usableKey(Key, Start + 51min, 60min));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/rosemarylane/src/entry/LedgerService.cpp
+++ b/rosemarylane/src/entry/LedgerService.cpp
@@ -24,9 +24,6 @@
 /// An entry that did not reply in time is passed over for this long.
 constexpr auto SuspectTime = 2000ms;
 
-/// The clocks of callers and entries may differ by this much.
-constexpr auto ClockTolerance = 5min;
-
 ledger::StoreReply::Kind failureKind(const platform::StoreError &Error) {
   return Error.What == platform::StoreError::Kind::Unknown
              ? ledger::StoreReply::Kind::Lost
@@ -47,7 +44,8 @@
 
   void claim(const LedgerKey &Key, const ClaimedAttempt &Attempt,
              std::function<void(ClaimOutcome)> OnDone) override {
-    if (expired(Key.IdempotencyKey)) {
+    if (!ledger::usableKey(Key.IdempotencyKey, wallNow(),
+                           Limits.Values.Retention)) {
       ClaimOutcome Outcome;
       Outcome.What = ClaimOutcome::Kind::Expired;
       return OnDone(std::move(Outcome));
@@ -125,17 +123,6 @@
     return WallStart + Running;
   }
 
-  /// Whether a key tells that it was made so long ago that its claim may have
-  /// been forgotten, or so far ahead that it may outlive its claim.
-  bool expired(const std::string &IdempotencyKey) const {
-    auto MadeAt = ledger::timeOfKey(IdempotencyKey);
-    if (!MadeAt)
-      return false;
-    auto Age = wallNow() - *MadeAt;
-    return Age < -ClockTolerance ||
-           Age > Limits.Values.Retention - 2 * ClockTolerance;
-  }
-
   std::optional<EntryPeer> preferredOf(std::uint32_t Partition) const {
     std::string Key = ledger::partitionStoreKey(Partition);
     auto Ranked = core::rendezvousRank(
