--- a/libs/ledger/include/ledger/PartitionCommitter.h
+++ b/libs/ledger/include/ledger/PartitionCommitter.h
@@ -89,6 +89,7 @@
   /// The record is tried until it is written or replaced.
   void record(Record Result, RecordDone OnDone);
 
+  /// Asked after each claim, record and reply, and every few milliseconds.
   /// @param Wall the time by which old claims are forgotten.
   /// @return the store call to make now, if any.
   std::optional<StoreCall> next(core::TimePoint Now, core::WallTime Wall);
@@ -96,9 +97,6 @@
   /// Takes the reply to the call that `next` gave last.
   void complete(StoreReply Reply, core::TimePoint Now);
 
-  /// @return when `next` should be asked again although nothing happened.
-  std::optional<core::TimePoint> wakeAt() const;
-
   /// @return claims and records not yet answered.
   std::size_t waiting() const { return Queue.size() + Batch.size(); }
 
@@ -129,7 +127,7 @@
 
   std::optional<StoreCall> nextSegmentCall();
   StoreCall call(StoreCall Call);
-  void completeHead(StoreReply &Reply);
+  void completeValue(StoreReply &Reply);
   void completeSegment(StoreReply &Reply);
   static bool failedCall(const StoreReply &Reply);
   void startSegment();
--- a/libs/ledger/src/PartitionCommitter.cpp
+++ b/libs/ledger/src/PartitionCommitter.cpp
@@ -82,7 +82,7 @@
   if (OfSegment)
     completeSegment(Reply);
   else
-    completeHead(Reply);
+    completeValue(Reply);
   if (Failed || !Cached)
     RetryAt = Now + Bounds.RetryInterval;
 }
@@ -92,7 +92,7 @@
          Reply.What == StoreReply::Kind::Unavailable;
 }
 
-void PartitionCommitter::completeHead(StoreReply &Reply) {
+void PartitionCommitter::completeValue(StoreReply &Reply) {
   bool Swapping = InProgress->What == StoreCall::Kind::Swap;
   InProgress.reset();
   if (Reply.What == StoreReply::Kind::Lost && Swapping)
@@ -144,6 +144,7 @@
     // Found under its own unique name, it was written by a try whose answer was
     // lost.
     Sealing->Stored = true;
+    settleSegments();
     return;
   case StoreCall::Kind::Erase:
     Unused.pop_back();
@@ -175,12 +176,6 @@
   }
 }
 
-std::optional<core::TimePoint> PartitionCommitter::wakeAt() const {
-  if (waiting() == 0 && !Ambiguous)
-    return std::nullopt;
-  return RetryAt;
-}
-
 void PartitionCommitter::giveUpLate(core::TimePoint Now) {
   auto Late = [&](const Operation &Op) {
     auto *C = std::get_if<ClaimOperation>(&Op.What);
