Take no rise of latency under 50 ms for load; no probes at the ceiling

Cause: on a busy machine the first part comes some milliseconds later now and then, and the ramp probed or backed off for it. Change: a rise below 50 ms is never a reason; the periodic probe runs only below the ceiling.

--- a/libs/routing/include/routing/Ramp.h
+++ b/libs/routing/include/routing/Ramp.h
@@ -18,6 +18,9 @@
   std::uint32_t RoundSamples = 6;
   /// Answers over which the latency without load is averaged.
   std::uint32_t BaselineSamples = 12;
+  /// A latency that is higher by less than this is never taken for load or
+  /// cold: it may be chance, and callers hardly notice it.
+  std::chrono::milliseconds Tolerance{50};
   /// The ramp grows after a round whose mean latency is below this multiple of
   /// the latency without load.
   double GrowBelow = 1.75;
@@ -29,8 +32,8 @@
   double ColdAbove = 8.0;
   /// Latencies in a row that look cold after which the target counts as cold.
   std::uint32_t ColdSamples = 4;
-  /// Rounds after which the latency without load is measured again, in one
-  /// round at `ProbePart` of the limit.
+  /// Rounds below the ceiling after which the latency without load is measured
+  /// again, in one round at `ProbePart` of the limit.
   std::uint32_t ProbeRounds = 120;
   double ProbePart = 0.5;
   /// Rounds in a row above that multiple after which a probe is made.
@@ -90,6 +93,9 @@
 private:
   bool probing() const { return LimitBeforeProbe > 0; }
   bool looksCold(double Latency) const;
+  /// @return whether \p Latency is above \p Multiple of \p Reference by more
+  /// than chance.
+  bool exceeds(double Latency, double Multiple, double Reference) const;
   void takeSample(double Latency);
   void extendBaseline();
   void beginRound(std::uint32_t InProgress);
--- a/libs/routing/src/Ramp.cpp
+++ b/libs/routing/src/Ramp.cpp
@@ -57,9 +57,15 @@
 
 bool Ramp::looksCold(double Latency) const {
   if (probing())
-    return Latency > Settings.ColdAbove * BaselineBeforeProbe;
+    return exceeds(Latency, Settings.ColdAbove, BaselineBeforeProbe);
   return BaselineCount >= Settings.RoundSamples &&
-         Latency > Settings.ColdAbove * Baseline;
+         exceeds(Latency, Settings.ColdAbove, Baseline);
+}
+
+bool Ramp::exceeds(double Latency, double Multiple, double Reference) const {
+  std::chrono::duration<double, std::nano> Tolerance = Settings.Tolerance;
+  return Latency >= Multiple * Reference &&
+         Latency >= Reference + Tolerance.count();
 }
 
 void Ramp::failed(std::uint32_t InProgress) {
@@ -104,14 +110,15 @@
   } else if (Samples > 0) {
     double Mean = SampleSum / Samples;
     ++RoundsSinceProbe;
-    if (!judgeRound(Mean) || RoundsSinceProbe >= Settings.ProbeRounds)
+    bool Due = Limit < Ceiling && RoundsSinceProbe >= Settings.ProbeRounds;
+    if (!judgeRound(Mean) || Due)
       beginProbe(Mean);
   }
   beginRound(InProgress);
 }
 
 bool Ramp::judgeRound(double Mean) {
-  bool Slow = BaselineCount > 0 && Mean >= Settings.GrowBelow * Baseline;
+  bool Slow = BaselineCount > 0 && exceeds(Mean, Settings.GrowBelow, Baseline);
   SlowInRow = Slow ? SlowInRow + 1 : 0;
   if (Loaded || SlowInRow >= Settings.SlowRounds)
     return false;
@@ -141,7 +148,7 @@
     extendBaseline();
   else
     Baseline = BaselineBeforeProbe;
-  Loaded = MeanBeforeProbe > Settings.LoadedAbove * Baseline;
+  Loaded = exceeds(MeanBeforeProbe, Settings.LoadedAbove, Baseline);
   setLimit(Loaded ? Resumed * Settings.BackOff : Resumed);
 }
 
--- a/rosemarylane/src/entry/SummaryExchange.cpp
+++ b/rosemarylane/src/entry/SummaryExchange.cpp
@@ -105,8 +105,8 @@
   return Best;
 }
 
-core::Duration SummaryExchange::loadPeriod(const core::FailureDomainId &To,
-                                           core::TimePoint Now) const {
+core::Duration
+SummaryExchange::loadPeriod(const core::FailureDomainId &To) const {
   for (const auto &[Who, Known] : Members.records())
     if (Known.What.FailureDomain == To)
       return Known.What.Region == Own.Region ? NearLoadPeriod : FarLoadPeriod;
@@ -133,7 +133,7 @@
     Gone.set_role(Who.Role == MemberRole::Entry ? wire::ROLE_ENTRY
                                                 : wire::ROLE_AGENT);
   }
-  if (Now - At.LoadsSentAt >= loadPeriod(To, Now)) {
+  if (Now - At.LoadsSentAt >= loadPeriod(To)) {
     addLoads(*Summary.mutable_loads(), Now);
     At.LoadsSentAt = Now;
   }
--- a/rosemarylane/src/entry/SummaryExchange.h
+++ b/rosemarylane/src/entry/SummaryExchange.h
@@ -72,8 +72,7 @@
   const routing::Member *rankedEntry(const std::string &Key,
                                      const core::FailureDomainId &Domain,
                                      core::TimePoint Now) const;
-  core::Duration loadPeriod(const core::FailureDomainId &To,
-                            core::TimePoint Now) const;
+  core::Duration loadPeriod(const core::FailureDomainId &To) const;
   void sendSummary(const core::FailureDomainId &To, const std::string &Address,
                    core::TimePoint Now);
   void sendAll(const wire::Peer &To, const core::FailureDomainId &Domain,
