Read the host list ever more rarely; views agree after any losses

Change: HostListReader doubles its period from 3 s to 2 min while entries are known to be alive, and goes back to 3 s when none is.

--- a/rosemarylane/src/agent/HeartbeatService.cpp
+++ b/rosemarylane/src/agent/HeartbeatService.cpp
@@ -1,18 +1,19 @@
 #include "agent/HeartbeatService.h"
 
+#include "common/HostListReader.h"
 #include "common/MemberMessages.h"
 #include "core/Time.h"
 #include "routing/HeartbeatSchedule.h"
 #include "routing/Quarantine.h"
 #include "telemetry/Log.h"
 
+#include <algorithm>
 #include <map>
 
 namespace rosemarylane {
 
 namespace {
 
-constexpr std::chrono::milliseconds HostListPeriod{3000};
 /// The list of agents is taken from another entry when its source has been
 /// silent for this long.
 constexpr std::chrono::milliseconds SourceTimeout{3000};
@@ -26,15 +27,16 @@
 public:
   HeartbeatServiceImpl(ProcessContext &Context, const MessageSender &Send,
                        HoldingsSource Holdings)
-      : Context(Context), Send(Send), Holdings(std::move(Holdings)) {}
+      : Context(Context), Send(Send), Holdings(std::move(Holdings)),
+        HostListing(
+            Context, [this](const auto &Hosts) { takeHostList(Hosts); },
+            [this] { return knowsEntries(); }) {}
 
   void start() {
-    HostListTimer = Context.Timers->every(HostListPeriod, *Context.Control,
-                                          [this] { readHostList(); });
     HeartbeatTimer =
         Context.Timers->every(routing::HeartbeatSchedule::Period,
                               *Context.Control, [this] { tick(); });
-    readHostList();
+    HostListing.start();
   }
 
   void receive(const wire::Peer &, const wire::Envelope &Message) override {
@@ -136,6 +138,7 @@
   /// An entry that heartbeats go to.
   struct EntryLink {
     bool Listed = false;
+    bool Answered = false;
     core::TimePoint RepliedAt;
     core::TimePoint LastHeard;
     std::uint64_t EntriesDigest = 0;
@@ -155,12 +158,11 @@
     return Message;
   }
 
-  void readHostList() {
-    Context.Hosts->read([this](core::Result<std::vector<platform::ListedHost>,
-                                            platform::StoreError>
-                                   Read) {
-      if (Read)
-        takeHostList(*Read);
+  bool knowsEntries() const {
+    core::TimePoint Now = std::chrono::steady_clock::now();
+    return std::any_of(Entries.begin(), Entries.end(), [&](const auto &Item) {
+      return Item.second.Answered &&
+             Now - Item.second.LastHeard < SourceTimeout;
     });
   }
 
@@ -185,6 +187,7 @@
     const wire::HeartbeatReply &Reply = Message.heartbeat_reply();
     const std::string &Address = Message.sender().peer_address();
     EntryLink &From = link(Address);
+    From.Answered = true;
     From.RepliedAt = From.LastHeard = std::chrono::steady_clock::now();
     if (Reply.entries_size() > 0) {
       From.EntriesDigest = Reply.entries_digest();
@@ -268,7 +271,7 @@
   std::uint64_t Deaths = 0;
   core::TimePoint LastDeath;
   runtime::TimerService::Subscription HeartbeatTimer;
-  runtime::TimerService::Subscription HostListTimer;
+  HostListReader HostListing;
 };
 
 } // namespace
--- a/rosemarylane/src/entry/MembershipService.cpp
+++ b/rosemarylane/src/entry/MembershipService.cpp
@@ -1,5 +1,6 @@
 #include "entry/MembershipService.h"
 
+#include "common/HostListReader.h"
 #include "common/MemberMessages.h"
 #include "core/Time.h"
 #include "entry/SummaryExchange.h"
@@ -23,7 +24,6 @@
 using routing::Membership;
 using std::chrono::milliseconds;
 
-constexpr milliseconds HostListPeriod{3000};
 /// A gap between two ticks above which this process must have been paused.
 constexpr milliseconds PauseThreshold{1000};
 
@@ -39,19 +39,20 @@
             {[this](const wire::Peer &To, wire::Envelope Message) {
                this->Send.send(To, std::move(Message));
              },
-             [this](const core::HostId &Host) { Selector.reported(Host); }}) {}
+             [this](const core::HostId &Host) { Selector.reported(Host); }}),
+        HostListing(
+            Context, [this](auto Hosts) { Listed = std::move(Hosts); },
+            [this] { return knowsOthers(); }) {}
 
   void start() {
     LastTick = now();
     observeSelf();
-    HostListTimer = Context.Timers->every(HostListPeriod, *Context.Control,
-                                          [this] { readHostList(); });
     SummaryTimer = Context.Timers->every(
         SummaryExchange::Period, *Context.Control, [this] { sendSummaries(); });
     HeartbeatTimer =
         Context.Timers->every(routing::HeartbeatSchedule::Period,
                               *Context.Control, [this] { tick(); });
-    readHostList();
+    HostListing.start();
   }
 
   void receive(const wire::Peer &From, const wire::Envelope &Message) override {
@@ -314,13 +315,15 @@
       Hook(Fleet, Domain);
   }
 
-  void readHostList() {
-    Context.Hosts->read([this](core::Result<std::vector<platform::ListedHost>,
-                                            platform::StoreError>
-                                   Read) {
-      if (Read)
-        Listed = std::move(*Read);
-    });
+  bool knowsOthers() const {
+    core::TimePoint Now = now();
+    return std::any_of(Members.records().begin(), Members.records().end(),
+                       [&](const auto &Item) {
+                         return Item.first.Role == MemberRole::Entry &&
+                                Item.first.Host != Context.Config.Host &&
+                                Members.state(Item.second, Now) ==
+                                    Membership::State::Alive;
+                       });
   }
 
   ProcessContext &Context;
@@ -344,7 +347,7 @@
   std::optional<std::uint64_t> LastEntries;
   runtime::TimerService::Subscription HeartbeatTimer;
   runtime::TimerService::Subscription SummaryTimer;
-  runtime::TimerService::Subscription HostListTimer;
+  HostListReader HostListing;
 };
 
 } // namespace
