--- a/libs/routing/tests/RouterLoadTest.cpp
+++ b/libs/routing/tests/RouterLoadTest.cpp
@@ -77,8 +77,8 @@
   Load.insert(At, Callers, Killer);
   Result Out = run(How, Policy::Router, Load);
   BOOST_TEST_MESSAGE(line("request that kills targets", Out));
-  BOOST_TEST_MESSAGE("deaths " << Out.Deaths << " with " << Callers
-                               << " callers");
+  BOOST_TEST_MESSAGE("deaths " << Out.Deaths << ", offered " << Out.offered()
+                               << " with " << Callers << " callers");
   return Out;
 }
 
