Tell the senders of a death before they try again; a killing request at running processes

The refusal of the broken attempt overtook the notice, which goes over another connection, so both were tried again as if nothing were known; and the next agent heard of suspects only with a heartbeat. Change: the notice goes to the attempts' senders on their own connection before the refusals; a request carries whether its entry suspects it.

--- a/rosemarylane/src/agent/Gate.cpp
+++ b/rosemarylane/src/agent/Gate.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace rosemarylane {
 
@@ -163,6 +164,9 @@
   }
 
   bool isSuspect(const TargetRun &R) const {
+    // The entry may know before the next heartbeat tells this agent.
+    if (R.Request.suspect())
+      return true;
     auto Digest = core::Digest::fromBytes(R.Request.digest());
     return Digest && Heartbeats.suspected(*Digest);
   }
@@ -301,11 +305,18 @@
     if (!Weights)
       return;
     std::vector<core::Digest> Suspects;
+    std::set<wire::Peer> Senders;
     for (const auto &[Id, R] : Runs)
-      if (R->running())
+      if (R->running()) {
+        Senders.insert(R->From);
         if (auto Digest = core::Digest::fromBytes(R->Request.digest()))
           Suspects.push_back(*Digest);
-    Heartbeats.reportSuspects(std::move(Suspects));
+      }
+    wire::Envelope Message;
+    *Message.mutable_quarantine_notice() =
+        Heartbeats.reportSuspects(std::move(Suspects));
+    for (const wire::Peer &To : Senders)
+      Send.send(To, Message);
   }
 
   // ---- Ending ----
--- a/rosemarylane/src/agent/HeartbeatService.cpp
+++ b/rosemarylane/src/agent/HeartbeatService.cpp
@@ -70,7 +70,8 @@
     Hooks.push_back(std::move(Hook));
   }
 
-  void reportSuspects(std::vector<core::Digest> Requests) override {
+  wire::QuarantineNotice
+  reportSuspects(std::vector<core::Digest> Requests) override {
     core::TimePoint Now = std::chrono::steady_clock::now();
     // Each request in progress notices the same death by itself.
     if (Deaths == 0 || Now - LastDeath > SameDeathWithin) {
@@ -79,15 +80,17 @@
     }
     std::uint64_t Death = routing::deathId(Context.Config.Host.str(),
                                            Context.Incarnation, Deaths);
-    std::vector<routing::Quarantine::Incident> News;
-    for (const core::Digest &Request : Requests)
-      if (Known.add({Request, Death}, Now))
-        News.push_back({Request, Death});
+    std::vector<routing::Quarantine::Incident> Incidents;
+    for (const core::Digest &Request : Requests) {
+      Incidents.push_back({Request, Death});
+      Known.add(Incidents.back(), Now);
+    }
     wire::Envelope Message;
-    *Message.mutable_quarantine_notice() = noticeOf(News);
+    *Message.mutable_quarantine_notice() = noticeOf(Incidents);
     for (const auto &[Address, Link] : Entries)
       Send.send(wire::Peer::at(Address), Message);
     sendNow();
+    return noticeOf(Incidents);
   }
 
   bool quarantined(const core::Digest &Request) const override {
--- a/rosemarylane/src/agent/HeartbeatService.h
+++ b/rosemarylane/src/agent/HeartbeatService.h
@@ -40,7 +40,10 @@
   virtual void onAgents(std::function<void()> Hook) = 0;
 
   /// Reports digests of requests that were in progress when the target died.
-  virtual void reportSuspects(std::vector<core::Digest> Requests) = 0;
+  /// @return what is to be told to the entries that sent them, before they hear
+  /// of the failure and try again.
+  virtual wire::QuarantineNotice
+  reportSuspects(std::vector<core::Digest> Requests) = 0;
 
   /// @return whether requests with this digest have killed targets.
   virtual bool quarantined(const core::Digest &Request) const = 0;
--- a/rosemarylane/src/entry/MembershipService.h
+++ b/rosemarylane/src/entry/MembershipService.h
@@ -63,6 +63,8 @@
     std::chrono::milliseconds AgentTime{0};
     core::FailureDomainId FailureDomain;
     core::Digest Version;
+    /// The request may have killed a target.
+    bool Suspect = false;
   };
 
   /// Picks a target and counts the attempt as in progress there until
--- a/rosemarylane/src/entry/PendingRequest.cpp
+++ b/rosemarylane/src/entry/PendingRequest.cpp
@@ -45,6 +45,7 @@
   Out.set_deadline_ms(std::max<std::int64_t>(WaitAtMost.count(), 1));
   Out.set_idempotent(repeatable());
   Out.set_digest(std::string(Parsed.Digest.bytes()));
+  Out.set_suspect(Target->Suspect);
   return Message;
 }
 
--- a/rosemarylane/src/entry/TargetSelector.cpp
+++ b/rosemarylane/src/entry/TargetSelector.cpp
@@ -58,7 +58,8 @@
                                    .AgentIncarnation = To.Incarnation,
                                    .AgentTime = To.Time,
                                    .FailureDomain = To.FailureDomain,
-                                   .Version = From[*Picked].Held->Version};
+                                   .Version = From[*Picked].Held->Version,
+                                   .Suspect = Suspect};
 }
 
 std::vector<TargetSelector::Candidate>
