Hold the limit at one while the engine says that it is cold; members on /metrics

Cause, seen by process_tests -t cold_target before the change: two engines that bear two requests while cold (60 answers) were sent three and crashed, since the ramp had seen only fast answers. Ruled out: more answers in a round - the ramp cannot see what an engine will not bear as long as its answers are fast. Change: Admission::setCold from the engine's own state, read every 500 ms. Open: an engine that turns cold under load and crashes at the next request before its state is read again.

--- a/libs/routing/include/routing/Admission.h
+++ b/libs/routing/include/routing/Admission.h
@@ -53,6 +53,10 @@
   /// again.
   void turnedCold() { Limiter.restart(Running); }
 
+  /// The target says whether it is still cold: meanwhile the ramp stays at its
+  /// start, however fast the answers are.
+  void setCold(bool Cold) { Limiter.setHeld(Cold, Running); }
+
   /// Taken out of service, nothing starts; what is in progress goes on. Brought
   /// back, the ramp starts again.
   void setOutOfService(bool Out);
--- a/libs/routing/include/routing/Ramp.h
+++ b/libs/routing/include/routing/Ramp.h
@@ -66,6 +66,9 @@
 
   void setCeiling(std::uint32_t Value);
 
+  /// Begins again from the start and stays there until \p Held is false.
+  void setHeld(bool Value, std::uint32_t InProgress);
+
   /// The target is cold: begins again from the start.
   /// @param InProgress requests that are still in progress there.
   void restart(std::uint32_t InProgress);
@@ -116,6 +119,7 @@
   std::uint32_t Earlier = 0;
   /// Requests of the round that must still end.
   std::uint32_t RoundLeft;
+  bool Held = false;
   /// The limit was reached in this round.
   bool Reached = false;
   /// Answers of this round.
--- a/libs/routing/src/Ramp.cpp
+++ b/libs/routing/src/Ramp.cpp
@@ -22,6 +22,12 @@
   setLimit(Limit);
 }
 
+void Ramp::setHeld(bool Value, std::uint32_t InProgress) {
+  if (Value && !Held)
+    restart(InProgress);
+  Held = Value;
+}
+
 void Ramp::restart(std::uint32_t InProgress) {
   ++Restarts;
   Smoothed = 0;
@@ -125,7 +131,7 @@
   if (Slow)
     return true;
   extendBaseline();
-  if (Reached)
+  if (Reached && !Held)
     setLimit(Limit + std::max(1.0, Limit * Settings.Growth));
   return true;
 }
--- a/libs/routing/tests/AdmissionTest.cpp
+++ b/libs/routing/tests/AdmissionTest.cpp
@@ -213,6 +213,19 @@
   BOOST_TEST(Most <= Settings.GrowBelow * (1 + Settings.Growth) * 8 + 1);
 }
 
+BOOST_AUTO_TEST_CASE(stays_at_one_while_the_target_says_that_it_is_cold) {
+  Admission Gate(32);
+  FakeTarget Target{32, 100ms};
+  saturate(Gate, Target, 2000);
+  Gate.setCold(true);
+  saturate(Gate, Target, 2000);
+  BOOST_TEST(Gate.limit() == 1u);
+  BOOST_TEST(Gate.inProgress() <= 1u);
+  Gate.setCold(false);
+  saturate(Gate, Target, 2000);
+  BOOST_TEST(Gate.limit() == 32u);
+}
+
 BOOST_AUTO_TEST_CASE(comes_back_through_the_ramp) {
   Admission Gate(32);
   saturate(Gate, FakeTarget{32, 100ms}, 2000);
--- a/rosemarylane/src/agent/Gate.cpp
+++ b/rosemarylane/src/agent/Gate.cpp
@@ -268,6 +268,8 @@
   }
 
   void expireWaiting() {
+    if (Weights)
+      Admit.setCold(Weights->engineCold());
     for (const Run &R : Waiting.expire(now()))
       finishRefused(R, wire::REFUSAL_DEADLINE, wire::RAN_NO, "");
     startWaiting();
--- a/rosemarylane/src/agent/WeightService.cpp
+++ b/rosemarylane/src/agent/WeightService.cpp
@@ -99,6 +99,8 @@
     return Result;
   }
 
+  bool engineCold() const override { return State && !State->Warm; }
+
   void engineChanged() override { readAgain(); }
 
 private:
--- a/rosemarylane/src/agent/WeightService.h
+++ b/rosemarylane/src/agent/WeightService.h
@@ -50,6 +50,9 @@
                                             std::function<void()> Drained)>
                              Hook) = 0;
 
+  /// @return whether the engine says that it is cold and bears only a little.
+  virtual bool engineCold() const = 0;
+
   /// Fills in what the holdings of a heartbeat say of versions: loaded,
   /// fetching, load errors.
   virtual std::vector<wire::Holding> holdings() const = 0;
--- a/rosemarylane/src/entry/MembershipService.cpp
+++ b/rosemarylane/src/entry/MembershipService.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <prometheus/gauge.h>
 
 namespace rosemarylane {
 
@@ -27,6 +28,29 @@
 /// A gap between two ticks above which this process must have been paused.
 constexpr milliseconds PauseThreshold{1000};
 
+/// What operators see of the membership.
+struct MemberGauges {
+  explicit MemberGauges(prometheus::Registry &Metrics)
+      : Alive(prometheus::BuildGauge()
+                  .Name("rosemarylane_members_alive")
+                  .Help("Processes of the fleet that this entry takes for "
+                        "alive")
+                  .Register(Metrics)),
+        Entries(Alive.Add({{"role", "entry"}})),
+        Agents(Alive.Add({{"role", "agent"}})),
+        Suspects(prometheus::BuildGauge()
+                     .Name("rosemarylane_suspect_requests")
+                     .Help("Requests seen at a target's death, quarantined "
+                           "ones included")
+                     .Register(Metrics)
+                     .Add({})) {}
+
+  prometheus::Family<prometheus::Gauge> &Alive;
+  prometheus::Gauge &Entries;
+  prometheus::Gauge &Agents;
+  prometheus::Gauge &Suspects;
+};
+
 class MembershipServiceImpl : public MembershipService {
 public:
   MembershipServiceImpl(ProcessContext &Context, const MessageSender &Send,
@@ -42,7 +66,8 @@
              [this](const core::HostId &Host) { Selector.reported(Host); }}),
         HostListing(
             Context, [this](auto Hosts) { Listed = std::move(Hosts); },
-            [this] { return knowsOthers(); }) {}
+            [this] { return knowsOthers(); }),
+        Gauges(*Context.Metrics) {}
 
   void start() {
     LastTick = now();
@@ -189,6 +214,7 @@
     updateAgents();
     sendHeartbeats();
     tellEntries();
+    updateMetrics();
   }
 
   void sendHeartbeats() {
@@ -294,6 +320,18 @@
     return std::chrono::duration_cast<milliseconds>(Now - Known.HeardAt);
   }
 
+  void updateMetrics() {
+    double AliveEntries = 0;
+    double AliveAgents = 0;
+    core::TimePoint Now = now();
+    for (const auto &[Who, Known] : Members.records())
+      if (Members.state(Known, Now) == Membership::State::Alive)
+        ++(Who.Role == MemberRole::Entry ? AliveEntries : AliveAgents);
+    Gauges.Entries.Set(AliveEntries);
+    Gauges.Agents.Set(AliveAgents);
+    Gauges.Suspects.Set(static_cast<double>(Suspects.size()));
+  }
+
   void tellEntries() {
     std::vector<LedgerService::EntryPeer> Fleet;
     std::vector<core::HostId> Domain;
@@ -348,6 +386,7 @@
   runtime::TimerService::Subscription HeartbeatTimer;
   runtime::TimerService::Subscription SummaryTimer;
   HostListReader HostListing;
+  MemberGauges Gauges;
 };
 
 } // namespace
