--- /dev/null
+++ b/libs/routing/tests/RouterTest.cpp
@@ -0,0 +1,175 @@
+#include "routing/Router.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
+#include <rapidcheck.h>
+#include <vector>
+
+using namespace rosemarylane::routing;
+using namespace std::chrono_literals;
+using rosemarylane::core::HostId;
+using rosemarylane::core::TimePoint;
+using Distance = Router::Distance;
+using Outcome = Router::Outcome;
+
+namespace {
+
+Router::Target target(int Number, Distance Where, std::uint32_t Slots,
+                      std::uint32_t Room) {
+  Router::Target T;
+  T.Host = HostId("agent-" + std::to_string(Number));
+  T.Where = Where;
+  T.Slots = Slots;
+  T.Credits = Slots + Room;
+  T.InProgress = 8 - Slots;
+  T.Latency = 50ms;
+  return T;
+}
+
+/// Draws that cover all targets.
+Router::Random draws() {
+  return [Draw = std::mt19937_64(20261204)]() mutable { return Draw(); };
+}
+
+/// How soon a request would start at the target: lower is sooner.
+int naiveRank(const Router::Target &T, std::int64_t SentSince, bool Refused,
+              bool Avoided) {
+  bool Slot = T.Slots > SentSince;
+  if (Refused || (!Slot && T.Credits <= SentSince))
+    return 100;
+  int Rank = 0;
+  if (T.Where == Distance::FailureDomain)
+    Rank = Slot ? 0 : 2;
+  if (T.Where == Distance::Region)
+    Rank = Slot ? 1 : 2;
+  if (T.Where == Distance::Fleet)
+    Rank = Slot ? 3 : 4;
+  return Avoided ? Rank + 10 : Rank;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(router)
+
+BOOST_AUTO_TEST_CASE(chooses_among_the_best_as_the_whole_history_shows) {
+  BOOST_TEST(rc::check("router against keeping all events", [] {
+    Router Choice;
+    Router::Random Draw = draws();
+    TimePoint Now{1h};
+    std::vector<Router::Target> Targets;
+    struct History {
+      std::int64_t InProgress = 0;
+      std::int64_t AtReport = 0;
+      bool Refused = false;
+      TimePoint AvoidUntil;
+    };
+    std::vector<History> Known(5);
+    for (int I = 0; I < 5; ++I)
+      Targets.push_back(
+          target(I, static_cast<Distance>(*rc::gen::inRange(0, 3)),
+                 *rc::gen::inRange(0u, 4u), *rc::gen::inRange(0u, 4u)));
+    int Steps = *rc::gen::inRange(0, 120);
+    for (int Step = 0; Step < Steps; ++Step) {
+      Now += std::chrono::milliseconds(*rc::gen::inRange(0, 400));
+      auto Which = *rc::gen::inRange<std::size_t>(0, Targets.size());
+      History &At = Known[Which];
+      switch (*rc::gen::inRange(0, 4)) {
+      case 0:
+        Targets[Which].Slots = *rc::gen::inRange(0u, 4u);
+        Targets[Which].Credits =
+            Targets[Which].Slots + *rc::gen::inRange(0u, 4u);
+        Choice.reported(Targets[Which].Host);
+        At.AtReport = At.InProgress;
+        At.Refused = false;
+        break;
+      case 1: {
+        if (At.InProgress == 0)
+          break;
+        auto How = *rc::gen::element(Outcome::Answered, Outcome::Busy,
+                                     Outcome::Failed, Outcome::Abandoned);
+        Choice.finished(Targets[Which].Host, How, 50ms, Now);
+        --At.InProgress;
+        if (How == Outcome::Answered)
+          At.AvoidUntil = {};
+        if (How == Outcome::Busy)
+          At.Refused = true;
+        if (How == Outcome::Failed)
+          At.AvoidUntil = Now + Router::Settings().FailureRest;
+        break;
+      }
+      default: {
+        std::vector<int> Ranks;
+        for (std::size_t I = 0; I < Targets.size(); ++I)
+          Ranks.push_back(
+              naiveRank(Targets[I], Known[I].InProgress - Known[I].AtReport,
+                        Known[I].Refused, Known[I].AvoidUntil > Now));
+        int Best = *std::min_element(Ranks.begin(), Ranks.end());
+        auto Picked =
+            Choice.choose(Targets, *rc::gen::inRange(0, 5), Now, Draw);
+        RC_ASSERT(Picked.has_value() == (Best < 100));
+        if (!Picked)
+          break;
+        RC_ASSERT(Ranks[*Picked] == Best);
+        Choice.started(Targets[*Picked].Host);
+        ++Known[*Picked].InProgress;
+      }
+      }
+      for (std::size_t I = 0; I < Targets.size(); ++I)
+        RC_ASSERT(Choice.inProgress(Targets[I].Host) == Known[I].InProgress);
+    }
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(entries_agree_on_the_target_of_a_suspect) {
+  BOOST_TEST(rc::check("whatever the order, distance and load", [] {
+    int Count = *rc::gen::inRange(1, 12);
+    std::vector<Router::Target> Here;
+    std::vector<Router::Target> There;
+    for (int I = 0; I < Count; ++I) {
+      Here.push_back(target(I, Distance::FailureDomain, 4, 4));
+      There.push_back(target(I, Distance::Fleet, 0, 0));
+    }
+    std::reverse(There.begin(), There.end());
+    std::uint64_t Hash = *rc::gen::arbitrary<std::uint64_t>();
+    Router A;
+    Router B;
+    RC_ASSERT(Here[*A.chooseForSuspect(Here, Hash)].Host ==
+              There[*B.chooseForSuspect(There, Hash)].Host);
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(prefixes_share_a_target_while_it_has_room) {
+  Router Choice;
+  std::vector<Router::Target> Targets;
+  for (int I = 0; I < 6; ++I)
+    Targets.push_back(target(I, Distance::FailureDomain, 8, 8));
+  auto Draw = draws();
+  std::map<std::size_t, int> Picks;
+  for (int I = 0; I < 6; ++I) {
+    auto Picked = *Choice.choose(Targets, 77, TimePoint{1h}, Draw);
+    Choice.started(Targets[Picked].Host);
+    ++Picks[Picked];
+  }
+  BOOST_TEST(Picks.size() == 1u);
+  // The last quarter of its limit is left to others.
+  auto Next = *Choice.choose(Targets, 77, TimePoint{1h}, Draw);
+  BOOST_TEST(Picks.count(Next) == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_target_gets_less) {
+  Router Choice;
+  std::vector<Router::Target> Targets;
+  for (int I = 0; I < 4; ++I)
+    Targets.push_back(target(I, Distance::FailureDomain, 8, 8));
+  Targets[2].Latency = 400ms;
+  auto Draw = draws();
+  std::map<std::size_t, int> Picks;
+  for (int I = 0; I < 1000; ++I)
+    ++Picks[*Choice.choose(Targets, 0, TimePoint{1h}, Draw)];
+  // Only when it is drawn twice.
+  BOOST_TEST(Picks[2] < 1000 / 8);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
