--- a/libs/routing/include/routing/Member.h
+++ b/libs/routing/include/routing/Member.h
@@ -37,7 +37,7 @@
   /// The version loaded; none for a plain service.
   core::Digest Version;
   bool Serving = false;
-  Load Busy;
+  Load CurrentLoad;
   core::Digest Fetching;
   std::uint32_t FetchedPermille = 0;
   std::string LoadError;
--- a/libs/routing/include/routing/Membership.h
+++ b/libs/routing/include/routing/Membership.h
@@ -61,10 +61,6 @@
   bool observe(const Member &Told, std::chrono::milliseconds Age,
                core::TimePoint Now);
 
-  /// The member is known to have been alive \p Age ago in that incarnation.
-  void confirm(const Key &Who, std::uint64_t Incarnation,
-               std::chrono::milliseconds Age, core::TimePoint Now);
-
   /// Changes the time limits, as the number of entries changes.
   void setLimits(MembershipSettings Limits) { Settings = Limits; }
 
--- a/libs/routing/src/Membership.cpp
+++ b/libs/routing/src/Membership.cpp
@@ -32,14 +32,6 @@
   return true;
 }
 
-void Membership::confirm(const Key &Who, std::uint64_t Incarnation,
-                         std::chrono::milliseconds Age, core::TimePoint Now) {
-  auto Found = Records.find(Who);
-  if (Found == Records.end() || Found->second.What.Incarnation != Incarnation)
-    return;
-  Found->second.HeardAt = std::max(Found->second.HeardAt, Now - Age);
-}
-
 void Membership::markGone(const Key &Who, core::TimePoint Now) {
   auto Found = Records.find(Who);
   if (Found == Records.end())
@@ -84,7 +76,7 @@
   Known.What.Time = Time;
   Known.HeardAt = std::max(Known.HeardAt, At);
   for (Holding &H : Known.What.Holdings)
-    H.Busy = Now;
+    H.CurrentLoad = Now;
 }
 
 void Membership::discountPause(core::Duration Gap) {
--- a/libs/routing/tests/MembershipTest.cpp
+++ b/libs/routing/tests/MembershipTest.cpp
@@ -136,11 +136,11 @@
   Load Busy;
   Busy.Credits = 5;
   Members.updateLoad(key(1), 1, Busy, 200ms, TimePoint{1h});
-  BOOST_TEST(Members.find(key(1))->What.Holdings[0].Busy.Credits == 0u);
+  BOOST_TEST(Members.find(key(1))->What.Holdings[0].CurrentLoad.Credits == 0u);
   Members.updateLoad(key(1), 2, Busy, 50ms, TimePoint{1h});
-  BOOST_TEST(Members.find(key(1))->What.Holdings[0].Busy.Credits == 0u);
+  BOOST_TEST(Members.find(key(1))->What.Holdings[0].CurrentLoad.Credits == 0u);
   Members.updateLoad(key(1), 2, Busy, 200ms, TimePoint{1h});
-  BOOST_TEST(Members.find(key(1))->What.Holdings[0].Busy.Credits == 5u);
+  BOOST_TEST(Members.find(key(1))->What.Holdings[0].CurrentLoad.Credits == 5u);
 }
 
 BOOST_AUTO_TEST_CASE(changes_bring_any_older_view_up_to_date) {
--- a/rosemarylane/src/entry/SummaryExchange.cpp
+++ b/rosemarylane/src/entry/SummaryExchange.cpp
@@ -174,7 +174,7 @@
     const Member &M = Members.find(Who)->What;
     routing::Load Busy;
     if (!M.Holdings.empty())
-      Busy = M.Holdings.front().Busy;
+      Busy = M.Holdings.front().CurrentLoad;
     Table.add_member(routing::shortHash(M.Host));
     Table.add_credits(Busy.Credits);
     Table.add_in_progress(Busy.InProgress);
--- a/rosemarylane/src/entry/TargetSelector.cpp
+++ b/rosemarylane/src/entry/TargetSelector.cpp
@@ -88,7 +88,7 @@
 
 Router::Target TargetSelector::targetOf(const Candidate &From,
                                         core::TrafficClass Class) const {
-  const routing::Load &Busy = From.Held->Busy;
+  const routing::Load &Busy = From.Held->CurrentLoad;
   Router::Target T;
   T.Host = From.Of->Host;
   T.Where = From.Of->FailureDomain == Own.FailureDomain
--- a/rosemarylane/tests/ControlTrafficTest.cpp
+++ b/rosemarylane/tests/ControlTrafficTest.cpp
@@ -44,11 +44,11 @@
   H.Version = core::Digest::of("version");
   H.Serving = true;
   H.Warm = true;
-  H.Busy.Credits = 3;
-  H.Busy.InProgress = 13;
-  H.Busy.Waiting = 2;
-  H.Busy.Latency = 85000us;
-  H.Busy.ClassRoom = {17, 15, 11};
+  H.CurrentLoad.Credits = 3;
+  H.CurrentLoad.InProgress = 13;
+  H.CurrentLoad.Waiting = 2;
+  H.CurrentLoad.Latency = 85000us;
+  H.CurrentLoad.ClassRoom = {17, 15, 11};
   M.Holdings.push_back(H);
   return M;
 }
--- a/rosemarylane/tests/MemberMessagesTest.cpp
+++ b/rosemarylane/tests/MemberMessagesTest.cpp
@@ -21,11 +21,11 @@
   H.Entry = core::EntryName("draft");
   H.Version = core::Digest::of("old");
   H.Serving = true;
-  H.Busy.Credits = 1;
-  H.Busy.InProgress = 2;
-  H.Busy.Waiting = 3;
-  H.Busy.Latency = std::chrono::microseconds(4);
-  H.Busy.ClassRoom = {7, 6, 5};
+  H.CurrentLoad.Credits = 1;
+  H.CurrentLoad.InProgress = 2;
+  H.CurrentLoad.Waiting = 3;
+  H.CurrentLoad.Latency = std::chrono::microseconds(4);
+  H.CurrentLoad.ClassRoom = {7, 6, 5};
   H.Fetching = core::Digest::of("new");
   H.FetchedPermille = 500;
   H.LoadError = "too large";
