Never take a member for heard in the future after an own pause

Cause: heartbeats that waited during a pause are handled before the pause is noticed; adding the pause to them as well kept a dead member alive for as long as the pause had been. After: routing_tests pass; membership/own_pause_is_not_held_against_the_members failed before.

--- a/libs/routing/include/routing/Membership.h
+++ b/libs/routing/include/routing/Membership.h
@@ -84,9 +84,9 @@
   void updateLoad(const Key &Who, std::uint64_t Incarnation, const Load &Now,
                   std::chrono::milliseconds Time, core::TimePoint At);
 
-  /// This process was paused for \p Gap, during which nothing could be heard:
-  /// the silence is not held against the members.
-  void discountPause(core::Duration Gap);
+  /// This process was paused for \p Gap until now, and could hear nothing: the
+  /// silence is not held against the members.
+  void discountPause(core::Duration Gap, core::TimePoint Now);
 
   /// Drops members that have not been heard from for long.
   void expire(core::TimePoint Now);
--- a/libs/routing/src/Membership.cpp
+++ b/libs/routing/src/Membership.cpp
@@ -79,9 +79,9 @@
     H.CurrentLoad = Now;
 }
 
-void Membership::discountPause(core::Duration Gap) {
+void Membership::discountPause(core::Duration Gap, core::TimePoint Now) {
   for (auto &[Who, Known] : Records)
-    Known.HeardAt += Gap;
+    Known.HeardAt = std::min(Known.HeardAt + Gap, Now);
 }
 
 void Membership::expire(core::TimePoint Now) {
--- a/libs/routing/tests/MembershipTest.cpp
+++ b/libs/routing/tests/MembershipTest.cpp
@@ -113,9 +113,15 @@
   TimePoint Start{1h};
   Members.observe(member(1, 1, 1), 0ms, Start);
   TimePoint Woken = Start + 30s;
-  Members.discountPause(30s);
-  BOOST_TEST((Members.state(*Members.find(key(1)), Woken) ==
-              Membership::State::Alive));
+  // A heartbeat that waited is handled before the pause is noticed.
+  Members.observe(member(2, 1, 1), 0ms, Woken);
+  Members.discountPause(30s, Woken);
+  for (int Host : {1, 2}) {
+    const Membership::Record &Known = *Members.find(key(Host));
+    BOOST_TEST((Members.state(Known, Woken) == Membership::State::Alive));
+    BOOST_TEST(
+        (Members.state(Known, Woken + 1s) == Membership::State::Suspect));
+  }
 }
 
 BOOST_AUTO_TEST_CASE(bounded) {
--- a/rosemarylane/src/entry/MembershipService.cpp
+++ b/rosemarylane/src/entry/MembershipService.cpp
@@ -205,7 +205,7 @@
   void tick() {
     core::TimePoint Now = now();
     if (Now - LastTick > PauseThreshold)
-      Members.discountPause(Now - LastTick);
+      Members.discountPause(Now - LastTick, Now);
     LastTick = Now;
     observeSelf();
     Members.expire(Now);
