Find a host again that restarted with its clock set back

Cause: a lower incarnation was ignored until the record was forgotten, 60 s after the last heartbeat. Change: once the later start is dead (5 s of silence), an earlier one is believed. The differential test of message order runs with a time limit that keeps this rule out of it; the rule has a test of its own, red before.

--- a/libs/routing/include/routing/Membership.h
+++ b/libs/routing/include/routing/Membership.h
@@ -35,7 +35,8 @@
 /// What a member says of itself is ordered by its incarnation and then by its
 /// sequence number, so late, repeated and reordered messages never bring back
 /// an older state, and a restarted process replaces its predecessor of the same
-/// name. A plain value type without a clock.
+/// name. Only when the later start is dead is an earlier one believed, since a
+/// host's clock may be set back. A plain value type without a clock.
 class Membership {
 public:
   enum class State { Alive, Suspect, Dead };
--- a/libs/routing/src/Membership.cpp
+++ b/libs/routing/src/Membership.cpp
@@ -19,9 +19,11 @@
     return true;
   }
   Record &Known = Found->second;
-  if (Told.Incarnation < Known.What.Incarnation)
+  // An earlier start replaces only a dead one: the host's clock was set back.
+  if (Told.Incarnation < Known.What.Incarnation &&
+      state(Known, Now) != State::Dead)
     return false;
-  if (Told.Incarnation > Known.What.Incarnation) {
+  if (Told.Incarnation != Known.What.Incarnation) {
     Known = {Told, HeardAt};
     return true;
   }
--- a/libs/routing/tests/MembershipTest.cpp
+++ b/libs/routing/tests/MembershipTest.cpp
@@ -62,6 +62,10 @@
 BOOST_AUTO_TEST_CASE(agrees_with_keeping_every_message) {
   BOOST_TEST(rc::check("late, repeated and reordered messages", [] {
     MembershipSettings Limits;
+    // A dead member may be replaced by an earlier start of itself; that has a
+    // test of its own.
+    Limits.DeadAfter = 10h;
+    Limits.ForgetAfter = 20h;
     Membership Members(Limits, Own);
     TimePoint Now{1h};
     // The naive version keeps all messages and looks for the newest each time.
@@ -108,6 +112,18 @@
   BOOST_TEST(!Members.observe(member(1, 1, 1), 60s, Start + 60s));
 }
 
+BOOST_AUTO_TEST_CASE(a_host_restarted_with_its_clock_set_back_is_found_again) {
+  Membership Members({}, Own);
+  TimePoint Now{1h};
+  Members.observe(member(1, 9, 50), 0ms, Now);
+  // As long as the later start may be alive, the earlier is taken for late.
+  BOOST_TEST(!Members.observe(member(1, 8, 1), 0ms, Now + 4s));
+  BOOST_TEST(Members.observe(member(1, 8, 2), 0ms, Now + 5s));
+  BOOST_TEST(Members.find(key(1))->What.Incarnation == 8u);
+  BOOST_TEST((Members.state(*Members.find(key(1)), Now + 5s) ==
+              Membership::State::Alive));
+}
+
 BOOST_AUTO_TEST_CASE(own_pause_is_not_held_against_the_members) {
   Membership Members({}, Own);
   TimePoint Start{1h};
