--- a/libs/routing/src/Membership.cpp
+++ b/libs/routing/src/Membership.cpp
@@ -19,9 +19,11 @@
     return true;
   }
   Record &Known = Found->second;
-  if (Told.Incarnation < Known.What.Incarnation)
+  // An earlier start replaces only a dead one: the host's clock was set back.
+  if (Told.Incarnation < Known.What.Incarnation &&
+      state(Known, Now) != State::Dead)
     return false;
-  if (Told.Incarnation > Known.What.Incarnation) {
+  if (Told.Incarnation != Known.What.Incarnation) {
     Known = {Told, HeardAt};
     return true;
   }
@@ -32,14 +34,6 @@
   return true;
 }
 
-void Membership::confirm(const Key &Who, std::uint64_t Incarnation,
-                         std::chrono::milliseconds Age, core::TimePoint Now) {
-  auto Found = Records.find(Who);
-  if (Found == Records.end() || Found->second.What.Incarnation != Incarnation)
-    return;
-  Found->second.HeardAt = std::max(Found->second.HeardAt, Now - Age);
-}
-
 void Membership::markGone(const Key &Who, core::TimePoint Now) {
   auto Found = Records.find(Who);
   if (Found == Records.end())
@@ -84,12 +78,12 @@
   Known.What.Time = Time;
   Known.HeardAt = std::max(Known.HeardAt, At);
   for (Holding &H : Known.What.Holdings)
-    H.Busy = Now;
+    H.CurrentLoad = Now;
 }
 
-void Membership::discountPause(core::Duration Gap) {
+void Membership::discountPause(core::Duration Gap, core::TimePoint Now) {
   for (auto &[Who, Known] : Records)
-    Known.HeardAt += Gap;
+    Known.HeardAt = std::min(Known.HeardAt + Gap, Now);
 }
 
 void Membership::expire(core::TimePoint Now) {
--- a/libs/routing/tests/MembershipTest.cpp
+++ b/libs/routing/tests/MembershipTest.cpp
@@ -62,6 +62,10 @@
 BOOST_AUTO_TEST_CASE(agrees_with_keeping_every_message) {
   BOOST_TEST(rc::check("late, repeated and reordered messages", [] {
     MembershipSettings Limits;
+    // A dead member may be replaced by an earlier start of itself; that has a
+    // test of its own.
+    Limits.DeadAfter = 10h;
+    Limits.ForgetAfter = 20h;
     Membership Members(Limits, Own);
     TimePoint Now{1h};
     // The naive version keeps all messages and looks for the newest each time.
@@ -108,14 +112,32 @@
   BOOST_TEST(!Members.observe(member(1, 1, 1), 60s, Start + 60s));
 }
 
+BOOST_AUTO_TEST_CASE(a_host_restarted_with_its_clock_set_back_is_found_again) {
+  Membership Members({}, Own);
+  TimePoint Now{1h};
+  Members.observe(member(1, 9, 50), 0ms, Now);
+  // As long as the later start may be alive, the earlier is taken for late.
+  BOOST_TEST(!Members.observe(member(1, 8, 1), 0ms, Now + 4s));
+  BOOST_TEST(Members.observe(member(1, 8, 2), 0ms, Now + 5s));
+  BOOST_TEST(Members.find(key(1))->What.Incarnation == 8u);
+  BOOST_TEST((Members.state(*Members.find(key(1)), Now + 5s) ==
+              Membership::State::Alive));
+}
+
 BOOST_AUTO_TEST_CASE(own_pause_is_not_held_against_the_members) {
   Membership Members({}, Own);
   TimePoint Start{1h};
   Members.observe(member(1, 1, 1), 0ms, Start);
   TimePoint Woken = Start + 30s;
-  Members.discountPause(30s);
-  BOOST_TEST((Members.state(*Members.find(key(1)), Woken) ==
-              Membership::State::Alive));
+  // A heartbeat that waited is handled before the pause is noticed.
+  Members.observe(member(2, 1, 1), 0ms, Woken);
+  Members.discountPause(30s, Woken);
+  for (int Host : {1, 2}) {
+    const Membership::Record &Known = *Members.find(key(Host));
+    BOOST_TEST((Members.state(Known, Woken) == Membership::State::Alive));
+    BOOST_TEST(
+        (Members.state(Known, Woken + 1s) == Membership::State::Suspect));
+  }
 }
 
 BOOST_AUTO_TEST_CASE(bounded) {
@@ -136,11 +158,11 @@
   Load Busy;
   Busy.Credits = 5;
   Members.updateLoad(key(1), 1, Busy, 200ms, TimePoint{1h});
-  BOOST_TEST(Members.find(key(1))->What.Holdings[0].Busy.Credits == 0u);
+  BOOST_TEST(Members.find(key(1))->What.Holdings[0].CurrentLoad.Credits == 0u);
   Members.updateLoad(key(1), 2, Busy, 50ms, TimePoint{1h});
-  BOOST_TEST(Members.find(key(1))->What.Holdings[0].Busy.Credits == 0u);
+  BOOST_TEST(Members.find(key(1))->What.Holdings[0].CurrentLoad.Credits == 0u);
   Members.updateLoad(key(1), 2, Busy, 200ms, TimePoint{1h});
-  BOOST_TEST(Members.find(key(1))->What.Holdings[0].Busy.Credits == 5u);
+  BOOST_TEST(Members.find(key(1))->What.Holdings[0].CurrentLoad.Credits == 5u);
 }
 
 BOOST_AUTO_TEST_CASE(changes_bring_any_older_view_up_to_date) {
