--- a/libs/swarm/tests/FleetTest.cpp
+++ b/libs/swarm/tests/FleetTest.cpp
@@ -15,6 +15,8 @@
 constexpr double OriginTargetWithDeaths = 2;
 constexpr double UploadTarget = 1.1;
 constexpr double DuplicateTarget = 0.02;
+/// A death or a silent host delays by timeouts, not by copies.
+constexpr double DelayedTimeTarget = 2;
 /// One copy for each region, whatever the rounding to chunks.
 constexpr double RegionTarget = 1.0;
 
@@ -34,6 +36,7 @@
   FleetSettings Settings = fleetOf(840);
   Settings.FailureDomains = 19;
   Settings.Regions = 5;
+  Settings.Chunks = 256;
   return Settings;
 }
 
@@ -56,10 +59,49 @@
   FleetResult Large = run(fleetOf(160));
   checkTargets(Large);
   BOOST_TEST(Large.All <= FlatnessTarget * Small.All);
+
+  FleetSettings Naive = fleetOf(160);
+  Naive.How = FleetSettings::Planner::OriginOnly;
+  FleetResult OriginOnly = run(Naive);
+  Naive.How = FleetSettings::Planner::FixedTree;
+  FleetResult Tree = run(Naive);
+  BOOST_TEST(Large.All < Tree.All);
+  BOOST_TEST(Tree.All < OriginOnly.All);
+  BOOST_TEST(Large.LargestUpload < Tree.LargestUpload);
 }
 
 BOOST_AUTO_TEST_CASE(targets_hold_at_design_size) {
   checkTargets(run(largeFleet()));
 }
 
+BOOST_AUTO_TEST_CASE(deaths_only_delay) {
+  FleetSettings Settings = fleetOf(160);
+  Settings.DyingPart = 0.1;
+  FleetResult Result = run(Settings);
+  BOOST_TEST(Result.Complete);
+  BOOST_TEST(Result.OriginCopies <= OriginTargetWithDeaths);
+  BOOST_TEST(Result.All <= DelayedTimeTarget);
+}
+
+BOOST_AUTO_TEST_CASE(silent_peers_cost_a_timeout) {
+  FleetSettings Settings = fleetOf(160);
+  Settings.SilentPart = 0.05;
+  FleetResult Result = run(Settings);
+  BOOST_TEST(Result.Complete);
+  BOOST_TEST(Result.All <= DelayedTimeTarget);
+  BOOST_TEST(Result.OriginCopies <= OriginTargetWithDeaths);
+}
+
+BOOST_AUTO_TEST_CASE(origin_budget_holds_when_views_differ) {
+  FleetSettings Settings = fleetOf(160);
+  Settings.FailureDomains = 16;
+  Settings.Regions = 4;
+  Settings.Partitioned = true;
+  // Sixteen hosts' views that know nothing of each other would draw sixteen
+  // copies at once.
+  Settings.Limit = 1.5;
+  FleetResult Result = run(Settings);
+  BOOST_TEST(Result.OriginCopies <= OriginTargetWithDeaths);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/rosemarylane/tests/process/Fleet.cpp
+++ b/rosemarylane/tests/process/Fleet.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-/// Unless `PROCESS_TEST_PORT` in the environment sets it.
+/// Unless `PROCESS_TESTS_FIRST_PORT` in the environment sets it.
 constexpr int DefaultFirstPort = 25100;
 /// Fleets that follow each other take ports in turn.
 constexpr int PortsPerFleet = 50;
@@ -29,15 +29,12 @@
 constexpr char OperatorToken[] = "operator-token";
 constexpr char CallerToken[] = "caller-token";
 
-/// What an engine answers unless its arguments say otherwise.
-constexpr std::size_t TokensOfAnswer = 16;
-
 constexpr auto StartLimit = 20s;
 
 int takePorts() {
   static int Fleets = 0;
-  const char *Given = std::getenv("PROCESS_TEST_PORT");
-  int First = Given ? std::stoi(Given) : DefaultFirstPort;
+  const char *Given = std::getenv("PROCESS_TESTS_FIRST_PORT");
+  int First = Given ? std::atoi(Given) : DefaultFirstPort;
   return First + PortsPerFleet * (Fleets++ % FleetsBeforeReuse);
 }
 
@@ -236,11 +233,13 @@
 }
 
 void Fleet::applyCatalogue() {
-  http::Request Put{
-      "PUT",
-      "/admin/v1/catalogue",
-      {{"Authorization", bearer(OperatorToken)}, {"If-Match", "\"0\""}},
-      catalogue(Version)};
+  http::Request Put{"PUT",
+                    "/admin/v1/catalogue",
+                    {{"Authorization", bearer(OperatorToken)},
+                     {"If-Match", "\"0\""},
+                     // So that it can be repeated if its answer is lost.
+                     {"Idempotency-Key", "first-catalogue"}},
+                    catalogue(Version)};
   CallResult Last;
   await("the catalogue is applied", StartLimit, [&] {
     Last = Caller.call(entries().front()->Http, Put, 2s);
