Find silent target connections; hold a cold engine at one request

Silent connections. Cause: a call in progress on one waited for the idle deadline (30 s), and the next ones took further silent connections from the pool. Ruled out: a short idle deadline (an answer that is not streamed is silent until its end) and TCP keepalive alone (a relay that holds both ends acknowledges it).

Cold engines. Cause: the ramp climbed while the engine said warm=false.

--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -76,6 +76,10 @@
                               Deadlines Limits, WholeHook OnDone,
                               bool Retryable = false);
 
+  /// Closes the idle connections to \p Address, which may have fallen silent.
+  /// From any thread.
+  void dropIdle(const std::string &Address);
+
   struct State;
 
 private:
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -281,6 +281,10 @@
   Done.get_future().wait();
 }
 
+void Client::dropIdle(const std::string &Address) {
+  S->On.postAlways([S = S, Address] { S->dropIdle(Address); });
+}
+
 std::shared_ptr<Client::Call> Client::stream(const std::string &Address,
                                              Request Whole, Deadlines Limits,
                                              Hooks To, bool Retryable) {
--- a/rosemarylane/src/agent/Gate.cpp
+++ b/rosemarylane/src/agent/Gate.cpp
@@ -1,5 +1,6 @@
 #include "agent/Gate.h"
 
+#include "agent/SilentCalls.h"
 #include "agent/TargetCall.h"
 #include "common/MemberMessages.h"
 #include "routing/Admission.h"
@@ -72,8 +73,9 @@
            WeightService *Weights)
       : Context(Context), Send(Send), Configuration(Configuration),
         Heartbeats(Heartbeats), Weights(Weights) {
+    Silent = SilentCalls::create(Context, [this] { return calls(); });
     Tick = Context.Timers->every(QueueTick, *Context.Control,
-                                 [this] { expireWaiting(); });
+                                 [this] { onTick(); });
     Configuration.onChange(
         [this](const std::shared_ptr<const core::Configuration> &Config) {
           applyConfiguration(*Config);
@@ -235,6 +237,8 @@
   }
 
   std::uint32_t ceiling(const core::Configuration &Config) const {
+    if (Weights && Weights->cold())
+      return 1;
     std::uint32_t Ceiling = 1;
     for (const core::CatalogueEntry &E : Config.Entries)
       if (mine(E))
@@ -263,6 +267,24 @@
     }
   }
 
+  void onTick() {
+    bool ColdNow = Weights && Weights->cold();
+    if (std::exchange(Cold, ColdNow) != ColdNow) {
+      Admit.turnedCold();
+      applyConfiguration(*Configuration.current());
+    }
+    Silent->check();
+    expireWaiting();
+  }
+
+  SilentCalls::Calls calls() const {
+    SilentCalls::Calls Running;
+    for (const auto &[Id, R] : Runs)
+      if (R->running())
+        Running.push_back(R->Call);
+    return Running;
+  }
+
   void expireWaiting() {
     for (const Run &R : Waiting.expire(now()))
       finishRefused(R, wire::REFUSAL_DEADLINE, wire::RAN_NO, "");
@@ -481,6 +503,8 @@
   HeartbeatService &Heartbeats;
   WeightService *Weights;
   runtime::TimerService::Subscription Tick;
+  std::unique_ptr<SilentCalls> Silent;
+  bool Cold = false;
 
   ledger::AttemptTable Table;
   /// Attempts that wait or run, by request id.
--- a/rosemarylane/src/agent/TargetCall.cpp
+++ b/rosemarylane/src/agent/TargetCall.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::chrono::seconds FirstByteDeadline{60};
 constexpr std::chrono::seconds IdleDeadline{30};
+constexpr std::chrono::milliseconds ConfirmDeadline{500};
 constexpr char GenerationField[] = "x-engine-generation";
 
 /// Whether a header field belongs to one connection, or is set by this hop.
@@ -67,7 +68,7 @@
                  std::optional<std::uint64_t> Generation, EndHook OnEnd)
       : Context(Context), Send(Send), Entry(std::move(Entry)), Id(Request.id()),
         Model(Request.entry()), Generation(Generation), OnEnd(std::move(OnEnd)),
-        StartedAt(now()) {
+        StartedAt(now()), LastHeard(StartedAt) {
     if (!Request.idempotent())
       Answer = std::make_shared<ledger::HeldAnswer>();
   }
@@ -77,6 +78,17 @@
       Call->cancel();
   }
 
+  core::TimePoint lastHeard() const override { return LastHeard; }
+
+  void endSilent() override {
+    if (Ended)
+      return;
+    TargetCallEnd How;
+    How.Reason = wire::REFUSAL_TARGET_FAILED;
+    How.Detail = "the connection to the target fell silent";
+    end(std::move(How));
+  }
+
   void send(const wire::RunRequest &Request, const std::string &Traceparent) {
     http::Request Out;
     Out.Method = Request.method();
@@ -126,6 +138,7 @@
   void onHead(const http::ResponseHead &Head) {
     if (Ended)
       return;
+    LastHeard = now();
     constexpr unsigned TooManyRequests = 429;
     constexpr unsigned ServiceUnavailable = 503;
     bool Full =
@@ -159,6 +172,7 @@
   void onPart(const std::string &Part) {
     if (Ended)
       return;
+    LastHeard = now();
     if (Offset == 0)
       FirstPartAfter = now() - StartedAt;
     wire::Envelope Message;
@@ -177,7 +191,8 @@
     if (Ended)
       return;
     if (!Error)
-      return Generation && !HeadAfterBody ? confirmGeneration() : complete();
+      return Generation && !HeadAfterBody ? confirmGeneration(/*OnKept=*/true)
+                                          : complete();
     TargetCallEnd How;
     How.Reason = wire::REFUSAL_TARGET_FAILED;
     How.Detail = Error->Detail;
@@ -190,18 +205,28 @@
   }
 
   /// Reads the generation once more: it may have changed while the answer came.
-  void confirmGeneration() {
+  /// @param OnKept on a kept connection, which may have fallen silent, so that
+  /// another try follows.
+  void confirmGeneration(bool OnKept) {
+    LastHeard = now();
     http::Request Read;
     Read.Method = "GET";
     Read.Target = "/control/v1/state";
+    http::Deadlines Limits;
+    Limits.Total = ConfirmDeadline;
+    Limits.FreshConnection = !OnKept;
     std::weak_ptr<HttpTargetCall> Weak = weak_from_this();
     runtime::Duty &Control = *Context.Control;
     Confirming = Context.Http->fetch(
-        Context.Config.Target.Address, std::move(Read), {},
-        [Weak, &Control](core::Result<http::Response, http::Error> State) {
+        Context.Config.Target.Address, std::move(Read), Limits,
+        [Weak, &Control,
+         OnKept](core::Result<http::Response, http::Error> State) {
           std::string Body = State ? std::move(State->Body) : "";
-          Control.postAlways([Weak, Body = std::move(Body)] {
-            if (auto Self = Weak.lock())
+          Control.postAlways([Weak, OnKept, Body = std::move(Body)] {
+            auto Self = Weak.lock();
+            if (Self && Body.empty() && OnKept)
+              Self->confirmGeneration(/*OnKept=*/false);
+            else if (Self)
               Self->onConfirmed(Body);
           });
         },
@@ -209,6 +234,8 @@
   }
 
   void onConfirmed(const std::string &State) {
+    if (Ended)
+      return;
     if (generationInState(State, Model) == Generation)
       complete();
     else
@@ -259,6 +286,7 @@
   std::optional<std::uint64_t> Generation;
   EndHook OnEnd;
   core::TimePoint StartedAt;
+  core::TimePoint LastHeard;
   std::chrono::nanoseconds FirstPartAfter{0};
   bool Ended = false;
   /// The head already says at which generation the model ended.
--- a/rosemarylane/src/agent/TargetCall.h
+++ b/rosemarylane/src/agent/TargetCall.h
@@ -3,6 +3,7 @@
 
 #include "common/Messages.h"
 #include "common/ProcessContext.h"
+#include "core/Time.h"
 #include "ledger/AttemptTable.h"
 #include "wire/PeerNode.h"
 #include "wire/wire.pb.h"
@@ -53,6 +54,12 @@
         std::optional<std::uint64_t> Generation, EndHook OnEnd);
 
   virtual ~TargetCall() = default;
+
+  /// @return when the target last sent something, or the call began.
+  virtual core::TimePoint lastHeard() const = 0;
+
+  /// Ends the call: its connection has fallen silent for good.
+  virtual void endSilent() = 0;
 };
 
 } // namespace rosemarylane
--- a/rosemarylane/src/agent/WeightService.cpp
+++ b/rosemarylane/src/agent/WeightService.cpp
@@ -71,6 +71,8 @@
 
   const std::vector<ServedVersion> &served() const override { return Served; }
 
+  bool cold() const override { return State && !State->Warm; }
+
   void onServed(std::function<void()> Hook) override {
     ServedHooks.push_back(std::move(Hook));
   }
--- a/rosemarylane/src/agent/WeightService.h
+++ b/rosemarylane/src/agent/WeightService.h
@@ -41,6 +41,10 @@
   /// @return what requests may be answered from now.
   virtual const std::vector<ServedVersion> &served() const = 0;
 
+  /// @return whether the engine says that it is cold: it bears one request at a
+  /// time until it is warm.
+  virtual bool cold() const = 0;
+
   /// Calls \p Hook after each change of `served`.
   virtual void onServed(std::function<void()> Hook) = 0;
 
--- a/rosemarylane/tests/process/OutageTest.cpp
+++ b/rosemarylane/tests/process/OutageTest.cpp
@@ -81,4 +81,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(slow_answers_are_not_taken_for_silent) {
+  FleetOptions Options;
+  Options.EnginesPerDomain = 1;
+  Options.EngineArguments = {"--first-token-us", "2500000"};
+  Options.ServiceArguments = {"--latency-ms", "2500"};
+  Fleet F(Options);
+  const std::string &Entry = F.entries()[0]->Http;
+  auto Order = F.caller().start(Entry, F.order("slow", "tankard"));
+  for (bool Stream : {true, false}) {
+    auto Chat = F.caller().call(Entry, F.chat("slow", Stream));
+    BOOST_TEST(Fleet::textOf(Chat, Stream) == F.expectedText("slow"),
+               Chat.status() << Chat.body() << Chat.Error);
+  }
+  auto Told = Order.get();
+  BOOST_TEST(Told.ok(), Told.status() << Told.body() << Told.Error);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
