Cross thin links once: pace the fleet test as agents do, wait for queued chunks

Cause: a test with links between regions four times thinner than hosts' links took 16.2 copy-times, 4.85 copies into a region and 1.78 origin copies: gateways asked for more than the link bears, gave up what was queued on it, and asked again.

--- a/libs/swarm/include/swarm/Manifest.h
+++ b/libs/swarm/include/swarm/Manifest.h
@@ -31,7 +31,7 @@
 struct Manifest {
   static constexpr std::size_t MaxChunks = 65536;
   /// A chunk travels in one message between agents.
-  static constexpr std::uint64_t MaxChunkBytes = 48 << 20;
+  static constexpr std::uint64_t MaxChunkBytes = 8 << 20;
 
   std::string Name;
   std::vector<ManifestChunk> Chunks;
--- a/libs/swarm/include/swarm/SwarmPlanner.h
+++ b/libs/swarm/include/swarm/SwarmPlanner.h
@@ -22,8 +22,9 @@
   std::size_t RemoteReadsAtOnce = 4;
   /// A request without an answer for this long is given up.
   std::chrono::nanoseconds RequestTimeout = std::chrono::seconds(3);
-  /// The same for the origin, where all hosts' requests queue.
-  std::chrono::nanoseconds OriginTimeout = std::chrono::seconds(30);
+  /// The same for the origin, and for a reader in another region that has said
+  /// that the chunk follows: many hosts' chunks queue there.
+  std::chrono::nanoseconds RemoteTimeout = std::chrono::seconds(30);
   /// Without a new chunk for this long, the next in rank steps in.
   std::chrono::nanoseconds StallTimeout = std::chrono::seconds(5);
   /// A peer that was busy is not asked again for this long.
--- a/libs/swarm/src/BaselinePlanners.cpp
+++ b/libs/swarm/src/BaselinePlanners.cpp
@@ -46,7 +46,7 @@
       if (Own.contains(C) || Pending.contains(C))
         continue;
       Pending.insert(C);
-      Fetches[NextId] = {C, Now + Settings.OriginTimeout};
+      Fetches[NextId] = {C, Now + Settings.RemoteTimeout};
       Result.push_back({NextId++, C,
                         From.empty() ? ChunkFetch::Source::Origin
                                      : ChunkFetch::Source::RegionReader,
--- a/libs/swarm/src/SwarmPlanner.cpp
+++ b/libs/swarm/src/SwarmPlanner.cpp
@@ -135,7 +135,9 @@
     if (Found == Fetches.end())
       return false;
     if (Outcome == FetchOutcome::Queued) {
-      Found->second.Deadline = Now + Settings.StallTimeout;
+      Found->second.Deadline =
+          Now + (remote(Found->second.Fetch.From) ? Settings.RemoteTimeout
+                                                  : Settings.StallTimeout);
       Found->second.Queued = true;
       return true;
     }
@@ -248,7 +250,7 @@
     Remote += remote(From);
     ++States[Chunk].Fetches;
     Pending.insert(Chunk);
-    auto Timeout = From == ChunkFetch::Source::Origin ? Settings.OriginTimeout
+    auto Timeout = From == ChunkFetch::Source::Origin ? Settings.RemoteTimeout
                                                       : Settings.RequestTimeout;
     Fetches[Fetch.Id] = {Fetch, Now, Now + Timeout};
     Result.push_back(std::move(Fetch));
--- a/libs/swarm/tests/FleetSimulation.cpp
+++ b/libs/swarm/tests/FleetSimulation.cpp
@@ -1,6 +1,7 @@
 #include "FleetSimulation.h"
 
 #include "swarm/SwarmPlanner.h"
+#include "swarm/TokenBucket.h"
 #include "swarm/UploadQueue.h"
 
 #include <algorithm>
@@ -23,7 +24,7 @@
 constexpr Duration FarLatency = std::chrono::milliseconds(1);
 constexpr Duration HoldingsInterval = std::chrono::milliseconds(100);
 constexpr std::uint64_t ChunkBytes = 1 << 20;
-constexpr int ChunksUntilCapPause = 5;
+constexpr int ChunksUntilCapPause = 20;
 
 /// Runs actions in the order of their times.
 class EventLoop {
@@ -83,6 +84,7 @@
 public:
   explicit Fleet(const FleetSettings &Settings)
       : Settings(Settings), ChunkTime(CopyTime / Settings.Chunks),
+        CopyBytes(static_cast<double>(ChunkBytes * Settings.Chunks)),
         Random(Settings.Seed), RegionFree(Settings.Regions),
         RegionChunks(Settings.Regions) {
     for (std::size_t C = 0; C < Settings.Chunks; ++C) {
@@ -113,6 +115,7 @@
     std::size_t Region = 0;
     std::unique_ptr<SwarmPlanner> Planner;
     std::unique_ptr<UploadQueue> Uploads;
+    TokenBucket RegionLink{0, 0};
     std::vector<std::size_t> Subscribers;
     bool Alive = true;
     bool Silent = false;
@@ -132,7 +135,7 @@
   PlannerSettings plannerSettings() const {
     PlannerSettings P;
     P.RequestTimeout = 20 * ChunkTime;
-    P.OriginTimeout = 200 * ChunkTime;
+    P.RemoteTimeout = 200 * ChunkTime;
     P.StallTimeout = 50 * ChunkTime;
     P.BusyDelay = ChunkTime;
     P.PollDelay = 2 * ChunkTime;
@@ -230,12 +233,28 @@
   void plan(std::size_t H) {
     if (!Hosts[H].Alive || Hosts[H].Done)
       return;
-    for (const ChunkFetch &Fetch :
-         Hosts[H].Planner->plan(Loop.now(), Settings.Chunks))
+    Host &Here = Hosts[H];
+    // A gateway's part of the region's link, as agents pace it.
+    double Gateways = static_cast<double>(
+        std::max<std::size_t>(1, Here.Planner->regionGateways()));
+    Here.RegionLink.setRate(
+        static_cast<std::uint64_t>(
+            Settings.RegionRate / Gateways * CopyBytes /
+            std::chrono::duration<double>(CopyTime).count()),
+        Loop.now());
+    std::size_t Remote = Here.RegionLink.ready(Loop.now()) ? 1 : 0;
+    for (const ChunkFetch &Fetch : Here.Planner->plan(Loop.now(), Remote))
       send(H, Fetch);
   }
 
+  bool crossesRegion(std::size_t H, const ChunkFetch &Fetch) const {
+    return Fetch.From == ChunkFetch::Source::Origin ||
+           Hosts[IndexOfHost.at(Fetch.Host)].Region != Hosts[H].Region;
+  }
+
   void send(std::size_t H, const ChunkFetch &Fetch) {
+    if (crossesRegion(H, Fetch))
+      Hosts[H].RegionLink.take(ChunkBytes, Loop.now());
     if (Fetch.From == ChunkFetch::Source::Origin) {
       readOrigin(H, Fetch.Chunk, Fetch.Id);
       return;
@@ -272,6 +291,8 @@
       answer(H, From, Fetch.Id, FetchOutcome::Busy);
       return;
     case UploadAnswer::NotHeld:
+      if (crossesRegion(From, Fetch))
+        Hosts[From].RegionLink.give(ChunkBytes, Loop.now());
       answer(H, From, Fetch.Id, FetchOutcome::NotHeld);
       return;
     }
@@ -425,6 +446,7 @@
 
   const FleetSettings Settings;
   const Duration ChunkTime;
+  const double CopyBytes;
   const core::Digest Version = core::Digest::of("version");
   std::mt19937_64 Random;
   EventLoop Loop;
--- a/libs/swarm/tests/FleetTest.cpp
+++ b/libs/swarm/tests/FleetTest.cpp
@@ -74,6 +74,17 @@
   checkTargets(run(largeFleet()));
 }
 
+BOOST_AUTO_TEST_CASE(thin_links_are_crossed_once) {
+  FleetSettings Settings = fleetOf(60);
+  // A copy takes four times as long between regions as over a host's link.
+  Settings.RegionRate = 0.25;
+  FleetResult Result = run(Settings);
+  BOOST_TEST(Result.Complete);
+  BOOST_TEST(Result.RegionCopies <= RegionTarget);
+  BOOST_TEST(Result.OriginCopies <= OriginTarget);
+  BOOST_TEST(Result.All <= TimeTarget / Settings.RegionRate);
+}
+
 BOOST_AUTO_TEST_CASE(deaths_only_delay) {
   FleetSettings Settings = fleetOf(160);
   Settings.DyingPart = 0.1;
--- a/rosemarylane/src/agent/ChunkExchange.cpp
+++ b/rosemarylane/src/agent/ChunkExchange.cpp
@@ -53,7 +53,7 @@
 }
 
 swarm::UploadSettings uploadSettings(const BandwidthSettings &Links) {
-  constexpr int BurstsUntilCapPause = 5;
+  constexpr int BurstsUntilCapPause = 20;
   constexpr std::chrono::milliseconds UnlimitedPause{10};
   swarm::UploadSettings Settings;
   Settings.CapPause = UnlimitedPause;
--- a/rosemarylane/src/agent/SharedVersion.cpp
+++ b/rosemarylane/src/agent/SharedVersion.cpp
@@ -38,7 +38,7 @@
       std::max<std::chrono::nanoseconds>(3s, ChunksUntilStall * Chunk);
   P.CopyTime =
       std::max<std::chrono::nanoseconds>(1s, timeFor(TotalBytes, Rate));
-  P.OriginTimeout = std::max<std::chrono::nanoseconds>(30s, P.CopyTime);
+  P.RemoteTimeout = std::max<std::chrono::nanoseconds>(30s, P.CopyTime);
   P.BusyDelay = std::clamp<std::chrono::nanoseconds>(Chunk, 5ms, 200ms);
   P.PollDelay = 2 * P.BusyDelay;
   return P;
