--- a/rosemarylane/tests/process/WeightFaultTest.cpp
+++ b/rosemarylane/tests/process/WeightFaultTest.cpp
@@ -1,7 +1,6 @@
 /// Faults while weights are fetched, loaded and switched: they only delay a
 /// rollout, and nothing is answered from partial or mixed weights.
 
-#include "Completion.h"
 #include "WeightFleet.h"
 
 #include <algorithm>
@@ -31,15 +30,10 @@
       Text = Fleet::textOf(Answer, true);
       return Answer.ok();
     });
-    bool Known = std::any_of(Versions.begin(), Versions.end(),
-                             [&](const std::string &Version) {
-                               rosemarylane::standins::CompletionSource Source;
-                               Source.Model = "draft";
-                               Source.Version = Version;
-                               Source.Prompt = "which?";
-                               Source.Tokens = Running.tokens();
-                               return Source.text() == Text;
-                             });
+    bool Known = std::any_of(
+        Versions.begin(), Versions.end(), [&](const std::string &Version) {
+          return WeightFleet::expectedText(Version, "which?") == Text;
+        });
     BOOST_TEST(Known, "answered " << Text);
   }
 }
--- a/rosemarylane/tests/process/WeightFleet.cpp
+++ b/rosemarylane/tests/process/WeightFleet.cpp
@@ -1,5 +1,7 @@
 #include "WeightFleet.h"
 
+#include "Completion.h"
+
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 #include <sstream>
@@ -14,19 +16,30 @@
 constexpr std::size_t ChunkBytes = 64 << 10;
 constexpr auto LoadLimit = 30s;
 
-FleetOptions engines(std::vector<std::string> Arguments) {
+constexpr std::size_t Tokens = 16;
+
+FleetOptions engines() {
   FleetOptions Options;
   Options.EntriesPerDomain = 1;
   Options.EnginesPerDomain = 2;
   Options.Services = 0;
-  Options.EngineArguments = std::move(Arguments);
+  Options.EngineArguments = {"--tokens", std::to_string(Tokens)};
   return Options;
 }
 
 } // namespace
 
-WeightFleet::WeightFleet(std::vector<std::string> EngineArguments)
-    : Running(engines(std::move(EngineArguments))) {}
+WeightFleet::WeightFleet() : Running(engines()) {}
+
+std::string WeightFleet::expectedText(const std::string &Version,
+                                      const std::string &Prompt) {
+  standins::CompletionSource Source;
+  Source.Model = "draft";
+  Source.Version = Version;
+  Source.Prompt = Prompt;
+  Source.Tokens = Tokens;
+  return Source.text();
+}
 
 std::string WeightFleet::makeVersion(int Seed) {
   json::object Made{{"name", "draft"},
--- a/rosemarylane/tests/process/WeightFleet.h
+++ b/rosemarylane/tests/process/WeightFleet.h
@@ -11,7 +11,7 @@
 /// A fleet of engines whose model is rolled out anew.
 class WeightFleet {
 public:
-  explicit WeightFleet(std::vector<std::string> EngineArguments = {});
+  WeightFleet();
 
   /// Makes a version of 16 chunks at the origin.
   /// @return its digest, as hexadecimal digits.
@@ -38,6 +38,10 @@
   /// The sum of a metric over all agents.
   double metric(const std::string &Name);
 
+  /// @return what an engine with \p Version answers.
+  static std::string expectedText(const std::string &Version,
+                                  const std::string &Prompt);
+
   Fleet &fleet() { return Running; }
   std::vector<Fleet::Host *> agents() { return Running.engineAgents(); }
 
