--- a/libs/swarm/include/swarm/ReaderRanks.h
+++ b/libs/swarm/include/swarm/ReaderRanks.h
@@ -44,13 +44,14 @@
   bool gateway() const { return OwnGateway; }
   /// @return the gateways of the whole fleet.
   std::size_t gateways() const { return GatewayCount; }
-  /// @return the gateways of the own region.
-  std::size_t regionGateways() const { return RegionGatewayCount; }
+  /// @return the part of the version's chunks that this host brings into its
+  /// region; never 0 for a gateway, which may have to step in.
+  double regionPart() const { return RegionPart; }
 
 private:
   std::vector<Readers> ByChunk;
   std::size_t GatewayCount = 0;
-  std::size_t RegionGatewayCount = 0;
+  double RegionPart = 0;
   bool OwnGateway = false;
 };
 
--- a/libs/swarm/include/swarm/SwarmPlanner.h
+++ b/libs/swarm/include/swarm/SwarmPlanner.h
@@ -116,9 +116,9 @@
   virtual std::vector<ChunkFetch> plan(core::TimePoint Now,
                                        std::size_t RemoteReads) = 0;
 
-  /// @return the hosts of the own region that read from the origin and other
-  /// regions; 0 before the members are known.
-  virtual std::size_t regionGateways() const = 0;
+  /// @return the part of the version that this host reads from the origin and
+  /// other regions for its own region; 0 before the members are known.
+  virtual double regionPart() const = 0;
 
   /// A fetch ended. `Queued` does not end it.
   /// @return false if the fetch was given up before; for `Stored`, also if the
--- a/libs/swarm/src/BaselinePlanners.cpp
+++ b/libs/swarm/src/BaselinePlanners.cpp
@@ -26,7 +26,9 @@
   const std::vector<core::HostId> &view() const override { return NoView; }
   void peerHolds(const core::HostId &, ChunkSet, TimePoint) override {}
   void demanded(std::size_t, ChunkFetch::Source) override {}
-  std::size_t regionGateways() const override { return Members.size(); }
+  double regionPart() const override {
+    return Members.empty() ? 0 : 1.0 / static_cast<double>(Members.size());
+  }
   void storedLate(std::size_t Chunk, TimePoint) override { Own.insert(Chunk); }
   void lost(std::size_t Chunk) override { Own.erase(Chunk); }
   const ChunkSet &held() const override { return Own; }
--- a/libs/swarm/src/ReaderRanks.cpp
+++ b/libs/swarm/src/ReaderRanks.cpp
@@ -11,6 +11,9 @@
 
 using Index = std::uint32_t;
 
+/// Of an even part, what a gateway has at least.
+constexpr double LeastPart = 0.25;
+
 std::uint64_t weight(std::uint64_t KeyHash, std::uint64_t MemberHash) {
   std::array<std::uint64_t, 2> Both{KeyHash, MemberHash};
   return XXH3_64bits(Both.data(), sizeof(Both));
@@ -73,10 +76,6 @@
   std::vector<Index> Gateways =
       chooseGateways(std::hash<core::Digest>()(Version), Members, Hashes);
   GatewayCount = Gateways.size();
-  RegionGatewayCount = static_cast<std::size_t>(
-      std::count_if(Gateways.begin(), Gateways.end(), [&](Index G) {
-        return Members[G].Region == Members[Self].Region;
-      }));
   OwnGateway =
       std::find(Gateways.begin(), Gateways.end(), Self) != Gateways.end();
   std::vector<Index> Neighbours;
@@ -84,6 +83,7 @@
     if (Members[I].FailureDomain == Members[Self].FailureDomain && I != Self)
       Neighbours.push_back(I);
 
+  std::size_t Read = 0;
   ByChunk.reserve(Chunks.size());
   for (const core::Digest &Chunk : Chunks) {
     std::uint64_t Key = std::hash<core::Digest>()(Chunk);
@@ -103,7 +103,12 @@
         R.DomainRank += N == Reader || weight(Key, Hashes[N]) > Own;
     }
     ByChunk.push_back(R);
+    Read += Reader == Self;
   }
+  if (OwnGateway)
+    RegionPart = std::max(LeastPart / static_cast<double>(Gateways.size()),
+                          static_cast<double>(Read) /
+                              static_cast<double>(Chunks.size()));
 }
 
 } // namespace rosemarylane::swarm
--- a/libs/swarm/src/SwarmPlanner.cpp
+++ b/libs/swarm/src/SwarmPlanner.cpp
@@ -125,9 +125,7 @@
     return Result;
   }
 
-  std::size_t regionGateways() const override {
-    return Members.empty() ? 0 : Ranks.regionGateways();
-  }
+  double regionPart() const override { return Ranks.regionPart(); }
 
   bool finished(std::uint64_t Id, FetchOutcome Outcome,
                 TimePoint Now) override {
--- a/libs/swarm/tests/FleetSimulation.cpp
+++ b/libs/swarm/tests/FleetSimulation.cpp
@@ -235,11 +235,9 @@
       return;
     Host &Here = Hosts[H];
     // A gateway's part of the region's link, as agents pace it.
-    double Gateways = static_cast<double>(
-        std::max<std::size_t>(1, Here.Planner->regionGateways()));
     Here.RegionLink.setRate(
         static_cast<std::uint64_t>(
-            Settings.RegionRate / Gateways * CopyBytes /
+            Settings.RegionRate * Here.Planner->regionPart() * CopyBytes /
             std::chrono::duration<double>(CopyTime).count()),
         Loop.now());
     std::size_t Remote = Here.RegionLink.ready(Loop.now()) ? 1 : 0;
--- a/rosemarylane/src/agent/ChunkExchange.cpp
+++ b/rosemarylane/src/agent/ChunkExchange.cpp
@@ -202,10 +202,9 @@
   /// @return requests to other regions and the origin that the thin link bears.
   std::size_t remoteReads(SharedVersion &Shared, TimePoint Now) {
     std::uint64_t Limit = Context.Config.Bandwidth.RegionLink;
-    std::size_t Gateways = Shared.planner()->regionGateways();
-    if (Limit == 0 || Gateways == 0)
+    double Part = RegionLinkPart * Shared.planner()->regionPart();
+    if (Limit == 0 || Part == 0)
       return Unpaced;
-    auto Part = RegionLinkPart / static_cast<double>(Gateways);
     RegionLink.setRate(
         static_cast<std::uint64_t>(static_cast<double>(Limit) * Part), Now);
     return RegionLink.ready(Now) ? 1 : 0;
