--- a/bench/src/Experiment.cpp
+++ b/bench/src/Experiment.cpp
@@ -16,9 +16,7 @@
 constexpr std::uint64_t DraftBytes = 1 << 20;
 constexpr std::uint64_t DraftChunkBytes = 128 << 10;
 constexpr std::chrono::seconds ServeLimit{30};
-constexpr int SteadyTokens = 8;
 constexpr std::chrono::microseconds SteadyTokenInterval{10000};
-constexpr int SteadyConcurrency = 8;
 
 std::string bearer() { return std::string("Bearer ") + Fleet::CallerToken; }
 
@@ -31,7 +29,8 @@
        "service while a failure domain leaves and returns; parts: planned, cut",
        runFailureDomain},
       {"replicas",
-       "time until a version has its replicas; parts: swarm, origin, tree",
+       "time until a version has its replicas; parts: a number of hosts, "
+       "origin, tree",
        runReplicas},
       {"config",
        "time until a configuration is in force everywhere; parts: normal, "
@@ -42,7 +41,7 @@
       {"overload", "goodput and latency by class above capacity", runOverload},
       {"control-cost",
        "bytes, processor time and memory by role; parts: entries, agents, "
-       "catalogue, domains, changes",
+       "catalogue, holdings, full-domain, domains, changes",
        runControlCost},
   };
   return All;
@@ -122,13 +121,9 @@
           "--first-token-us",
           "0",
           "--concurrency",
-          std::to_string(SteadyConcurrency)};
+          std::to_string(SteadyEngineConcurrency)};
 }
 
-const double SteadyEngineRequestsPerSecond =
-    SteadyConcurrency /
-    std::chrono::duration<double>(SteadyTokens * SteadyTokenInterval).count();
-
 std::vector<std::string> originRate(std::uint64_t BytesPerSecond) {
   return {"--origin-rate", std::to_string(BytesPerSecond)};
 }
--- a/rosemarylane/src/agent/ChunkExchange.cpp
+++ b/rosemarylane/src/agent/ChunkExchange.cpp
@@ -2,11 +2,10 @@
 
 #include "agent/ChunkTransfers.h"
 #include "agent/ChunkUploads.h"
+#include "agent/ManifestFetch.h"
 #include "agent/SharedVersion.h"
-#include "core/Rendezvous.h"
 #include "swarm/ClassShare.h"
 #include "swarm/TokenBucket.h"
-#include "telemetry/Log.h"
 
 #include <algorithm>
 #include <map>
@@ -18,14 +17,13 @@
 using core::TimePoint;
 using Status = ChunkTransfers::Status;
 
-constexpr std::chrono::milliseconds StepInterval{10};
+constexpr std::chrono::milliseconds BusyInterval{10};
+constexpr std::chrono::milliseconds IdleInterval{100};
 /// The least time between two messages that tell a peer what is held here.
 constexpr std::chrono::milliseconds HoldingsInterval{100};
 /// A peer follows holdings for this long after it asked for them.
 constexpr std::chrono::seconds FollowFor{3};
 constexpr std::chrono::seconds FollowRenewal{1};
-constexpr std::chrono::milliseconds ManifestPoll{100};
-constexpr std::chrono::seconds ManifestTimeout{3};
 /// Bytes that an idle link may save up.
 constexpr std::uint64_t LinkBurst = 256 << 10;
 /// Of a link between regions, the part that weights may take.
@@ -76,12 +74,16 @@
         Metrics(*Context.Metrics), Transfers(Context, Send, Metrics),
         Uploads(Send, Store, Uplink, Metrics,
                 uploadSettings(Context.Config.Bandwidth)),
+        Manifests(Self, Store, Transfers,
+                  {[this](const core::Digest &Version, swarm::Manifest Whole) {
+                     manifestFound(Version, std::move(Whole));
+                   },
+                   [this](const core::Digest &Version) {
+                     this->To.OnFull(Version);
+                   }}),
         Alive(std::make_shared<bool>(true)) {
-    Timer = Context.Timers->every(StepInterval, *Context.Control,
-                                  [this, Guard = std::weak_ptr<bool>(Alive)] {
-                                    if (Guard.lock())
-                                      step();
-                                  });
+    IdleTimer =
+        Context.Timers->every(IdleInterval, *Context.Control, stepTask());
   }
 
   void setWanted(std::vector<Wanted> Newer) override {
@@ -106,6 +108,7 @@
     for (const auto &[Version, Old] : Versions)
       if (!Next.contains(Version)) {
         Uploads.forget(Version);
+        Manifests.forget(Version);
         Share.forget(Version);
       }
     Versions = std::move(Next);
@@ -140,12 +143,32 @@
 
   // ---- Steps ----
 
+  runtime::Duty::Task stepTask() {
+    return [this, Guard = std::weak_ptr<bool>(Alive)] {
+      if (Guard.lock())
+        step();
+    };
+  }
+
+  /// Steps often only while chunks move, so that an agent at rest costs little.
+  void setPace() {
+    bool Busy = Uploads.due();
+    for (const auto &[Version, Shared] : Versions)
+      Busy |= !Shared->planner() || !Shared->planner()->held().full();
+    if (Busy && !BusyTimer.active())
+      BusyTimer =
+          Context.Timers->every(BusyInterval, *Context.Control, stepTask());
+    else if (!Busy)
+      BusyTimer.cancel();
+  }
+
   void step() {
     TimePoint Now = now();
+    setPace();
     countLiveTraffic(Now);
     for (auto &[Version, Shared] : Versions) {
       if (!Shared->manifest())
-        fetchManifest(*Shared, Now);
+        Manifests.advance(Shared->want(), Now);
       tellHoldings(*Shared, Now);
     }
     planFetches(Now);
@@ -311,97 +334,13 @@
       To.OnFull(What.Version);
   }
 
-  // ---- Manifests ----
-
-  void fetchManifest(SharedVersion &Shared, TimePoint Now) {
-    if (Shared.ManifestAsked &&
-        Now - Shared.ManifestAskedAt > ManifestTimeout) {
-      Shared.ManifestAsked = false;
-      ++Shared.ManifestAttempt;
-    }
-    if (Shared.ManifestAsked || Now < Shared.ManifestRetryAt)
-      return;
-    Shared.ManifestAsked = true;
-    Shared.ManifestAskedAt = Now;
-    if (Store.holds(Shared.version()))
-      readManifest(Shared.version());
-    else
-      askManifest(Shared);
-  }
-
-  void readManifest(const core::Digest &Version) {
-    Store.read(Version, [this, Version](const ChunkStore::Bytes &Data) {
-      SharedVersion *Shared = find(Version);
-      if (!Shared)
-        return;
-      Shared->ManifestAsked = false;
-      auto Parsed =
-          Data ? swarm::Manifest::parseVersion(Version, *Data)
-               : core::failure(swarm::ManifestError{"not in the engine"});
-      if (!Parsed) {
-        Store.remove(Version);
-        return;
-      }
-      Shared->setManifest(std::move(*Parsed), Store, Context.Config,
-                          NextEpoch++, now());
-      To.OnProgress(Version);
-      step();
-    });
-  }
-
-  /// Asks the first in rank of the failure domain, who asks the first of the
-  /// fleet, who asks the origin; the next of them after a failure.
-  void askManifest(SharedVersion &Shared) {
-    auto Ranked =
-        core::rendezvousRank(Shared.version().bytes(), Shared.want().Peers,
-                             [](const SharingPeer &P) -> std::string_view {
-                               return P.Host.Host.str();
-                             });
-    std::vector<const SharingPeer *> Sources;
-    auto First = std::find_if(Ranked.begin(), Ranked.end(), [&](const auto &P) {
-      return P.Host.FailureDomain == Self.FailureDomain;
-    });
-    bool FleetFirst = !Ranked.empty() && Ranked[0].Host.Host == Self.Host;
-    if (First != Ranked.end() && First->Host.Host != Self.Host)
-      Sources.push_back(&*First);
-    if (!Ranked.empty() && !FleetFirst)
-      Sources.push_back(&Ranked[0]);
-    Sources.push_back(nullptr);
-    const SharingPeer *From = Sources[Shared.ManifestAttempt % Sources.size()];
-    ChunkTransfers::Asked What{Shared.version(), Shared.version()};
-    if (From) {
-      What.From = distance(Self, From->Host);
-      What.Address = From->Address;
-    }
-    Transfers.ask(What, [this, What](Status How, std::string Data) {
-      manifestEnded(What, How, std::move(Data));
-    });
-  }
-
-  void manifestEnded(const ChunkTransfers::Asked &What, Status How,
-                     std::string Data) {
-    SharedVersion *Shared = find(What.Version);
+  void manifestFound(const core::Digest &Version, swarm::Manifest Whole) {
+    SharedVersion *Shared = find(Version);
     if (!Shared || Shared->manifest())
       return;
-    if (How != Status::Data) {
-      Shared->ManifestAsked = false;
-      Shared->ManifestRetryAt = now() + ManifestPoll;
-      if (How == Status::Failed)
-        ++Shared->ManifestAttempt;
-      return;
-    }
-    // Kept beside the chunks, so that a restarted agent needs nobody else.
-    Store.write(What.Version, std::move(Data),
-                [this, Version = What.Version](auto Written) {
-                  SharedVersion *Shared = find(Version);
-                  if (!Shared)
-                    return;
-                  Shared->ManifestAsked = false;
-                  if (Written)
-                    step();
-                  else if (Written.error().What == EngineError::Kind::Full)
-                    To.OnFull(Version);
-                });
+    Shared->setManifest(std::move(Whole), Store, Context.Config, NextEpoch++,
+                        now());
+    To.OnProgress(Version);
   }
 
   // ---- Peers ----
@@ -507,6 +446,7 @@
   WeightMetrics Metrics;
   ChunkTransfers Transfers;
   ChunkUploads Uploads;
+  ManifestFetch Manifests;
   swarm::ClassShare Share;
   std::map<core::Digest, std::unique_ptr<SharedVersion>> Versions;
   std::uint64_t NextEpoch = 1;
@@ -514,7 +454,8 @@
   std::uint64_t LiveOut = 0;
   std::uint64_t LiveIn = 0;
   std::shared_ptr<bool> Alive;
-  runtime::TimerService::Subscription Timer;
+  runtime::TimerService::Subscription IdleTimer;
+  runtime::TimerService::Subscription BusyTimer;
 };
 
 } // namespace
--- a/rosemarylane/src/agent/SharedVersion.h
+++ b/rosemarylane/src/agent/SharedVersion.h
@@ -68,11 +68,6 @@
 
   // What the exchange remembers between its steps.
 
-  /// Sources of the manifest that failed.
-  std::size_t ManifestAttempt = 0;
-  core::TimePoint ManifestRetryAt{};
-  bool ManifestAsked = false;
-  core::TimePoint ManifestAskedAt{};
   /// Holdings changed since they were told.
   bool Untold = true;
   core::TimePoint ToldAt{};
--- a/rosemarylane/tests/process/Fleet.cpp
+++ b/rosemarylane/tests/process/Fleet.cpp
@@ -28,16 +28,13 @@
 constexpr char OperatorToken[] = "operator-token";
 constexpr char CallerToken[] = "caller-token";
 
-/// What an engine answers unless its arguments say otherwise.
-constexpr std::size_t TokensOfAnswer = 16;
-
 constexpr auto StartLimit = 20s;
 
 int takePorts() {
   static int Fleets = 0;
   const char *Given = std::getenv("PROCESS_TESTS_FIRST_PORT");
-  int FirstPort = Given ? std::atoi(Given) : DefaultFirstPort;
-  return FirstPort + PortsPerFleet * (Fleets++ % FleetsBeforeReuse);
+  int First = Given ? std::atoi(Given) : DefaultFirstPort;
+  return First + PortsPerFleet * (Fleets++ % FleetsBeforeReuse);
 }
 
 std::string bearer(const char *Token) { return std::string("Bearer ") + Token; }
--- a/rosemarylane/tests/process/WeightFleet.cpp
+++ b/rosemarylane/tests/process/WeightFleet.cpp
@@ -16,14 +16,11 @@
 constexpr std::size_t ChunkBytes = 64 << 10;
 constexpr auto LoadLimit = 30s;
 
-constexpr std::size_t Tokens = 16;
-
 FleetOptions engines() {
   FleetOptions Options;
   Options.EntriesPerDomain = 1;
   Options.EnginesPerDomain = 2;
   Options.Services = 0;
-  Options.EngineArguments = {"--tokens", std::to_string(Tokens)};
   return Options;
 }
 
@@ -37,7 +34,7 @@
   Source.Model = "draft";
   Source.Version = Version;
   Source.Prompt = Prompt;
-  Source.Tokens = Tokens;
+  Source.Tokens = Fleet::TokensOfAnswer;
   return Source.text();
 }
 
