Make room for a new version without fetching into a full engine

The change: a full engine pauses its version's fetch until it changes, and tells readers' peers to ask the next in rank.

--- a/libs/swarm/include/swarm/SwarmPlanner.h
+++ b/libs/swarm/include/swarm/SwarmPlanner.h
@@ -65,7 +65,7 @@
 enum class FetchOutcome {
   /// The chunk came, was checked, and is stored.
   Stored,
-  /// The peer serves others now.
+  /// The peer serves others now; a reader that answers so cannot read.
   Busy,
   NotHeld,
   /// The region's reader will send the chunk later.
--- a/libs/swarm/src/SwarmPlanner.cpp
+++ b/libs/swarm/src/SwarmPlanner.cpp
@@ -145,6 +145,9 @@
     case FetchOutcome::Stored:
       return store(Fetch.Chunk, Now);
     case FetchOutcome::Busy:
+      // A reader that takes no request cannot read now: the next in rank can.
+      if (Fetch.From != ChunkFetch::Source::Neighbour)
+        ++States[Fetch.Chunk].Attempt;
       notNow(Fetch, Now, Settings.BusyDelay);
       break;
     case FetchOutcome::NotHeld:
@@ -347,7 +350,9 @@
     const ChunkState &State = States[Chunk];
     std::vector<SourceChoice> Result;
     auto Add = [&](ChunkFetch::Source From, Index Host) {
-      if (Host != SelfIndex && Host != ReaderRanks::None)
+      bool Known = std::any_of(Result.begin(), Result.end(),
+                               [&](const auto &C) { return C.Host == Host; });
+      if (Host != SelfIndex && Host != ReaderRanks::None && !Known)
         Result.push_back({From, Host});
     };
     bool ReadsOrigin = R.Fleet[0] == SelfIndex ||
--- a/rosemarylane/src/agent/ChunkExchange.cpp
+++ b/rosemarylane/src/agent/ChunkExchange.cpp
@@ -24,6 +24,8 @@
 /// A peer follows holdings for this long after it asked for them.
 constexpr std::chrono::seconds FollowFor{3};
 constexpr std::chrono::seconds FollowRenewal{1};
+/// Nothing is fetched into a full engine for this long, unless it changes.
+constexpr std::chrono::seconds FullPause{2};
 /// Bytes that an idle link may save up.
 constexpr std::uint64_t LinkBurst = 256 << 10;
 /// Of a link between regions, the part that weights may take.
@@ -121,8 +123,10 @@
   }
 
   void storeChanged() override {
-    for (auto &[Version, Shared] : Versions)
+    for (auto &[Version, Shared] : Versions) {
       Shared->compare(Store, now());
+      Shared->PausedUntil = {};
+    }
     step();
   }
 
@@ -200,7 +204,8 @@
   void planFetches(TimePoint Now) {
     std::vector<SharedVersion *> Active;
     for (auto &[Version, Shared] : Versions)
-      if (Shared->planner() && !Shared->planner()->held().full())
+      if (Shared->planner() && !Shared->planner()->held().full() &&
+          Shared->PausedUntil <= Now)
         Active.push_back(Shared.get());
     std::sort(Active.begin(), Active.end(),
               [&](const SharedVersion *A, const SharedVersion *B) {
@@ -327,10 +332,18 @@
 
   void notStored(const ChunkTransfers::Asked &What,
                  const swarm::ChunkFetch &Fetch, const EngineError &Error) {
+    bool Full = Error.What == EngineError::Kind::Full;
     SharedVersion *Shared = find(What.Version);
-    if (Shared && Shared->planner())
-      Shared->planner()->finished(Fetch.Id, swarm::FetchOutcome::Failed, now());
-    if (Error.What == EngineError::Kind::Full)
+    if (Shared && Shared->planner()) {
+      // The peer is not to blame for a full engine.
+      Shared->planner()->finished(Fetch.Id,
+                                  Full ? swarm::FetchOutcome::Busy
+                                       : swarm::FetchOutcome::Failed,
+                                  now());
+      if (Full)
+        Shared->PausedUntil = now() + FullPause;
+    }
+    if (Full)
       To.OnFull(What.Version);
   }
 
@@ -368,6 +381,11 @@
       return;
     }
     bool ForReader = Away != Distance::Domain || Request.wait();
+    // Into a full engine nothing can be read for others.
+    if (ForReader && !Store.holds(*Chunk) && Shared->PausedUntil > now()) {
+      Uploads.refuse(From, Request.id(), wire::ChunkReply::STATUS_BUSY);
+      return;
+    }
     if (ForReader && Shared->planner() && !Store.holds(*Chunk))
       Shared->planner()->demanded(
           *Index, Request.wait() ? swarm::ChunkFetch::Source::RegionReader
--- a/rosemarylane/src/agent/SharedVersion.h
+++ b/rosemarylane/src/agent/SharedVersion.h
@@ -68,6 +68,8 @@
 
   // What the exchange remembers between its steps.
 
+  /// The engine's memory was full.
+  core::TimePoint PausedUntil{};
   /// Holdings changed since they were told.
   bool Untold = true;
   core::TimePoint ToldAt{};
--- a/rosemarylane/tests/process/WeightFaultTest.cpp
+++ b/rosemarylane/tests/process/WeightFaultTest.cpp
@@ -151,4 +151,24 @@
   checkAnswers(F, {Last});
 }
 
+BOOST_AUTO_TEST_CASE(an_old_version_makes_room_for_a_new_one) {
+  // Room for one and a half of the versions that are made here.
+  WeightFleet F({"--memory-bytes", "1700000"});
+  constexpr unsigned Floor = 2;
+  std::string First = F.makeVersion(8);
+  F.rollOut(First, Floor);
+  F.awaitLoadedByAll(First);
+  std::string Second = F.makeVersion(9);
+  F.rollOut(Second, Floor);
+  std::size_t Fewest = F.agents().size();
+  Fleet::await("all engines have loaded the second version", SettleLimit, [&] {
+    std::size_t New = F.loadedBy(Second);
+    Fewest = std::min(Fewest, New + F.loadedBy(First));
+    return New == F.agents().size();
+  });
+  BOOST_TEST(Fewest >= Floor);
+
+  checkAnswers(F, {Second});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/rosemarylane/tests/process/WeightFleet.cpp
+++ b/rosemarylane/tests/process/WeightFleet.cpp
@@ -16,17 +16,19 @@
 constexpr std::size_t ChunkBytes = 64 << 10;
 constexpr auto LoadLimit = 30s;
 
-FleetOptions engines() {
+FleetOptions engines(std::vector<std::string> Arguments) {
   FleetOptions Options;
   Options.EntriesPerDomain = 1;
   Options.EnginesPerDomain = 2;
   Options.Services = 0;
+  Options.EngineArguments = std::move(Arguments);
   return Options;
 }
 
 } // namespace
 
-WeightFleet::WeightFleet() : Running(engines()) {}
+WeightFleet::WeightFleet(std::vector<std::string> EngineArguments)
+    : Running(engines(std::move(EngineArguments))) {}
 
 std::string WeightFleet::expectedText(const std::string &Version,
                                       const std::string &Prompt) {
--- a/rosemarylane/tests/process/WeightFleet.h
+++ b/rosemarylane/tests/process/WeightFleet.h
@@ -11,7 +11,7 @@
 /// A fleet of engines whose model is rolled out anew.
 class WeightFleet {
 public:
-  WeightFleet();
+  explicit WeightFleet(std::vector<std::string> EngineArguments = {});
 
   /// Makes a version of 16 chunks at the origin.
   /// @return its digest, as hexadecimal digits.
