Let a version pass one that waits; a test of adapters; await the first version

Cause: a version ahead of its turn waited while the first had any request open, also one queued at a slow reader, so the link could lie idle. The change: it waits only while the first has as many pulls as allowed. A run of weight_faults failed once on a machine with load 170: the first case took the version of an engine that had not loaded one yet. The fleet is now awaited; the checks are the same.

--- a/libs/swarm/include/swarm/SwarmPlanner.h
+++ b/libs/swarm/include/swarm/SwarmPlanner.h
@@ -120,6 +120,10 @@
   /// other regions for its own region; 0 before the members are known.
   virtual double regionPart() const = 0;
 
+  /// @return whether as many pulls are in progress as are allowed, so that the
+  /// downlink is this version's limit.
+  virtual bool saturated() const = 0;
+
   /// A fetch ended. `Queued` does not end it.
   /// @return false if the fetch was given up before; for `Stored`, also if the
   /// chunk had come another way.
--- a/libs/swarm/src/BaselinePlanners.cpp
+++ b/libs/swarm/src/BaselinePlanners.cpp
@@ -29,6 +29,7 @@
   double regionPart() const override {
     return Members.empty() ? 0 : 1.0 / static_cast<double>(Members.size());
   }
+  bool saturated() const override { return false; }
   void storedLate(std::size_t Chunk, TimePoint) override { Own.insert(Chunk); }
   void lost(std::size_t Chunk) override { Own.erase(Chunk); }
   const ChunkSet &held() const override { return Own; }
--- a/libs/swarm/src/SwarmPlanner.cpp
+++ b/libs/swarm/src/SwarmPlanner.cpp
@@ -127,6 +127,8 @@
 
   double regionPart() const override { return Ranks.regionPart(); }
 
+  bool saturated() const override { return Pulls >= Settings.PullsAtOnce; }
+
   bool finished(std::uint64_t Id, FetchOutcome Outcome,
                 TimePoint Now) override {
     auto Found = Fetches.find(Id);
--- a/rosemarylane/src/agent/ChunkExchange.cpp
+++ b/rosemarylane/src/agent/ChunkExchange.cpp
@@ -201,6 +201,7 @@
   // ---- Chunks ----
 
   /// Lets each version ask for chunks, in the order of their classes' turns.
+  /// One that is ahead waits only while the first uses all that it may.
   void planFetches(TimePoint Now) {
     std::vector<SharedVersion *> Active;
     for (auto &[Version, Shared] : Versions)
@@ -214,8 +215,8 @@
     for (SharedVersion *Shared : Active) {
       bool Ahead = Share.turn(Shared->version()) >
                    Share.turn(Active.front()->version()) + TurnSlack;
-      bool FirstIdle = Active.front()->InProgress.empty();
-      if (!Downlink.ready(Now) || (Ahead && !FirstIdle))
+      if (!Downlink.ready(Now) ||
+          (Ahead && Active.front()->planner()->saturated()))
         return;
       plan(*Shared, Now);
     }
@@ -254,7 +255,6 @@
         What.From == Distance::Origin || What.From == Distance::Remote;
     if (Remote)
       RegionLink.take(Chunk.Bytes, Now);
-    Shared.InProgress.insert(Fetch.Id);
     Transfers.ask(What, [this, Fetch, What,
                          Epoch = Shared.epoch()](Status How, std::string Data) {
       ended(What, current(What.Version, Fetch, Epoch), How, std::move(Data));
@@ -285,8 +285,6 @@
       received(*Shared, What, Fetch, std::move(Data));
       return;
     }
-    if (How != Status::Queued)
-      Shared->InProgress.erase(Fetch.Id);
     Shared->planner()->finished(Fetch.Id, outcomeOf(How), now());
     planFetches(now());
   }
@@ -299,7 +297,6 @@
     Share.charge(Shared.version(), Shared.want().Class, Bytes);
     if (What.From != Distance::Origin)
       ReceivedFromPeers += Bytes;
-    Shared.InProgress.erase(Fetch.Id);
     if (Store.holds(What.Id)) {
       Metrics.duplicate(Bytes);
       stored(What, Fetch);
--- a/rosemarylane/src/agent/SharedVersion.cpp
+++ b/rosemarylane/src/agent/SharedVersion.cpp
@@ -113,7 +113,6 @@
     Planner.reset();
     Chunks.clear();
     ChunkIndex.clear();
-    InProgress.clear();
     return;
   }
   for (std::size_t I = 0; I < Chunks.size(); ++I) {
--- a/rosemarylane/src/agent/SharedVersion.h
+++ b/rosemarylane/src/agent/SharedVersion.h
@@ -11,7 +11,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -74,8 +73,6 @@
   bool Untold = true;
   core::TimePoint ToldAt{};
   core::TimePoint RenewedAt{};
-  /// Fetches that wait for an answer.
-  std::set<std::uint64_t> InProgress;
 
 private:
   ChunkExchange::Wanted Want;
--- a/rosemarylane/tests/process/WeightFaultTest.cpp
+++ b/rosemarylane/tests/process/WeightFaultTest.cpp
@@ -171,4 +171,17 @@
   checkAnswers(F, {Second});
 }
 
+BOOST_AUTO_TEST_CASE(an_adapter_arrives_beside_a_new_version_of_its_base) {
+  WeightFleet F;
+  constexpr unsigned AdapterReplicas = 2;
+  std::string Base = F.makeVersion(10);
+  std::string Adapter = F.makeVersion(11);
+  F.rollOut(Base, 2, WeightFleet::Adapter{Adapter, AdapterReplicas});
+  F.awaitLoadedByAll(Base);
+  Fleet::await("the adapter has its replicas", SettleLimit, [&] {
+    return F.loadedBy(Adapter, WeightFleet::AdapterName) == AdapterReplicas;
+  });
+  checkAnswers(F, {Base});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/rosemarylane/tests/process/WeightFleet.cpp
+++ b/rosemarylane/tests/process/WeightFleet.cpp
@@ -28,7 +28,10 @@
 } // namespace
 
 WeightFleet::WeightFleet(std::vector<std::string> EngineArguments)
-    : Running(engines(std::move(EngineArguments))) {}
+    : Running(engines(std::move(EngineArguments))) {
+  Fleet::await("every engine has loaded the first version", LoadLimit,
+               [&] { return loadedBy("") == 0; });
+}
 
 std::string WeightFleet::expectedText(const std::string &Version,
                                       const std::string &Prompt) {
@@ -60,7 +63,8 @@
   return Running.caller().call(Running.entries().front()->Http, Request);
 }
 
-void WeightFleet::rollOut(const std::string &Version, unsigned ServingFloor) {
+void WeightFleet::rollOut(const std::string &Version, unsigned ServingFloor,
+                          const std::optional<Adapter> &WithAdapter) {
   Fleet::await("the catalogue is changed", LoadLimit, [&] {
     CallResult Current = admin("GET", "/admin/v1/catalogue", "", "");
     if (!Current.ok())
@@ -69,6 +73,16 @@
     json::object &Entry = Document.at("entries").as_array().at(0).as_object();
     Entry["version"] = Version;
     Entry["serving_floor"] = ServingFloor;
+    if (WithAdapter)
+      Document.at("entries").as_array().push_back(
+          json::object{{"name", AdapterName},
+                       {"owner", "registry"},
+                       {"kind", "engine"},
+                       {"class", "batch"},
+                       {"limits", {{"concurrency", 8}}},
+                       {"replicas", WithAdapter->Replicas},
+                       {"base_model", Model},
+                       {"version", WithAdapter->Version}});
     json::object Next{{"workspaces", Document.at("workspaces")},
                       {"entries", Document.at("entries")}};
     CallResult Changed =
@@ -80,13 +94,16 @@
   });
 }
 
-std::string WeightFleet::loaded(const Fleet::Host &Host) {
+std::string WeightFleet::loaded(const Fleet::Host &Host,
+                                const std::string &Name) {
   auto Answer = Running.caller().get(Host.Target, "/control/v1/state");
   if (!Answer.ok())
     return "";
   json::value State = Answer.json();
-  const json::array &Models = State.at("loaded").as_array();
-  return Models.empty() ? "" : std::string(Models[0].at("version").as_string());
+  for (const json::value &Loaded : State.at("loaded").as_array())
+    if (Loaded.at("name").as_string() == Name)
+      return std::string(Loaded.at("version").as_string());
+  return "";
 }
 
 std::set<std::string> WeightFleet::chunks(const Fleet::Host &Host) {
@@ -100,10 +117,11 @@
   return Result;
 }
 
-std::size_t WeightFleet::loadedBy(const std::string &Version) {
+std::size_t WeightFleet::loadedBy(const std::string &Version,
+                                  const std::string &Name) {
   std::size_t Count = 0;
   for (const Fleet::Host *Agent : agents())
-    Count += loaded(*Agent) == Version;
+    Count += loaded(*Agent, Name) == Version;
   return Count;
 }
 
--- a/rosemarylane/tests/process/WeightFleet.h
+++ b/rosemarylane/tests/process/WeightFleet.h
@@ -3,6 +3,7 @@
 
 #include "Fleet.h"
 
+#include <optional>
 #include <set>
 #include <string>
 
@@ -17,14 +18,24 @@
   /// @return its digest, as hexadecimal digits.
   std::string makeVersion(int Seed);
 
+  /// An adapter of the model, as an entry of its own.
+  struct Adapter {
+    std::string Version;
+    unsigned Replicas = 1;
+  };
+  static constexpr char Model[] = "draft";
+  static constexpr char AdapterName[] = "draft-adapter";
+
   /// Changes the catalogue to \p Version.
-  void rollOut(const std::string &Version, unsigned ServingFloor);
+  void rollOut(const std::string &Version, unsigned ServingFloor,
+               const std::optional<Adapter> &WithAdapter = std::nullopt);
 
-  /// @return the version that a host's engine has loaded.
-  std::string loaded(const Fleet::Host &Host);
+  /// @return the version that a host's engine has loaded under a name.
+  std::string loaded(const Fleet::Host &Host, const std::string &Name = Model);
   /// @return the chunks, manifests included, in a host's engine.
   std::set<std::string> chunks(const Fleet::Host &Host);
-  std::size_t loadedBy(const std::string &Version);
+  std::size_t loadedBy(const std::string &Version,
+                       const std::string &Name = Model);
   void awaitLoadedByAll(const std::string &Version);
 
   /// @return what the operators' status says of load errors, in one string.
