--- a/libs/swarm/include/swarm/SwarmPlanner.h
+++ b/libs/swarm/include/swarm/SwarmPlanner.h
@@ -22,8 +22,9 @@
   std::size_t RemoteReadsAtOnce = 4;
   /// A request without an answer for this long is given up.
   std::chrono::nanoseconds RequestTimeout = std::chrono::seconds(3);
-  /// The same for the origin, where all hosts' requests queue.
-  std::chrono::nanoseconds OriginTimeout = std::chrono::seconds(30);
+  /// The same for the origin, and for a reader in another region that has said
+  /// that the chunk follows: many hosts' chunks queue there.
+  std::chrono::nanoseconds RemoteTimeout = std::chrono::seconds(30);
   /// Without a new chunk for this long, the next in rank steps in.
   std::chrono::nanoseconds StallTimeout = std::chrono::seconds(5);
   /// A peer that was busy is not asked again for this long.
@@ -64,7 +65,7 @@
 enum class FetchOutcome {
   /// The chunk came, was checked, and is stored.
   Stored,
-  /// The peer serves others now.
+  /// The peer serves others now; a reader that answers so cannot read.
   Busy,
   NotHeld,
   /// The region's reader will send the chunk later.
@@ -115,9 +116,13 @@
   virtual std::vector<ChunkFetch> plan(core::TimePoint Now,
                                        std::size_t RemoteReads) = 0;
 
-  /// @return the hosts of the own region that read from the origin and other
-  /// regions; 0 before the members are known.
-  virtual std::size_t regionGateways() const = 0;
+  /// @return the part of the version that this host reads from the origin and
+  /// other regions for its own region; 0 before the members are known.
+  virtual double regionPart() const = 0;
+
+  /// @return whether as many pulls are in progress as are allowed, so that the
+  /// downlink is this version's limit.
+  virtual bool saturated() const = 0;
 
   /// A fetch ended. `Queued` does not end it.
   /// @return false if the fetch was given up before; for `Stored`, also if the
--- a/libs/swarm/src/SwarmPlanner.cpp
+++ b/libs/swarm/src/SwarmPlanner.cpp
@@ -125,9 +125,9 @@
     return Result;
   }
 
-  std::size_t regionGateways() const override {
-    return Members.empty() ? 0 : Ranks.regionGateways();
-  }
+  double regionPart() const override { return Ranks.regionPart(); }
+
+  bool saturated() const override { return Pulls >= Settings.PullsAtOnce; }
 
   bool finished(std::uint64_t Id, FetchOutcome Outcome,
                 TimePoint Now) override {
@@ -135,7 +135,9 @@
     if (Found == Fetches.end())
       return false;
     if (Outcome == FetchOutcome::Queued) {
-      Found->second.Deadline = Now + Settings.StallTimeout;
+      Found->second.Deadline =
+          Now + (remote(Found->second.Fetch.From) ? Settings.RemoteTimeout
+                                                  : Settings.StallTimeout);
       Found->second.Queued = true;
       return true;
     }
@@ -145,6 +147,9 @@
     case FetchOutcome::Stored:
       return store(Fetch.Chunk, Now);
     case FetchOutcome::Busy:
+      // A reader that takes no request cannot read now: the next in rank can.
+      if (Fetch.From != ChunkFetch::Source::Neighbour)
+        ++States[Fetch.Chunk].Attempt;
       notNow(Fetch, Now, Settings.BusyDelay);
       break;
     case FetchOutcome::NotHeld:
@@ -248,7 +253,7 @@
     Remote += remote(From);
     ++States[Chunk].Fetches;
     Pending.insert(Chunk);
-    auto Timeout = From == ChunkFetch::Source::Origin ? Settings.OriginTimeout
+    auto Timeout = From == ChunkFetch::Source::Origin ? Settings.RemoteTimeout
                                                       : Settings.RequestTimeout;
     Fetches[Fetch.Id] = {Fetch, Now, Now + Timeout};
     Result.push_back(std::move(Fetch));
@@ -347,7 +352,9 @@
     const ChunkState &State = States[Chunk];
     std::vector<SourceChoice> Result;
     auto Add = [&](ChunkFetch::Source From, Index Host) {
-      if (Host != SelfIndex && Host != ReaderRanks::None)
+      bool Known = std::any_of(Result.begin(), Result.end(),
+                               [&](const auto &C) { return C.Host == Host; });
+      if (Host != SelfIndex && Host != ReaderRanks::None && !Known)
         Result.push_back({From, Host});
     };
     bool ReadsOrigin = R.Fleet[0] == SelfIndex ||
--- a/rosemarylane/src/agent/WeightService.cpp
+++ b/rosemarylane/src/agent/WeightService.cpp
@@ -4,6 +4,7 @@
 #include "agent/ChunkStore.h"
 #include "agent/EngineControl.h"
 #include "agent/ReplicaView.h"
+#include "agent/WantedEntry.h"
 #include "core/Time.h"
 #include "swarm/Placement.h"
 #include "swarm/Rollout.h"
@@ -22,8 +23,6 @@
 constexpr std::chrono::milliseconds OrderRetryDelay{500};
 /// Questions in a row without an answer after which the engine counts as down.
 constexpr int SilentPollsUntilDown = 2;
-/// Orders for a version that the engine turned down before it is given up.
-constexpr int LoadAttempts = 2;
 /// A cold engine without requests counts as warm after this long.
 constexpr std::chrono::seconds IdleUntilWarm{5};
 
@@ -91,7 +90,8 @@
     for (const ServedVersion &S : Served)
       ByEntry[S.Entry].set_serving(true);
     for (const auto &[Name, Want] : Wants)
-      describe(Want, ByEntry[Name]);
+      describeFetch(Want, Exchange->manifest(Want.Version), Store,
+                    ByEntry[Name]);
     std::vector<wire::Holding> Result;
     for (auto &[Name, Holding] : ByEntry) {
       Holding.set_entry(Name.str());
@@ -106,18 +106,6 @@
   void engineChanged() override { readAgain(); }
 
 private:
-  /// An entry that this engine should hold.
-  struct Want {
-    core::Digest Version;
-    core::TrafficClass Class = core::TrafficClass::Standard;
-    std::optional<core::EntryName> Base;
-    std::string LoadError;
-    int Attempts = 0;
-    /// The engine's memory does not hold the old and the new version.
-    bool NoRoom = false;
-    core::TimePoint RetryAt{};
-  };
-
   std::weak_ptr<bool> guard() const { return Alive; }
 
   // ---- What the engine holds ----
@@ -221,43 +209,13 @@
     if (!Listed ||
         Config->outOfService(Context.Config.Host, Context.Config.FailureDomain))
       return;
-    std::map<core::EntryName, Want> Next;
-    for (const core::EntryName &Name :
-         swarm::wantedAt(Context.Config.Host, *Config, Agents)) {
-      const core::CatalogueEntry &Entry = *Config->entry(Name);
-      Want &W = Next[Name];
-      if (auto Old = Wants.find(Name);
-          Old != Wants.end() && Old->second.Version == Entry.Version)
-        W = Old->second;
-      W.Version = Entry.Version;
-      W.Class = Entry.Class;
-      W.Base = Entry.BaseModel;
-    }
-    Wants = std::move(Next);
-    share(*Config, Agents);
+    const Members &Fleet = Heartbeats.agents();
+    Wants = wantedEntries(Context.Config.Host, *Config, Fleet, Wants);
+    Exchange->setWanted(sharedVersions(Wants, *Config, Fleet));
     publish();
     advance();
   }
 
-  /// Tells the exchange which versions to fetch, and whom to share them with.
-  void share(const core::Configuration &Config,
-             const std::vector<swarm::EngineHost> &Agents) {
-    std::map<core::HostId, std::string> Addresses;
-    for (const wire::MemberSummary &Member : Heartbeats.agents())
-      Addresses[core::HostId(Member.member().host())] =
-          Member.member().peer_address();
-    std::vector<ChunkExchange::Wanted> Versions;
-    for (const auto &[Name, W] : Wants) {
-      ChunkExchange::Wanted V{
-          W.Version, W.Class, Config.entry(Name)->Replicas, {}};
-      for (const swarm::EngineHost &Replica :
-           swarm::replicaHosts(*Config.entry(Name), Config, Agents))
-        V.Peers.push_back({Replica, Addresses[Replica.Host]});
-      Versions.push_back(std::move(V));
-    }
-    Exchange->setWanted(std::move(Versions));
-  }
-
   // ---- Orders ----
 
   /// Gives the next order that is due, one at a time.
@@ -309,9 +267,9 @@
       Store.remove(Id);
   }
 
-  bool due(const core::EntryName &Name, Want &W) {
-    if (loadedVersion(Name) == W.Version || W.Attempts >= LoadAttempts ||
-        now() < W.RetryAt || !whole(W.Version))
+  bool due(const core::EntryName &Name, WantedEntry &W) {
+    if (loadedVersion(Name) == W.Version || W.givenUp() || now() < W.RetryAt ||
+        !whole(W.Version))
       return false;
     if (W.Base && loadedVersion(*W.Base).none())
       return false;
@@ -330,10 +288,7 @@
   /// @return whether every chunk of \p Version is in the engine's memory.
   bool whole(const core::Digest &Version) const {
     const swarm::Manifest *M = Exchange->manifest(Version);
-    return M && std::all_of(M->Chunks.begin(), M->Chunks.end(),
-                            [&](const swarm::ManifestChunk &C) {
-                              return Store.holds(C.Id);
-                            });
+    return M && holdsAll(Store, *M);
   }
 
   swarm::SwitchDecision decide(const core::EntryName &Name,
@@ -410,7 +365,7 @@
     });
   }
 
-  void orderLoad(const core::EntryName &Name, const Want &W,
+  void orderLoad(const core::EntryName &Name, const WantedEntry &W,
                  const swarm::Manifest &M) {
     LoadOrder Order{
         Name, W.Version, {}, W.Base, Configuration.current()->Revision};
@@ -428,7 +383,7 @@
                  const std::optional<EngineError> &Error) {
     auto Found = Wants.find(Name);
     if (Error && Found != Wants.end() && Found->second.Version == Version) {
-      Want &W = Found->second;
+      WantedEntry &W = Found->second;
       W.RetryAt = now() + OrderRetryDelay;
       if (Error->What == EngineError::Kind::Rejected) {
         ++W.Attempts;
@@ -501,23 +456,6 @@
     Heartbeats.sendNow();
   }
 
-  void describe(const Want &W, wire::Holding &Holding) const {
-    if (Holding.version() == W.Version.bytes())
-      return;
-    Holding.set_fetching(digestBytes(W.Version));
-    Holding.set_load_error(W.LoadError);
-    if (W.Attempts >= LoadAttempts)
-      Holding.set_failed_version(digestBytes(W.Version));
-    const swarm::Manifest *M = Exchange->manifest(W.Version);
-    if (!M)
-      return;
-    auto Held = std::count_if(
-        M->Chunks.begin(), M->Chunks.end(),
-        [&](const swarm::ManifestChunk &C) { return Store.holds(C.Id); });
-    Holding.set_fetched_permille(
-        static_cast<std::uint32_t>(1000 * Held / M->Chunks.size()));
-  }
-
   ProcessContext &Context;
   ConfigurationService &Configuration;
   HeartbeatService &Heartbeats;
@@ -536,7 +474,7 @@
   /// Counts the reasons to doubt answers to questions asked before.
   std::uint64_t Doubts = 0;
   int SilentPolls = 0;
-  std::map<core::EntryName, Want> Wants;
+  WantedEntries Wants;
   /// The entry that an order is in progress for.
   std::optional<core::EntryName> Ordering;
   /// The order has been answered, but not yet read back.
