--- a/bench/include/bench/Fleet.h
+++ b/bench/include/bench/Fleet.h
@@ -132,7 +132,9 @@
                        const FleetMember &Member) const;
   core::Result<void, FleetError> startStandins(const FleetShape &Shape);
   core::Result<void, FleetError> startPrograms();
-  core::Result<void, FleetError> waitAnswering(const std::string &Address,
+  /// Waits until \p Of answers \p Target with success.
+  core::Result<void, FleetError> waitAnswering(Process &Of,
+                                               const std::string &Address,
                                                const std::string &Target);
   std::string logPath(const std::string &Name) const;
   std::string takeAddress();
--- a/bench/src/Fleet.cpp
+++ b/bench/src/Fleet.cpp
@@ -207,10 +207,11 @@
     if (Done)
       Done = startTarget(Shape, Agent);
   if (Done)
-    Done = waitAnswering(PlatformAddress, "/v1/hosts");
+    Done = waitAnswering(*Platform, PlatformAddress, "/v1/hosts");
   for (FleetMember &Agent : Agents)
     if (Done)
-      Done = waitAnswering(Agent.TargetAddress, "/control/v1/state");
+      Done = waitAnswering(Agent.Target ? *Agent.Target : *SharedEngines,
+                           Agent.TargetAddress, "/control/v1/state");
   if (!Done)
     return Done;
   return Http->send("PUT", PlatformAddress, "/v1/hosts", HostsJson)
@@ -224,7 +225,9 @@
         return Done;
   for (auto *Members : {&Agents, &Entries})
     for (FleetMember &Member : *Members)
-      if (auto Done = waitAnswering(Member.HttpAddress, "/healthz"); !Done)
+      if (auto Done =
+              waitAnswering(*Member.Program, Member.HttpAddress, "/healthz");
+          !Done)
         return Done;
   return {};
 }
