--- a/rosemarylane/tests/process/Fleet.h
+++ b/rosemarylane/tests/process/Fleet.h
@@ -32,6 +32,10 @@
 /// Throws if it does not come up. Everything ends with it.
 class Fleet {
 public:
+  /// The number of tokens of an engine's answer, unless its arguments say
+  /// otherwise.
+  static constexpr std::size_t TokensOfAnswer = 16;
+
   /// An entry or agent, with what it needs to be started again.
   struct Host {
     std::string Name;
