--- a/bench/src/Fleet.cpp
+++ b/bench/src/Fleet.cpp
@@ -242,17 +242,22 @@
       });
 }
 
-core::Result<void, FleetError> Fleet::waitAnswering(const std::string &Address,
+core::Result<void, FleetError> Fleet::waitAnswering(Process &Of,
+                                                    const std::string &Address,
                                                     const std::string &Target) {
   std::string Last;
-  bool Answers = waitFor(StartLimit, [&] {
+  bool Answers = false;
+  waitFor(StartLimit, [&] {
     auto Answer = Http->get(Address, Target);
     if (!Answer)
       Last = Answer.error().Detail;
-    return Answer.has_value();
+    Answers = Answer.has_value();
+    return Answers || !Of.running();
   });
   if (Answers)
     return {};
+  if (auto Code = Of.waitForExit(std::chrono::milliseconds(0)))
+    Last += "; ended with " + std::to_string(*Code);
   return core::failure(FleetError{"does not answer: " + Last});
 }
 
