--- a/rosemarylane/src/entry/LedgerService.cpp
+++ b/rosemarylane/src/entry/LedgerService.cpp
@@ -24,9 +24,6 @@
 /// An entry that did not reply in time is passed over for this long.
 constexpr auto SuspectTime = 2000ms;
 
-/// The clocks of callers and entries may differ by this much.
-constexpr auto ClockTolerance = 5min;
-
 ledger::StoreReply::Kind failureKind(const platform::StoreError &Error) {
   return Error.What == platform::StoreError::Kind::Unknown
              ? ledger::StoreReply::Kind::Lost
@@ -36,7 +33,7 @@
 class LedgerServiceImpl final : public LedgerService {
 public:
   LedgerServiceImpl(ProcessContext &Context, const MessageSender &Send)
-      : Context(Context), Send(Send),
+      : Context(Context), Send(Send), Limits(limitsOf(Context.Config)),
         WallStart(std::chrono::system_clock::now()),
         SteadyStart(std::chrono::steady_clock::now()),
         Tick(Context.Timers->every(TickInterval, *Context.Control,
@@ -47,7 +44,8 @@
 
   void claim(const LedgerKey &Key, const ClaimedAttempt &Attempt,
              std::function<void(ClaimOutcome)> OnDone) override {
-    if (expired(Key.IdempotencyKey)) {
+    if (!ledger::usableKey(Key.IdempotencyKey, wallNow(),
+                           Limits.Values.Retention)) {
       ClaimOutcome Outcome;
       Outcome.What = ClaimOutcome::Kind::Expired;
       return OnDone(std::move(Outcome));
@@ -101,6 +99,12 @@
     std::function<void()> OnTimeout;
   };
 
+  static ledger::CommitterLimits limitsOf(const Settings &Config) {
+    ledger::CommitterLimits Limits;
+    Limits.Values.Retention = Config.LedgerRetention;
+    return Limits;
+  }
+
   /// 16 random hexadecimal digits.
   static std::string segmentPrefix() {
     std::random_device Source;
@@ -119,17 +123,6 @@
     return WallStart + Running;
   }
 
-  /// Whether a key tells that it was made so long ago that its claim may have
-  /// been forgotten, or so far ahead that it may outlive its claim.
-  bool expired(const std::string &IdempotencyKey) const {
-    auto MadeAt = ledger::timeOfKey(IdempotencyKey);
-    if (!MadeAt)
-      return false;
-    auto Age = wallNow() - *MadeAt;
-    return Age < -ClockTolerance ||
-           Age > Limits.Values.Retention - 2 * ClockTolerance;
-  }
-
   std::optional<EntryPeer> preferredOf(std::uint32_t Partition) const {
     std::string Key = ledger::partitionStoreKey(Partition);
     auto Ranked = core::rendezvousRank(
