--- a/libs/routing/src/Ramp.cpp
+++ b/libs/routing/src/Ramp.cpp
@@ -22,6 +22,12 @@
   setLimit(Limit);
 }
 
+void Ramp::setHeld(bool Value, std::uint32_t InProgress) {
+  if (Value && !Held)
+    restart(InProgress);
+  Held = Value;
+}
+
 void Ramp::restart(std::uint32_t InProgress) {
   ++Restarts;
   Smoothed = 0;
@@ -57,9 +63,15 @@
 
 bool Ramp::looksCold(double Latency) const {
   if (probing())
-    return Latency > Settings.ColdAbove * BaselineBeforeProbe;
+    return exceeds(Latency, Settings.ColdAbove, BaselineBeforeProbe);
   return BaselineCount >= Settings.RoundSamples &&
-         Latency > Settings.ColdAbove * Baseline;
+         exceeds(Latency, Settings.ColdAbove, Baseline);
+}
+
+bool Ramp::exceeds(double Latency, double Multiple, double Reference) const {
+  std::chrono::duration<double, std::nano> Tolerance = Settings.Tolerance;
+  return Latency >= Multiple * Reference &&
+         Latency >= Reference + Tolerance.count();
 }
 
 void Ramp::failed(std::uint32_t InProgress) {
@@ -104,21 +116,22 @@
   } else if (Samples > 0) {
     double Mean = SampleSum / Samples;
     ++RoundsSinceProbe;
-    if (!judgeRound(Mean) || RoundsSinceProbe >= Settings.ProbeRounds)
+    bool Due = Limit < Ceiling && RoundsSinceProbe >= Settings.ProbeRounds;
+    if (!judgeRound(Mean) || Due)
       beginProbe(Mean);
   }
   beginRound(InProgress);
 }
 
 bool Ramp::judgeRound(double Mean) {
-  bool Slow = BaselineCount > 0 && Mean >= Settings.GrowBelow * Baseline;
+  bool Slow = BaselineCount > 0 && exceeds(Mean, Settings.GrowBelow, Baseline);
   SlowInRow = Slow ? SlowInRow + 1 : 0;
   if (Loaded || SlowInRow >= Settings.SlowRounds)
     return false;
   if (Slow)
     return true;
   extendBaseline();
-  if (Reached)
+  if (Reached && !Held)
     setLimit(Limit + std::max(1.0, Limit * Settings.Growth));
   return true;
 }
@@ -141,7 +154,7 @@
     extendBaseline();
   else
     Baseline = BaselineBeforeProbe;
-  Loaded = MeanBeforeProbe > Settings.LoadedAbove * Baseline;
+  Loaded = exceeds(MeanBeforeProbe, Settings.LoadedAbove, Baseline);
   setLimit(Loaded ? Resumed * Settings.BackOff : Resumed);
 }
 
--- a/rosemarylane/src/entry/MembershipService.cpp
+++ b/rosemarylane/src/entry/MembershipService.cpp
@@ -1,5 +1,6 @@
 #include "entry/MembershipService.h"
 
+#include "common/HostListReader.h"
 #include "common/MemberMessages.h"
 #include "core/Time.h"
 #include "entry/SummaryExchange.h"
@@ -13,6 +14,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <prometheus/gauge.h>
 
 namespace rosemarylane {
 
@@ -23,10 +25,32 @@
 using routing::Membership;
 using std::chrono::milliseconds;
 
-constexpr milliseconds HostListPeriod{3000};
 /// A gap between two ticks above which this process must have been paused.
 constexpr milliseconds PauseThreshold{1000};
 
+/// What operators see of the membership.
+struct MemberGauges {
+  explicit MemberGauges(prometheus::Registry &Metrics)
+      : Alive(prometheus::BuildGauge()
+                  .Name("rosemarylane_members_alive")
+                  .Help("Processes of the fleet that this entry takes for "
+                        "alive")
+                  .Register(Metrics)),
+        Entries(Alive.Add({{"role", "entry"}})),
+        Agents(Alive.Add({{"role", "agent"}})),
+        Suspects(prometheus::BuildGauge()
+                     .Name("rosemarylane_suspect_requests")
+                     .Help("Requests seen at a target's death, quarantined "
+                           "ones included")
+                     .Register(Metrics)
+                     .Add({})) {}
+
+  prometheus::Family<prometheus::Gauge> &Alive;
+  prometheus::Gauge &Entries;
+  prometheus::Gauge &Agents;
+  prometheus::Gauge &Suspects;
+};
+
 class MembershipServiceImpl : public MembershipService {
 public:
   MembershipServiceImpl(ProcessContext &Context, const MessageSender &Send,
@@ -39,19 +63,21 @@
             {[this](const wire::Peer &To, wire::Envelope Message) {
                this->Send.send(To, std::move(Message));
              },
-             [this](const core::HostId &Host) { Selector.reported(Host); }}) {}
+             [this](const core::HostId &Host) { Selector.reported(Host); }}),
+        HostListing(
+            Context, [this](auto Hosts) { Listed = std::move(Hosts); },
+            [this] { return knowsOthers(); }),
+        Gauges(*Context.Metrics) {}
 
   void start() {
     LastTick = now();
     observeSelf();
-    HostListTimer = Context.Timers->every(HostListPeriod, *Context.Control,
-                                          [this] { readHostList(); });
     SummaryTimer = Context.Timers->every(
         SummaryExchange::Period, *Context.Control, [this] { sendSummaries(); });
     HeartbeatTimer =
         Context.Timers->every(routing::HeartbeatSchedule::Period,
                               *Context.Control, [this] { tick(); });
-    readHostList();
+    HostListing.start();
   }
 
   void receive(const wire::Peer &From, const wire::Envelope &Message) override {
@@ -179,7 +205,7 @@
   void tick() {
     core::TimePoint Now = now();
     if (Now - LastTick > PauseThreshold)
-      Members.discountPause(Now - LastTick);
+      Members.discountPause(Now - LastTick, Now);
     LastTick = Now;
     observeSelf();
     Members.expire(Now);
@@ -188,6 +214,7 @@
     updateAgents();
     sendHeartbeats();
     tellEntries();
+    updateMetrics();
   }
 
   void sendHeartbeats() {
@@ -293,6 +320,18 @@
     return std::chrono::duration_cast<milliseconds>(Now - Known.HeardAt);
   }
 
+  void updateMetrics() {
+    double AliveEntries = 0;
+    double AliveAgents = 0;
+    core::TimePoint Now = now();
+    for (const auto &[Who, Known] : Members.records())
+      if (Members.state(Known, Now) == Membership::State::Alive)
+        ++(Who.Role == MemberRole::Entry ? AliveEntries : AliveAgents);
+    Gauges.Entries.Set(AliveEntries);
+    Gauges.Agents.Set(AliveAgents);
+    Gauges.Suspects.Set(static_cast<double>(Suspects.size()));
+  }
+
   void tellEntries() {
     std::vector<LedgerService::EntryPeer> Fleet;
     std::vector<core::HostId> Domain;
@@ -314,13 +353,15 @@
       Hook(Fleet, Domain);
   }
 
-  void readHostList() {
-    Context.Hosts->read([this](core::Result<std::vector<platform::ListedHost>,
-                                            platform::StoreError>
-                                   Read) {
-      if (Read)
-        Listed = std::move(*Read);
-    });
+  bool knowsOthers() const {
+    core::TimePoint Now = now();
+    return std::any_of(Members.records().begin(), Members.records().end(),
+                       [&](const auto &Item) {
+                         return Item.first.Role == MemberRole::Entry &&
+                                Item.first.Host != Context.Config.Host &&
+                                Members.state(Item.second, Now) ==
+                                    Membership::State::Alive;
+                       });
   }
 
   ProcessContext &Context;
@@ -344,7 +385,8 @@
   std::optional<std::uint64_t> LastEntries;
   runtime::TimerService::Subscription HeartbeatTimer;
   runtime::TimerService::Subscription SummaryTimer;
-  runtime::TimerService::Subscription HostListTimer;
+  HostListReader HostListing;
+  MemberGauges Gauges;
 };
 
 } // namespace
