--- a/rosemarylane/src/agent/SharedVersion.h
+++ b/rosemarylane/src/agent/SharedVersion.h
@@ -11,7 +11,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -68,17 +67,12 @@
 
   // What the exchange remembers between its steps.
 
-  /// Sources of the manifest that failed.
-  std::size_t ManifestAttempt = 0;
-  core::TimePoint ManifestRetryAt{};
-  bool ManifestAsked = false;
-  core::TimePoint ManifestAskedAt{};
+  /// The engine's memory was full.
+  core::TimePoint PausedUntil{};
   /// Holdings changed since they were told.
   bool Untold = true;
   core::TimePoint ToldAt{};
   core::TimePoint RenewedAt{};
-  /// Fetches that wait for an answer.
-  std::set<std::uint64_t> InProgress;
 
 private:
   ChunkExchange::Wanted Want;
