--- a/bench/src/Fleet.cpp
+++ b/bench/src/Fleet.cpp
@@ -207,10 +207,11 @@
     if (Done)
       Done = startTarget(Shape, Agent);
   if (Done)
-    Done = waitAnswering(PlatformAddress, "/v1/hosts");
+    Done = waitAnswering(*Platform, PlatformAddress, "/v1/hosts");
   for (FleetMember &Agent : Agents)
     if (Done)
-      Done = waitAnswering(Agent.TargetAddress, "/control/v1/state");
+      Done = waitAnswering(Agent.Target ? *Agent.Target : *SharedEngines,
+                           Agent.TargetAddress, "/control/v1/state");
   if (!Done)
     return Done;
   return Http->send("PUT", PlatformAddress, "/v1/hosts", HostsJson)
@@ -224,7 +225,9 @@
         return Done;
   for (auto *Members : {&Agents, &Entries})
     for (FleetMember &Member : *Members)
-      if (auto Done = waitAnswering(Member.HttpAddress, "/healthz"); !Done)
+      if (auto Done =
+              waitAnswering(*Member.Program, Member.HttpAddress, "/healthz");
+          !Done)
         return Done;
   return {};
 }
@@ -239,17 +242,22 @@
       });
 }
 
-core::Result<void, FleetError> Fleet::waitAnswering(const std::string &Address,
+core::Result<void, FleetError> Fleet::waitAnswering(Process &Of,
+                                                    const std::string &Address,
                                                     const std::string &Target) {
   std::string Last;
-  bool Answers = waitFor(StartLimit, [&] {
+  bool Answers = false;
+  waitFor(StartLimit, [&] {
     auto Answer = Http->get(Address, Target);
     if (!Answer)
       Last = Answer.error().Detail;
-    return Answer.has_value();
+    Answers = Answer.has_value();
+    return Answers || !Of.running();
   });
   if (Answers)
     return {};
+  if (auto Code = Of.waitForExit(std::chrono::milliseconds(0)))
+    Last += "; ended with " + std::to_string(*Code);
   return core::failure(FleetError{"does not answer: " + Last});
 }
 
