--- a/libs/wire/include/wire/PeerNode.h
+++ b/libs/wire/include/wire/PeerNode.h
@@ -45,9 +45,12 @@
   std::string Listen;
   /// Messages that wait for one peer before more to it are dropped.
   int HighWaterMark = 4096;
-  std::chrono::milliseconds HeartbeatInterval{400};
+  std::chrono::milliseconds HeartbeatInterval{700};
   /// A connection that is silent for this long is closed and replaced.
   std::chrono::milliseconds HeartbeatTimeout{1200};
+  /// An outgoing connection that has carried nothing for this long is closed;
+  /// the next message opens a new one.
+  std::chrono::milliseconds IdleTimeout{30000};
   std::size_t MaxMessageBytes = 64 << 20;
 };
 
@@ -61,6 +64,8 @@
   std::uint64_t Malformed = 0;
   /// Messages dropped because a ring or a connection was full.
   std::uint64_t Dropped = 0;
+  /// Outgoing connections that are open.
+  std::uint64_t Connections = 0;
 };
 
 /// This process's links to others: one listening socket, and one connection to
--- a/libs/wire/src/PeerNode.cpp
+++ b/libs/wire/src/PeerNode.cpp
@@ -62,6 +62,13 @@
 } // namespace
 
 struct PeerNode::State {
+  using Clock = std::chrono::steady_clock;
+
+  struct Connection {
+    std::string RoutingId;
+    Clock::time_point LastUsed;
+  };
+
   State(PeerSettings Settings, runtime::Duty &Deliver, MessageHook OnMessage)
       : Settings(std::move(Settings)), Deliver(Deliver),
         OnMessage(std::move(OnMessage)), Commands(SendRingCapacity),
@@ -88,7 +95,7 @@
                                           {Dialer.handle(), 0, ZMQ_POLLIN, 0},
                                           {nullptr, WakeFd, ZMQ_POLLIN, 0}}};
     while (!Stopping) {
-      zmq::poll(Items.data(), Items.size(), std::chrono::milliseconds(-1));
+      zmq::poll(Items.data(), Items.size(), Settings.IdleTimeout / 2);
       if (Items[0].revents & ZMQ_POLLIN)
         receive(Listener, Peer::Direction::Incoming);
       if (Items[1].revents & ZMQ_POLLIN)
@@ -96,6 +103,7 @@
       if (Items[2].revents & ZMQ_POLLIN)
         drainWake();
       runCommands();
+      closeIdle();
     }
   }
 
@@ -117,19 +125,37 @@
   /// @return the routing id of the connection.
   const std::string &connectionTo(const std::string &Address) {
     auto [Found, New] = Connections.try_emplace(Address);
+    Connection &To = Found->second;
     if (New) {
       // An id is used once: a closed connection may still hold its own.
-      Found->second =
+      To.RoutingId =
           Address + RoutingIdSeparator + std::to_string(NextConnection++);
-      Dialer.set(zmq::sockopt::connect_routing_id, Found->second);
+      Dialer.set(zmq::sockopt::connect_routing_id, To.RoutingId);
       Dialer.connect(endpoint(Address));
+      Open = Connections.size();
     }
-    return Found->second;
+    To.LastUsed = Clock::now();
+    return To.RoutingId;
+  }
+
+  /// Each open connection costs heartbeats, so those out of use are closed.
+  void closeIdle() {
+    Clock::time_point Now = Clock::now();
+    if (Now < NextSweep)
+      return;
+    NextSweep = Now + Settings.IdleTimeout / 2;
+    std::vector<std::string> Idle;
+    for (const auto &[Address, To] : Connections)
+      if (Now - To.LastUsed >= Settings.IdleTimeout)
+        Idle.push_back(Address);
+    for (const std::string &Address : Idle)
+      disconnect(Address);
   }
 
   void disconnect(const std::string &Address) {
     if (Connections.erase(Address) == 0)
       return;
+    Open = Connections.size();
     try {
       Dialer.disconnect(endpoint(Address));
     } catch (const zmq::error_t &) {
@@ -176,11 +202,19 @@
       }
       std::string Key = Id.to_string();
       if (Way == Peer::Direction::Outgoing)
-        Key.resize(Key.find(RoutingIdSeparator));
+        noteUse(Key);
       deliver({Way, std::move(Key)}, Frame);
     }
   }
 
+  /// Turns the routing id \p Key into its address, and notes that the
+  /// connection is in use.
+  void noteUse(std::string &Key) {
+    Key.resize(Key.find(RoutingIdSeparator));
+    if (auto Found = Connections.find(Key); Found != Connections.end())
+      Found->second.LastUsed = Clock::now();
+  }
+
   void deliver(Peer From, const zmq::message_t &Frame) {
     auto Message = std::make_shared<Envelope>();
     if (!Message->ParseFromArray(Frame.data(),
@@ -206,8 +240,10 @@
   zmq::socket_t Listener;
   zmq::socket_t Dialer;
   int WakeFd;
-  /// The routing id of the connection to each address.
-  std::map<std::string, std::string> Connections;
+  /// The outgoing connection to each address.
+  std::map<std::string, Connection> Connections;
+  std::atomic<std::uint64_t> Open{0};
+  Clock::time_point NextSweep;
   std::uint64_t NextConnection = 0;
   std::atomic<bool> Stopping{false};
   std::atomic<std::uint64_t> MessagesIn{0};
@@ -269,6 +305,7 @@
   Counts.BytesOut = S->BytesOut;
   Counts.Malformed = S->Malformed;
   Counts.Dropped = S->Dropped;
+  Counts.Connections = S->Open;
   return Counts;
 }
 
--- a/libs/wire/tests/PeerNodeTest.cpp
+++ b/libs/wire/tests/PeerNodeTest.cpp
@@ -86,6 +86,29 @@
   BOOST_TEST(answeredWithin(**Node, EchoAddress, Answered, Sequence, 2s));
 }
 
+BOOST_AUTO_TEST_CASE(connection_out_of_use_is_closed_and_opened_again) {
+  const char *EchoAddress = "127.0.0.1:21804";
+  auto Duty = runtime::Duty::start("test", 64, nullptr);
+  std::atomic<std::uint64_t> Answered{0};
+  auto Settings = settings("127.0.0.1:21805");
+  Settings.IdleTimeout = 100ms;
+  auto Node = wire::PeerNode::start(
+      Settings, *Duty, [&](const wire::Peer &, wire::Envelope Message) {
+        Answered = Message.heartbeat_reply().sequence();
+      });
+  BOOST_REQUIRE(Node);
+  EchoNode Echo(EchoAddress);
+  std::uint64_t Sequence = 0;
+  BOOST_TEST(answeredWithin(**Node, EchoAddress, Answered, Sequence, 2s));
+  BOOST_TEST((*Node)->traffic().Connections == 1u);
+  auto Deadline = std::chrono::steady_clock::now() + 2s;
+  while ((*Node)->traffic().Connections > 0 &&
+         std::chrono::steady_clock::now() < Deadline)
+    std::this_thread::sleep_for(10ms);
+  BOOST_TEST((*Node)->traffic().Connections == 0u);
+  BOOST_TEST(answeredWithin(**Node, EchoAddress, Answered, Sequence, 2s));
+}
+
 BOOST_AUTO_TEST_CASE(occupied_address_is_an_error) {
   auto Duty = runtime::Duty::start("test", 64, nullptr);
   auto Ignore = [](const wire::Peer &, wire::Envelope) {};
--- a/rosemarylane/src/common/ProcessMetrics.cpp
+++ b/rosemarylane/src/common/ProcessMetrics.cpp
@@ -23,6 +23,8 @@
                        "Revision of the configuration in force")),
         Waiting(gauge("rosemarylane_control_tasks_waiting",
                       "Tasks that wait for the control duty")),
+        Connections(gauge("rosemarylane_peer_connections",
+                          "Open connections to other processes")),
         Messages(counter("rosemarylane_peer_messages_total",
                          "Messages exchanged with other processes")),
         Bytes(counter("rosemarylane_peer_bytes_total",
@@ -55,6 +57,7 @@
   void sample() {
     Waiting.Set(static_cast<double>(Context.Control->waiting()));
     wire::PeerTraffic Counts = Context.Peers->traffic();
+    Connections.Set(static_cast<double>(Counts.Connections));
     raise(Messages.Add({{"direction", "in"}}), Counts.MessagesIn);
     raise(Messages.Add({{"direction", "out"}}), Counts.MessagesOut);
     raise(Bytes.Add({{"direction", "in"}}), Counts.BytesIn);
@@ -66,6 +69,7 @@
   ProcessContext &Context;
   prometheus::Gauge &Revision;
   prometheus::Gauge &Waiting;
+  prometheus::Gauge &Connections;
   prometheus::Family<prometheus::Counter> &Messages;
   prometheus::Family<prometheus::Counter> &Bytes;
   prometheus::Family<prometheus::Counter> &Dropped;
