Never try a quarantined request again; suspects wait for their one target

Suspects refused as busy used up the retry budget within milliseconds. Ruled out: the notice overtaken by the refusal - it arrives first, on the same connection. Change: an attempt's end and the choice of a target both look at the quarantine; the caller of such a request is answered 100 ms later, when all entries have heard; a suspect whose target refused waits 50 ms.

--- a/rosemarylane/src/entry/PendingRequest.h
+++ b/rosemarylane/src/entry/PendingRequest.h
@@ -44,6 +44,8 @@
   /// The latest refusal, told to the caller if no other target is left.
   std::string LastRefusal;
 
+  /// Until a refusal is told.
+  runtime::TimerService::Subscription AnswerDelay;
   /// The answer's head has been sent on as a stream.
   bool StreamStarted = false;
   /// The answer so far; its body is kept unless it is streamed and repeatable.
--- a/rosemarylane/src/entry/RequestHandler.cpp
+++ b/rosemarylane/src/entry/RequestHandler.cpp
@@ -221,8 +221,9 @@
     if (R->StreamStarted)
       return endBroken(R);
     R->MayHaveRun = R->MayHaveRun || End.Ran != ledger::Ran::No;
-    if (End.Reason == wire::REFUSAL_QUARANTINED)
-      return end(R, {ProblemKind::Quarantined, R->ranSoFar(), "", {}});
+    if (End.Reason == wire::REFUSAL_QUARANTINED ||
+        With.Members.quarantined(R->Parsed.Digest))
+      return endQuarantined(R);
     R->Excluded.insert(R->Target->Agent);
     R->LastRefusal = End.Detail;
     if (MayRunAgain && inTime(*R, End) && Retries.tryRetry())
@@ -230,6 +231,16 @@
     end(R, problemOf(*R, End));
   }
 
+  /// The caller may send the request again through another entry at once, so it
+  /// is told only when that entry has heard of the deaths.
+  void endQuarantined(const Pending &R) {
+    constexpr std::chrono::milliseconds NoticeTime{100};
+    R->AnswerDelay = With.Context.Timers->after(
+        NoticeTime, *With.Context.Control, [this, R] {
+          end(R, {ProblemKind::Quarantined, R->ranSoFar(), "", {}});
+        });
+  }
+
   /// An attempt that did not run cost its target nothing, so only the wait
   /// bounds it.
   bool inTime(const PendingRequest &R, const AttemptEnd &End) const {
--- a/rosemarylane/src/entry/TargetSelector.cpp
+++ b/rosemarylane/src/entry/TargetSelector.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds SuspectWait{50};
+
 prometheus::Family<prometheus::Counter> &
 choices(prometheus::Registry &Metrics) {
   return prometheus::BuildCounter()
@@ -34,8 +36,11 @@
 std::optional<MembershipService::Choice>
 TargetSelector::choose(const MembershipService::Wanted &Request,
                        const core::Configuration &Config, core::TimePoint Now) {
-  bool Suspect = Suspects.standing(Request.Digest) ==
-                 routing::Quarantine::Standing::Suspect;
+  using Standing = routing::Quarantine::Standing;
+  Standing Of = Suspects.standing(Request.Digest);
+  if (Of == Standing::Quarantined)
+    return std::nullopt;
+  bool Suspect = Of == Standing::Suspect;
   auto From = candidates(Request, Config, Suspect, Now);
   std::vector<Router::Target> Targets;
   Targets.reserve(From.size());
@@ -46,6 +51,9 @@
                           Targets, std::hash<core::Digest>()(Request.Digest))
                     : Choice.choose(Targets, Request.PrefixHash, Now,
                                     [this] { return Random(); });
+  // A suspect has only this target, and waits for it.
+  if (Picked && Suspect && mustWaitFor(From[*Picked].Of->Host, Now))
+    Picked.reset();
   if (!Picked) {
     NoTarget.Increment();
     return std::nullopt;
@@ -115,10 +123,21 @@
     Outcome = Router::Outcome::Failed;
   else if (How.What == Kind::Refused && How.Reason == wire::REFUSAL_BUSY)
     Outcome = Router::Outcome::Busy;
+  if (Outcome == Router::Outcome::Busy)
+    SuspectsWaitUntil[Agent] = Now + SuspectWait;
   Choice.finished(Agent, Outcome, How.TimeToFirstByte, Now);
 }
 
+bool TargetSelector::mustWaitFor(const core::HostId &Agent,
+                                 core::TimePoint Now) const {
+  auto Found = SuspectsWaitUntil.find(Agent);
+  return Found != SuspectsWaitUntil.end() && Found->second > Now;
+}
+
 void TargetSelector::forgetOthers() {
+  std::erase_if(SuspectsWaitUntil, [this](const auto &Item) {
+    return !Members.find({MemberRole::Agent, Item.first});
+  });
   Choice.forgetIf([this](const core::HostId &Host) {
     return !Members.find({MemberRole::Agent, Host});
   });
--- a/rosemarylane/src/entry/TargetSelector.h
+++ b/rosemarylane/src/entry/TargetSelector.h
@@ -9,6 +9,7 @@
 #include "routing/Quarantine.h"
 #include "routing/Router.h"
 
+#include <map>
 #include <optional>
 #include <prometheus/counter.h>
 #include <prometheus/registry.h>
@@ -53,12 +54,15 @@
                                     bool Suspect, core::TimePoint Now) const;
   routing::Router::Target targetOf(const Candidate &From,
                                    core::TrafficClass Class) const;
+  bool mustWaitFor(const core::HostId &Agent, core::TimePoint Now) const;
   void count(routing::Router::Distance Where);
 
   const Settings &Own;
   const routing::Membership &Members;
   const routing::Quarantine &Suspects;
   routing::Router Choice;
+  /// Until when suspects wait for a target that has just refused.
+  std::map<core::HostId, core::TimePoint> SuspectsWaitUntil;
   std::mt19937_64 Random;
   prometheus::Counter &Local;
   prometheus::Counter &SpilledToRegion;
