--- a/bench/src/experiments/ControlCost.cpp
+++ b/bench/src/experiments/ControlCost.cpp
@@ -16,7 +16,8 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr std::chrono::seconds LoadLimit{60};
-constexpr std::chrono::seconds Settle{5};
+/// Longer than a connection that carries nothing stays open.
+constexpr std::chrono::seconds Settle{34};
 constexpr std::chrono::seconds Measure{6};
 constexpr std::uint64_t VersionBytes = 64 << 10;
 constexpr std::uint64_t ChunkBytes = 64 << 10;
