--- a/bench/src/experiments/Replicas.cpp
+++ b/bench/src/experiments/Replicas.cpp
@@ -21,8 +21,8 @@
 using std::chrono::seconds;
 
 constexpr unsigned DomainCount = 3;
-constexpr std::uint64_t ChunkBytes = 128 << 10;
-constexpr std::uint64_t VersionBytes = 64 * ChunkBytes;
+constexpr std::uint64_t ChunkBytes = 64 << 10;
+constexpr std::uint64_t VersionBytes = 128 * ChunkBytes;
 /// A copy over a host's link takes this long, and longer in fleets whose
 /// traffic would fill the machine.
 constexpr seconds ShortestCopyTime{8};
