Remember who follows a version before its manifest is known

Cause: an agent that got the manifest later than its peers dropped their requests for its holdings, and they asked again only a second later. The change: followers are kept from the first request on; manifests are polled every 50 ms.

--- a/rosemarylane/src/agent/ChunkExchange.cpp
+++ b/rosemarylane/src/agent/ChunkExchange.cpp
@@ -403,18 +403,22 @@
                     const wire::HoldingsUpdate &Update) {
     auto Version = core::Digest::fromBytes(Update.version());
     SharedVersion *Shared = Version ? find(*Version) : nullptr;
-    if (!Shared || !Shared->planner())
+    if (!Shared)
       return;
     core::HostId Peer(Sender.host());
     TimePoint Now = now();
+    // Also before the manifest is known: the peer hears once there is
+    // something to tell.
+    if (Update.interested())
+      Shared->follow(Peer, Now + FollowFor);
+    if (!Shared->planner())
+      return;
     auto Held = swarm::ChunkSet::fromBytes(Shared->planner()->held().size(),
                                            Update.bitmap());
     if (Held)
       Shared->planner()->peerHolds(Peer, std::move(*Held), Now);
-    if (Update.interested()) {
-      Shared->follow(Peer, Now + FollowFor);
+    if (Update.interested())
       tell(*Shared, Peer, /*Interested=*/false);
-    }
     planFetches(Now);
   }
 
--- a/rosemarylane/src/agent/ManifestFetch.cpp
+++ b/rosemarylane/src/agent/ManifestFetch.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds PollDelay{100};
+constexpr std::chrono::milliseconds PollDelay{50};
 constexpr std::chrono::seconds AnswerTimeout{3};
 
 } // namespace
