--- a/libs/ledger/include/ledger/PartitionCommitter.h
+++ b/libs/ledger/include/ledger/PartitionCommitter.h
@@ -54,6 +54,12 @@
   /// A claim that is not certain after this long is answered `Unavailable`.
   std::chrono::milliseconds ClaimDeadline{1500};
   std::chrono::milliseconds RetryInterval{50};
+  /// Swaps are spaced by this much once the burst is used up: what comes
+  /// meanwhile shares the next. Times the number of partitions, this keeps to
+  /// what the platform's service takes.
+  std::chrono::milliseconds SwapInterval{50};
+  /// Swaps that may follow each other at once.
+  unsigned SwapBurst = 20;
   /// Claims waiting above this number are answered `Unavailable` at once.
   std::size_t MaxWaiting = 4096;
 };
@@ -83,6 +89,7 @@
   /// The record is tried until it is written or replaced.
   void record(Record Result, RecordDone OnDone);
 
+  /// Asked after each claim, record and reply, and every few milliseconds.
   /// @param Wall the time by which old claims are forgotten.
   /// @return the store call to make now, if any.
   std::optional<StoreCall> next(core::TimePoint Now, core::WallTime Wall);
@@ -90,9 +97,6 @@
   /// Takes the reply to the call that `next` gave last.
   void complete(StoreReply Reply, core::TimePoint Now);
 
-  /// @return when `next` should be asked again although nothing happened.
-  std::optional<core::TimePoint> wakeAt() const;
-
   /// @return claims and records not yet answered.
   std::size_t waiting() const { return Queue.size() + Batch.size(); }
 
@@ -123,7 +127,7 @@
 
   std::optional<StoreCall> nextSegmentCall();
   StoreCall call(StoreCall Call);
-  void completeHead(StoreReply &Reply);
+  void completeValue(StoreReply &Reply);
   void completeSegment(StoreReply &Reply);
   static bool failedCall(const StoreReply &Reply);
   void startSegment();
@@ -131,7 +135,9 @@
   const Claim *findSealed(const Partition &In, const ClaimKey &Key) const;
   void giveUpLate(core::TimePoint Now);
   ClaimReply lastKnown(const Claim &Wanted) const;
-  std::optional<StoreCall> decide(core::WallTime Wall);
+  std::optional<StoreCall> decide(core::TimePoint Now, core::WallTime Wall);
+  bool maySwap(core::TimePoint Now) const;
+  void countSwap(core::TimePoint Now);
   void apply(Operation &Op, Partition &To) const;
   bool settled(const Operation &Op) const;
   void adopt(StoreReply &Reply);
@@ -166,6 +172,8 @@
   /// The call in progress.
   std::optional<StoreCall> InProgress;
   std::optional<core::TimePoint> RetryAt;
+  /// When the burst is whole again: each swap adds an interval.
+  core::TimePoint BurstWholeAt;
 };
 
 } // namespace rosemarylane::ledger
--- a/libs/routing/include/routing/Membership.h
+++ b/libs/routing/include/routing/Membership.h
@@ -35,7 +35,8 @@
 /// What a member says of itself is ordered by its incarnation and then by its
 /// sequence number, so late, repeated and reordered messages never bring back
 /// an older state, and a restarted process replaces its predecessor of the same
-/// name. A plain value type without a clock.
+/// name. Only when the later start is dead is an earlier one believed, since a
+/// host's clock may be set back. A plain value type without a clock.
 class Membership {
 public:
   enum class State { Alive, Suspect, Dead };
@@ -61,10 +62,6 @@
   bool observe(const Member &Told, std::chrono::milliseconds Age,
                core::TimePoint Now);
 
-  /// The member is known to have been alive \p Age ago in that incarnation.
-  void confirm(const Key &Who, std::uint64_t Incarnation,
-               std::chrono::milliseconds Age, core::TimePoint Now);
-
   /// Changes the time limits, as the number of entries changes.
   void setLimits(MembershipSettings Limits) { Settings = Limits; }
 
@@ -88,9 +85,9 @@
   void updateLoad(const Key &Who, std::uint64_t Incarnation, const Load &Now,
                   std::chrono::milliseconds Time, core::TimePoint At);
 
-  /// This process was paused for \p Gap, during which nothing could be heard:
-  /// the silence is not held against the members.
-  void discountPause(core::Duration Gap);
+  /// This process was paused for \p Gap until now, and could hear nothing: the
+  /// silence is not held against the members.
+  void discountPause(core::Duration Gap, core::TimePoint Now);
 
   /// Drops members that have not been heard from for long.
   void expire(core::TimePoint Now);
--- a/rosemarylane/src/agent/Gate.cpp
+++ b/rosemarylane/src/agent/Gate.cpp
@@ -1,5 +1,6 @@
 #include "agent/Gate.h"
 
+#include "agent/SilentCalls.h"
 #include "agent/TargetCall.h"
 #include "common/MemberMessages.h"
 #include "routing/Admission.h"
@@ -8,6 +9,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace rosemarylane {
 
@@ -72,8 +74,9 @@
            WeightService *Weights)
       : Context(Context), Send(Send), Configuration(Configuration),
         Heartbeats(Heartbeats), Weights(Weights) {
+    Silent = SilentCalls::create(Context, [this] { return calls(); });
     Tick = Context.Timers->every(QueueTick, *Context.Control,
-                                 [this] { expireWaiting(); });
+                                 [this] { onTick(); });
     Configuration.onChange(
         [this](const std::shared_ptr<const core::Configuration> &Config) {
           applyConfiguration(*Config);
@@ -163,6 +166,9 @@
   }
 
   bool isSuspect(const TargetRun &R) const {
+    // The entry may know before the next heartbeat tells this agent.
+    if (R.Request.suspect())
+      return true;
     auto Digest = core::Digest::fromBytes(R.Request.digest());
     return Digest && Heartbeats.suspected(*Digest);
   }
@@ -235,6 +241,8 @@
   }
 
   std::uint32_t ceiling(const core::Configuration &Config) const {
+    if (Weights && Weights->cold())
+      return 1;
     std::uint32_t Ceiling = 1;
     for (const core::CatalogueEntry &E : Config.Entries)
       if (mine(E))
@@ -263,7 +271,27 @@
     }
   }
 
+  void onTick() {
+    bool ColdNow = Weights && Weights->cold();
+    if (std::exchange(Cold, ColdNow) != ColdNow) {
+      Admit.turnedCold();
+      applyConfiguration(*Configuration.current());
+    }
+    Silent->check();
+    expireWaiting();
+  }
+
+  SilentCalls::Calls calls() const {
+    SilentCalls::Calls Running;
+    for (const auto &[Id, R] : Runs)
+      if (R->running())
+        Running.push_back(R->Call);
+    return Running;
+  }
+
   void expireWaiting() {
+    if (Weights)
+      Admit.setCold(Weights->engineCold());
     for (const Run &R : Waiting.expire(now()))
       finishRefused(R, wire::REFUSAL_DEADLINE, wire::RAN_NO, "");
     startWaiting();
@@ -301,11 +329,18 @@
     if (!Weights)
       return;
     std::vector<core::Digest> Suspects;
+    std::set<wire::Peer> Senders;
     for (const auto &[Id, R] : Runs)
-      if (R->running())
+      if (R->running()) {
+        Senders.insert(R->From);
         if (auto Digest = core::Digest::fromBytes(R->Request.digest()))
           Suspects.push_back(*Digest);
-    Heartbeats.reportSuspects(std::move(Suspects));
+      }
+    wire::Envelope Message;
+    *Message.mutable_quarantine_notice() =
+        Heartbeats.reportSuspects(std::move(Suspects));
+    for (const wire::Peer &To : Senders)
+      Send.send(To, Message);
   }
 
   // ---- Ending ----
@@ -481,6 +516,8 @@
   HeartbeatService &Heartbeats;
   WeightService *Weights;
   runtime::TimerService::Subscription Tick;
+  std::unique_ptr<SilentCalls> Silent;
+  bool Cold = false;
 
   ledger::AttemptTable Table;
   /// Attempts that wait or run, by request id.
--- a/rosemarylane/src/agent/WeightService.cpp
+++ b/rosemarylane/src/agent/WeightService.cpp
@@ -70,6 +70,8 @@
 
   const std::vector<ServedVersion> &served() const override { return Served; }
 
+  bool cold() const override { return State && !State->Warm; }
+
   void onServed(std::function<void()> Hook) override {
     ServedHooks.push_back(std::move(Hook));
   }
@@ -99,6 +101,8 @@
     return Result;
   }
 
+  bool engineCold() const override { return State && !State->Warm; }
+
   void engineChanged() override { readAgain(); }
 
 private:
