--- a/libs/swarm/src/SwarmPlanner.cpp
+++ b/libs/swarm/src/SwarmPlanner.cpp
@@ -1,6 +1,7 @@
 #include "swarm/SwarmPlanner.h"
 
 #include "OriginBudget.h"
+#include "PlannerState.h"
 #include "swarm/ReaderRanks.h"
 
 #include "core/Rendezvous.h"
@@ -9,7 +10,6 @@
 #include <cassert>
 #include <map>
 #include <random>
-#include <unordered_map>
 
 namespace rosemarylane::swarm {
 
@@ -18,37 +18,6 @@
 using core::TimePoint;
 using Index = std::uint32_t;
 
-/// Settle times after which the origin is read although members still change.
-constexpr int SettlePeriods = 3;
-/// Of the version's chunks, the part that may be asked for twice at the end.
-constexpr std::size_t DuplicateDivisor = 100;
-
-struct ViewPeer {
-  core::HostId Host;
-  ChunkSet Held;
-  bool Heard = false;
-  TimePoint AvoidUntil{};
-  std::size_t Fetches = 0;
-};
-
-struct ChunkState {
-  TimePoint RetryAt{};
-  /// Sources that failed so far; picks the next one in rank.
-  std::size_t Attempt = 0;
-  std::size_t Fetches = 0;
-  /// Peers rely on this host as the region's or the fleet's reader.
-  bool RegionDemands = false;
-  bool FleetDemands = false;
-};
-
-struct Progress {
-  ChunkFetch Fetch;
-  TimePoint SentAt;
-  TimePoint Deadline;
-  /// The region's reader has said that it will send the chunk.
-  bool Queued = false;
-};
-
 class RarestFirstPlanner final : public SwarmPlanner {
 public:
   RarestFirstPlanner(core::HostId Self, core::Digest Version,
@@ -341,11 +310,6 @@
 
   // ---- Reads from outside of the failure domain ----
 
-  struct SourceChoice {
-    ChunkFetch::Source From;
-    Index Host = ReaderRanks::None;
-  };
-
   /// Where this host gets \p Chunk from as a reader, best source first.
   std::vector<SourceChoice> sources(std::size_t Chunk) const {
     const ReaderRanks::Readers &R = Ranks.readers(Chunk);
--- a/libs/swarm/tests/FleetSimulation.cpp
+++ b/libs/swarm/tests/FleetSimulation.cpp
@@ -1,5 +1,6 @@
 #include "FleetSimulation.h"
 
+#include "EventLoop.h"
 #include "swarm/SwarmPlanner.h"
 #include "swarm/TokenBucket.h"
 #include "swarm/UploadQueue.h"
@@ -7,9 +8,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <deque>
-#include <functional>
 #include <memory>
-#include <queue>
 #include <random>
 
 namespace rosemarylane::swarm::testing {
@@ -26,56 +25,6 @@
 constexpr std::uint64_t ChunkBytes = 1 << 20;
 constexpr int ChunksUntilCapPause = 20;
 
-/// Runs actions in the order of their times.
-class EventLoop {
-public:
-  TimePoint now() const { return Now; }
-
-  void at(TimePoint When, std::function<void()> Work) {
-    std::size_t Slot;
-    if (Free.empty()) {
-      Slot = Works.size();
-      Works.emplace_back();
-    } else {
-      Slot = Free.back();
-      Free.pop_back();
-    }
-    Works[Slot] = std::move(Work);
-    Queue.push({When, Sequence++, Slot});
-  }
-
-  void after(Duration Delay, std::function<void()> Work) {
-    at(Now + Delay, std::move(Work));
-  }
-
-  bool runOne() {
-    if (Queue.empty())
-      return false;
-    Item Next = Queue.top();
-    Queue.pop();
-    Now = Next.When;
-    auto Work = std::move(Works[Next.Slot]);
-    Free.push_back(Next.Slot);
-    Work();
-    return true;
-  }
-
-private:
-  struct Item {
-    TimePoint When;
-    std::uint64_t Sequence;
-    std::size_t Slot;
-    bool operator<(const Item &Other) const {
-      return When != Other.When ? When > Other.When : Sequence > Other.Sequence;
-    }
-  };
-  TimePoint Now = TimePoint() + std::chrono::hours(1);
-  std::uint64_t Sequence = 0;
-  std::priority_queue<Item> Queue;
-  std::vector<std::function<void()>> Works;
-  std::vector<std::size_t> Free;
-};
-
 core::Digest chunkId(std::size_t Index) {
   return core::Digest::of("chunk " + std::to_string(Index));
 }
