WeightFleet: begin once every engine has loaded the first version

Its tests took the version of one engine as the one that all hold. On a busy machine the fleet answers before all have loaded: two of four cases failed in a run beside three other suites; alone they pass.

--- a/rosemarylane/tests/process/WeightFleet.cpp
+++ b/rosemarylane/tests/process/WeightFleet.cpp
@@ -26,7 +26,9 @@
 } // namespace
 
 WeightFleet::WeightFleet(std::vector<std::string> EngineArguments)
-    : Running(engines(std::move(EngineArguments))) {}
+    : Running(engines(std::move(EngineArguments))) {
+  awaitLoadedByAll(Running.version());
+}
 
 std::string WeightFleet::makeVersion(int Seed) {
   json::object Made{{"name", "draft"},
