--- a/rosemarylane/tests/process/AtMostOnceTest.cpp
+++ b/rosemarylane/tests/process/AtMostOnceTest.cpp
@@ -266,6 +266,7 @@
   F.setFaults(Service, R"({"only":"/place","lose_answers":1})");
   auto First =
       F.caller().call(F.entries()[0]->Http, F.order("gone", "tankard"), 60s);
+  BOOST_TEST_MESSAGE(First.status() << " " << First.body() << First.Error);
   BOOST_TEST(!First.ok());
   BOOST_TEST((First.ran() == "unknown" || First.ran() == "yes"), First.ran());
   for (const CallResult &R : sendThroughAll(F, "gone", "tankard")) {
--- a/rosemarylane/tests/process/Fleet.cpp
+++ b/rosemarylane/tests/process/Fleet.cpp
@@ -358,9 +358,11 @@
 std::map<std::string, std::uint64_t> Fleet::allRuns() {
   std::map<std::string, std::uint64_t> Runs;
   for (Host *H : serviceAgents()) {
+    if (!H->TargetProcess->running())
+      continue;
     auto Answer = Caller.get(H->Target, "/control/v1/runs");
     if (!Answer.ok())
-      continue;
+      BOOST_FAIL("no runs from " << H->Name << ": " << Answer.Error);
     json::value Body = Answer.json();
     for (const json::value &Run : Body.at("runs").as_array())
       Runs[std::string(Run.at("key").as_string())] +=
