--- a/rosemarylane/src/agent/Gate.cpp
+++ b/rosemarylane/src/agent/Gate.cpp
@@ -241,8 +241,6 @@
   }
 
   std::uint32_t ceiling(const core::Configuration &Config) const {
-    if (Weights && Weights->cold())
-      return 1;
     std::uint32_t Ceiling = 1;
     for (const core::CatalogueEntry &E : Config.Entries)
       if (mine(E))
@@ -272,11 +270,6 @@
   }
 
   void onTick() {
-    bool ColdNow = Weights && Weights->cold();
-    if (std::exchange(Cold, ColdNow) != ColdNow) {
-      Admit.turnedCold();
-      applyConfiguration(*Configuration.current());
-    }
     Silent->check();
     expireWaiting();
   }
@@ -517,7 +510,6 @@
   WeightService *Weights;
   runtime::TimerService::Subscription Tick;
   std::unique_ptr<SilentCalls> Silent;
-  bool Cold = false;
 
   ledger::AttemptTable Table;
   /// Attempts that wait or run, by request id.
