Make a process's parts on their own duty; share what entry and agent do alike

Cause: parts were made on the main thread while their timers already ran on the control duty: a heartbeat could ask for holdings before the gate existed. The same 40 lines stood in both processes, and conversions of messages stood in the gate and in the attempt client. Ruled out: locks, because nothing but the start ever shared the state. Change: startOnControl, listen, stopDuties and readiness in ProcessStart; RunMessages for what both sides of an attempt convert.

--- a/rosemarylane/src/agent/AgentProcess.cpp
+++ b/rosemarylane/src/agent/AgentProcess.cpp
@@ -29,6 +29,25 @@
       : Context(std::move(Made)), Send(*Context, wire::ROLE_AGENT) {}
 
   core::Result<bool, StartError> start() {
+    return startOnControl(*Context, [this] { return startParts(); });
+  }
+
+  ExitCode run() {
+    return waitForStop(
+        *Context, [this](auto Exit) { drain(std::move(Exit)); },
+        [this](const auto &Exit) {
+          telemetry::log(
+              telemetry::Level::Warning, "stopped before the drain had ended",
+              {{"cut_off",
+                static_cast<std::int64_t>(AcceptGate->inProgress())}});
+          Exit(ExitCode::Failed);
+        });
+  }
+
+  ~AgentProcess() { stopDuties(*Context); }
+
+private:
+  core::Result<bool, StartError> startParts() {
     Configuration = ConfigurationService::create(*Context, Send,
                                                  /*MayReadStore=*/false);
     Send.setConfiguration(Configuration.get());
@@ -49,41 +68,15 @@
     return listen();
   }
 
-  ExitCode run() {
-    return waitForStop(
-        *Context, [this](auto Exit) { drain(std::move(Exit)); },
-        [this](const auto &Exit) {
-          telemetry::log(
-              telemetry::Level::Warning, "stopped before the drain had ended",
-              {{"cut_off",
-                static_cast<std::int64_t>(AcceptGate->inProgress())}});
-          Exit(ExitCode::Failed);
-        });
-  }
-
-  ~AgentProcess() {
-    Context->Timers->stop();
-    Context->Control->stop();
-    Context->HttpServing->stop();
-    Context->HttpCalling->stop();
-  }
-
-private:
   core::Result<bool, StartError> listen() {
-    auto Started = startPeers(
-        *Context, [this](const wire::Peer &From, const wire::Envelope &M) {
-          receive(From, M);
-        });
-    if (!Started)
-      return Started;
-    http::ServerSettings Serving;
-    Serving.Address = Context->Config.HttpAddress;
-    auto Listening = http::Server::listen(
-        *Context->HttpServing, Serving,
-        [this](const std::shared_ptr<http::Exchange> &Call) { answer(*Call); });
+    auto Listening = rosemarylane::listen(
+        *Context,
+        [this](const wire::Peer &From, const wire::Envelope &Message) {
+          receive(From, Message);
+        },
+        [this](std::shared_ptr<http::Exchange> Call) { answer(*Call); });
     if (!Listening)
-      return core::failure(
-          StartError{ExitCode::Failed, Listening.error().Detail});
+      return core::failure(Listening.error());
     Server = std::move(*Listening);
     return true;
   }
@@ -112,13 +105,9 @@
     if (answerObservability(*Context, Call))
       return;
     constexpr unsigned NotFound = 404;
-    constexpr unsigned ServiceUnavailable = 503;
     if (Call.request().Target != "/readyz")
       return Call.respond(http::jsonResponse(NotFound, "{}"));
-    bool Ready = Configuration->current()->Revision > 0;
-    Call.respond(http::jsonResponse(Ready ? 200 : ServiceUnavailable,
-                                    Ready ? R"({"status":"ready"})"
-                                          : R"({"status":"not ready"})"));
+    Call.respond(readiness(Configuration->current()->Revision > 0));
   }
 
   void drain(std::function<void(ExitCode)> Exit) {
--- a/rosemarylane/src/agent/Gate.cpp
+++ b/rosemarylane/src/agent/Gate.cpp
@@ -3,6 +3,7 @@
 #include "agent/SilentCalls.h"
 #include "agent/TargetCall.h"
 #include "common/MemberMessages.h"
+#include "common/RunMessages.h"
 #include "routing/Admission.h"
 #include "routing/WaitQueue.h"
 #include "telemetry/Log.h"
@@ -25,29 +26,6 @@
 /// two answers, too few to wait long.
 constexpr std::size_t WaitingCapacity = 16;
 
-ledger::Ran toLedger(wire::Ran Ran) {
-  switch (Ran) {
-  case wire::RAN_NO:
-    return ledger::Ran::No;
-  case wire::RAN_YES:
-    return ledger::Ran::Yes;
-  default:
-    return ledger::Ran::Unknown;
-  }
-}
-
-wire::Ran toWire(ledger::Ran Ran) {
-  switch (Ran) {
-  case ledger::Ran::No:
-    return wire::RAN_NO;
-  case ledger::Ran::Yes:
-    return wire::RAN_YES;
-  case ledger::Ran::Unknown:
-    return wire::RAN_UNKNOWN;
-  }
-  return wire::RAN_UNKNOWN;
-}
-
 /// One attempt, from its arrival to its end.
 struct TargetRun {
   wire::Peer From;
@@ -354,7 +332,7 @@
   void finishRefused(const Run &R, wire::RefusalReason Reason, wire::Ran Ran,
                      const std::string &Detail) {
     refuse(*R, Reason, Ran, Detail);
-    end(R, toLedger(Ran), nullptr);
+    end(R, fromWire(Ran), nullptr);
   }
 
   void end(const Run &R, ledger::Ran What,
@@ -404,31 +382,19 @@
 
   void answerQuery(const wire::Peer &From, const wire::OutcomeQuery &Query) {
     wire::Envelope Message;
-    wire::OutcomeReply &Out = *Message.mutable_outcome_reply();
-    *Out.mutable_id() = Query.id();
-    if (Query.agent_incarnation() != Context.Incarnation) {
-      Out.set_ran(wire::RAN_UNKNOWN);
-      Send.send(From, std::move(Message));
-      return;
-    }
+    *Message.mutable_outcome_reply() =
+        outcomeReply(Query.id(), outcomeOf(Query));
+    Send.send(From, std::move(Message));
+  }
+
+  ledger::AttemptOutcome outcomeOf(const wire::OutcomeQuery &Query) {
+    // An attempt of this agent's predecessor is not known here.
+    if (Query.agent_incarnation() != Context.Incarnation)
+      return {ledger::Ran::Unknown, false, nullptr};
     if (Query.forbid())
       withdrawWaiting(Query.id().request());
-    auto Outcome =
-        Table.query(Query.id().request(), sentAfter(Query.agent_time_ms()),
-                    Query.forbid(), now());
-    Out.set_ran(toWire(Outcome.What));
-    Out.set_in_progress(Outcome.InProgress);
-    if (Outcome.Answer) {
-      Out.set_held(true);
-      Out.set_status(Outcome.Answer->Status);
-      Out.set_body(Outcome.Answer->Body);
-      for (const auto &[Name, Value] : Outcome.Answer->Headers) {
-        wire::Header &H = *Out.add_headers();
-        H.set_name(Name);
-        H.set_value(Value);
-      }
-    }
-    Send.send(From, std::move(Message));
+    return Table.query(Query.id().request(), sentAfter(Query.agent_time_ms()),
+                       Query.forbid(), now());
   }
 
   /// A forbidden attempt that only waits has not started.
--- a/rosemarylane/src/agent/TargetCall.cpp
+++ b/rosemarylane/src/agent/TargetCall.cpp
@@ -1,5 +1,6 @@
 #include "agent/TargetCall.h"
 
+#include "common/RunMessages.h"
 #include "http/Client.h"
 #include "wire/BodyChecksum.h"
 
@@ -158,9 +159,7 @@
     for (const auto &[Name, Value] : Head.Fields) {
       if (hopByHop(Name))
         continue;
-      wire::Header &H = *Out.add_headers();
-      H.set_name(Name);
-      H.set_value(Value);
+      addHeader(Name, Value, Out);
       if (Answer)
         Answer->Headers.emplace_back(Name, Value);
     }
--- a/rosemarylane/src/common/Messages.cpp
+++ b/rosemarylane/src/common/Messages.cpp
@@ -3,6 +3,9 @@
 namespace rosemarylane {
 
 bool MessageSender::send(const wire::Peer &To, wire::Envelope Message) const {
+  // Parts are made before the process listens.
+  if (!Context.Peers)
+    return false;
   const Settings &Config = Context.Config;
   wire::Sender &Sender = *Message.mutable_sender();
   Sender.set_host(Config.Host.str());
--- a/rosemarylane/src/common/ProcessStart.cpp
+++ b/rosemarylane/src/common/ProcessStart.cpp
@@ -131,15 +131,45 @@
 }
 
 core::Result<bool, StartError>
-startPeers(ProcessContext &Context, wire::PeerNode::MessageHook OnMessage) {
+startOnControl(ProcessContext &Context,
+               std::function<core::Result<bool, StartError>()> Start) {
+  std::promise<core::Result<bool, StartError>> Started;
+  Context.Control->postAlways([&] { Started.set_value(Start()); });
+  return Started.get_future().get();
+}
+
+core::Result<std::unique_ptr<http::Server>, StartError>
+listen(ProcessContext &Context, wire::PeerNode::MessageHook OnMessage,
+       http::Server::Handler OnRequest) {
   wire::PeerSettings Peers;
   Peers.Listen = Context.Config.PeerAddress;
-  auto Started = wire::PeerNode::start(std::move(Peers), *Context.Control,
-                                       std::move(OnMessage));
-  if (!Started)
-    return core::failure(StartError{ExitCode::Failed, Started.error().Detail});
-  Context.Peers = std::move(*Started);
-  return true;
+  auto Node = wire::PeerNode::start(std::move(Peers), *Context.Control,
+                                    std::move(OnMessage));
+  if (!Node)
+    return core::failure(StartError{ExitCode::Failed, Node.error().Detail});
+  Context.Peers = std::move(*Node);
+  http::ServerSettings Serving;
+  Serving.Address = Context.Config.HttpAddress;
+  auto Server =
+      http::Server::listen(*Context.HttpServing, Serving, std::move(OnRequest));
+  if (!Server)
+    return core::failure(StartError{ExitCode::Failed, Server.error().Detail});
+  return std::move(*Server);
+}
+
+void stopDuties(ProcessContext &Context) {
+  Context.Timers->stop();
+  Context.Control->stop();
+  Context.HttpServing->stop();
+  Context.HttpCalling->stop();
+}
+
+http::Response readiness(bool Ready) {
+  constexpr unsigned Ok = 200;
+  constexpr unsigned ServiceUnavailable = 503;
+  return http::jsonResponse(Ready ? Ok : ServiceUnavailable,
+                            Ready ? R"({"status":"ready"})"
+                                  : R"({"status":"not ready"})");
 }
 
 ExitCode waitForStop(ProcessContext &Context, StopHook OnFirst,
--- a/rosemarylane/src/common/ProcessStart.h
+++ b/rosemarylane/src/common/ProcessStart.h
@@ -5,6 +5,7 @@
 #include "common/ProcessContext.h"
 #include "core/Result.h"
 #include "http/Exchange.h"
+#include "http/Server.h"
 #include "wire/wire.pb.h"
 
 #include <functional>
@@ -30,9 +31,23 @@
 /// are started apart, once the parts that take their messages exist.
 std::unique_ptr<ProcessContext> startContext(ProcessKind Kind, Settings Config);
 
-/// Opens the peer node; messages reach \p OnMessage on the control duty.
+/// Runs \p Start on the control duty, where the parts of a process live, and
+/// waits for its result.
 core::Result<bool, StartError>
-startPeers(ProcessContext &Context, wire::PeerNode::MessageHook OnMessage);
+startOnControl(ProcessContext &Context,
+               std::function<core::Result<bool, StartError>()> Start);
+
+/// Opens the peer node, whose messages reach \p OnMessage on the control duty,
+/// and the HTTP server, whose requests reach \p OnRequest on the serving duty.
+core::Result<std::unique_ptr<http::Server>, StartError>
+listen(ProcessContext &Context, wire::PeerNode::MessageHook OnMessage,
+       http::Server::Handler OnRequest);
+
+/// Stops every duty, so that the parts of a process may be destroyed.
+void stopDuties(ProcessContext &Context);
+
+/// The answer to `/readyz`.
+http::Response readiness(bool Ready);
 
 /// Waits for SIGTERM or SIGINT. The first calls \p OnFirst, the second \p
 /// OnSecond, both on the control duty. The hooks get a function that ends the
--- a/rosemarylane/src/entry/AttemptClient.cpp
+++ b/rosemarylane/src/entry/AttemptClient.cpp
@@ -1,5 +1,6 @@
 #include "entry/AttemptClient.h"
 
+#include "common/RunMessages.h"
 #include "wire/BodyChecksum.h"
 
 #include <algorithm>
@@ -28,23 +29,6 @@
 
 core::TimePoint now() { return std::chrono::steady_clock::now(); }
 
-ledger::Ran fromWire(wire::Ran Ran) {
-  switch (Ran) {
-  case wire::RAN_NO:
-    return ledger::Ran::No;
-  case wire::RAN_YES:
-    return ledger::Ran::Yes;
-  default:
-    return ledger::Ran::Unknown;
-  }
-}
-
-template <typename Message>
-void copyHeaders(const Message &From, http::Headers &To) {
-  for (const wire::Header &H : From.headers())
-    To.add(H.name(), H.value());
-}
-
 /// One attempt in progress.
 struct Attempt {
   AttemptTarget Target;
@@ -166,7 +150,7 @@
     A->HeadPassed = true;
     http::ResponseHead Out;
     Out.Status = Head.status();
-    copyHeaders(Head, Out.Fields);
+    Out.Fields = headersOf(Head);
     A->To.OnHead(std::move(Out));
   }
 
@@ -254,7 +238,7 @@
       A->HeadPassed = true;
       http::ResponseHead Head;
       Head.Status = Reply.status();
-      copyHeaders(Reply, Head.Fields);
+      Head.Fields = headersOf(Reply);
       A->To.OnHead(std::move(Head));
     }
     if (Reply.body().size() < A->Offset)
@@ -283,7 +267,7 @@
     if (Reply.held()) {
       What.Answer.emplace();
       What.Answer->Head.Status = Reply.status();
-      copyHeaders(Reply, What.Answer->Head.Fields);
+      What.Answer->Head.Fields = headersOf(Reply);
       What.Answer->Body = Reply.body();
     }
     for (Query &Q : Answered)
--- a/rosemarylane/src/entry/EntryProcess.cpp
+++ b/rosemarylane/src/entry/EntryProcess.cpp
@@ -38,6 +38,24 @@
       : Context(std::move(Made)), Send(*Context, wire::ROLE_ENTRY) {}
 
   core::Result<bool, StartError> start() {
+    return startOnControl(*Context, [this] { return startParts(); });
+  }
+
+  ExitCode run() {
+    return waitForStop(
+        *Context, [this](auto Exit) { drain(std::move(Exit)); },
+        [this](const auto &Exit) {
+          telemetry::log(
+              telemetry::Level::Warning, "stopped before the drain had ended",
+              {{"cut_off", static_cast<std::int64_t>(Handler->inProgress())}});
+          Exit(ExitCode::Failed);
+        });
+  }
+
+  ~EntryProcess() { stopDuties(*Context); }
+
+private:
+  core::Result<bool, StartError> startParts() {
     Configuration = ConfigurationService::create(*Context, Send,
                                                  /*MayReadStore=*/true);
     Send.setConfiguration(Configuration.get());
@@ -61,42 +79,17 @@
     return listen();
   }
 
-  ExitCode run() {
-    return waitForStop(
-        *Context, [this](auto Exit) { drain(std::move(Exit)); },
-        [this](const auto &Exit) {
-          telemetry::log(
-              telemetry::Level::Warning, "stopped before the drain had ended",
-              {{"cut_off", static_cast<std::int64_t>(Handler->inProgress())}});
-          Exit(ExitCode::Failed);
-        });
-  }
-
-  ~EntryProcess() {
-    Context->Timers->stop();
-    Context->Control->stop();
-    Context->HttpServing->stop();
-    Context->HttpCalling->stop();
-  }
-
-private:
   core::Result<bool, StartError> listen() {
-    auto Started = startPeers(
-        *Context, [this](const wire::Peer &From, const wire::Envelope &M) {
-          receive(From, M);
+    auto Listening = rosemarylane::listen(
+        *Context,
+        [this](const wire::Peer &From, const wire::Envelope &Message) {
+          receive(From, Message);
+        },
+        [this](std::shared_ptr<http::Exchange> Call) {
+          answer(std::move(Call));
         });
-    if (!Started)
-      return Started;
-    http::ServerSettings Serving;
-    Serving.Address = Context->Config.HttpAddress;
-    auto Listening =
-        http::Server::listen(*Context->HttpServing, Serving,
-                             [this](std::shared_ptr<http::Exchange> Call) {
-                               answer(std::move(Call));
-                             });
     if (!Listening)
-      return core::failure(
-          StartError{ExitCode::Failed, Listening.error().Detail});
+      return core::failure(Listening.error());
     Server = std::move(*Listening);
     return true;
   }
@@ -127,7 +120,8 @@
     if (answerObservability(*Context, *Call))
       return;
     if (Path == "/readyz")
-      return answerReady(*Call);
+      return Call->respond(
+          readiness(!Draining && Configuration->current()->Revision > 0));
     bool Taken = Context->Control->post([this, Call] {
       if (startsWith(Call->request().Target, "/admin/v1"))
         Admin->handle(Call);
@@ -139,15 +133,6 @@
           {ProblemKind::Overloaded, ledger::Ran::No, "", BusyRetryAfter}));
   }
 
-  void answerReady(http::Exchange &Call) {
-    constexpr unsigned Ok = 200;
-    constexpr unsigned ServiceUnavailable = 503;
-    bool Ready = !Draining && Configuration->current()->Revision > 0;
-    Call.respond(http::jsonResponse(Ready ? Ok : ServiceUnavailable,
-                                    Ready ? R"({"status":"ready"})"
-                                          : R"({"status":"not ready"})"));
-  }
-
   void drain(std::function<void(ExitCode)> Exit) {
     telemetry::log(telemetry::Level::Info, "draining");
     Draining = true;
--- a/rosemarylane/src/entry/PendingRequest.cpp
+++ b/rosemarylane/src/entry/PendingRequest.cpp
@@ -1,5 +1,7 @@
 #include "entry/PendingRequest.h"
 
+#include "common/RunMessages.h"
+
 #include <boost/algorithm/string/predicate.hpp>
 
 namespace rosemarylane {
@@ -35,9 +37,7 @@
     // The caller's token is for the system, not for the target.
     if (boost::algorithm::iequals(Name, "Authorization"))
       continue;
-    wire::Header &H = *Out.add_headers();
-    H.set_name(Name);
-    H.set_value(Value);
+    addHeader(Name, Value, Out);
   }
   Out.set_body(Request.Body);
   Out.set_workspace(Checked.Workspace.Name.str());
