Make attempt ids from 16 random bytes; ask again about unknown outcomes

Cause: ids of attempts came from an adaptor whose seed is its result type, one byte: all processes and restarts shared 256 sequences. An agent took a new attempt for one it had seen ('ran: yes, came too late' for a key that another request's id stood for), and the entry then recorded 'unknown' for good without asking for the answer. Ruled out: redelivery by ZeroMQ (a message handed to a lost connection is dropped), a second claim by the ledger (its histories pass). Change: RequestIds takes every byte from the operating system; a refusal that says 'ran' has its answer fetched; a claim recorded as unknown is asked about again at each repeat, but recorded once.

--- a/rosemarylane/src/agent/Gate.cpp
+++ b/rosemarylane/src/agent/Gate.cpp
@@ -3,6 +3,7 @@
 #include "agent/SilentCalls.h"
 #include "agent/TargetCall.h"
 #include "common/MemberMessages.h"
+#include "common/RequestIds.h"
 #include "common/RunMessages.h"
 #include "routing/Admission.h"
 #include "routing/WaitQueue.h"
@@ -16,7 +17,6 @@
 
 namespace {
 
-constexpr std::size_t RequestIdBytes = 16;
 constexpr std::chrono::milliseconds QueueTick{50};
 /// A plain service whose connection failed is not offered to entries for this
 /// long.
@@ -118,7 +118,7 @@
         telemetry::TraceContext::fromHeader(Message.traceparent()));
     R->ArrivedAt = now();
     const wire::RunRequest &Request = R->Request;
-    if (Request.id().request().size() != RequestIdBytes)
+    if (Request.id().request().size() != RequestIds::Bytes)
       return refuse(*R, wire::REFUSAL_MALFORMED, wire::RAN_NO,
                     "malformed request id");
     if (Request.agent_incarnation() != Context.Incarnation)
--- /dev/null
+++ b/rosemarylane/src/common/RequestIds.cpp
@@ -0,0 +1,17 @@
+#include "common/RequestIds.h"
+
+#include <cstring>
+
+namespace rosemarylane {
+
+std::string RequestIds::next() {
+  std::string Id(Bytes, '\0');
+  for (std::size_t I = 0; I < Bytes;
+       I += sizeof(std::random_device::result_type)) {
+    auto Word = Source();
+    std::memcpy(Id.data() + I, &Word, sizeof(Word));
+  }
+  return Id;
+}
+
+} // namespace rosemarylane
--- a/rosemarylane/src/entry/AttemptClient.cpp
+++ b/rosemarylane/src/entry/AttemptClient.cpp
@@ -1,18 +1,17 @@
 #include "entry/AttemptClient.h"
 
+#include "common/RequestIds.h"
 #include "common/RunMessages.h"
 #include "wire/BodyChecksum.h"
 
 #include <algorithm>
 #include <map>
-#include <random>
 #include <vector>
 
 namespace rosemarylane {
 
 namespace {
 
-constexpr std::size_t RequestIdBytes = 16;
 constexpr std::chrono::milliseconds TickInterval{50};
 /// An agent that has been silent for this long is asked about the attempt.
 constexpr std::chrono::milliseconds ProbeAfter{500};
@@ -59,17 +58,12 @@
 class AttemptClientImpl final : public AttemptClient {
 public:
   AttemptClientImpl(ProcessContext &Context, const MessageSender &Send)
-      : Context(Context), Send(Send), Random(std::random_device{}()) {
+      : Context(Context), Send(Send) {
     Tick = Context.Timers->every(TickInterval, *Context.Control,
                                  [this] { onTick(); });
   }
 
-  std::string newRequestId() override {
-    std::string Id(RequestIdBytes, '\0');
-    for (char &C : Id)
-      C = static_cast<char>(Random());
-    return Id;
-  }
+  std::string newRequestId() override { return Ids.next(); }
 
   void start(const AttemptTarget &Target, wire::Envelope Message,
              Hooks To) override {
@@ -189,6 +183,9 @@
   }
 
   void onRefusal(const AttemptPtr &A, const wire::RunRefusal &Refusal) {
+    // It ran, so the agent may hold its answer.
+    if (Refusal.ran() == wire::RAN_YES && !A->Idempotent)
+      return recoverFromGap(A);
     finish(A, {AttemptEnd::Kind::Refused, fromWire(Refusal.ran()),
                Refusal.reason(), Refusal.detail(),
                std::chrono::milliseconds(Refusal.retry_after_ms())});
@@ -355,7 +352,7 @@
 
   ProcessContext &Context;
   const MessageSender &Send;
-  std::independent_bits_engine<std::mt19937_64, 8, unsigned char> Random;
+  RequestIds Ids;
   runtime::TimerService::Subscription Tick;
   std::map<std::string, AttemptPtr> Attempts;
   std::vector<Query> Queries;
--- a/rosemarylane/src/entry/ClaimResolver.cpp
+++ b/rosemarylane/src/entry/ClaimResolver.cpp
@@ -19,6 +19,8 @@
   ClaimedAttempt Mine;
   core::TimePoint Deadline;
   std::function<void(ClaimResolver::Resolution)> OnDone;
+  /// The ledger says already that the outcome is unknown.
+  bool RecordedUnknown = false;
   /// Wakes the case between two questions to the holder.
   runtime::TimerService::Subscription Timer;
 };
@@ -60,8 +62,9 @@
     case Kind::RanAnswerGone:
       return C->OnDone(refusal(ProblemKind::AnswerGone, ledger::Ran::Yes));
     case Kind::Unknown:
-      return C->OnDone(
-          refusal(ProblemKind::OutcomeUnknown, ledger::Ran::Unknown));
+      // The agent may be reachable again, and may hold the answer.
+      C->RecordedUnknown = true;
+      return follow(C, Outcome.Holder);
     case Kind::OtherRequest:
       return C->OnDone(
           refusal(ProblemKind::IdempotencyKeyReused, ledger::Ran::No));
@@ -100,8 +103,9 @@
                     [](bool) {});
       return C->OnDone(std::move(*Outcome.Answer));
     }
-    Ledger.record(C->Key, Holder, {AttemptResult::Kind::Unknown, {}},
-                  [](bool) {});
+    if (!C->RecordedUnknown)
+      Ledger.record(C->Key, Holder, {AttemptResult::Kind::Unknown, {}},
+                    [](bool) {});
     C->OnDone(refusal(Outcome.Ran == ledger::Ran::Yes
                           ? ProblemKind::AnswerGone
                           : ProblemKind::OutcomeUnknown,
