--- a/rosemarylane/tests/process/AtMostOnceTest.cpp
+++ b/rosemarylane/tests/process/AtMostOnceTest.cpp
@@ -66,6 +66,9 @@
   CallResult Last;
   Fleet::await("order " + Key + " is answered", Limit, [&] {
     Last = F.caller().call(Entry.Http, F.order(Key, Body));
+    if (!Last.ok())
+      BOOST_TEST_MESSAGE(Key << ": " << Last.status() << " " << Last.body()
+                             << Last.Error);
     return Last.ok();
   });
   return Last;
