--- a/rosemarylane/src/agent/Gate.cpp
+++ b/rosemarylane/src/agent/Gate.cpp
@@ -1,7 +1,7 @@
 #include "agent/Gate.h"
 
 #include "agent/SilentCalls.h"
-#include "agent/TargetCall.h"
+#include "agent/TargetRun.h"
 #include "common/MemberMessages.h"
 #include "common/RequestIds.h"
 #include "common/RunMessages.h"
@@ -26,23 +26,6 @@
 /// two answers, too few to wait long.
 constexpr std::size_t WaitingCapacity = 16;
 
-/// One attempt, from its arrival to its end.
-struct TargetRun {
-  wire::Peer From;
-  wire::RunRequest Request;
-  telemetry::Span Span;
-  core::TimePoint ArrivedAt;
-  /// The model's generation when the run was admitted; none for a plain
-  /// service.
-  std::optional<std::uint64_t> Generation;
-  bool Cancelled = false;
-  /// Null while the run waits.
-  std::shared_ptr<TargetCall> Call;
-  TargetCallEnd End;
-
-  bool running() const { return Call != nullptr; }
-};
-
 core::TimePoint now() { return std::chrono::steady_clock::now(); }
 
 class GateImpl final : public Gate {
