--- a/rosemarylane/src/agent/TargetCall.cpp
+++ b/rosemarylane/src/agent/TargetCall.cpp
@@ -8,6 +8,7 @@
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/json.hpp>
 #include <charconv>
+#include <mutex>
 
 namespace rosemarylane {
 
@@ -60,6 +61,28 @@
 
 core::TimePoint now() { return std::chrono::steady_clock::now(); }
 
+/// Parts that wait for the control duty. While it is busy they are joined, so
+/// that a fast answer costs few messages and never crowds out heartbeats.
+class PartBuffer {
+public:
+  /// @return whether the buffer was empty, so that it has to be taken.
+  bool add(const std::string &Part) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    bool First = Bytes.empty();
+    Bytes += Part;
+    return First;
+  }
+
+  std::string take() {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    return std::exchange(Bytes, {});
+  }
+
+private:
+  std::mutex Mutex;
+  std::string Bytes;
+};
+
 class HttpTargetCall final
     : public TargetCall,
       public std::enable_shared_from_this<HttpTargetCall> {
@@ -121,10 +144,12 @@
           Self->onHead(Head);
       });
     };
-    To.OnPart = [Weak, &Control](std::string Part) {
-      Control.postAlways([Weak, Part = std::move(Part)] {
+    To.OnPart = [Weak, &Control, Parts = Parts](std::string Part) {
+      if (!Parts->add(Part))
+        return;
+      Control.postAlways([Weak] {
         if (auto Self = Weak.lock())
-          Self->onPart(Part);
+          Self->onPart(Self->Parts->take());
       });
     };
     To.OnDone = [Weak, &Control](std::optional<http::Error> Error) {
@@ -290,6 +315,7 @@
   bool Ended = false;
   /// The head already says at which generation the model ended.
   bool HeadAfterBody = false;
+  std::shared_ptr<PartBuffer> Parts = std::make_shared<PartBuffer>();
   /// Bytes of the body passed on.
   std::uint64_t Offset = 0;
   wire::BodyChecksum Checksum;
