Rename libs/platform to libs/store

Cause: the folder platform/ is about to hold the adapter to the users' platform; two folders of that name would mislead. Change: the clients of the product's own store move to libs/store, namespace store. No behaviour changes; the whole tree builds.

--- a/libs/platform/include/platform/EtcdKeyValue.h
+++ b/libs/store/include/store/EtcdKeyValue.h
@@ -1,13 +1,13 @@
-#ifndef ROSEMARYLANE_PLATFORM_ETCD_KEY_VALUE_H
-#define ROSEMARYLANE_PLATFORM_ETCD_KEY_VALUE_H
+#ifndef ROSEMARYLANE_STORE_ETCD_KEY_VALUE_H
+#define ROSEMARYLANE_STORE_ETCD_KEY_VALUE_H
 
-#include "platform/KeyValue.h"
 #include "runtime/Duty.h"
+#include "store/KeyValue.h"
 
 #include <chrono>
 #include <string>
 
-namespace rosemarylane::platform {
+namespace rosemarylane::store {
 
 /// Settings of the client of a key-value service that speaks etcd v3's JSON
 /// gateway.
@@ -31,6 +31,6 @@
                                              runtime::Duty &Deliver,
                                              EtcdSettings Settings);
 
-} // namespace rosemarylane::platform
+} // namespace rosemarylane::store
 
-#endif // ROSEMARYLANE_PLATFORM_ETCD_KEY_VALUE_H
+#endif // ROSEMARYLANE_STORE_ETCD_KEY_VALUE_H
--- a/libs/platform/include/platform/HostList.h
+++ b/libs/store/include/store/HostList.h
@@ -1,17 +1,17 @@
-#ifndef ROSEMARYLANE_PLATFORM_HOST_LIST_H
-#define ROSEMARYLANE_PLATFORM_HOST_LIST_H
+#ifndef ROSEMARYLANE_STORE_HOST_LIST_H
+#define ROSEMARYLANE_STORE_HOST_LIST_H
 
 #include "core/Ids.h"
 #include "core/Result.h"
-#include "platform/KeyValue.h"
 #include "runtime/Duty.h"
+#include "store/KeyValue.h"
 
 #include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
-namespace rosemarylane::platform {
+namespace rosemarylane::store {
 
 /// What a host runs.
 enum class HostRole { Entry, Agent };
@@ -46,6 +46,6 @@
   virtual void read(Hook OnDone) = 0;
 };
 
-} // namespace rosemarylane::platform
+} // namespace rosemarylane::store
 
-#endif // ROSEMARYLANE_PLATFORM_HOST_LIST_H
+#endif // ROSEMARYLANE_STORE_HOST_LIST_H
--- a/libs/platform/include/platform/KeyValue.h
+++ b/libs/store/include/store/KeyValue.h
@@ -1,5 +1,5 @@
-#ifndef ROSEMARYLANE_PLATFORM_KEY_VALUE_H
-#define ROSEMARYLANE_PLATFORM_KEY_VALUE_H
+#ifndef ROSEMARYLANE_STORE_KEY_VALUE_H
+#define ROSEMARYLANE_STORE_KEY_VALUE_H
 
 #include "core/Result.h"
 
@@ -9,7 +9,7 @@
 #include <optional>
 #include <string>
 
-namespace rosemarylane::platform {
+namespace rosemarylane::store {
 
 /// Why a call on the platform's service failed.
 struct StoreError {
@@ -76,6 +76,6 @@
         std::function<void(StoreError)> OnLost) = 0;
 };
 
-} // namespace rosemarylane::platform
+} // namespace rosemarylane::store
 
-#endif // ROSEMARYLANE_PLATFORM_KEY_VALUE_H
+#endif // ROSEMARYLANE_STORE_KEY_VALUE_H
--- a/libs/platform/include/platform/Origin.h
+++ b/libs/store/include/store/Origin.h
@@ -1,16 +1,16 @@
-#ifndef ROSEMARYLANE_PLATFORM_ORIGIN_H
-#define ROSEMARYLANE_PLATFORM_ORIGIN_H
+#ifndef ROSEMARYLANE_STORE_ORIGIN_H
+#define ROSEMARYLANE_STORE_ORIGIN_H
 
 #include "core/Digest.h"
 #include "core/Result.h"
-#include "platform/KeyValue.h"
 #include "runtime/Duty.h"
+#include "store/KeyValue.h"
 
 #include <functional>
 #include <memory>
 #include <string>
 
-namespace rosemarylane::platform {
+namespace rosemarylane::store {
 
 /// The origin of weights: `GET /v1/manifests/{digest}` and `GET
 /// /v1/chunks/{digest}`, bodies as bytes.
@@ -30,6 +30,6 @@
   virtual void fetchChunk(const core::Digest &Chunk, Hook OnDone) = 0;
 };
 
-} // namespace rosemarylane::platform
+} // namespace rosemarylane::store
 
-#endif // ROSEMARYLANE_PLATFORM_ORIGIN_H
+#endif // ROSEMARYLANE_STORE_ORIGIN_H
--- a/libs/platform/src/Deliver.h
+++ b/libs/store/src/Deliver.h
@@ -1,15 +1,15 @@
-#ifndef ROSEMARYLANE_PLATFORM_DELIVER_H
-#define ROSEMARYLANE_PLATFORM_DELIVER_H
+#ifndef ROSEMARYLANE_STORE_DELIVER_H
+#define ROSEMARYLANE_STORE_DELIVER_H
 
 #include "core/Result.h"
-#include "platform/KeyValue.h"
 #include "runtime/Duty.h"
+#include "store/KeyValue.h"
 
 #include <functional>
 #include <memory>
 #include <utility>
 
-namespace rosemarylane::platform {
+namespace rosemarylane::store {
 
 /// Calls \p OnDone with \p Outcome on \p Deliver.
 template <typename T>
@@ -23,6 +23,6 @@
       [OnDone = std::move(OnDone), Shared] { OnDone(std::move(*Shared)); });
 }
 
-} // namespace rosemarylane::platform
+} // namespace rosemarylane::store
 
-#endif // ROSEMARYLANE_PLATFORM_DELIVER_H
+#endif // ROSEMARYLANE_STORE_DELIVER_H
--- a/libs/platform/src/EtcdJson.cpp
+++ b/libs/store/src/EtcdJson.cpp
@@ -5,7 +5,7 @@
 #include <openssl/evp.h>
 #include <stdexcept>
 
-namespace rosemarylane::platform::etcd_json {
+namespace rosemarylane::store::etcd_json {
 
 namespace json = boost::json;
 
@@ -138,4 +138,4 @@
   return Message;
 }
 
-} // namespace rosemarylane::platform::etcd_json
+} // namespace rosemarylane::store::etcd_json
--- a/libs/platform/src/EtcdJson.h
+++ b/libs/store/src/EtcdJson.h
@@ -1,7 +1,7 @@
-#ifndef ROSEMARYLANE_PLATFORM_ETCD_JSON_H
-#define ROSEMARYLANE_PLATFORM_ETCD_JSON_H
+#ifndef ROSEMARYLANE_STORE_ETCD_JSON_H
+#define ROSEMARYLANE_STORE_ETCD_JSON_H
 
-#include "platform/KeyValue.h"
+#include "store/KeyValue.h"
 
 #include <string>
 #include <string_view>
@@ -9,7 +9,7 @@
 
 /// The bodies of etcd v3's JSON gateway that this client uses. Parsers throw
 /// `std::exception` on a body of another shape.
-namespace rosemarylane::platform::etcd_json {
+namespace rosemarylane::store::etcd_json {
 
 std::string rangeRequest(const std::string &Key);
 std::string swapRequest(const std::string &Key, std::int64_t Expected,
@@ -35,6 +35,6 @@
 
 WatchMessage parseWatch(std::string_view Line);
 
-} // namespace rosemarylane::platform::etcd_json
+} // namespace rosemarylane::store::etcd_json
 
-#endif // ROSEMARYLANE_PLATFORM_ETCD_JSON_H
+#endif // ROSEMARYLANE_STORE_ETCD_JSON_H
--- a/libs/platform/src/EtcdKeyValue.cpp
+++ b/libs/store/src/EtcdKeyValue.cpp
@@ -1,11 +1,11 @@
-#include "platform/EtcdKeyValue.h"
+#include "store/EtcdKeyValue.h"
 
 #include "Deliver.h"
 #include "EtcdJson.h"
 #include "StoreErrors.h"
 #include "http/Client.h"
 
-namespace rosemarylane::platform {
+namespace rosemarylane::store {
 
 namespace {
 
@@ -206,4 +206,4 @@
   return std::make_unique<EtcdKeyValue>(Io, Deliver, std::move(Settings));
 }
 
-} // namespace rosemarylane::platform
+} // namespace rosemarylane::store
--- a/libs/platform/src/HostList.cpp
+++ b/libs/store/src/HostList.cpp
@@ -1,4 +1,4 @@
-#include "platform/HostList.h"
+#include "store/HostList.h"
 
 #include "Deliver.h"
 #include "StoreErrors.h"
@@ -7,7 +7,7 @@
 #include <boost/json/parse.hpp>
 #include <stdexcept>
 
-namespace rosemarylane::platform {
+namespace rosemarylane::store {
 
 namespace json = boost::json;
 
@@ -86,4 +86,4 @@
   return std::make_unique<HttpHostList>(Io, Deliver, std::move(Address));
 }
 
-} // namespace rosemarylane::platform
+} // namespace rosemarylane::store
--- a/libs/platform/src/Origin.cpp
+++ b/libs/store/src/Origin.cpp
@@ -1,10 +1,10 @@
-#include "platform/Origin.h"
+#include "store/Origin.h"
 
 #include "Deliver.h"
 #include "StoreErrors.h"
 #include "http/Client.h"
 
-namespace rosemarylane::platform {
+namespace rosemarylane::store {
 
 namespace {
 
@@ -60,4 +60,4 @@
   return std::make_unique<HttpOrigin>(Io, Deliver, std::move(Address));
 }
 
-} // namespace rosemarylane::platform
+} // namespace rosemarylane::store
--- a/libs/platform/src/StoreErrors.cpp
+++ b/libs/store/src/StoreErrors.cpp
@@ -1,6 +1,6 @@
 #include "StoreErrors.h"
 
-namespace rosemarylane::platform {
+namespace rosemarylane::store {
 
 namespace {
 
@@ -42,4 +42,4 @@
   return {unanswered(Kind), "malformed answer: " + std::move(Detail)};
 }
 
-} // namespace rosemarylane::platform
+} // namespace rosemarylane::store
--- a/libs/platform/src/StoreErrors.h
+++ b/libs/store/src/StoreErrors.h
@@ -1,13 +1,13 @@
-#ifndef ROSEMARYLANE_PLATFORM_STORE_ERRORS_H
-#define ROSEMARYLANE_PLATFORM_STORE_ERRORS_H
+#ifndef ROSEMARYLANE_STORE_STORE_ERRORS_H
+#define ROSEMARYLANE_STORE_STORE_ERRORS_H
 
 #include "http/Error.h"
 #include "http/Message.h"
-#include "platform/KeyValue.h"
+#include "store/KeyValue.h"
 
 #include <optional>
 
-namespace rosemarylane::platform {
+namespace rosemarylane::store {
 
 /// Whether a call changes what the service holds.
 enum class CallKind { Read, Write };
@@ -23,6 +23,6 @@
 /// An answer that cannot be understood.
 StoreError malformedAnswer(CallKind Kind, std::string Detail);
 
-} // namespace rosemarylane::platform
+} // namespace rosemarylane::store
 
-#endif // ROSEMARYLANE_PLATFORM_STORE_ERRORS_H
+#endif // ROSEMARYLANE_STORE_STORE_ERRORS_H
--- a/libs/platform/tests/EtcdKeyValueTest.cpp
+++ b/libs/store/tests/EtcdKeyValueTest.cpp
@@ -1,14 +1,14 @@
-#include "platform/EtcdKeyValue.h"
+#include "store/EtcdKeyValue.h"
 #include "http/Server.h"
-#include "platform/HostList.h"
-#include "platform/Origin.h"
+#include "store/HostList.h"
+#include "store/Origin.h"
 
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <future>
 
 using namespace rosemarylane;
-using namespace rosemarylane::platform;
+using namespace rosemarylane::store;
 using namespace std::chrono_literals;
 
 namespace {
--- a/rosemarylane/src/agent/ChunkTransfers.cpp
+++ b/rosemarylane/src/agent/ChunkTransfers.cpp
@@ -58,7 +58,7 @@
 void ChunkTransfers::askOrigin(std::uint64_t Id, const Asked &What) {
   // The origin's hooks run on the control duty.
   auto OnDone = [this, Id, Guard = std::weak_ptr<bool>(Alive)](
-                    core::Result<std::string, platform::StoreError> Answer) {
+                    core::Result<std::string, store::StoreError> Answer) {
     if (!Guard.lock())
       return;
     if (Answer)
--- a/rosemarylane/src/agent/HeartbeatService.cpp
+++ b/rosemarylane/src/agent/HeartbeatService.cpp
@@ -169,11 +169,11 @@
     });
   }
 
-  void takeHostList(const std::vector<platform::ListedHost> &Hosts) {
+  void takeHostList(const std::vector<store::ListedHost> &Hosts) {
     for (auto &[Address, Link] : Entries)
       Link.Listed = false;
-    for (const platform::ListedHost &H : Hosts)
-      if (H.Role == platform::HostRole::Entry &&
+    for (const store::ListedHost &H : Hosts)
+      if (H.Role == store::HostRole::Entry &&
           H.FailureDomain == Context.Config.FailureDomain)
         link(H.PeerAddress).Listed = true;
   }
--- a/rosemarylane/src/common/ConfigurationService.cpp
+++ b/rosemarylane/src/common/ConfigurationService.cpp
@@ -106,7 +106,7 @@
   }
 
   void readStore() {
-    using Value = core::Result<platform::StoredValue, platform::StoreError>;
+    using Value = core::Result<store::StoredValue, store::StoreError>;
     Context.Store->read(core::ConfigurationKey,
                         onControl<Value>([this](const Value &Read) {
                           if (!Read)
@@ -117,8 +117,8 @@
   }
 
   void watchStore(std::int64_t FromRevision) {
-    using platform::StoredValue;
-    using platform::StoreError;
+    using store::StoredValue;
+    using store::StoreError;
     Watch = Context.Store->watch(
         core::ConfigurationKey, FromRevision,
         onControl<StoredValue>(
@@ -127,7 +127,7 @@
             [this](const StoreError &Error) { retryLater(Error); }));
   }
 
-  void retryLater(const platform::StoreError &Error) {
+  void retryLater(const store::StoreError &Error) {
     telemetry::log(Level::Warning, "configuration not read from the store",
                    {{"error", Error.Detail}});
     Watch.reset();
@@ -139,7 +139,7 @@
         });
   }
 
-  void takeStored(const platform::StoredValue &Value) {
+  void takeStored(const store::StoredValue &Value) {
     if (Value.Revision == 0 || Value.Value.empty())
       return;
     auto Stored = core::parseStored(Value.Value);
@@ -222,7 +222,7 @@
 
   std::vector<core::HostId> LiveEntries;
   std::shared_ptr<ReadingTurn> Reading;
-  std::unique_ptr<platform::KeyValue::Watch> Watch;
+  std::unique_ptr<store::KeyValue::Watch> Watch;
   runtime::TimerService::Subscription Retry;
   core::ConfigurationExchange Exchange;
   /// The peers heard from lately.
--- a/rosemarylane/src/common/HostListReader.cpp
+++ b/rosemarylane/src/common/HostListReader.cpp
@@ -19,9 +19,8 @@
 void HostListReader::read() {
   schedule();
   Context.Hosts->read(
-      [this](
-          core::Result<std::vector<platform::ListedHost>, platform::StoreError>
-              Read) {
+      [this](core::Result<std::vector<store::ListedHost>, store::StoreError>
+                 Read) {
         if (Read)
           OnList(std::move(*Read));
       });
--- a/rosemarylane/src/common/HostListReader.h
+++ b/rosemarylane/src/common/HostListReader.h
@@ -16,7 +16,7 @@
 /// On the control duty. Destroyed after that duty has stopped.
 class HostListReader {
 public:
-  using Hook = std::function<void(std::vector<platform::ListedHost>)>;
+  using Hook = std::function<void(std::vector<store::ListedHost>)>;
 
   /// @param KnowsOthers whether entries other than this process are known to be
   /// alive.
--- a/rosemarylane/src/common/ProcessContext.h
+++ b/rosemarylane/src/common/ProcessContext.h
@@ -4,11 +4,11 @@
 #include "common/Settings.h"
 #include "core/Time.h"
 #include "http/Client.h"
-#include "platform/HostList.h"
-#include "platform/KeyValue.h"
-#include "platform/Origin.h"
 #include "runtime/Duty.h"
 #include "runtime/TimerService.h"
+#include "store/HostList.h"
+#include "store/KeyValue.h"
+#include "store/Origin.h"
 #include "telemetry/Tracer.h"
 #include "wire/PeerNode.h"
 
@@ -40,9 +40,9 @@
   std::shared_ptr<prometheus::Registry> Metrics;
 
   std::unique_ptr<http::Client> Http;
-  std::unique_ptr<platform::KeyValue> Store;
-  std::unique_ptr<platform::HostList> Hosts;
-  std::unique_ptr<platform::Origin> Origin;
+  std::unique_ptr<store::KeyValue> Store;
+  std::unique_ptr<store::HostList> Hosts;
+  std::unique_ptr<store::Origin> Origin;
   std::unique_ptr<wire::PeerNode> Peers;
 };
 
--- a/rosemarylane/src/common/ProcessStart.cpp
+++ b/rosemarylane/src/common/ProcessStart.cpp
@@ -1,6 +1,6 @@
 #include "common/ProcessStart.h"
 
-#include "platform/EtcdKeyValue.h"
+#include "store/EtcdKeyValue.h"
 #include "telemetry/Log.h"
 
 #include <boost/asio/io_context.hpp>
@@ -119,14 +119,14 @@
   Context->Metrics = std::make_shared<prometheus::Registry>();
   Context->Http = http::Client::create(*Context->HttpCalling);
   const PlatformSettings &Platform = Context->Config.Platform;
-  platform::EtcdSettings Store;
+  store::EtcdSettings Store;
   Store.Address = Platform.KeyValue;
-  Context->Store = platform::createEtcdKeyValue(*Context->HttpCalling,
-                                                *Context->Control, Store);
-  Context->Hosts = platform::HostList::create(
+  Context->Store = store::createEtcdKeyValue(*Context->HttpCalling,
+                                             *Context->Control, Store);
+  Context->Hosts = store::HostList::create(
       *Context->HttpCalling, *Context->Control, Platform.HostList);
-  Context->Origin = platform::Origin::create(
-      *Context->HttpCalling, *Context->Control, Platform.Origin);
+  Context->Origin = store::Origin::create(*Context->HttpCalling,
+                                          *Context->Control, Platform.Origin);
   return Context;
 }
 
--- a/rosemarylane/src/entry/ConfigurationWriter.cpp
+++ b/rosemarylane/src/entry/ConfigurationWriter.cpp
@@ -4,14 +4,14 @@
 
 namespace {
 
-using platform::StoredValue;
-using platform::StoreError;
-using platform::SwapOutcome;
+using store::StoredValue;
+using store::StoreError;
+using store::SwapOutcome;
 
 /// One change on its way; kept alive by the call that is in progress.
 class ChangeTask : public std::enable_shared_from_this<ChangeTask> {
 public:
-  ChangeTask(platform::KeyValue &Store, ConfigurationWriter::Delay Later,
+  ChangeTask(store::KeyValue &Store, ConfigurationWriter::Delay Later,
              ConfigurationWriter::Retry Limits,
              core::ConfigurationChange Change,
              ConfigurationWriter::Edit MakeNext,
@@ -92,7 +92,7 @@
     OnDone(core::failure(std::move(Refusal)));
   }
 
-  platform::KeyValue &Store;
+  store::KeyValue &Store;
   ConfigurationWriter::Delay Later;
   ConfigurationWriter::Retry Limits;
   core::ConfigurationChange Change;
@@ -108,11 +108,11 @@
 
 } // namespace
 
-ConfigurationWriter::ConfigurationWriter(platform::KeyValue &Store, Delay Later,
+ConfigurationWriter::ConfigurationWriter(store::KeyValue &Store, Delay Later,
                                          Retry Limits)
     : Store(Store), Later(std::move(Later)), Limits(Limits) {}
 
-ConfigurationWriter::ConfigurationWriter(platform::KeyValue &Store, Delay Later)
+ConfigurationWriter::ConfigurationWriter(store::KeyValue &Store, Delay Later)
     : ConfigurationWriter(Store, std::move(Later), Retry()) {}
 
 void ConfigurationWriter::change(core::ConfigurationChange Change,
--- a/rosemarylane/src/entry/ConfigurationWriter.h
+++ b/rosemarylane/src/entry/ConfigurationWriter.h
@@ -3,7 +3,7 @@
 
 #include "core/Result.h"
 #include "core/StoredConfiguration.h"
-#include "platform/KeyValue.h"
+#include "store/KeyValue.h"
 
 #include <chrono>
 #include <functional>
@@ -60,13 +60,13 @@
   };
 
   /// @param Later runs work after a delay, on the same duty.
-  ConfigurationWriter(platform::KeyValue &Store, Delay Later, Retry Limits);
-  ConfigurationWriter(platform::KeyValue &Store, Delay Later);
+  ConfigurationWriter(store::KeyValue &Store, Delay Later, Retry Limits);
+  ConfigurationWriter(store::KeyValue &Store, Delay Later);
 
   void change(core::ConfigurationChange Change, Edit MakeNext, Done OnDone);
 
 private:
-  platform::KeyValue &Store;
+  store::KeyValue &Store;
   Delay Later;
   Retry Limits;
 };
--- a/rosemarylane/src/entry/LedgerService.cpp
+++ b/rosemarylane/src/entry/LedgerService.cpp
@@ -24,8 +24,8 @@
 /// An entry that did not reply in time is passed over for this long.
 constexpr auto SuspectTime = 2000ms;
 
-ledger::StoreReply::Kind failureKind(const platform::StoreError &Error) {
-  return Error.What == platform::StoreError::Kind::Unknown
+ledger::StoreReply::Kind failureKind(const store::StoreError &Error) {
+  return Error.What == store::StoreError::Kind::Unknown
              ? ledger::StoreReply::Kind::Lost
              : ledger::StoreReply::Kind::Unavailable;
 }
@@ -294,9 +294,8 @@
     Context.Control->postAlways(std::move(Work));
   }
 
-  void onRead(
-      std::uint32_t P,
-      const core::Result<platform::StoredValue, platform::StoreError> &Read) {
+  void onRead(std::uint32_t P,
+              const core::Result<store::StoredValue, store::StoreError> &Read) {
     ledger::StoreReply Reply;
     if (Read) {
       Reply.What = ledger::StoreReply::Kind::Found;
@@ -308,9 +307,9 @@
     complete(P, std::move(Reply));
   }
 
-  void onSwapped(std::uint32_t P,
-                 const core::Result<platform::SwapOutcome, platform::StoreError>
-                     &Swapped) {
+  void onSwapped(
+      std::uint32_t P,
+      const core::Result<store::SwapOutcome, store::StoreError> &Swapped) {
     ledger::StoreReply Reply;
     if (Swapped) {
       Reply.What = Swapped->Swapped ? ledger::StoreReply::Kind::Swapped
@@ -324,7 +323,7 @@
   }
 
   void onErased(std::uint32_t P,
-                const core::Result<bool, platform::StoreError> &Erased) {
+                const core::Result<bool, store::StoreError> &Erased) {
     ledger::StoreReply Reply;
     Reply.What =
         Erased ? ledger::StoreReply::Kind::Erased : failureKind(Erased.error());
--- a/rosemarylane/src/entry/MembershipService.cpp
+++ b/rosemarylane/src/entry/MembershipService.cpp
@@ -233,8 +233,8 @@
 
   void sendSummaries() {
     std::vector<SummaryExchange::Listed> Hosts;
-    for (const platform::ListedHost &H : Listed)
-      if (H.Role == platform::HostRole::Entry)
+    for (const store::ListedHost &H : Listed)
+      if (H.Role == store::HostRole::Entry)
         Hosts.push_back({H.FailureDomain, H.PeerAddress});
     Summaries.tick(Hosts, now());
   }
@@ -249,8 +249,8 @@
           Accepts(Known.What.FailureDomain))
         Addresses.insert(Known.What.PeerAddress);
     });
-    for (const platform::ListedHost &H : Listed)
-      if (H.Role == platform::HostRole::Entry && Accepts(H.FailureDomain))
+    for (const store::ListedHost &H : Listed)
+      if (H.Role == store::HostRole::Entry && Accepts(H.FailureDomain))
         Addresses.insert(H.PeerAddress);
     Addresses.erase(Context.Config.PeerAddress);
     return Addresses;
@@ -377,7 +377,7 @@
   std::uint64_t Sequence = 0;
   bool Draining = false;
   core::TimePoint LastTick;
-  std::vector<platform::ListedHost> Listed;
+  std::vector<store::ListedHost> Listed;
   std::vector<std::function<void(std::vector<LedgerService::EntryPeer>,
                                  std::vector<core::HostId>)>>
       EntryHooks;
--- a/rosemarylane/tests/FakeStore.h
+++ b/rosemarylane/tests/FakeStore.h
@@ -1,7 +1,7 @@
 #ifndef ROSEMARYLANE_TESTS_FAKE_STORE_H
 #define ROSEMARYLANE_TESTS_FAKE_STORE_H
 
-#include "platform/KeyValue.h"
+#include "store/KeyValue.h"
 
 #include <functional>
 #include <map>
@@ -14,7 +14,7 @@
 
 /// A key-value service whose calls take effect and are answered only when the
 /// test says so.
-class FakeStore : public platform::KeyValue {
+class FakeStore : public store::KeyValue {
 public:
   enum class Fate {
     Answered,
@@ -26,8 +26,7 @@
     Late,
   };
 
-  void read(const std::string &Key,
-            Hook<platform::StoredValue> OnDone) override {
+  void read(const std::string &Key, Hook<store::StoredValue> OnDone) override {
     Calls.push_back([this, Key, OnDone = std::move(OnDone)](Fate How) {
       if (How != Fate::Answered)
         return OnDone(lost(How));
@@ -37,7 +36,7 @@
 
   void compareAndSwap(const std::string &Key, std::int64_t Expected,
                       std::string Value,
-                      Hook<platform::SwapOutcome> OnDone) override {
+                      Hook<store::SwapOutcome> OnDone) override {
     Calls.push_back([this, Key, Expected, Value = std::move(Value),
                      OnDone = std::move(OnDone)](Fate How) {
       if (How == Fate::Unavailable)
@@ -47,7 +46,7 @@
             [this, Key, Expected, Value](Fate) { swap(Key, Expected, Value); });
         return OnDone(lost(How));
       }
-      platform::SwapOutcome Outcome = swap(Key, Expected, Value);
+      store::SwapOutcome Outcome = swap(Key, Expected, Value);
       if (How == Fate::AnswerLost)
         return OnDone(lost(How));
       OnDone(Outcome);
@@ -65,8 +64,8 @@
   /// Watches never fire; the tests read.
   std::unique_ptr<Watch>
   watch(const std::string &, std::int64_t,
-        std::function<void(platform::StoredValue)>,
-        std::function<void(platform::StoreError)>) override {
+        std::function<void(store::StoredValue)>,
+        std::function<void(store::StoreError)>) override {
     return std::make_unique<Watch>();
   }
 
@@ -83,21 +82,21 @@
   /// which histories must find out.
   bool LostLooksUnavailable = false;
 
-  std::map<std::string, platform::StoredValue> Values;
+  std::map<std::string, store::StoredValue> Values;
   /// Told after each change of a value.
   std::function<void(const std::string &Value)> OnWrite;
 
 private:
-  tl::unexpected<platform::StoreError> lost(Fate How) const {
+  tl::unexpected<store::StoreError> lost(Fate How) const {
     auto Kind = How == Fate::Unavailable || LostLooksUnavailable
-                    ? platform::StoreError::Kind::Unavailable
-                    : platform::StoreError::Kind::Unknown;
-    return core::failure(platform::StoreError{Kind, "fault"});
+                    ? store::StoreError::Kind::Unavailable
+                    : store::StoreError::Kind::Unknown;
+    return core::failure(store::StoreError{Kind, "fault"});
   }
 
-  platform::SwapOutcome swap(const std::string &Key, std::int64_t Expected,
-                             const std::string &Value) {
-    platform::StoredValue &Stored = Values[Key];
+  store::SwapOutcome swap(const std::string &Key, std::int64_t Expected,
+                          const std::string &Value) {
+    store::StoredValue &Stored = Values[Key];
     if (Stored.Revision != Expected)
       return {false, Stored};
     Stored.Value = Value;
