--- /dev/null
+++ b/libs/serving/include/serving/TargetBoard.h
@@ -0,0 +1,223 @@
+#ifndef ROSEMARYLANE_SERVING_TARGET_BOARD_H
+#define ROSEMARYLANE_SERVING_TARGET_BOARD_H
+
+#include "core/BootClock.h"
+#include "core/Ids.h"
+#include "serving/ColdLimit.h"
+#include "serving/RegisteredTarget.h"
+#include "serving/ServingConfig.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace rosemarylane::serving {
+
+/// Work at a target, as it or its agent has told.
+struct LoadReport {
+  std::uint32_t Running = 0;
+  std::uint32_t Waiting = 0;
+  /// Share of the memory for requests that is taken, 0 to 1.
+  double MemoryUsed = 0;
+};
+
+/// What an agent tells of the target beside it.
+struct AgentReport {
+  /// `IP:port` of the target.
+  std::string Address;
+  std::int64_t Born = 0;
+  LoadReport Load;
+  /// The target is loading or about to: it takes no new work.
+  bool Switching = false;
+  std::vector<LoadedModel> Models;
+};
+
+/// How a request that was sent to a target ended, as far as it tells about the
+/// target.
+enum class SendOutcome {
+  Served,
+  /// Refused without having run, because the target is full.
+  Full,
+  /// Refused without having run, because another incarnation or version is
+  /// there.
+  Mismatch,
+  /// An answer of the target's own that says that it failed.
+  Failed,
+  /// The connection was refused, reset, or ended before a whole answer.
+  Broken,
+  /// No sign of life in time.
+  Silent,
+  /// Ended by the caller or by the gateway; says nothing about the target.
+  Abandoned,
+};
+
+/// What a request asks of a target.
+struct TargetDemand {
+  std::string_view Service;
+  /// Empty: everywhere.
+  std::vector<core::RegionId> AllowedRegions;
+  /// The model that the target must hold; empty for plain services.
+  std::string_view Model;
+  /// A stream goes on only with the version it began with; 0 allows all.
+  std::uint64_t ExactVersion = 0;
+  /// Targets that this request was sent to already.
+  const std::vector<TargetId> *Tried = nullptr;
+};
+
+/// Why no target was chosen.
+enum class NoTarget {
+  /// None is registered, or all are leaving, evacuated, or hold no usable
+  /// version: waiting does not help soon.
+  Unavailable,
+  /// All usable ones have as much work as they take.
+  Full,
+};
+
+/// The target chosen for one request.
+struct ChosenTarget {
+  TargetId Id;
+  std::string Address;
+  /// Version that the target is known to hold, 0 if not known.
+  std::uint64_t Version = 0;
+  /// The target must refuse if it holds another version by now.
+  bool VersionRequired = false;
+  /// Work known at the target before this request, as a share of its slots.
+  double Load = 0;
+  /// Age of what is known of it.
+  std::chrono::milliseconds LoadAge{0};
+  bool OwnDomain = false;
+};
+
+/// Limits of the board; constants of the process.
+struct TargetBoardSettings {
+  core::FailureDomainId OwnDomain;
+  std::map<core::FailureDomainId, core::RegionId> RegionOf;
+  /// Requests beyond its slots that an engine is given: they wait inside it
+  /// for less than the gateway would need to hear of a free slot.
+  double EngineQueue = 1;
+  /// The same for a plain service, as a share of its slots.
+  double PlainQueueShare = 1.0;
+  /// Load, in slots, by which a target elsewhere must be better.
+  double RemotePenalty = 4;
+  /// A report older than this is no longer trusted.
+  std::chrono::milliseconds ReportLife{1500};
+  /// First and longest pause after a target has failed.
+  std::chrono::milliseconds FirstPause{400};
+  std::chrono::milliseconds LongestPause{3000};
+  /// Failures in a row that pause a target that still answers.
+  std::uint32_t FailuresToPause = 3;
+};
+
+/// What one gateway knows of every target, and which one takes the next
+/// request.
+///
+/// Load pattern: engines near nine tenths of their slots, many gateways that do
+/// not see each other's sends, targets that start cold, switch versions, or
+/// fail while they look healthy. Each target's load is its last report plus
+/// what this process has sent and seen end since. The least loaded usable
+/// target of the own failure domain is chosen, another domain's only if it is
+/// better by `RemotePenalty`. Pure: time comes in with each call; not
+/// thread-safe.
+class TargetBoard {
+public:
+  explicit TargetBoard(TargetBoardSettings Settings);
+
+  /// Replaces the registered targets. Targets that are gone are forgotten with
+  /// all that was learnt of them.
+  void setRegistered(const std::vector<RegisteredTarget> &Targets,
+                     const ServingConfig &Config, core::BootTime Now);
+
+  /// Failure domains whose targets get no new work.
+  void setEvacuated(std::set<core::FailureDomainId> Domains);
+
+  /// The newest version named of \p Model. Targets that hold an older one get
+  /// no new work after \p Deadline.
+  void setNamedVersion(const std::string &Model, std::uint64_t Version,
+                       core::BootTime Deadline);
+
+  /// How many gateways of the own failure domain share the cold limits.
+  void setSharers(std::size_t Gateways);
+
+  /// An agent's report.
+  void reported(const AgentReport &Report, core::BootTime Now);
+
+  /// Load that came with an answer.
+  void answeredLoad(const TargetId &Id, LoadReport Load, core::BootTime Now);
+
+  /// The target said how much longer it stays cold.
+  void answeredWarmup(const TargetId &Id, std::chrono::milliseconds Left,
+                      core::BootTime Now);
+
+  /// Chooses the target for one request and counts the send.
+  /// @param Random uniform in [0, 1), to break ties.
+  std::optional<ChosenTarget> choose(const TargetDemand &Demand,
+                                     core::BootTime Now, double Random,
+                                     NoTarget &Why);
+
+  /// A chosen target's request ended.
+  void ended(const TargetId &Id, SendOutcome Outcome, core::BootTime Now);
+
+  /// @return free places of \p Service at usable targets, negative if they
+  /// have more work than places.
+  double freePlaces(std::string_view Service, core::BootTime Now) const;
+
+  /// @return places of \p Service at usable targets.
+  double places(std::string_view Service, core::BootTime Now) const;
+
+  /// @return whether the target is still registered and not leaving.
+  bool usable(const TargetId &Id, core::BootTime Now) const;
+
+  std::size_t size() const { return Targets.size(); }
+
+private:
+  struct Target {
+    RegisteredTarget Info;
+    bool Engine = false;
+    double WarmupRate = 0;
+    LoadReport Load;
+    std::optional<core::BootTime> LoadTime;
+    bool FromAgent = false;
+    /// Sent by this process and not ended.
+    std::uint32_t Own = 0;
+    /// `Own` when the load was reported.
+    std::uint32_t OwnAtReport = 0;
+    bool Switching = false;
+    core::BootTime ColdUntil{};
+    ColdLimit Cold;
+    std::uint32_t FailuresInRow = 0;
+    core::BootTime PausedUntil{};
+    std::chrono::milliseconds Pause{0};
+    /// One request is under way to see whether the target works again.
+    bool Probing = false;
+  };
+
+  double work(const Target &T, core::BootTime Now) const;
+  double room(const Target &T) const;
+  bool serves(const Target &T, const TargetDemand &Demand,
+              core::BootTime Now) const;
+  bool paused(const Target &T, core::BootTime Now) const;
+  std::uint64_t versionOf(const Target &T, std::string_view Model) const;
+  bool versionUsable(const Target &T, const TargetDemand &Demand,
+                     core::BootTime Now) const;
+  bool regionAllowed(const Target &T, const TargetDemand &Demand) const;
+  void pause(Target &T, core::BootTime Now);
+
+  struct NamedVersion {
+    std::uint64_t Version = 0;
+    core::BootTime Deadline{};
+  };
+
+  TargetBoardSettings Settings;
+  std::map<TargetId, Target> Targets;
+  std::set<core::FailureDomainId> Evacuated;
+  std::map<std::string, NamedVersion, std::less<>> Named;
+  std::size_t Sharers = 1;
+};
+
+} // namespace rosemarylane::serving
+
+#endif // ROSEMARYLANE_SERVING_TARGET_BOARD_H
--- /dev/null
+++ b/libs/serving/src/EventSplitter.cpp
@@ -0,0 +1,55 @@
+#include "serving/EventSplitter.h"
+
+#include <utility>
+
+namespace rosemarylane::serving {
+
+namespace {
+
+/// @return the number of bytes up to the end of the last whole event.
+std::size_t wholeEvents(std::string_view Bytes) {
+  std::size_t Unix = Bytes.rfind("\n\n");
+  std::size_t Dos = Bytes.rfind("\n\r\n");
+  std::size_t End = 0;
+  if (Unix != std::string_view::npos)
+    End = Unix + 2;
+  if (Dos != std::string_view::npos)
+    End = std::max(End, Dos + 3);
+  return End;
+}
+
+} // namespace
+
+std::string EventSplitter::feed(std::string_view Bytes) {
+  Pending.append(Bytes);
+  std::size_t End = wholeEvents(Pending);
+  if (End == 0)
+    return {};
+  std::string Events = Pending.substr(0, End);
+  Pending.erase(0, End);
+  noteIds(Events);
+  return Events;
+}
+
+std::string EventSplitter::takeRest() { return std::exchange(Pending, {}); }
+
+void EventSplitter::noteIds(std::string_view Events) {
+  std::size_t At = 0;
+  while (At < Events.size()) {
+    std::size_t End = Events.find('\n', At);
+    if (End == std::string_view::npos)
+      End = Events.size();
+    std::string_view Line = Events.substr(At, End - At);
+    At = End + 1;
+    if (!Line.starts_with("id:"))
+      continue;
+    Line.remove_prefix(3);
+    while (!Line.empty() && Line.front() == ' ')
+      Line.remove_prefix(1);
+    while (!Line.empty() && (Line.back() == '\r' || Line.back() == ' '))
+      Line.remove_suffix(1);
+    LastId = Line;
+  }
+}
+
+} // namespace rosemarylane::serving
--- /dev/null
+++ b/libs/serving/src/TargetBoard.cpp
@@ -0,0 +1,290 @@
+#include "serving/TargetBoard.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace rosemarylane::serving {
+
+TargetBoard::TargetBoard(TargetBoardSettings Bounds)
+    : Settings(std::move(Bounds)) {}
+
+void TargetBoard::setRegistered(const std::vector<RegisteredTarget> &Infos,
+                                const ServingConfig &Config,
+                                core::BootTime Now) {
+  std::map<TargetId, Target> Next;
+  for (const RegisteredTarget &Info : Infos) {
+    Target T;
+    auto Known = Targets.find(Info.Id);
+    if (Known != Targets.end() && Known->second.Info.Born == Info.Born &&
+        Known->second.Info.Address == Info.Address)
+      T = std::move(Known->second);
+    bool MoreWarmup = Info.WarmupLeft != T.Info.WarmupLeft;
+    bool ModelsChanged = Info.Models != T.Info.Models;
+    std::vector<LoadedModel> AgentModels = T.Info.Models;
+    T.Info = Info;
+    if (T.FromAgent && !ModelsChanged)
+      T.Info.Models = AgentModels;
+    if (MoreWarmup)
+      T.ColdUntil = std::max(T.ColdUntil, Now + Info.WarmupLeft);
+    if (const Service *S = Config.service(Info.Service)) {
+      T.Engine = S->Engine.has_value();
+      T.WarmupRate = S->WarmupRate;
+    }
+    Next.emplace(Info.Id, std::move(T));
+  }
+  Targets = std::move(Next);
+}
+
+void TargetBoard::setEvacuated(std::set<core::FailureDomainId> Domains) {
+  Evacuated = std::move(Domains);
+}
+
+void TargetBoard::setNamedVersion(const std::string &Model,
+                                  std::uint64_t Version,
+                                  core::BootTime Deadline) {
+  NamedVersion &N = Named[Model];
+  if (Version > N.Version)
+    N = {Version, Deadline};
+}
+
+void TargetBoard::setSharers(std::size_t Gateways) {
+  Sharers = std::max<std::size_t>(Gateways, 1);
+}
+
+void TargetBoard::reported(const AgentReport &Report, core::BootTime Now) {
+  for (auto &[Id, T] : Targets) {
+    if (T.Info.Address != Report.Address)
+      continue;
+    if (T.Info.Born != 0 && Report.Born != 0 && T.Info.Born != Report.Born)
+      continue;
+    T.Load = Report.Load;
+    T.LoadTime = Now;
+    T.FromAgent = true;
+    T.OwnAtReport = T.Own;
+    T.Switching = Report.Switching;
+    T.Info.Models = Report.Models;
+  }
+}
+
+void TargetBoard::answeredLoad(const TargetId &Id, LoadReport Load,
+                               core::BootTime Now) {
+  auto Found = Targets.find(Id);
+  if (Found == Targets.end())
+    return;
+  Target &T = Found->second;
+  bool AgentIsFresh =
+      T.FromAgent && T.LoadTime && Now - *T.LoadTime < Settings.ReportLife;
+  if (AgentIsFresh)
+    return;
+  Load.MemoryUsed = T.Load.MemoryUsed;
+  T.Load = Load;
+  T.LoadTime = Now;
+  T.FromAgent = false;
+  T.OwnAtReport = T.Own;
+}
+
+void TargetBoard::answeredWarmup(const TargetId &Id,
+                                 std::chrono::milliseconds Left,
+                                 core::BootTime Now) {
+  auto Found = Targets.find(Id);
+  if (Found != Targets.end())
+    Found->second.ColdUntil = Now + Left;
+}
+
+double TargetBoard::work(const Target &T, core::BootTime Now) const {
+  bool Known = T.LoadTime && Now - *T.LoadTime < Settings.ReportLife;
+  if (!Known)
+    return T.Own;
+  double Reported = T.Load.Running + T.Load.Waiting;
+  double Since = static_cast<double>(T.Own) - T.OwnAtReport;
+  return std::max<double>(T.Own, Reported + Since);
+}
+
+double TargetBoard::room(const Target &T) const {
+  double Queue =
+      T.Engine ? Settings.EngineQueue : Settings.PlainQueueShare * T.Info.Slots;
+  return T.Info.Slots + Queue;
+}
+
+bool TargetBoard::paused(const Target &T, core::BootTime Now) const {
+  if (T.Pause.count() == 0)
+    return false;
+  return Now < T.PausedUntil || T.Probing;
+}
+
+std::uint64_t TargetBoard::versionOf(const Target &T,
+                                     std::string_view Model) const {
+  for (const LoadedModel &M : T.Info.Models)
+    if (M.Model == Model)
+      return M.Version;
+  return 0;
+}
+
+bool TargetBoard::versionUsable(const Target &T, const TargetDemand &Demand,
+                                core::BootTime Now) const {
+  if (Demand.Model.empty() || !T.Engine || !T.Info.TellsModels)
+    return true;
+  std::uint64_t Held = versionOf(T, Demand.Model);
+  if (Held == 0)
+    return false;
+  if (Demand.ExactVersion != 0 && Held != Demand.ExactVersion)
+    return false;
+  auto Found = Named.find(Demand.Model);
+  if (Found == Named.end() || Held >= Found->second.Version)
+    return true;
+  return Now < Found->second.Deadline;
+}
+
+bool TargetBoard::regionAllowed(const Target &T,
+                                const TargetDemand &Demand) const {
+  if (Demand.AllowedRegions.empty())
+    return true;
+  auto Found = Settings.RegionOf.find(T.Info.FailureDomain);
+  if (Found == Settings.RegionOf.end())
+    return false;
+  return std::find(Demand.AllowedRegions.begin(), Demand.AllowedRegions.end(),
+                   Found->second) != Demand.AllowedRegions.end();
+}
+
+bool TargetBoard::serves(const Target &T, const TargetDemand &Demand,
+                         core::BootTime Now) const {
+  if (T.Info.Service != Demand.Service || T.Info.Draining || T.Switching)
+    return false;
+  if (Evacuated.contains(T.Info.FailureDomain))
+    return false;
+  if (!regionAllowed(T, Demand) || !versionUsable(T, Demand, Now))
+    return false;
+  if (!Demand.Tried)
+    return true;
+  return std::find(Demand.Tried->begin(), Demand.Tried->end(), T.Info.Id) ==
+         Demand.Tried->end();
+}
+
+std::optional<ChosenTarget> TargetBoard::choose(const TargetDemand &Demand,
+                                                core::BootTime Now,
+                                                double Random, NoTarget &Why) {
+  Why = NoTarget::Unavailable;
+  Target *Best = nullptr;
+  double BestScore = std::numeric_limits<double>::max();
+  std::size_t Ties = 1;
+  for (auto &[Id, T] : Targets) {
+    if (!serves(T, Demand, Now))
+      continue;
+    Why = NoTarget::Full;
+    if (paused(T, Now))
+      continue;
+    bool Own = T.Info.FailureDomain == Settings.OwnDomain;
+    bool Cold = T.WarmupRate > 0 && Now < T.ColdUntil;
+    if (Cold && (!Own || !T.Cold.ready(T.WarmupRate, Sharers, Now)))
+      continue;
+    double Work = work(T, Now);
+    if (Work >= room(T))
+      continue;
+    double Score = Work / T.Info.Slots * 16 +
+                   (Own ? 0 : Settings.RemotePenalty) + T.Load.MemoryUsed;
+    // A tie goes to each with the same chance.
+    if (Score == BestScore)
+      ++Ties;
+    if (Score < BestScore ||
+        (Score == BestScore && Random * static_cast<double>(Ties) < 1)) {
+      if (Score < BestScore)
+        Ties = 1;
+      Best = &T;
+      BestScore = Score;
+    }
+  }
+  if (!Best)
+    return std::nullopt;
+  if (Best->WarmupRate > 0 && Now < Best->ColdUntil)
+    (void)Best->Cold.tryTake(Best->WarmupRate, Sharers, Now);
+  ChosenTarget Chosen;
+  Chosen.Id = Best->Info.Id;
+  Chosen.Address = Best->Info.Address;
+  Chosen.Version = versionOf(*Best, Demand.Model);
+  Chosen.VersionRequired = Demand.ExactVersion != 0;
+  Chosen.Load = work(*Best, Now) / Best->Info.Slots;
+  Chosen.OwnDomain = Best->Info.FailureDomain == Settings.OwnDomain;
+  if (Best->LoadTime)
+    Chosen.LoadAge = std::chrono::duration_cast<std::chrono::milliseconds>(
+        Now - *Best->LoadTime);
+  if (Best->Pause.count() > 0)
+    Best->Probing = true;
+  ++Best->Own;
+  return Chosen;
+}
+
+void TargetBoard::pause(Target &T, core::BootTime Now) {
+  T.Pause = T.Pause.count() == 0 ? Settings.FirstPause
+                                 : std::min(T.Pause * 2, Settings.LongestPause);
+  T.PausedUntil = Now + T.Pause;
+}
+
+void TargetBoard::ended(const TargetId &Id, SendOutcome Outcome,
+                        core::BootTime Now) {
+  auto Found = Targets.find(Id);
+  if (Found == Targets.end())
+    return;
+  Target &T = Found->second;
+  if (T.Own > 0)
+    --T.Own;
+  T.Probing = false;
+  switch (Outcome) {
+  case SendOutcome::Served:
+    T.FailuresInRow = 0;
+    T.Pause = std::chrono::milliseconds(0);
+    break;
+  case SendOutcome::Abandoned:
+    break;
+  case SendOutcome::Full:
+    // Believe the target rather than the estimate until the next report.
+    T.Load.Running = T.Info.Slots;
+    T.Load.Waiting = static_cast<std::uint32_t>(room(T)) - T.Info.Slots + 1;
+    T.LoadTime = Now;
+    T.OwnAtReport = T.Own;
+    break;
+  case SendOutcome::Mismatch:
+    T.PausedUntil = Now + Settings.FirstPause;
+    T.Pause = std::max(T.Pause, Settings.FirstPause);
+    break;
+  case SendOutcome::Failed:
+    if (++T.FailuresInRow >= Settings.FailuresToPause)
+      pause(T, Now);
+    break;
+  case SendOutcome::Broken:
+  case SendOutcome::Silent:
+    ++T.FailuresInRow;
+    pause(T, Now);
+    break;
+  }
+}
+
+double TargetBoard::freePlaces(std::string_view Service,
+                               core::BootTime Now) const {
+  double Free = 0;
+  for (const auto &[Id, T] : Targets) {
+    if (T.Info.Service != Service || T.Info.Draining || T.Switching ||
+        paused(T, Now) || Evacuated.contains(T.Info.FailureDomain))
+      continue;
+    Free += T.Info.Slots - work(T, Now);
+  }
+  return Free;
+}
+
+double TargetBoard::places(std::string_view Service, core::BootTime Now) const {
+  double Places = 0;
+  for (const auto &[Id, T] : Targets) {
+    if (T.Info.Service != Service || T.Info.Draining || T.Switching ||
+        paused(T, Now) || Evacuated.contains(T.Info.FailureDomain))
+      continue;
+    Places += T.Info.Slots;
+  }
+  return Places;
+}
+
+bool TargetBoard::usable(const TargetId &Id, core::BootTime Now) const {
+  auto Found = Targets.find(Id);
+  return Found != Targets.end() && !Found->second.Info.Draining &&
+         !paused(Found->second, Now);
+}
+
+} // namespace rosemarylane::serving
--- a/libs/telemetry/include/telemetry/Log.h
+++ b/libs/telemetry/include/telemetry/Log.h
@@ -24,9 +24,24 @@
   std::variant<std::string, std::int64_t, double, bool> Value;
 };
 
-/// Starts logging to standard error as JSON lines; called once, before the
-/// first `log`.
-void startLog(LogIdentity Identity, Level Lowest);
+/// Where lines go.
+enum class LogSink {
+  /// Written one by one by the thread that logs.
+  StandardError,
+  /// Written in batches by a thread of its own; the thread that logs never
+  /// waits, and lines beyond a bound are dropped and counted.
+  StandardOutput,
+};
+
+/// Starts logging as JSON lines; called once, before the first `log`.
+void startLog(LogIdentity Identity, Level Lowest,
+              LogSink Sink = LogSink::StandardError);
+
+/// Writes what is still collected; `log` writes nothing afterwards.
+void stopLog();
+
+/// @return the level of that name; `Info` for any other.
+Level parseLevel(std::string_view Name);
 
 /// Sets the configuration revision that later lines carry. From any thread.
 void setLogRevision(std::uint64_t Revision);
--- a/libs/telemetry/src/Log.cpp
+++ b/libs/telemetry/src/Log.cpp
@@ -1,5 +1,7 @@
 #include "telemetry/Log.h"
 
+#include "BatchAppender.h"
+
 #include <atomic>
 #include <boost/json.hpp>
 #include <log4cplus/consoleappender.h>
@@ -63,19 +65,34 @@
 
 } // namespace
 
-void startLog(LogIdentity Process, Level Lowest) {
+void startLog(LogIdentity Process, Level Lowest, LogSink Sink) {
   static log4cplus::Initializer Initializer;
   Identity = std::move(Process);
-  log4cplus::SharedAppenderPtr Console(
-      new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
-                                     /*immediateFlush=*/true));
-  Console->setLayout(std::make_unique<JsonLineLayout>());
+  log4cplus::SharedAppenderPtr Appender;
+  if (Sink == LogSink::StandardOutput)
+    Appender = new BatchAppender();
+  else
+    Appender = new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
+                                              /*immediateFlush=*/true);
+  Appender->setLayout(std::make_unique<JsonLineLayout>());
   auto Root = log4cplus::Logger::getRoot();
   Root.removeAllAppenders();
-  Root.addAppender(Console);
+  Root.addAppender(Appender);
   Root.setLogLevel(levelOf(Lowest));
 }
 
+void stopLog() { log4cplus::Logger::getRoot().removeAllAppenders(); }
+
+Level parseLevel(std::string_view Name) {
+  if (Name == "debug")
+    return Level::Debug;
+  if (Name == "warning")
+    return Level::Warning;
+  if (Name == "error")
+    return Level::Error;
+  return Level::Info;
+}
+
 void setLogRevision(std::uint64_t InForce) { Revision = InForce; }
 
 void log(Level At, std::string_view Message,
--- a/rosemarylane/src/Command.cpp
+++ b/rosemarylane/src/Command.cpp
@@ -13,9 +13,11 @@
   ExitCode (*Run)(int, const char **);
 };
 
-constexpr std::array<Subcommand, 4> Subcommands{{
+constexpr std::array<Subcommand, 6> Subcommands{{
     {"entry", runEntry},
     {"agent", runAgent},
+    {"gateway", runGateway},
+    {"sidecar", runSidecar},
     {"ctl", runCtl},
     {"check", runCheck},
 }};
@@ -25,6 +27,9 @@
     "\n"
     "  entry   take callers' requests and route them to targets\n"
     "  agent   fetch weights and guard one target\n"
+    "  gateway take callers' requests on a platform whose targets register\n"
+    "          themselves, and send them to the targets directly\n"
+    "  sidecar stand beside one such target: tell its load, load new weights\n"
     "  ctl     read and change the catalogue, take hosts out and bring them "
     "back\n"
     "  check   check a settings file or a catalogue\n"
--- a/rosemarylane/src/Command.h
+++ b/rosemarylane/src/Command.h
@@ -26,6 +26,8 @@
 /// @param Argv starts with the subcommand's name.
 ExitCode runEntry(int Argc, const char **Argv);
 ExitCode runAgent(int Argc, const char **Argv);
+ExitCode runGateway(int Argc, const char **Argv);
+ExitCode runSidecar(int Argc, const char **Argv);
 ExitCode runCtl(int Argc, const char **Argv);
 ExitCode runCheck(int Argc, const char **Argv);
 
--- a/rosemarylane/src/common/ProcessStart.cpp
+++ b/rosemarylane/src/common/ProcessStart.cpp
@@ -20,16 +20,6 @@
 constexpr std::size_t ControlRing = 65536;
 constexpr std::size_t HttpRing = 16384;
 
-telemetry::Level parseLevel(const std::string &Name) {
-  if (Name == "debug")
-    return telemetry::Level::Debug;
-  if (Name == "warning")
-    return telemetry::Level::Warning;
-  if (Name == "error")
-    return telemetry::Level::Error;
-  return telemetry::Level::Info;
-}
-
 const char *nameOf(ProcessKind Kind) {
   return Kind == ProcessKind::Entry ? "entry" : "agent";
 }
@@ -102,7 +92,7 @@
                                              Settings Config) {
   telemetry::startLog(
       {nameOf(Kind), Config.Host.str(), Config.FailureDomain.str()},
-      parseLevel(Config.LogLevel));
+      telemetry::parseLevel(Config.LogLevel));
   auto Context = std::make_unique<ProcessContext>();
   Context->Config = std::move(Config);
   Context->Incarnation = wallClockMilliseconds();
--- /dev/null
+++ b/rosemarylane/src/gateway/Admission.cpp
@@ -0,0 +1,88 @@
+#include "gateway/Admission.h"
+
+#include <algorithm>
+
+namespace rosemarylane {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Time between the check of a key and the request's arrival at its target.
+constexpr milliseconds ProofMargin{700};
+
+/// Regions that both lists allow; an empty list allows all.
+std::vector<core::RegionId>
+commonRegions(const std::vector<core::RegionId> &A,
+              const std::vector<core::RegionId> &B) {
+  if (A.empty())
+    return B;
+  if (B.empty())
+    return A;
+  std::vector<core::RegionId> Result;
+  for (const core::RegionId &Region : A)
+    if (std::find(B.begin(), B.end(), Region) != B.end())
+      Result.push_back(Region);
+  // No region is allowed by both: a name that no region has.
+  if (Result.empty())
+    Result.emplace_back("");
+  return Result;
+}
+
+std::string pickService(const serving::Route &Route, double Random) {
+  double Total = 0;
+  for (const auto &Part : Route.Services)
+    Total += Part.Weight;
+  double Left = Random * Total;
+  for (const auto &Part : Route.Services) {
+    Left -= Part.Weight;
+    if (Left < 0)
+      return Part.Service;
+  }
+  return Route.Services.front().Service;
+}
+
+Admission refusal(unsigned Status, const char *Why, AdmittedRequest Request) {
+  return {Status, Why, std::move(Request)};
+}
+
+} // namespace
+
+Admission admitRequest(GatewayContext &Context,
+                       const CallerConnection::Request &Request) {
+  AdmittedRequest Result;
+  Result.Marks = platform::readRequest(Request.base());
+  Result.Config = Context.Config;
+  if (!Result.Config)
+    return refusal(503, "no configuration yet", std::move(Result));
+  std::string_view Path(Request.target().data(), Request.target().size());
+  Path = Path.substr(0, Path.find('?'));
+  Result.Route = Result.Config->route(Result.Marks.Host, Path);
+  if (!Result.Route)
+    return refusal(404, "no route", std::move(Result));
+  const serving::Route &Route = *Result.Route;
+  Result.Priority = Route.Priority;
+  Result.AllowedRegions = Route.AllowedRegions;
+  if (Result.Config->needsKeys() && !Route.Anonymous) {
+    auto ProofAge = Context.Follower->operatorProofAge();
+    const ServicePromises &Promises = Context.Settings.Promises;
+    bool Proved = ProofAge && *ProofAge + ProofMargin < Promises.KeyRevocation;
+    if (Promises.RefuseUnproved && !Proved)
+      return refusal(503, "keys cannot be proved", std::move(Result));
+    const serving::Workspace *Workspace =
+        Result.Config->workspaceOfKey(Result.Marks.Key);
+    if (!Workspace)
+      return refusal(401, "unknown key", std::move(Result));
+    Result.Workspace = Workspace->Name.str();
+    Result.Priority = Workspace->Priority.value_or(Route.Priority);
+    Result.AllowedRegions =
+        commonRegions(Route.AllowedRegions, Workspace->AllowedRegions);
+  }
+  Result.Service = pickService(Route, Context.random());
+  Result.TimeLeft = Route.Timeout;
+  if (Result.Marks.Patience)
+    Result.TimeLeft = std::min(Result.TimeLeft, *Result.Marks.Patience);
+  return {0, "", std::move(Result)};
+}
+
+} // namespace rosemarylane
--- /dev/null
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -0,0 +1,443 @@
+#include "gateway/RequestRun.h"
+
+#include "gateway/Admission.h"
+#include "gateway/TargetSend.h"
+#include "serving/EventSplitter.h"
+#include "serving/RequestOutcome.h"
+#include "telemetry/Log.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace rosemarylane {
+
+namespace asio = boost::asio;
+using core::BootClock;
+using core::BootTime;
+using serving::NextStep;
+using serving::SendEnd;
+using serving::SendOutcome;
+using std::chrono::milliseconds;
+using Clock = TargetSend::Clock;
+
+namespace {
+
+/// A repeatable request is sent elsewhere after so long without a sign of its
+/// answer.
+constexpr milliseconds StreamPatience{1500};
+constexpr milliseconds PlainPatience{700};
+/// The same between two events of a stream.
+constexpr milliseconds EventPatience{1100};
+/// Part of the latency target that a request may spend in the line.
+constexpr double LinePart = 0.5;
+/// Answers of plain services are collected up to this size, so that one that
+/// breaks off can be tried elsewhere or reported as failed.
+constexpr std::size_t MaxCollectedBytes = 1 << 20;
+/// A refused caller is asked to come back after a time drawn from this range.
+constexpr milliseconds FirstReturn{300};
+constexpr milliseconds LastReturn{1500};
+
+std::string retryAfterSeconds(double Random) {
+  double Milliseconds =
+      FirstReturn.count() +
+      Random * static_cast<double>((LastReturn - FirstReturn).count());
+  std::string Text = std::to_string(Milliseconds / 1000);
+  return Text.substr(0, Text.find('.') + 3);
+}
+
+/// One request from its admission to the end of its answer.
+class RequestRun {
+public:
+  RequestRun(GatewayContext &Context, std::shared_ptr<CallerConnection> Caller,
+             CallerConnection::Request &Request)
+      : Context(Context), Caller(std::move(Caller)), Request(Request),
+        Started(Clock::now()), Timer(Context.Loop) {}
+
+  asio::awaitable<void> run();
+
+private:
+  // Steps of the run.
+  asio::awaitable<void> serve();
+  asio::awaitable<std::optional<serving::ChosenTarget>> takeTarget();
+  std::optional<serving::ChosenTarget> choose();
+  asio::awaitable<SendEnd> sendOnce(const serving::ChosenTarget &Target);
+  asio::awaitable<SendEnd> relay(const serving::ChosenTarget &Target);
+  asio::awaitable<SendEnd> collectAnswer();
+  asio::awaitable<SendEnd> passStream();
+  asio::awaitable<void> passCollected();
+  void noteEnd(const serving::ChosenTarget &Target, SendEnd End);
+
+  // Ends of the run.
+  asio::awaitable<void> refuse(unsigned Status, const char *Why);
+  asio::awaitable<void> fail();
+  void abortStream(const char *Why);
+  void finish(const char *Outcome, unsigned Status);
+
+  bool timeUp() const { return Clock::now() >= Until; }
+  milliseconds elapsed() const {
+    return std::chrono::duration_cast<milliseconds>(Clock::now() - Started);
+  }
+  bool streaming() const {
+    return Admitted.Route->Kind == serving::RequestKind::Streaming;
+  }
+
+  GatewayContext &Context;
+  std::shared_ptr<CallerConnection> Caller;
+  CallerConnection::Request &Request;
+  Clock::time_point Started;
+  Clock::time_point Until{};
+  asio::steady_timer Timer;
+
+  AdmittedRequest Admitted;
+  serving::RequestOutcome Outcome;
+  std::vector<serving::TargetId> Tried;
+  serving::NoTarget Why = serving::NoTarget::Unavailable;
+  std::unique_ptr<TargetSend> Send;
+  SendOutcome LastSend = SendOutcome::Abandoned;
+  std::string LastTarget;
+  double LastLoad = 0;
+  std::int64_t LastLoadAge = -1;
+  milliseconds Waited{0};
+
+  // The answer on its way to the caller.
+  bool HeadPassed = false;
+  serving::EventSplitter Events;
+  std::uint64_t AnswerVersion = 0;
+  unsigned CollectedStatus = 0;
+  platform::HttpFields CollectedHead;
+  std::string CollectedBody;
+  bool Finished = false;
+};
+
+asio::awaitable<void> RequestRun::run() {
+  Admission Decision = admitRequest(Context, Request);
+  Admitted = std::move(Decision.Request);
+  if (Decision.Status != 0) {
+    co_await refuse(Decision.Status, Decision.Why);
+    co_return;
+  }
+  Until = Started + Admitted.TimeLeft;
+  Outcome = serving::RequestOutcome(Admitted.Route->repeatable(),
+                                    Admitted.Route->MaxAttempts);
+  Context.retries(Admitted.Service).firstSend();
+  Caller->onGone([this] {
+    Timer.cancel();
+    if (Send)
+      Send->cancel();
+  });
+  co_await serve();
+  Caller->onGone(nullptr);
+  if (!Finished)
+    finish(Caller->gone() ? "caller left" : "ended", 0);
+}
+
+asio::awaitable<void> RequestRun::serve() {
+  for (;;) {
+    auto Target = co_await takeTarget();
+    if (Caller->gone()) {
+      if (Target)
+        Context.Board.ended(Target->Id, SendOutcome::Abandoned,
+                            BootClock::now());
+      co_return;
+    }
+    if (!Target) {
+      if (HeadPassed)
+        abortStream("no target goes on with the stream");
+      else if (Outcome.mayHaveRun())
+        co_await fail();
+      else
+        co_await refuse(503, Why == serving::NoTarget::Full
+                                 ? "no free place"
+                                 : "no usable target");
+      co_return;
+    }
+    SendEnd End = co_await sendOnce(*Target);
+    if (Caller->gone() || Finished)
+      co_return;
+    Outcome.ended(End);
+    NextStep Step = Outcome.next([&] {
+      return !timeUp() &&
+             Context.retries(Admitted.Service).tryRepeat(BootClock::now());
+    });
+    if (Step == NextStep::SendAgain && timeUp())
+      Step = Outcome.mayHaveRun() ? NextStep::Fail : NextStep::Refuse;
+    switch (Step) {
+    case NextStep::PassOn:
+      if (!HeadPassed)
+        co_await passCollected();
+      else
+        abortStream("target failed while going on with the stream");
+      co_return;
+    case NextStep::SendAgain:
+      Context.Metrics.sent(true);
+      continue;
+    case NextStep::Refuse:
+      if (HeadPassed)
+        abortStream("target refused to go on with the stream");
+      else
+        co_await refuse(503, "targets refused");
+      co_return;
+    case NextStep::Fail:
+      if (HeadPassed)
+        abortStream("stream broke off");
+      else
+        co_await fail();
+      co_return;
+    }
+  }
+}
+
+std::optional<serving::ChosenTarget> RequestRun::choose() {
+  serving::TargetDemand Demand;
+  Demand.Service = Admitted.Service;
+  Demand.AllowedRegions = Admitted.AllowedRegions;
+  Demand.Model = Admitted.Marks.Model;
+  Demand.Tried = &Tried;
+  Demand.ExactVersion = HeadPassed ? AnswerVersion : 0;
+  return Context.Board.choose(Demand, BootClock::now(), Context.random(), Why);
+}
+
+asio::awaitable<std::optional<serving::ChosenTarget>> RequestRun::takeTarget() {
+  serving::WaitLine &Line = Context.line(Admitted.Service);
+  std::optional<serving::ChosenTarget> Taken;
+  if (Line.size() == 0) {
+    Taken = choose();
+    if (Taken || Why != serving::NoTarget::Full)
+      co_return Taken;
+  }
+  auto MayWait = std::chrono::duration_cast<Clock::duration>(
+      Admitted.Route->LatencyTarget * LinePart);
+  auto WaitUntil = std::min(Until, Started + MayWait);
+  if (Clock::now() >= WaitUntil)
+    co_return choose();
+  auto Place = Line.join(Admitted.Priority, [&] {
+    Taken = choose();
+    if (Taken)
+      Timer.cancel();
+    return Taken.has_value();
+  });
+  if (!Place)
+    co_return std::nullopt;
+  auto Joined = Clock::now();
+  Timer.expires_at(WaitUntil);
+  Line.advance();
+  if (!Taken)
+    co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  auto Time = std::chrono::duration_cast<milliseconds>(Clock::now() - Joined);
+  Waited += Time;
+  Context.Metrics.waited(Time);
+  co_return Taken;
+}
+
+asio::awaitable<SendEnd>
+RequestRun::sendOnce(const serving::ChosenTarget &Target) {
+  LastTarget = Target.Id.str();
+  LastLoad = Target.Load;
+  LastLoadAge = Target.LoadAge.count();
+  Tried.push_back(Target.Id);
+  SendEnd End = co_await relay(Target);
+  if (Caller->gone()) {
+    LastSend = SendOutcome::Abandoned;
+    Send->cancel();
+  }
+  noteEnd(Target, End);
+  Send.reset();
+  co_return End;
+}
+
+void RequestRun::noteEnd(const serving::ChosenTarget &Target, SendEnd End) {
+  BootTime Now = BootClock::now();
+  const platform::AnswerMarks &Marks = Send->marks();
+  bool HasHead = End == SendEnd::Answered || End == SendEnd::Rejected ||
+                 End == SendEnd::Failed;
+  Context.Board.ended(Target.Id, LastSend, Now);
+  if (HasHead && Marks.Load)
+    Context.Board.answeredLoad(Target.Id, *Marks.Load, Now);
+  if (HasHead && Marks.WarmupLeft)
+    Context.Board.answeredWarmup(Target.Id, *Marks.WarmupLeft, Now);
+  if (LastSend == SendOutcome::Silent || LastSend == SendOutcome::Broken)
+    Context.Pool.drop(Target.Id);
+  Context.advanceLines();
+}
+
+asio::awaitable<SendEnd>
+RequestRun::relay(const serving::ChosenTarget &Target) {
+  Send = std::make_unique<TargetSend>(Context, Target);
+  platform::TargetMarks Marks;
+  Marks.TimeLeft =
+      std::max(milliseconds(1),
+               std::chrono::duration_cast<milliseconds>(Until - Clock::now()));
+  Marks.Target = Target.Id;
+  Marks.Workspace = Admitted.Workspace;
+  Marks.Priority = Admitted.Priority;
+  Marks.ForModel = !Admitted.Marks.Model.empty();
+  Marks.Version = Target.VersionRequired ? Target.Version : 0;
+  Marks.ContinueAfter = HeadPassed ? Events.lastId() : "";
+  bool MoreAllowed = Admitted.Route->repeatable() &&
+                     Outcome.arrivals() + 1 < Admitted.Route->MaxAttempts;
+  milliseconds Patience = !MoreAllowed  ? Admitted.TimeLeft
+                          : streaming() ? StreamPatience
+                                        : PlainPatience;
+  auto Fields = platform::targetFields(Request.base(), Marks);
+  TargetSend::Step Step =
+      co_await Send->start(Request, Fields, Admitted.Marks.Id,
+                           !Admitted.Route->repeatable(), Until, Patience);
+  switch (Step) {
+  case TargetSend::Step::NotSent:
+    LastSend = SendOutcome::Broken;
+    co_return SendEnd::NotSent;
+  case TargetSend::Step::Broken:
+  case TargetSend::Step::End:
+    LastSend = timeUp() ? SendOutcome::Abandoned : SendOutcome::Broken;
+    co_return SendEnd::Unknown;
+  case TargetSend::Step::Silent:
+    LastSend = timeUp() ? SendOutcome::Abandoned : SendOutcome::Silent;
+    co_return SendEnd::Unknown;
+  case TargetSend::Step::Got:
+    break;
+  }
+  if (Send->marks().NotRun) {
+    LastSend =
+        Send->status() == 421 ? SendOutcome::Mismatch : SendOutcome::Full;
+    co_return SendEnd::Rejected;
+  }
+  if (streaming() && Send->status() == 200)
+    co_return co_await passStream();
+  co_return co_await collectAnswer();
+}
+
+asio::awaitable<SendEnd> RequestRun::collectAnswer() {
+  CollectedBody.clear();
+  CollectedStatus = Send->status();
+  CollectedHead = platform::callerFields(Send->head());
+  for (;;) {
+    TargetSend::Step Step = co_await Send->next(
+        Until, Until - Clock::now() > milliseconds(0) ? Admitted.TimeLeft
+                                                      : milliseconds(0));
+    if (Step == TargetSend::Step::End)
+      break;
+    bool TooLarge = CollectedBody.size() > MaxCollectedBytes;
+    if (Step != TargetSend::Step::Got || TooLarge) {
+      LastSend = timeUp() ? SendOutcome::Abandoned : SendOutcome::Broken;
+      co_return SendEnd::Unknown;
+    }
+    CollectedBody += Send->part();
+  }
+  bool OwnFailure = CollectedStatus >= 500;
+  LastSend = OwnFailure ? SendOutcome::Failed : SendOutcome::Served;
+  Send->release();
+  co_return OwnFailure ? SendEnd::Failed : SendEnd::Answered;
+}
+
+asio::awaitable<SendEnd> RequestRun::passStream() {
+  bool MoreAllowed = Admitted.Route->repeatable() &&
+                     Outcome.arrivals() + 1 < Admitted.Route->MaxAttempts;
+  Events.dropPending();
+  for (;;) {
+    milliseconds Patience = MoreAllowed ? EventPatience : Admitted.TimeLeft;
+    TargetSend::Step Step = co_await Send->next(Until, Patience);
+    if (Caller->gone())
+      co_return SendEnd::Unknown;
+    bool AtEnd = Step == TargetSend::Step::End;
+    if (!AtEnd && Step != TargetSend::Step::Got) {
+      LastSend = timeUp()                           ? SendOutcome::Abandoned
+                 : Step == TargetSend::Step::Silent ? SendOutcome::Silent
+                                                    : SendOutcome::Broken;
+      Send->cancel();
+      co_return SendEnd::Unknown;
+    }
+    std::string Out = AtEnd ? Events.takeRest() : Events.feed(Send->part());
+    if (!HeadPassed && (AtEnd || !Out.empty())) {
+      HeadPassed = true;
+      AnswerVersion = Send->marks().Version;
+      Context.Metrics.firstByte(elapsed());
+      if (!co_await Caller->startStream(Send->status(),
+                                        platform::callerFields(Send->head())))
+        co_return SendEnd::Unknown;
+    }
+    if (!Out.empty() && !co_await Caller->writePart(std::move(Out))) {
+      LastSend = SendOutcome::Abandoned;
+      Caller->abort();
+      finish("caller left", 0);
+      co_return SendEnd::Unknown;
+    }
+    if (AtEnd)
+      break;
+  }
+  LastSend = SendOutcome::Served;
+  Send->release();
+  bool Left = co_await Caller->finishStream();
+  finish(Left ? "served" : "caller left", 200);
+  co_return SendEnd::Answered;
+}
+
+asio::awaitable<void> RequestRun::passCollected() {
+  Context.Metrics.firstByte(elapsed());
+  bool Left = co_await Caller->respond(CollectedStatus, CollectedHead,
+                                       std::move(CollectedBody));
+  finish(!Left                   ? "caller left"
+         : CollectedStatus < 400 ? "served"
+                                 : "answered",
+         CollectedStatus);
+}
+
+asio::awaitable<void> RequestRun::refuse(unsigned Status, const char *Reason) {
+  platform::HttpFields Fields;
+  if (Status == 503)
+    Fields.set("Retry-After", retryAfterSeconds(Context.random()));
+  http::Response Body = http::problemResponse(
+      Status, Status == 503 ? "Unavailable" : "Refused", Reason, "no");
+  Fields.set("Content-Type", "application/problem+json");
+  co_await Caller->respond(Status, Fields, std::move(Body.Body));
+  finish(Reason, Status);
+}
+
+asio::awaitable<void> RequestRun::fail() {
+  unsigned Status = timeUp() ? 504 : 502;
+  const char *Reason = timeUp() ? "time ran out" : "target failed";
+  platform::HttpFields Fields;
+  Fields.set("Content-Type", "application/problem+json");
+  http::Response Body =
+      http::problemResponse(Status, "Failed", Reason, "unknown");
+  co_await Caller->respond(Status, Fields, std::move(Body.Body));
+  finish(Reason, Status);
+}
+
+void RequestRun::abortStream(const char *Reason) {
+  Caller->abort();
+  finish(Reason, 0);
+}
+
+void RequestRun::finish(const char *How, unsigned Status) {
+  Finished = true;
+  Context.Metrics.requestEnded(How, elapsed());
+  std::uint64_t Version = Context.Config ? Context.Config->Version : 0;
+  auto ProofAge = Context.Follower->operatorProofAge();
+  telemetry::log(
+      telemetry::Level::Info, "request ended",
+      {{"id", Admitted.Marks.Id},
+       {"outcome", std::string(How)},
+       {"status", std::int64_t(Status)},
+       {"ms", std::int64_t(elapsed().count())},
+       {"route", Admitted.Route ? Admitted.Route->Name : std::string()},
+       {"workspace", Admitted.Workspace},
+       {"target", LastTarget},
+       {"target_load", LastLoad},
+       {"load_age_ms", LastLoadAge},
+       {"sends", std::int64_t(Tried.size())},
+       {"waited_ms", std::int64_t(Waited.count())},
+       {"configuration", std::int64_t(Version)},
+       {"proof_age_ms", ProofAge ? ProofAge->count() : std::int64_t(-1)}});
+}
+
+} // namespace
+
+asio::awaitable<void> runRequest(GatewayContext &Context,
+                                 std::shared_ptr<CallerConnection> Caller,
+                                 CallerConnection::Request &Request) {
+  RequestRun Run(Context, std::move(Caller), Request);
+  co_await Run.run();
+}
+
+} // namespace rosemarylane
--- /dev/null
+++ b/rosemarylane/src/node/NodeRuntime.cpp
@@ -0,0 +1,161 @@
+#include "node/NodeRuntime.h"
+
+#include "common/CommandLine.h"
+#include "telemetry/Log.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <iostream>
+#include <popt.h>
+
+namespace rosemarylane {
+
+namespace {
+
+const char *nameOf(NodeKind Kind) {
+  return Kind == NodeKind::Gateway ? "gateway" : "sidecar";
+}
+
+void print(const std::string &Path, const core::DocumentErrors &Errors) {
+  for (const core::DocumentError &E : Errors)
+    std::cerr << Path << ": " << E.Path << ": found " << E.Found
+              << ", expected " << E.Expected << "\n";
+}
+
+core::Result<std::string, ExitCode> settingsPath(NodeKind Kind, int Argc,
+                                                 const char **Argv) {
+  char *Path = nullptr;
+  int Version = 0;
+  poptOption Options[] = {
+      {"settings", 's', POPT_ARG_STRING, &Path, 0, "settings file in JSON",
+       "FILE"},
+      {"version", 0, POPT_ARG_NONE, &Version, 0, "print the version", nullptr},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext Popt = poptGetContext(nameOf(Kind), Argc, Argv, Options, 0);
+  int Next = poptGetNextOpt(Popt);
+  std::string Problem;
+  if (Next < -1)
+    Problem = std::string(poptBadOption(Popt, POPT_BADOPTION_NOALIAS)) + ": " +
+              poptStrerror(Next);
+  else if (const char *Extra = poptGetArg(Popt))
+    Problem = std::string("unexpected argument: ") + Extra;
+  poptFreeContext(Popt);
+  std::string Result = Path ? Path : "";
+  std::free(Path);
+  if (Version) {
+    std::cout << "rosemarylane " ROSEMARYLANE_VERSION "\n";
+    return core::failure(ExitCode::Ok);
+  }
+  if (Problem.empty() && Result.empty())
+    Problem = "--settings FILE is required";
+  if (Problem.empty())
+    return Result;
+  std::cerr << "rosemarylane " << nameOf(Kind) << ": " << Problem << "\n";
+  return core::failure(ExitCode::Usage);
+}
+
+} // namespace
+
+struct NodeRuntime::State {
+  State(NodeKind Kind, std::string Path, NodeSettings Settings)
+      : Kind(Kind), Path(std::move(Path)), Settings(std::move(Settings)),
+        Stops(Loop, SIGTERM, SIGINT), Reloads(Loop, SIGHUP) {}
+
+  NodeKind Kind;
+  std::string Path;
+  NodeSettings Settings;
+  boost::asio::io_context Loop{1};
+  boost::asio::signal_set Stops;
+  boost::asio::signal_set Reloads;
+  std::function<void()> OnStop;
+
+  void awaitStop() {
+    Stops.async_wait([this](auto Failed, int Signal) {
+      if (Failed)
+        return;
+      telemetry::log(telemetry::Level::Info, "stopping",
+                     {{"signal", std::int64_t(Signal)}});
+      OnStop();
+    });
+  }
+
+  void awaitReload() {
+    Reloads.async_wait([this](auto Failed, int) {
+      if (Failed)
+        return;
+      reload();
+      awaitReload();
+    });
+  }
+
+  /// Takes what may change while the process runs; the rest needs a restart.
+  void reload() {
+    auto Text = readFile(Path);
+    if (!Text)
+      return refuseReload(Text.error());
+    auto Parsed = parseNodeSettings(Kind, *Text);
+    if (!Parsed) {
+      const core::DocumentError &First = Parsed.error().front();
+      return refuseReload(First.Path + ": expected " + First.Expected);
+    }
+    Settings.Seeds = Parsed->Seeds;
+    Settings.Promises = Parsed->Promises;
+    telemetry::log(telemetry::Level::Info, "settings reloaded",
+                   {{"seeds", std::int64_t(Settings.Seeds.size())}});
+  }
+
+  void refuseReload(const std::string &Why) {
+    telemetry::log(telemetry::Level::Error,
+                   "settings not reloaded, the old ones stay",
+                   {{"error", Why}});
+  }
+};
+
+core::Result<std::unique_ptr<NodeRuntime>, ExitCode>
+NodeRuntime::create(NodeKind Kind, int Argc, const char **Argv) {
+  auto Path = settingsPath(Kind, Argc, Argv);
+  if (!Path)
+    return core::failure(Path.error());
+  auto Text = readFile(*Path);
+  if (!Text) {
+    std::cerr << *Path << ": " << Text.error() << "\n";
+    return core::failure(ExitCode::Usage);
+  }
+  auto Parsed = parseNodeSettings(Kind, *Text);
+  if (!Parsed) {
+    print(*Path, Parsed.error());
+    return core::failure(ExitCode::Invalid);
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  telemetry::startLog(
+      {nameOf(Kind), Parsed->Host.str(), Parsed->FailureDomain.str()},
+      telemetry::parseLevel(Parsed->LogLevel),
+      telemetry::LogSink::StandardOutput);
+  telemetry::log(telemetry::Level::Info, "started",
+                 {{"version", std::string(ROSEMARYLANE_VERSION)},
+                  {"peer_port", std::int64_t(Parsed->PeerPort)}});
+  return std::unique_ptr<NodeRuntime>(
+      new NodeRuntime(Kind, std::move(*Path), std::move(*Parsed)));
+}
+
+NodeRuntime::NodeRuntime(NodeKind Kind, std::string Path, NodeSettings Settings)
+    : S(std::make_unique<State>(Kind, std::move(Path), std::move(Settings))) {}
+
+NodeRuntime::~NodeRuntime() {
+  telemetry::log(telemetry::Level::Info, "stopped");
+  telemetry::stopLog();
+}
+
+boost::asio::io_context &NodeRuntime::loop() { return S->Loop; }
+const NodeSettings &NodeRuntime::settings() const { return S->Settings; }
+
+void NodeRuntime::run(std::function<void()> OnStop) {
+  S->OnStop = std::move(OnStop);
+  S->awaitStop();
+  S->awaitReload();
+  S->Loop.run();
+}
+
+void NodeRuntime::stop() { S->Loop.stop(); }
+
+} // namespace rosemarylane
--- /dev/null
+++ b/rosemarylane/src/node/PeerLink.cpp
@@ -0,0 +1,115 @@
+#include "node/PeerLink.h"
+
+#include "telemetry/Log.h"
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+
+namespace rosemarylane {
+
+namespace asio = boost::asio;
+using Udp = asio::ip::udp;
+
+namespace {
+constexpr std::size_t MaxDatagramBytes = 16 << 10;
+}
+
+struct PeerLink::State : std::enable_shared_from_this<PeerLink::State> {
+  State(asio::io_context &Loop, std::uint16_t Port, MessageHook OnMessage)
+      : Socket(Loop), Port(Port), OnMessage(std::move(OnMessage)) {}
+
+  void receive() {
+    Socket.async_receive_from(
+        asio::buffer(Bytes), From,
+        [Self = shared_from_this()](boost::system::error_code Failed,
+                                    std::size_t Size) {
+          if (Failed == asio::error::operation_aborted)
+            return;
+          if (!Failed)
+            Self->take(Size);
+          Self->receive();
+        });
+  }
+
+  void take(std::size_t Size) {
+    wire::NodeMessage Message;
+    if (!Message.ParseFromArray(Bytes.data(), static_cast<int>(Size)))
+      return;
+    OnMessage(Message, From.address().to_string());
+  }
+
+  Udp::socket Socket;
+  std::uint16_t Port;
+  MessageHook OnMessage;
+  wire::Node Self;
+  Udp::endpoint From;
+  std::array<char, MaxDatagramBytes> Bytes{};
+};
+
+std::unique_ptr<PeerLink> PeerLink::open(asio::io_context &Loop,
+                                         const NodeSettings &Settings,
+                                         serving::PeerRole Role,
+                                         MessageHook OnMessage) {
+  auto S =
+      std::make_shared<State>(Loop, Settings.PeerPort, std::move(OnMessage));
+  S->Self = peerToWire({Settings.Ip, Settings.FailureDomain, Role});
+  boost::system::error_code Failed;
+  S->Socket.open(Udp::v4(), Failed);
+  if (!Failed)
+    S->Socket.bind({asio::ip::make_address(Settings.Ip), Settings.PeerPort},
+                   Failed);
+  if (!Failed)
+    S->Socket.non_blocking(true, Failed);
+  if (Failed) {
+    telemetry::log(telemetry::Level::Error, "peer port cannot be bound",
+                   {{"port", std::int64_t(Settings.PeerPort)},
+                    {"error", Failed.message()}});
+    return nullptr;
+  }
+  S->receive();
+  return std::unique_ptr<PeerLink>(new PeerLink(std::move(S)));
+}
+
+PeerLink::PeerLink(std::shared_ptr<State> S) : S(std::move(S)) {}
+
+PeerLink::~PeerLink() {
+  boost::system::error_code Ignored; // The socket is going away.
+  S->Socket.close(Ignored);
+}
+
+void PeerLink::send(const std::string &Ip, wire::NodeMessage Message) {
+  boost::system::error_code Failed;
+  auto Address = asio::ip::make_address(Ip, Failed);
+  if (Failed)
+    return;
+  *Message.mutable_sender() = S->Self;
+  std::string Bytes = Message.SerializeAsString();
+  // A full buffer or an unreachable peer loses the datagram, as the network
+  // may.
+  S->Socket.send_to(asio::buffer(Bytes), {Address, S->Port}, 0, Failed);
+}
+
+wire::NodeRole toWire(serving::PeerRole Role) {
+  return Role == serving::PeerRole::Gateway ? wire::NODE_ROLE_GATEWAY
+                                            : wire::NODE_ROLE_SIDECAR;
+}
+
+serving::Peer peerFromWire(const wire::Node &From) {
+  serving::Peer Result;
+  Result.Ip = From.ip();
+  Result.FailureDomain = core::FailureDomainId(From.failure_domain());
+  Result.Role = From.role() == wire::NODE_ROLE_SIDECAR
+                    ? serving::PeerRole::Sidecar
+                    : serving::PeerRole::Gateway;
+  return Result;
+}
+
+wire::Node peerToWire(const serving::Peer &From) {
+  wire::Node Result;
+  Result.set_ip(From.Ip);
+  Result.set_failure_domain(From.FailureDomain.str());
+  Result.set_role(toWire(From.Role));
+  return Result;
+}
+
+} // namespace rosemarylane
--- /dev/null
+++ b/rosemarylane/src/node/PeerServer.cpp
@@ -0,0 +1,127 @@
+#include "node/PeerServer.h"
+
+#include "node/Sockets.h"
+#include "telemetry/Log.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace rosemarylane {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http_ = boost::beast::http;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto Await = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::seconds IdleTimeout{10};
+constexpr std::chrono::seconds WriteTimeout{10};
+constexpr std::chrono::milliseconds Silence{3000};
+constexpr std::chrono::milliseconds AcceptPause{50};
+
+http::Request fromBeast(http_::request<http_::string_body> &&From) {
+  http::Request To;
+  auto Method = From.method_string();
+  To.Method = std::string(Method.data(), Method.size());
+  To.Target = std::string(From.target().data(), From.target().size());
+  To.Body = std::move(From.body());
+  return To;
+}
+
+} // namespace
+
+struct PeerServer::State : std::enable_shared_from_this<PeerServer::State> {
+  State(asio::io_context &Loop, Handler OnRequest)
+      : Loop(Loop), Acceptor(Loop), OnRequest(std::move(OnRequest)) {}
+
+  asio::awaitable<void> accept() {
+    auto Self = shared_from_this();
+    while (Acceptor.is_open()) {
+      auto [Failed, Socket] = co_await Acceptor.async_accept(Await);
+      if (Failed == asio::error::operation_aborted)
+        co_return;
+      if (Failed) {
+        asio::steady_timer Pause(Loop, AcceptPause);
+        co_await Pause.async_wait(Await);
+        continue;
+      }
+      detectSilence(Socket, Silence);
+      asio::co_spawn(Loop, serve(Self, std::move(Socket)), asio::detached);
+    }
+  }
+
+  static asio::awaitable<void> serve(std::shared_ptr<State> Self,
+                                     Tcp::socket Socket) {
+    beast::tcp_stream Stream(std::move(Socket));
+    beast::flat_buffer Buffer;
+    for (;;) {
+      http_::request<http_::string_body> Message;
+      Stream.expires_after(IdleTimeout);
+      auto [Unread, Read] =
+          co_await http_::async_read(Stream, Buffer, Message, Await);
+      if (Unread)
+        co_return;
+      bool KeepOpen = Message.keep_alive();
+      http::Response Answer =
+          co_await Self->OnRequest(fromBeast(std::move(Message)));
+      http_::response<http_::string_body> Out;
+      Out.version(11);
+      Out.result(Answer.Head.Status);
+      for (const auto &[Name, Value] : Answer.Head.Fields)
+        Out.set(Name, Value);
+      Out.body() = std::move(Answer.Body);
+      Out.keep_alive(KeepOpen);
+      Out.prepare_payload();
+      Stream.expires_after(WriteTimeout);
+      auto [Unwritten, Written] =
+          co_await http_::async_write(Stream, Out, Await);
+      if (Unwritten || !KeepOpen)
+        co_return;
+    }
+  }
+
+  asio::io_context &Loop;
+  Tcp::acceptor Acceptor;
+  Handler OnRequest;
+};
+
+std::unique_ptr<PeerServer> PeerServer::listen(asio::io_context &Loop,
+                                               const std::string &Address,
+                                               Handler OnRequest) {
+  auto S = std::make_shared<State>(Loop, std::move(OnRequest));
+  boost::system::error_code Failed = asio::error::invalid_argument;
+  if (auto Endpoint = parseEndpoint(Address)) {
+    S->Acceptor.open(Tcp::v4(), Failed);
+    if (!Failed)
+      S->Acceptor.set_option(Tcp::acceptor::reuse_address(true), Failed);
+    if (!Failed)
+      S->Acceptor.bind(*Endpoint, Failed);
+    if (!Failed)
+      S->Acceptor.listen(asio::socket_base::max_listen_connections, Failed);
+  }
+  if (Failed) {
+    telemetry::log(telemetry::Level::Error, "address cannot be bound",
+                   {{"address", Address}, {"error", Failed.message()}});
+    return nullptr;
+  }
+  asio::co_spawn(
+      Loop, [S]() -> asio::awaitable<void> { co_await S->accept(); },
+      asio::detached);
+  return std::unique_ptr<PeerServer>(new PeerServer(std::move(S)));
+}
+
+PeerServer::PeerServer(std::shared_ptr<State> S) : S(std::move(S)) {}
+
+PeerServer::~PeerServer() {
+  boost::system::error_code Ignored; // The acceptor is going away.
+  S->Acceptor.close(Ignored);
+}
+
+} // namespace rosemarylane
--- /dev/null
+++ b/rosemarylane/src/node/PeerServer.h
@@ -0,0 +1,37 @@
+#ifndef ROSEMARYLANE_NODE_PEER_SERVER_H
+#define ROSEMARYLANE_NODE_PEER_SERVER_H
+
+#include "http/Message.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace rosemarylane {
+
+/// A small HTTP/1.1 server for whole answers: calls of peers, readiness checks
+/// and metrics. Used only on its loop's thread.
+class PeerServer {
+public:
+  using Handler = std::function<boost::asio::awaitable<http::Response>(
+      const http::Request &)>;
+
+  /// Binds and listens.
+  /// @return nothing if the address cannot be bound; the reason is logged.
+  static std::unique_ptr<PeerServer> listen(boost::asio::io_context &Loop,
+                                            const std::string &Address,
+                                            Handler OnRequest);
+  ~PeerServer();
+
+  struct State;
+
+private:
+  explicit PeerServer(std::shared_ptr<State> S);
+  std::shared_ptr<State> S;
+};
+
+} // namespace rosemarylane
+
+#endif // ROSEMARYLANE_NODE_PEER_SERVER_H
--- /dev/null
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -0,0 +1,466 @@
+#include "node/StoreFollower.h"
+
+#include "platform/StoreCalls.h"
+#include "serving/LapsedEntries.h"
+#include "serving/ReadSchedule.h"
+#include "telemetry/Log.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <random>
+#include <set>
+
+namespace rosemarylane {
+
+namespace asio = boost::asio;
+using core::BootClock;
+using core::BootTime;
+using platform::Section;
+using serving::StoreSection;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds TickPeriod{100};
+constexpr milliseconds StoreDeadline{900};
+constexpr milliseconds PeerDeadline{700};
+/// Peers in other failure domains that are asked at once when the own domain
+/// knows nothing fresh.
+constexpr std::size_t AskedElsewhere = 2;
+/// Hosts that have not been heard are greeted again after this long.
+constexpr milliseconds GreetPeriod{1000};
+/// A peer that was heard within this time needs no greeting.
+constexpr milliseconds GreetSilenceNear{1500};
+constexpr milliseconds GreetSilenceFar{3000};
+
+constexpr const char *OperatorsPath = "/sections/operators";
+constexpr const char *RegistryPath = "/sections/registry";
+
+void toWire(const StoreSection::Summary &From, wire::SectionSummary &To) {
+  To.set_at(From.At);
+  To.set_digest(From.Digest);
+  To.set_proof_age_ms(From.ProofAge ? From.ProofAge->count() : -1);
+}
+
+StoreSection::Summary fromWire(const wire::SectionSummary &From) {
+  StoreSection::Summary To;
+  To.At = From.at();
+  To.Digest = From.digest();
+  if (From.proof_age_ms() >= 0)
+    To.ProofAge = milliseconds(From.proof_age_ms());
+  return To;
+}
+
+std::int64_t countOf(std::optional<milliseconds> Age) {
+  return Age ? Age->count() : -1;
+}
+
+} // namespace
+
+struct StoreFollower::State
+    : std::enable_shared_from_this<StoreFollower::State> {
+  State(asio::io_context &Loop, const NodeSettings &Settings,
+        serving::PeerRole Role, HttpCalls &Calls, PeerLink &Link, Hooks To)
+      : Loop(Loop), Settings(Settings), Calls(Calls), Link(Link),
+        To(std::move(To)), Timer(Loop),
+        Peers({Settings.Ip, Settings.FailureDomain, Role}),
+        Random(std::random_device{}()) {}
+
+  asio::io_context &Loop;
+  const NodeSettings &Settings;
+  HttpCalls &Calls;
+  PeerLink &Link;
+  Hooks To;
+  asio::steady_timer Timer;
+  serving::PeerTable Peers;
+  std::mt19937_64 Random;
+
+  StoreSection Operators;
+  StoreSection Registry;
+  serving::LapsedEntries Lapsed;
+  serving::ReadSchedule Schedule;
+  bool Reading = false;
+  bool StoreReached = true;
+  std::uint64_t Reads = 0;
+  std::set<std::string> Fetching;
+  /// When each outstanding ask was sent, by its number.
+  std::map<std::uint64_t, BootTime> Asked;
+  std::uint64_t LastAsk = 0;
+  BootTime LastGreeting{};
+
+  StoreSection &section(Section Which) {
+    return Which == Section::Operators ? Operators : Registry;
+  }
+
+  void scheduleTick() {
+    Timer.expires_after(TickPeriod);
+    Timer.async_wait([Weak = weak_from_this()](auto Failed) {
+      auto Self = Weak.lock();
+      if (!Self || Failed)
+        return;
+      Self->tick();
+      Self->scheduleTick();
+    });
+  }
+
+  std::optional<milliseconds> oldestProof(BootTime Now) const {
+    auto First = Operators.proofAge(Now);
+    auto Second = Registry.proofAge(Now);
+    if (!First || !Second)
+      return std::nullopt;
+    return std::max(*First, *Second);
+  }
+
+  void tick() {
+    BootTime Now = BootClock::now();
+    Peers.forget(Now);
+    std::erase_if(Asked, [&](const auto &Entry) {
+      return Now - Entry.second > milliseconds(2000);
+    });
+    auto Age = oldestProof(Now);
+    std::size_t Rank = Peers.dutyRank(Now);
+    if (!Reading && Schedule.readDue(Rank, Age, Now))
+      startRead(Now);
+    if (Schedule.askDue(Rank, Age, Now))
+      askPeers(Rank, Age, Now);
+    if (Now - LastGreeting >= GreetPeriod)
+      greet(Now);
+  }
+
+  // --- reading the store
+
+  void startRead(BootTime Now) {
+    Reading = true;
+    Schedule.readStarted(Now);
+    asio::co_spawn(
+        Loop,
+        [Self = shared_from_this()]() -> asio::awaitable<void> {
+          bool Done = co_await Self->read();
+          Self->Reading = false;
+          Self->Schedule.readEnded(Done);
+          Self->noteStore(Done);
+        },
+        asio::detached);
+  }
+
+  void noteStore(bool Reached) {
+    if (Reached == StoreReached)
+      return;
+    StoreReached = Reached;
+    telemetry::log(
+        telemetry::Level::Warning, Reached ? "store regained" : "store lost",
+        {{"proof_age_ms", countOf(Operators.proofAge(BootClock::now()))}});
+  }
+
+  asio::awaitable<bool> read() {
+    bool Unchanged = co_await confirmOperators();
+    bool First = Unchanged || co_await readSection(Section::Operators);
+    if (!First)
+      co_return false;
+    co_return co_await readSection(Section::Registry);
+  }
+
+  asio::awaitable<bool> confirmOperators() {
+    if (!Operators.known())
+      co_return false;
+    std::vector<core::FailureDomainId> Domains;
+    for (const auto &[Domain, Region] : Settings.RegionOf)
+      Domains.push_back(Domain);
+    auto Keys = platform::operatorKeys(Operators.items(), Domains);
+    if (Keys.empty())
+      co_return false;
+    HttpCalls::Call Call;
+    Call.Request = platform::confirmRequest(Keys, Operators.items());
+    Call.Deadline = StoreDeadline;
+    std::uint64_t Digest = Operators.digest();
+    BootTime Sent = BootClock::now();
+    ++Reads;
+    auto Answer =
+        co_await Calls.exchange(Settings.StoreAddress, std::move(Call));
+    if (!Answer)
+      co_return false;
+    auto Confirmed = platform::decodeConfirmation(*Answer);
+    if (!Confirmed) {
+      logOnce("store answer not understood", Confirmed.error().text());
+      co_return false;
+    }
+    // The section may have been replaced by a peer's meanwhile.
+    if (!Confirmed->Unchanged || Digest != Operators.digest())
+      co_return false;
+    Operators.confirm(Confirmed->At, Sent);
+    co_return true;
+  }
+
+  asio::awaitable<bool> readSection(Section Which) {
+    StoreSection::Items Items;
+    std::int64_t At = 0;
+    std::string After;
+    BootTime Sent = BootClock::now();
+    for (;;) {
+      HttpCalls::Call Call;
+      Call.Request = platform::pageRequest(Which, After);
+      Call.Deadline = StoreDeadline;
+      ++Reads;
+      auto Answer =
+          co_await Calls.exchange(Settings.StoreAddress, std::move(Call));
+      if (!Answer)
+        co_return false;
+      auto Page = platform::decodePage(Which, *Answer);
+      if (!Page) {
+        logOnce("store answer not understood", Page.error().text());
+        co_return false;
+      }
+      // The first page's revision: a later page may hold newer items, and the
+      // next read finds what changed between.
+      if (At == 0)
+        At = Page->At;
+      Items.merge(Page->Items);
+      After = Page->LastKey;
+      if (!Page->More || After.empty())
+        break;
+    }
+    if (Which == Section::Registry) {
+      BootTime Now = BootClock::now();
+      Items = Lapsed.apply(std::move(Items), Registry.items(),
+                           Registry.proofAge(Now), Now);
+    }
+    adopt(Which, std::move(Items), At, Sent, "store");
+    co_return true;
+  }
+
+  void logOnce(const char *What, const std::string &Detail) {
+    telemetry::log(telemetry::Level::Warning, What, {{"detail", Detail}});
+  }
+
+  void adopt(Section Which, StoreSection::Items Items, std::int64_t At,
+             BootTime Proof, const std::string &Source) {
+    StoreSection &Known = section(Which);
+    BootTime Now = BootClock::now();
+    auto OldAge = Known.proofAge(Now);
+    std::optional<BootTime> Unchanged;
+    if (OldAge)
+      Unchanged = Now - *OldAge;
+    if (!Known.adopt(std::move(Items), At, Proof))
+      return;
+    telemetry::log(
+        telemetry::Level::Info, "section adopted",
+        {{"section", Which == Section::Operators ? std::string("operators")
+                                                 : std::string("registry")},
+         {"store_revision", At},
+         {"source", Source},
+         {"items", std::int64_t(Known.items().size())},
+         {"age_ms", countOf(Known.proofAge(Now))}});
+    if (Which == Section::Operators && To.OnOperators)
+      To.OnOperators(Known, Unchanged);
+    if (Which == Section::Registry && To.OnRegistry)
+      To.OnRegistry(Known);
+    announceChange(Now);
+  }
+
+  // --- peers
+
+  wire::NodeMessage askMessage(bool Changed, BootTime Now) {
+    wire::NodeMessage Message;
+    wire::Ask *Ask = Message.mutable_ask();
+    Ask->set_number(++LastAsk);
+    Ask->set_changed(Changed);
+    toWire(Operators.summary(Now), *Ask->mutable_operators());
+    toWire(Registry.summary(Now), *Ask->mutable_registry());
+    return Message;
+  }
+
+  void ask(const std::string &Ip, bool Changed, BootTime Now) {
+    wire::NodeMessage Message = askMessage(Changed, Now);
+    Asked.emplace(LastAsk, Now);
+    Link.send(Ip, std::move(Message));
+  }
+
+  void askPeers(std::size_t Rank, std::optional<milliseconds> Age,
+                BootTime Now) {
+    Schedule.asked(Now);
+    std::vector<serving::Peer> Order = Peers.dutyOrder(Now);
+    if (Rank > 0)
+      ask(Order.front().Ip, false, Now);
+    bool Stale = !Age || *Age >= serving::ReadSchedule::StepInAge;
+    if (!Stale)
+      return;
+    std::vector<serving::Peer> Others = Peers.live(Now);
+    std::shuffle(Others.begin(), Others.end(), Random);
+    for (std::size_t I = 0; I < std::min(AskedElsewhere, Others.size()); ++I)
+      ask(Others[I].Ip, false, Now);
+  }
+
+  void announceChange(BootTime Now) {
+    for (const serving::Peer &Other : Peers.live(Now))
+      if (Other.FailureDomain == Settings.FailureDomain)
+        ask(Other.Ip, true, Now);
+  }
+
+  /// Greets hosts that are known but silent: seeds, and hosts of targets.
+  void greet(BootTime Now) {
+    LastGreeting = Now;
+    std::set<std::string> Hosts(Settings.Seeds.begin(), Settings.Seeds.end());
+    for (const auto &Target :
+         platform::decodeRegistry(Registry.items()).Targets)
+      Hosts.insert(Target.Address.substr(0, Target.Address.find(':')));
+    for (const auto &[Ip, Entry] : Peers.entries())
+      Hosts.insert(Ip);
+    for (const std::string &Ip : Hosts) {
+      if (Ip != Settings.Ip && !heardLately(Ip, Now))
+        ask(Ip, false, Now);
+    }
+  }
+
+  bool heardLately(const std::string &Ip, BootTime Now) const {
+    auto Known = Peers.entries().find(Ip);
+    if (Known == Peers.entries().end())
+      return false;
+    bool Near = Known->second.Who.FailureDomain == Settings.FailureDomain;
+    return Now - Known->second.Heard <
+           (Near ? GreetSilenceNear : GreetSilenceFar);
+  }
+
+  void reply(const std::string &Ip, const wire::Ask &Question, BootTime Now) {
+    wire::NodeMessage Message;
+    wire::Reply *Reply = Message.mutable_reply();
+    Reply->set_number(Question.number());
+    toWire(Operators.summary(Now), *Reply->mutable_operators());
+    toWire(Registry.summary(Now), *Reply->mutable_registry());
+    for (const auto &[Known, Entry] : Peers.entries()) {
+      wire::Node *Member = Reply->add_members();
+      *Member = peerToWire(Entry.Who);
+      auto Silent = std::chrono::ceil<milliseconds>(Now - Entry.Heard);
+      Member->set_silent_ms(static_cast<std::uint32_t>(Silent.count()));
+    }
+    Link.send(Ip, std::move(Message));
+  }
+
+  void received(const wire::NodeMessage &Message) {
+    BootTime Now = BootClock::now();
+    serving::Peer From = peerFromWire(Message.sender());
+    if (From.Ip.empty() || From.Ip == Settings.Ip)
+      return;
+    std::size_t Before = Peers.entries().size();
+    Peers.heard(From, milliseconds(0), Now);
+    if (Message.has_ask()) {
+      reply(From.Ip, Message.ask(), Now);
+      if (Message.ask().changed())
+        ask(From.Ip, false, Now);
+    }
+    if (Message.has_reply())
+      replied(From.Ip, Message.reply(), Now);
+    if (Peers.entries().size() != Before && To.OnPeers)
+      To.OnPeers();
+  }
+
+  void replied(const std::string &Ip, const wire::Reply &Reply, BootTime Now) {
+    for (const wire::Node &Member : Reply.members())
+      Peers.heard(peerFromWire(Member), milliseconds(Member.silent_ms()), Now);
+    auto Question = Asked.find(Reply.number());
+    if (Question == Asked.end())
+      return;
+    BootTime Sent = Question->second;
+    Asked.erase(Question);
+    using Compared = StoreSection::Compared;
+    if (Operators.compare(fromWire(Reply.operators()), Sent) ==
+        Compared::TheirsNewer)
+      fetch(Section::Operators, Ip);
+    if (Registry.compare(fromWire(Reply.registry()), Sent) ==
+        Compared::TheirsNewer)
+      fetch(Section::Registry, Ip);
+  }
+
+  void fetch(Section Which, const std::string &Ip) {
+    const char *Path =
+        Which == Section::Operators ? OperatorsPath : RegistryPath;
+    if (!Fetching.insert(Path).second)
+      return;
+    asio::co_spawn(
+        Loop,
+        [Self = shared_from_this(), Which, Ip,
+         Path]() -> asio::awaitable<void> {
+          co_await Self->fetchFrom(Which, Ip, Path);
+          Self->Fetching.erase(Path);
+        },
+        asio::detached);
+  }
+
+  asio::awaitable<void> fetchFrom(Section Which, std::string Ip,
+                                  const char *Path) {
+    HttpCalls::Call Call;
+    Call.Request.Method = "GET";
+    Call.Request.Target = Path;
+    Call.Deadline = PeerDeadline;
+    BootTime Sent = BootClock::now();
+    std::string Address = Ip + ":" + std::to_string(Settings.PeerPort);
+    auto Answer = co_await Calls.exchange(Address, std::move(Call));
+    if (!Answer || Answer->Head.Status != 200)
+      co_return;
+    wire::Section Theirs;
+    if (!Theirs.ParseFromString(Answer->Body) ||
+        Theirs.summary().proof_age_ms() < 0)
+      co_return;
+    StoreSection::Items Items;
+    for (const wire::SectionItem &Item : Theirs.items())
+      Items[Item.key()] = {Item.value(), Item.revision()};
+    adopt(Which, std::move(Items), Theirs.summary().at(),
+          Sent - milliseconds(Theirs.summary().proof_age_ms()), Ip);
+  }
+
+  std::optional<http::Response> answer(const std::string &Target) const {
+    const StoreSection *Which = nullptr;
+    if (Target == OperatorsPath)
+      Which = &Operators;
+    if (Target == RegistryPath)
+      Which = &Registry;
+    if (!Which)
+      return std::nullopt;
+    wire::Section Body;
+    toWire(Which->summary(BootClock::now()), *Body.mutable_summary());
+    for (const auto &[Key, Item] : Which->items()) {
+      wire::SectionItem *Copy = Body.add_items();
+      Copy->set_key(Key);
+      Copy->set_value(Item.Value);
+      Copy->set_revision(Item.Revision);
+    }
+    http::Response Answer;
+    Answer.Head.Status = Which->known() ? 200 : 503;
+    Answer.Body = Body.SerializeAsString();
+    return Answer;
+  }
+};
+
+std::unique_ptr<StoreFollower>
+StoreFollower::start(asio::io_context &Loop, const NodeSettings &Settings,
+                     serving::PeerRole Role, HttpCalls &Calls, PeerLink &Link,
+                     Hooks To) {
+  auto S =
+      std::make_shared<State>(Loop, Settings, Role, Calls, Link, std::move(To));
+  S->tick();
+  S->scheduleTick();
+  return std::unique_ptr<StoreFollower>(new StoreFollower(std::move(S)));
+}
+
+StoreFollower::StoreFollower(std::shared_ptr<State> S) : S(std::move(S)) {}
+StoreFollower::~StoreFollower() = default;
+
+void StoreFollower::received(const wire::NodeMessage &Message) {
+  S->received(Message);
+}
+
+std::optional<http::Response>
+StoreFollower::answer(const std::string &Target) const {
+  return S->answer(Target);
+}
+
+std::optional<milliseconds> StoreFollower::operatorProofAge() const {
+  return S->Operators.proofAge(BootClock::now());
+}
+
+const serving::PeerTable &StoreFollower::peers() const { return S->Peers; }
+
+std::uint64_t StoreFollower::storeCalls() const { return S->Reads; }
+
+} // namespace rosemarylane
--- /dev/null
+++ b/rosemarylane/src/sidecar/SidecarProcess.cpp
@@ -0,0 +1,77 @@
+#include "Command.h"
+#include "node/HttpCalls.h"
+#include "node/NodeRuntime.h"
+#include "node/PeerLink.h"
+#include "node/PeerServer.h"
+#include "node/StoreFollower.h"
+#include "sidecar/TargetWatch.h"
+#include "telemetry/Log.h"
+
+namespace rosemarylane {
+
+namespace {
+
+/// The sidecar: its parts, and what joins them.
+class SidecarProcess {
+public:
+  explicit SidecarProcess(NodeRuntime &Runtime)
+      : Runtime(Runtime), Settings(Runtime.settings()), Calls(Runtime.loop()) {}
+
+  bool start();
+
+private:
+  boost::asio::awaitable<http::Response>
+  answerPeer(const http::Request &Request);
+
+  NodeRuntime &Runtime;
+  const NodeSettings &Settings;
+  HttpCalls Calls;
+  std::unique_ptr<PeerLink> Link;
+  std::unique_ptr<StoreFollower> Follower;
+  std::unique_ptr<TargetWatch> Watch;
+  std::unique_ptr<PeerServer> Peers;
+};
+
+bool SidecarProcess::start() {
+  Link = PeerLink::open(
+      Runtime.loop(), Settings, serving::PeerRole::Sidecar,
+      [this](const wire::NodeMessage &Message, const std::string &) {
+        if (Follower)
+          Follower->received(Message);
+      });
+  if (!Link)
+    return false;
+  Follower = StoreFollower::start(Runtime.loop(), Settings,
+                                  serving::PeerRole::Sidecar, Calls, *Link, {});
+  Peers = PeerServer::listen(
+      Runtime.loop(), Settings.Ip + ":" + std::to_string(Settings.PeerPort),
+      [this](const http::Request &R) { return answerPeer(R); });
+  if (!Peers)
+    return false;
+  Watch = TargetWatch::start(Runtime.loop(), Settings, Calls, *Link, *Follower);
+  return true;
+}
+
+boost::asio::awaitable<http::Response>
+SidecarProcess::answerPeer(const http::Request &Request) {
+  if (auto Answer = Follower->answer(Request.Target))
+    co_return std::move(*Answer);
+  http::Response Answer;
+  Answer.Head.Status = 404;
+  co_return Answer;
+}
+
+} // namespace
+
+ExitCode runSidecar(int Argc, const char **Argv) {
+  auto Runtime = NodeRuntime::create(NodeKind::Sidecar, Argc, Argv);
+  if (!Runtime)
+    return Runtime.error();
+  SidecarProcess Process(**Runtime);
+  if (!Process.start())
+    return ExitCode::Unreachable;
+  (*Runtime)->run([&] { (*Runtime)->stop(); });
+  return ExitCode::Ok;
+}
+
+} // namespace rosemarylane
