--- a/rosemarylane/src/gateway/CallerConnection.cpp
+++ b/rosemarylane/src/gateway/CallerConnection.cpp
@@ -58,7 +58,13 @@
 
 asio::awaitable<void> CallerConnection::run() {
   while (KeepOpen && !Gone) {
-    if (!co_await awaitRequest() || !co_await readRequest())
+    // Each await stands alone: the compiler destroys an unstarted one wrongly
+    // where it is the right side of a short-circuit operator.
+    bool Came = co_await awaitRequest();
+    if (!Came)
+      co_return;
+    bool Read = co_await readRequest();
+    if (!Read)
       co_return;
     KeepOpen = Current.keep_alive();
     watchCaller();
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -356,7 +356,10 @@
                                         platform::callerFields(Send->head())))
         co_return SendEnd::Unknown;
     }
-    if (!Out.empty() && !co_await Caller->writePart(std::move(Out))) {
+    bool Taken = true;
+    if (!Out.empty())
+      Taken = co_await Caller->writePart(std::move(Out));
+    if (!Taken) {
       LastSend = SendOutcome::Abandoned;
       Caller->abort();
       finish("caller left", 0);
--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -27,6 +27,15 @@
 
 } // namespace
 
+namespace {
+
+TargetSend::Step failureOf(boost::system::error_code Failed) {
+  return Failed == beast::error::timeout ? TargetSend::Step::Silent
+                                         : TargetSend::Step::Broken;
+}
+
+} // namespace
+
 /// A request on its way out; kept alive by the write itself.
 struct TargetSend::Writing {
   http_::request<http_::string_body> Message;
@@ -40,21 +49,23 @@
 
 asio::awaitable<TargetSend::Step>
 TargetSend::start(const CallerConnection::Request &Request,
-                  const platform::HttpFields &Fields, std::string Id,
+                  const platform::HttpFields &Fields, const std::string &Id,
                   bool FreshOnly, Clock::time_point Until,
                   milliseconds Patience) {
   HeadRequest = Request.method() == http_::verb::head;
-  if (!co_await connect(FreshOnly, Until))
+  bool Connected = co_await connect(FreshOnly, Until);
+  if (!Connected)
     co_return Step::NotSent;
   if (Cancelled)
     co_return Step::Broken;
   Stream->expires_at(std::min(Until, Clock::now() + Patience));
   // A write that fails may still be answered: the target may have refused the
   // request before it had read all of it.
-  (void)co_await write(Request, Fields, Until);
+  co_await write(Request, Fields);
   if (Cancelled)
     co_return Step::Broken;
-  co_return co_await readHead(Id);
+  Step Head = co_await readHead(Id);
+  co_return Head;
 }
 
 asio::awaitable<bool> TargetSend::connect(bool FreshOnly,
@@ -71,9 +82,9 @@
   co_return Stream != nullptr;
 }
 
-asio::awaitable<bool>
+asio::awaitable<void>
 TargetSend::write(const CallerConnection::Request &Request,
-                  const platform::HttpFields &Fields, Clock::time_point) {
+                  const platform::HttpFields &Fields) {
   Write = std::make_shared<Writing>();
   http_::request<http_::string_body> &Message = Write->Message;
   static_cast<http_::fields &>(Message.base()) = Fields;
@@ -87,11 +98,10 @@
       Out->Done = !Failed;
     };
     http_::async_write(*Stream, Message, std::move(Finish));
-    co_return true;
+    co_return;
   }
   auto [Failed, Written] = co_await http_::async_write(*Stream, Message, Await);
   Write->Done = !Failed;
-  co_return !Failed;
 }
 
 void TargetSend::newParser(bool ForHead) {
@@ -106,7 +116,7 @@
     auto [Failed, Size] =
         co_await http_::async_read_header(*Stream, Buffer, *Answer, Await);
     if (Failed)
-      co_return Failed == beast::error::timeout ? Step::Silent : Step::Broken;
+      co_return failureOf(Failed);
     if (Answer->get().result_int() == 100)
       continue;
     Marks = platform::readAnswer(status(), head());
@@ -115,7 +125,8 @@
     if (!Foreign)
       break;
     // A late answer to an earlier request of this connection.
-    if (!co_await skipBody())
+    bool Skipped = co_await skipBody();
+    if (!Skipped)
       co_return Step::Broken;
   }
   bool Success = status() < 300;
--- a/rosemarylane/src/gateway/TargetSend.h
+++ b/rosemarylane/src/gateway/TargetSend.h
@@ -47,7 +47,7 @@
   /// @param FreshOnly no kept connection is used.
   boost::asio::awaitable<Step> start(const CallerConnection::Request &Request,
                                      const platform::HttpFields &Fields,
-                                     std::string Id, bool FreshOnly,
+                                     const std::string &Id, bool FreshOnly,
                                      Clock::time_point Until,
                                      std::chrono::milliseconds Patience);
 
@@ -72,9 +72,8 @@
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
   boost::asio::awaitable<bool> connect(bool FreshOnly, Clock::time_point Until);
-  boost::asio::awaitable<bool> write(const CallerConnection::Request &Request,
-                                     const platform::HttpFields &Fields,
-                                     Clock::time_point Until);
+  boost::asio::awaitable<void> write(const CallerConnection::Request &Request,
+                                     const platform::HttpFields &Fields);
   boost::asio::awaitable<Step> readHead(const std::string &Id);
   boost::asio::awaitable<bool> skipBody();
   void newParser(bool ForHead);
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -156,9 +156,11 @@
 
   asio::awaitable<bool> read() {
     bool Unchanged = co_await confirmOperators();
-    bool First = Unchanged || co_await readSection(Section::Operators);
-    if (!First)
-      co_return false;
+    if (!Unchanged) {
+      bool Read = co_await readSection(Section::Operators);
+      if (!Read)
+        co_return false;
+    }
     co_return co_await readSection(Section::Registry);
   }
 
