Sidecars bring their targets to the named version

The sidecar fetches chunks as libs/swarm plans it, stages them at its target and orders the load when the target's turn in the switch schedule comes.

--- /dev/null
+++ b/libs/serving/include/serving/SwitchSchedule.h
@@ -0,0 +1,49 @@
+#ifndef ROSEMARYLANE_SERVING_SWITCH_SCHEDULE_H
+#define ROSEMARYLANE_SERVING_SWITCH_SCHEDULE_H
+
+#include "core/BootClock.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+
+namespace rosemarylane::serving {
+
+/// When each target of a fleet switches to a version that has been named.
+///
+/// Load pattern: every target must hold the new version within seconds, takes
+/// no work while it lets its requests end and loads, and all of them are needed
+/// to serve. The switches are spread in rank order over the time that is left
+/// after the weights have spread. A pure value type.
+class SwitchSchedule {
+public:
+  /// Parts of the time until the version is in force: the first and the last
+  /// switch.
+  static constexpr double FirstPart = 0.36;
+  static constexpr double LastPart = 0.82;
+
+  /// @param NamedAt the earliest moment at which the version may have been
+  /// named.
+  SwitchSchedule(core::BootTime NamedAt, std::chrono::milliseconds InForce)
+      : NamedAt(NamedAt), InForce(InForce) {}
+
+  /// @param Rank the target's position among the \p Fleet targets that hold an
+  /// older version.
+  core::BootTime switchTime(std::size_t Rank, std::size_t Fleet) const {
+    double Position =
+        Fleet > 1 ? static_cast<double>(std::min(Rank, Fleet - 1)) /
+                        static_cast<double>(Fleet - 1)
+                  : 0;
+    double Part = FirstPart + (LastPart - FirstPart) * Position;
+    return NamedAt + std::chrono::duration_cast<std::chrono::milliseconds>(
+                         InForce * Part);
+  }
+
+private:
+  core::BootTime NamedAt;
+  std::chrono::milliseconds InForce;
+};
+
+} // namespace rosemarylane::serving
+
+#endif // ROSEMARYLANE_SERVING_SWITCH_SCHEDULE_H
--- a/rosemarylane/src/sidecar/SidecarProcess.cpp
+++ b/rosemarylane/src/sidecar/SidecarProcess.cpp
@@ -5,6 +5,7 @@
 #include "node/PeerServer.h"
 #include "node/StoreFollower.h"
 #include "sidecar/TargetWatch.h"
+#include "sidecar/WeightKeeper.h"
 #include "telemetry/Log.h"
 
 namespace rosemarylane {
@@ -29,6 +30,7 @@
   std::unique_ptr<PeerLink> Link;
   std::unique_ptr<StoreFollower> Follower;
   std::unique_ptr<TargetWatch> Watch;
+  std::unique_ptr<WeightKeeper> Keeper;
   std::unique_ptr<PeerServer> Peers;
 };
 
@@ -38,18 +40,31 @@
       [this](const wire::NodeMessage &Message, const std::string &) {
         if (Follower)
           Follower->received(Message);
+        if (Keeper)
+          Keeper->received(Message);
       });
   if (!Link)
     return false;
+  StoreFollower::Hooks Hooks;
+  Hooks.OnOperators = [this](const serving::StoreSection &Section,
+                             std::optional<core::BootTime> Unchanged) {
+    Keeper->operatorsChanged(Section, Unchanged);
+  };
+  Hooks.OnRegistry = [this](const serving::StoreSection &Section) {
+    Keeper->registryChanged(Section);
+  };
   Follower = StoreFollower::start(Runtime.loop(), Settings,
-                                  serving::PeerRole::Sidecar, Calls, *Link, {});
+                                  serving::PeerRole::Sidecar, Calls, *Link,
+                                  std::move(Hooks));
+  // Nothing of the store is read before the loop runs, so the hooks find both.
+  Watch = TargetWatch::start(Runtime.loop(), Settings, Calls, *Link,
+                             *Follower);
+  Keeper = WeightKeeper::start(Runtime.loop(), Settings, Calls, *Link, *Watch,
+                               *Follower);
   Peers = PeerServer::listen(
       Runtime.loop(), Settings.Ip + ":" + std::to_string(Settings.PeerPort),
       [this](const http::Request &R) { return answerPeer(R); });
-  if (!Peers)
-    return false;
-  Watch = TargetWatch::start(Runtime.loop(), Settings, Calls, *Link, *Follower);
-  return true;
+  return Peers != nullptr;
 }
 
 boost::asio::awaitable<http::Response>
@@ -57,6 +72,10 @@
   if (auto Answer = Follower->answer(Request.Target))
     co_return std::move(*Answer);
   http::Response Answer;
+  if (WeightKeeper::owns(Request.Target)) {
+    Answer = co_await Keeper->answer(Request.Target);
+    co_return Answer;
+  }
   Answer.Head.Status = 404;
   co_return Answer;
 }
--- /dev/null
+++ b/rosemarylane/src/sidecar/VersionChunks.h
@@ -0,0 +1,49 @@
+#ifndef ROSEMARYLANE_SIDECAR_VERSION_CHUNKS_H
+#define ROSEMARYLANE_SIDECAR_VERSION_CHUNKS_H
+
+#include "platform/TargetCalls.h"
+#include "swarm/ChunkSet.h"
+
+#include <string>
+#include <vector>
+
+namespace rosemarylane {
+
+/// The chunks of one version that this host holds in memory, each checked
+/// against its digest.
+class VersionChunks {
+public:
+  explicit VersionChunks(platform::OriginManifest Manifest)
+      : Manifest(std::move(Manifest)), Held(this->Manifest.Chunks.size()),
+        Bytes(this->Manifest.Chunks.size()) {}
+
+  /// Keeps a chunk whose digest is right.
+  /// @return whether it was right.
+  bool store(std::size_t Index, std::string Data) {
+    if (Index >= Bytes.size() ||
+        core::Digest::of(Data) != Manifest.Chunks[Index])
+      return false;
+    Bytes[Index] = std::move(Data);
+    Held.insert(Index);
+    return true;
+  }
+
+  const platform::OriginManifest &manifest() const { return Manifest; }
+  const swarm::ChunkSet &held() const { return Held; }
+  std::size_t size() const { return Bytes.size(); }
+
+  /// @return whether the chunk is held.
+  bool has(std::size_t Index) const {
+    return Index < Bytes.size() && Held.contains(Index);
+  }
+  const std::string &bytes(std::size_t Index) const { return Bytes[Index]; }
+
+private:
+  platform::OriginManifest Manifest;
+  swarm::ChunkSet Held;
+  std::vector<std::string> Bytes;
+};
+
+} // namespace rosemarylane
+
+#endif // ROSEMARYLANE_SIDECAR_VERSION_CHUNKS_H
--- /dev/null
+++ b/rosemarylane/src/sidecar/WeightKeeper.cpp
@@ -0,0 +1,481 @@
+#include "sidecar/WeightKeeper.h"
+
+#include "core/Rendezvous.h"
+#include "platform/Records.h"
+#include "sidecar/ChunkFetcher.h"
+#include "sidecar/VersionChunks.h"
+#include "serving/SwitchSchedule.h"
+#include "telemetry/Log.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <map>
+#include <set>
+
+namespace rosemarylane {
+
+namespace asio = boost::asio;
+using core::BootClock;
+using core::BootTime;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds StepPeriod{50};
+constexpr milliseconds ManifestDeadline{600};
+constexpr milliseconds LocalDeadline{700};
+/// A reader's caller waits so long for a chunk that is on its way.
+constexpr milliseconds ReaderWait{1300};
+constexpr milliseconds ReaderPoll{15};
+/// After an order whose outcome is not clear, the target's state is watched
+/// for this long before it is ordered again.
+constexpr milliseconds OrderSettle{600};
+/// Versions whose chunks are kept for peers.
+constexpr std::size_t KeptVersions = 2;
+/// Chunks that are sent to peers at once; more would only slow each other.
+constexpr std::size_t UploadsAtOnce = 5;
+/// The first version of every model; it may be there without being named.
+constexpr std::uint64_t FirstVersion = 1;
+
+constexpr std::string_view ChunksPath = "/chunks/";
+constexpr std::string_view ManifestsPath = "/manifests/";
+
+std::vector<std::string_view> split(std::string_view Text) {
+  std::vector<std::string_view> Parts;
+  while (!Text.empty()) {
+    std::size_t End = std::min(Text.find('/'), Text.size());
+    Parts.push_back(Text.substr(0, End));
+    Text.remove_prefix(std::min(End + 1, Text.size()));
+  }
+  return Parts;
+}
+
+std::uint64_t numberOf(std::string_view Text) {
+  std::uint64_t Value = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  return Value;
+}
+
+std::string ipOf(const std::string &Address) {
+  return Address.substr(0, Address.find(':'));
+}
+
+} // namespace
+
+struct WeightKeeper::State : std::enable_shared_from_this<WeightKeeper::State> {
+  State(asio::io_context &Loop, const NodeSettings &Settings, HttpCalls &Calls,
+        PeerLink &Link, TargetWatch &Watch, const StoreFollower &Follower)
+      : Loop(Loop), Settings(Settings), Calls(Calls), Link(Link), Watch(Watch),
+        Follower(Follower) {}
+
+  asio::io_context &Loop;
+  const NodeSettings &Settings;
+  HttpCalls &Calls;
+  PeerLink &Link;
+  TargetWatch &Watch;
+  const StoreFollower &Follower;
+
+  /// The target's service, as it registered itself.
+  std::string Service;
+  std::string Model;
+  std::string OriginAddress;
+  std::uint64_t Wanted = 0;
+  BootTime NamedAt{};
+  std::vector<serving::RegisteredTarget> Targets;
+  std::optional<serving::ServingConfig> Config;
+
+  std::map<std::uint64_t, std::shared_ptr<VersionChunks>> Versions;
+  std::map<std::uint64_t, std::unique_ptr<ChunkFetcher>> Fetchers;
+  std::size_t Uploads = 0;
+
+  // --- what is wanted
+
+  void operatorsChanged(const serving::StoreSection &Section,
+                        std::optional<BootTime> Unchanged) {
+    platform::OperatorRecords Records =
+        platform::decodeOperators(Section.items());
+    if (Records.Config)
+      Config = std::move(Records.Config);
+    findService();
+    std::uint64_t Named = FirstVersion;
+    for (const platform::NamedVersion &V : Records.Versions)
+      if (V.Model == Model)
+        Named = std::max(Named, V.Version);
+    if (Model.empty() || Named <= Wanted)
+      return;
+    Wanted = Named;
+    // Without an earlier read it may have been named long ago.
+    NamedAt = Unchanged.value_or(BootClock::now() -
+                                 Settings.Promises.VersionInForce);
+    telemetry::log(telemetry::Level::Info, "version wanted",
+                   {{"model", Model}, {"version", std::int64_t(Wanted)}});
+  }
+
+  void registryChanged(const serving::StoreSection &Section) {
+    Targets = platform::decodeRegistry(Section.items()).Targets;
+    findService();
+  }
+
+  void findService() {
+    for (const serving::RegisteredTarget &T : Targets)
+      if (T.Address == Settings.TargetAddress)
+        Service = T.Service;
+    if (!Config)
+      return;
+    const serving::Service *Mine = Config->service(Service);
+    if (!Mine || !Mine->Engine || Mine->Engine->Models.empty())
+      return;
+    if (Model.empty())
+      Wanted = FirstVersion;
+    Model = Mine->Engine->Models.front();
+    for (const serving::Service &S : Config->Services)
+      if (!S.OriginAddress.empty())
+        OriginAddress = S.OriginAddress;
+  }
+
+  // --- the way to the wanted version
+
+  asio::awaitable<void> run() {
+    asio::steady_timer Timer(Loop);
+    for (;;) {
+      co_await step();
+      Timer.expires_after(StepPeriod);
+      co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+  }
+
+  std::uint64_t loadedVersion() const {
+    if (!Watch.state())
+      return 0;
+    for (const serving::LoadedModel &M : Watch.state()->Models)
+      if (M.Model == Model)
+        return M.Version;
+    return 0;
+  }
+
+  asio::awaitable<void> step() {
+    if (Model.empty() || OriginAddress.empty() || !Watch.state())
+      co_return;
+    std::uint64_t Version = Wanted;
+    if (!Versions.contains(Version)) {
+      bool Known = co_await openVersion(Version);
+      if (!Known)
+        co_return;
+    }
+    updateMembers();
+    auto Chunks = Versions[Version];
+    std::uint64_t Loaded = loadedVersion();
+    if (!Chunks->held().full() || Loaded == Version || Version != Wanted)
+      co_return;
+    if (Watch.state()->Busy || !turnHasCome(Loaded))
+      co_return;
+    co_await load(*Chunks);
+  }
+
+  /// Gets the manifest, and what the target has staged of the version.
+  asio::awaitable<bool> openVersion(std::uint64_t Version) {
+    auto Manifest = co_await findManifest(Version);
+    if (!Manifest)
+      co_return false;
+    auto Chunks = std::make_shared<VersionChunks>(std::move(*Manifest));
+    bool MayBeStaged = loadedVersion() == Version || Version == FirstVersion ||
+                       Versions.empty();
+    if (MayBeStaged)
+      co_await readStaged(*Chunks);
+    Versions[Version] = Chunks;
+    while (Versions.size() > KeptVersions) {
+      Fetchers.erase(Versions.begin()->first);
+      Versions.erase(Versions.begin());
+    }
+    if (!Chunks->held().full())
+      Fetchers[Version] = ChunkFetcher::start(Loop, Settings, Calls, Link,
+                                              OriginAddress, Chunks);
+    telemetry::log(telemetry::Level::Info, "version opened",
+                   {{"model", Model},
+                    {"version", std::int64_t(Version)},
+                    {"staged", std::int64_t(Chunks->held().count())},
+                    {"chunks", std::int64_t(Chunks->size())}});
+    co_return true;
+  }
+
+  asio::awaitable<std::optional<platform::OriginManifest>>
+  findManifest(std::uint64_t Version) {
+    std::vector<std::string> Sources = manifestSources(Version);
+    for (const std::string &Address : Sources) {
+      HttpCalls::Call Call;
+      bool Origin = Address == OriginAddress;
+      if (Origin) {
+        Call.Request = platform::manifestRequest(Model, Version);
+      } else {
+        Call.Request.Method = "GET";
+        Call.Request.Target = std::string(ManifestsPath) + Model + "/" +
+                              std::to_string(Version);
+      }
+      Call.Deadline = ManifestDeadline;
+      auto Answer = co_await Calls.exchange(Address, std::move(Call));
+      if (!Answer)
+        continue;
+      std::optional<platform::OriginManifest> Found;
+      if (Origin) {
+        auto Decoded = platform::decodeManifest(*Answer);
+        if (Decoded)
+          Found = std::move(*Decoded);
+      } else if (Answer->Head.Status == 200) {
+        Found = fromPeer(Answer->Body, Version);
+      }
+      if (Found && Found->Version == Version && !Found->Chunks.empty())
+        co_return Found;
+    }
+    co_return std::nullopt;
+  }
+
+  /// The first in rank reads the manifest from the origin, the others from it.
+  std::vector<std::string> manifestSources(std::uint64_t Version) {
+    std::vector<swarm::EngineHost> Members = members();
+    auto Ranked = core::rendezvousRank(
+        Model + "/" + std::to_string(Version), std::move(Members),
+        [](const auto &H) { return std::string_view(H.Host.str()); });
+    std::vector<std::string> Result;
+    for (std::size_t I = 0; I < std::min<std::size_t>(2, Ranked.size()); ++I) {
+      if (Ranked[I].Host.str() == Settings.Ip)
+        break;
+      Result.push_back(Ranked[I].Host.str() + ":" +
+                       std::to_string(Settings.PeerPort));
+    }
+    Result.push_back(OriginAddress);
+    return Result;
+  }
+
+  std::optional<platform::OriginManifest> fromPeer(const std::string &Body,
+                                                   std::uint64_t Version) {
+    platform::OriginManifest Result;
+    Result.Model = Model;
+    Result.Version = Version;
+    for (std::size_t At = 0; At + core::Digest::Size <= Body.size();
+         At += core::Digest::Size)
+      if (auto D = core::Digest::fromBytes(
+              std::string_view(Body).substr(At, core::Digest::Size)))
+        Result.Chunks.push_back(*D);
+    return Result;
+  }
+
+  asio::awaitable<void> readStaged(VersionChunks &Chunks) {
+    for (std::size_t I = 0; I < Chunks.size(); ++I) {
+      HttpCalls::Call Call;
+      Call.Request = platform::stagedChunkRequest(Model, I);
+      Call.Deadline = LocalDeadline;
+      auto Answer =
+          co_await Calls.exchange(Settings.TargetAddress, std::move(Call));
+      if (!Answer || Answer->Head.Status == 404)
+        co_return;
+      if (Answer->Head.Status == 200)
+        Chunks.store(I, std::move(Answer->Body));
+    }
+  }
+
+  /// @return live hosts whose targets are of the own service, by IP.
+  std::vector<swarm::EngineHost> members() const {
+    std::vector<swarm::EngineHost> Result;
+    BootTime Now = BootClock::now();
+    std::set<std::string> Seen;
+    for (const serving::RegisteredTarget &T : Targets) {
+      std::string Ip = ipOf(T.Address);
+      bool Live = Ip == Settings.Ip || Follower.peers().isLive(Ip, Now);
+      auto Region = Settings.RegionOf.find(T.FailureDomain);
+      if (T.Service != Service || !Live || Region == Settings.RegionOf.end() ||
+          !Seen.insert(Ip).second)
+        continue;
+      Result.push_back({core::HostId(Ip), Region->second, T.FailureDomain});
+    }
+    return Result;
+  }
+
+  void updateMembers() {
+    std::vector<swarm::EngineHost> Members = members();
+    for (auto &[Version, Fetcher] : Fetchers)
+      Fetcher->setMembers(Members);
+  }
+
+  bool turnHasCome(std::uint64_t Loaded) {
+    // A target that serves nothing yet loses nothing by loading at once.
+    if (Loaded == 0)
+      return true;
+    std::vector<swarm::EngineHost> Members = members();
+    std::string Key = Model + "/" + std::to_string(Wanted);
+    auto Ranked = core::rendezvousRank(Key, std::move(Members), [](auto &H) {
+      return std::string_view(H.Host.str());
+    });
+    auto Mine = std::find_if(Ranked.begin(), Ranked.end(), [&](auto &H) {
+      return H.Host.str() == Settings.Ip;
+    });
+    serving::SwitchSchedule Schedule(NamedAt, Settings.Promises.VersionInForce);
+    BootTime Turn = Schedule.switchTime(
+        static_cast<std::size_t>(Mine - Ranked.begin()), Ranked.size());
+    return BootClock::now() >= Turn;
+  }
+
+  /// Stages all chunks and orders the load.
+  asio::awaitable<void> load(VersionChunks &Chunks) {
+    std::int64_t Born = Watch.state()->Born;
+    std::uint64_t Version = Chunks.manifest().Version;
+    for (std::size_t I = 0; I < Chunks.size(); ++I) {
+      HttpCalls::Call Call;
+      Call.Request = platform::stageRequest(Model, I, Chunks.bytes(I));
+      Call.Deadline = LocalDeadline;
+      auto Answer =
+          co_await Calls.exchange(Settings.TargetAddress, std::move(Call));
+      if (!Answer || Answer->Head.Status >= 300) {
+        telemetry::log(telemetry::Level::Warning, "chunk not staged",
+                       {{"version", std::int64_t(Version)},
+                        {"chunk", std::int64_t(I)},
+                        {"status", Answer ? std::int64_t(Answer->Head.Status)
+                                          : std::int64_t(0)}});
+        co_return;
+      }
+    }
+    if (!Watch.state() || Watch.state()->Born != Born)
+      co_return;
+    co_await order(Version);
+  }
+
+  asio::awaitable<void> order(std::uint64_t Version) {
+    platform::LoadOrder Order;
+    Order.Model = Model;
+    Order.Version = Version;
+    Order.AfterOrders = Watch.state()->Orders;
+    Order.FencingToken = Version;
+    HttpCalls::Call Call;
+    Call.Request = platform::orderRequest(Order);
+    Call.Deadline = LocalDeadline;
+    Call.Repeatable = false;
+    Watch.setSwitching(true);
+    auto Answer =
+        co_await Calls.exchange(Settings.TargetAddress, std::move(Call));
+    std::string Outcome = "no answer";
+    if (Answer)
+      Outcome = "status " + std::to_string(Answer->Head.Status);
+    telemetry::log(telemetry::Level::Info, "load ordered",
+                   {{"model", Model},
+                    {"version", std::int64_t(Version)},
+                    {"after_orders", Order.AfterOrders},
+                    {"outcome", Outcome}});
+    // What the order did is read from the target's state, also if its answer
+    // was lost.
+    asio::steady_timer Timer(Loop, OrderSettle);
+    co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    Watch.setSwitching(false);
+  }
+
+  // --- peers
+
+  void received(const wire::NodeMessage &Message) {
+    if (!Message.has_holdings() || Message.holdings().model() != Model)
+      return;
+    const wire::Holdings &Told = Message.holdings();
+    auto Fetcher = Fetchers.find(Told.version());
+    if (Fetcher != Fetchers.end())
+      Fetcher->second->peerHolds(Message.sender().ip(), Told);
+    auto Chunks = Versions.find(Told.version());
+    if (!Told.tell() || Chunks == Versions.end())
+      return;
+    wire::NodeMessage Reply;
+    wire::Holdings *Mine = Reply.mutable_holdings();
+    Mine->set_model(Model);
+    Mine->set_version(Told.version());
+    Mine->set_chunks(Chunks->second->held().bytes());
+    Link.send(Message.sender().ip(), std::move(Reply));
+  }
+
+  asio::awaitable<http::Response> answer(std::string Target) {
+    http::Response Answer;
+    Answer.Head.Status = 404;
+    bool ForManifest = Target.starts_with(ManifestsPath);
+    std::string_view Rest = std::string_view(Target).substr(
+        ForManifest ? ManifestsPath.size() : ChunksPath.size());
+    auto Parts = split(Rest);
+    if (Parts.size() < 2 || Parts[0] != Model)
+      co_return Answer;
+    auto Found = Versions.find(numberOf(Parts[1]));
+    if (Found == Versions.end())
+      co_return Answer;
+    auto Chunks = Found->second;
+    if (ForManifest) {
+      Answer.Head.Status = 200;
+      for (const core::Digest &D : Chunks->manifest().Chunks)
+        Answer.Body += D.bytes();
+      co_return Answer;
+    }
+    if (Parts.size() < 4 || numberOf(Parts[2]) >= Chunks->size())
+      co_return Answer;
+    std::size_t Index = numberOf(Parts[2]);
+    bool Reader = Parts[3] != "held";
+    if (Reader && !Chunks->has(Index))
+      co_await awaitChunk(*Chunks, Index, Parts[3] == "fleet");
+    if (!Chunks->has(Index))
+      co_return Answer;
+    if (!Reader && Uploads >= UploadsAtOnce) {
+      Answer.Head.Status = 503;
+      co_return Answer;
+    }
+    Answer.Head.Status = 200;
+    Answer.Body = Chunks->bytes(Index);
+    co_return Answer;
+  }
+
+  asio::awaitable<void> awaitChunk(VersionChunks &Chunks, std::size_t Index,
+                                   bool Fleet) {
+    auto Fetcher = Fetchers.find(Chunks.manifest().Version);
+    if (Fetcher == Fetchers.end())
+      co_return;
+    Fetcher->second->demanded(Index, Fleet);
+    BootTime Until = BootClock::now() + ReaderWait;
+    asio::steady_timer Timer(Loop);
+    while (!Chunks.has(Index) && BootClock::now() < Until) {
+      Timer.expires_after(ReaderPoll);
+      co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+  }
+};
+
+std::unique_ptr<WeightKeeper>
+WeightKeeper::start(asio::io_context &Loop, const NodeSettings &Settings,
+                    HttpCalls &Calls, PeerLink &Link, TargetWatch &Watch,
+                    const StoreFollower &Follower) {
+  auto S = std::make_shared<State>(Loop, Settings, Calls, Link, Watch,
+                                   Follower);
+  asio::co_spawn(
+      Loop, [S]() -> asio::awaitable<void> { co_await S->run(); },
+      asio::detached);
+  return std::unique_ptr<WeightKeeper>(new WeightKeeper(std::move(S)));
+}
+
+WeightKeeper::WeightKeeper(std::shared_ptr<State> S) : S(std::move(S)) {}
+WeightKeeper::~WeightKeeper() = default;
+
+void WeightKeeper::operatorsChanged(const serving::StoreSection &Section,
+                                    std::optional<BootTime> Unchanged) {
+  S->operatorsChanged(Section, Unchanged);
+}
+
+void WeightKeeper::registryChanged(const serving::StoreSection &Section) {
+  S->registryChanged(Section);
+}
+
+void WeightKeeper::received(const wire::NodeMessage &Message) {
+  S->received(Message);
+}
+
+bool WeightKeeper::owns(const std::string &Target) {
+  return Target.starts_with(ChunksPath) || Target.starts_with(ManifestsPath);
+}
+
+asio::awaitable<http::Response> WeightKeeper::answer(std::string Target) {
+  return S->answer(std::move(Target));
+}
+
+} // namespace rosemarylane
