--- a/libs/serving/include/serving/TargetBoard.h
+++ b/libs/serving/include/serving/TargetBoard.h
@@ -134,8 +134,8 @@
   /// Failure domains whose targets get no new work.
   void setEvacuated(std::set<core::FailureDomainId> Domains);
 
-  /// The newest version named of \p Model. Targets that hold an older one get
-  /// no new work after \p Deadline.
+  /// A version named of \p Model. Targets that hold an older one get no new
+  /// work after \p Deadline; earlier named versions keep their own deadlines.
   void setNamedVersion(const std::string &Model, std::uint64_t Version,
                        core::BootTime Deadline);
 
@@ -214,7 +214,7 @@
   TargetBoardSettings Settings;
   std::map<TargetId, Target> Targets;
   std::set<core::FailureDomainId> Evacuated;
-  std::map<std::string, NamedVersion, std::less<>> Named;
+  std::map<std::string, std::vector<NamedVersion>, std::less<>> Named;
   std::size_t Sharers = 1;
 };
 
--- a/libs/serving/src/TargetBoard.cpp
+++ b/libs/serving/src/TargetBoard.cpp
@@ -42,9 +42,9 @@
 void TargetBoard::setNamedVersion(const std::string &Model,
                                   std::uint64_t Version,
                                   core::BootTime Deadline) {
-  NamedVersion &N = Named[Model];
-  if (Version > N.Version)
-    N = {Version, Deadline};
+  std::vector<NamedVersion> &List = Named[Model];
+  if (List.empty() || Version > List.back().Version)
+    List.push_back({Version, Deadline});
 }
 
 void TargetBoard::setSharers(std::size_t Gateways) {
@@ -130,9 +130,12 @@
   if (Demand.ExactVersion != 0 && Held != Demand.ExactVersion)
     return false;
   auto Found = Named.find(Demand.Model);
-  if (Found == Named.end() || Held >= Found->second.Version)
+  if (Found == Named.end())
     return true;
-  return Now < Found->second.Deadline;
+  return std::none_of(Found->second.begin(), Found->second.end(),
+                      [&](const NamedVersion &N) {
+                        return Held < N.Version && Now >= N.Deadline;
+                      });
 }
 
 bool TargetBoard::regionAllowed(const Target &T,
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -36,7 +36,7 @@
 constexpr double GracePart = 0.9;
 /// Time before a version is in force for the whole fleet at which targets with
 /// an older one get no more requests: those waiting inside begin later.
-constexpr milliseconds VersionMargin{1000};
+constexpr milliseconds VersionMargin{500};
 /// A gateway whose proof is older than this part of the revocation time sends
 /// its callers elsewhere.
 constexpr double UnreadyProofPart = 0.7;
--- a/rosemarylane/src/sidecar/ChunkFetcher.cpp
+++ b/rosemarylane/src/sidecar/ChunkFetcher.cpp
@@ -25,6 +25,9 @@
 constexpr milliseconds TellPeriod{90};
 constexpr milliseconds ChunkDeadline{1500};
 constexpr std::size_t RemoteReads = 3;
+/// Connections of one host to the origin, which accepts few from all together.
+constexpr std::size_t OriginReadsAtOnce = 2;
+constexpr milliseconds OriginPoll{10};
 /// Part of a link that weights may take while a version spreads.
 constexpr double LinkPart = 0.9;
 
@@ -122,7 +125,12 @@
           chunkPath(M.Model, M.Version, Fetch.Chunk, Reader);
       Address = Fetch.Host.str() + ":" + std::to_string(Settings.PeerPort);
     }
+    bool Origin = Fetch.From == ChunkFetch::Source::Origin;
+    if (Origin)
+      co_await takeOriginPlace();
     auto Answer = co_await Calls.exchange(Address, std::move(Call));
+    if (Origin)
+      --OriginReads;
     FetchOutcome Outcome = FetchOutcome::Failed;
     bool Stored = false;
     if (Answer && Answer->Head.Status == 200) {
@@ -148,6 +156,15 @@
       noteWhole();
   }
 
+  asio::awaitable<void> takeOriginPlace() {
+    asio::steady_timer Pause(Loop);
+    while (OriginReads >= OriginReadsAtOnce) {
+      Pause.expires_after(OriginPoll);
+      co_await Pause.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    ++OriginReads;
+  }
+
   void noteSpoilt(const ChunkFetch &Fetch, const std::string &Address) {
     telemetry::log(telemetry::Level::Warning, "chunk has a wrong digest",
                    {{"version", std::int64_t(Chunks->manifest().Version)},
@@ -193,6 +210,7 @@
   bool HasMembers = false;
   bool Whole = false;
   std::size_t FromOrigin = 0;
+  std::size_t OriginReads = 0;
   Steady::time_point Told{};
   Steady::time_point Began = Steady::now();
 };
--- a/rosemarylane/src/sidecar/WeightKeeper.cpp
+++ b/rosemarylane/src/sidecar/WeightKeeper.cpp
@@ -28,6 +28,10 @@
 
 constexpr milliseconds StepPeriod{50};
 constexpr milliseconds ManifestDeadline{600};
+/// The first in rank is asked for the manifest so often, with pauses, before
+/// the origin is.
+constexpr std::size_t ManifestTries = 4;
+constexpr milliseconds ManifestPause{80};
 constexpr milliseconds LocalDeadline{700};
 /// A reader's caller waits so long for a chunk that is on its way.
 constexpr milliseconds ReaderWait{1300};
@@ -36,7 +40,9 @@
 /// for this long before it is ordered again.
 constexpr milliseconds OrderSettle{600};
 /// Versions whose chunks are kept for peers.
-constexpr std::size_t KeptVersions = 2;
+constexpr std::size_t KeptVersions = 3;
+/// A version that is not whole after so long no longer holds up the next one.
+constexpr milliseconds FetchPatience{4500};
 /// Chunks that are sent to peers at once; more would only slow each other.
 constexpr std::size_t UploadsAtOnce = 5;
 /// The first version of every model; it may be there without being named.
@@ -84,13 +90,14 @@
   std::string Service;
   std::string Model;
   std::string OriginAddress;
-  std::uint64_t Wanted = 0;
-  BootTime NamedAt{};
+  /// When each version of any model was named, at the earliest.
+  std::map<std::pair<std::string, std::uint64_t>, BootTime> Named;
   std::vector<serving::RegisteredTarget> Targets;
   std::optional<serving::ServingConfig> Config;
 
   std::map<std::uint64_t, std::shared_ptr<VersionChunks>> Versions;
   std::map<std::uint64_t, std::unique_ptr<ChunkFetcher>> Fetchers;
+  std::map<std::uint64_t, BootTime> OpenedAt;
   std::size_t Uploads = 0;
 
   // --- what is wanted
@@ -102,18 +109,16 @@
     if (Records.Config)
       Config = std::move(Records.Config);
     findService();
-    std::uint64_t Named = FirstVersion;
-    for (const platform::NamedVersion &V : Records.Versions)
-      if (V.Model == Model)
-        Named = std::max(Named, V.Version);
-    if (Model.empty() || Named <= Wanted)
-      return;
-    Wanted = Named;
-    // Without an earlier read it may have been named long ago.
-    NamedAt = Unchanged.value_or(BootClock::now() -
-                                 Settings.Promises.VersionInForce);
-    telemetry::log(telemetry::Level::Info, "version wanted",
-                   {{"model", Model}, {"version", std::int64_t(Wanted)}});
+    for (const platform::NamedVersion &V : Records.Versions) {
+      // Without an earlier read it may have been named long ago.
+      BootTime At = Unchanged.value_or(BootClock::now() -
+                                       Settings.Promises.VersionInForce);
+      bool New = Named.try_emplace({V.Model, V.Version}, At).second;
+      if (New)
+        telemetry::log(
+            telemetry::Level::Info, "version wanted",
+            {{"model", V.Model}, {"version", std::int64_t(V.Version)}});
+    }
   }
 
   void registryChanged(const serving::StoreSection &Section) {
@@ -130,8 +135,6 @@
     const serving::Service *Mine = Config->service(Service);
     if (!Mine || !Mine->Engine || Mine->Engine->Models.empty())
       return;
-    if (Model.empty())
-      Wanted = FirstVersion;
     Model = Mine->Engine->Models.front();
     for (const serving::Service &S : Config->Services)
       if (!S.OriginAddress.empty())
@@ -158,25 +161,67 @@
     return 0;
   }
 
+  /// @return the named versions of the target's model, oldest first; the first
+  /// version if none is named.
+  std::vector<std::uint64_t> namedVersions() const {
+    std::vector<std::uint64_t> Result;
+    for (const auto &[Key, At] : Named)
+      if (Key.first == Model)
+        Result.push_back(Key.second);
+    if (Result.empty())
+      Result.push_back(FirstVersion);
+    return Result;
+  }
+
   asio::awaitable<void> step() {
     if (Model.empty() || OriginAddress.empty() || !Watch.state())
       co_return;
-    std::uint64_t Version = Wanted;
-    if (!Versions.contains(Version)) {
-      bool Known = co_await openVersion(Version);
-      if (!Known)
-        co_return;
-    }
+    std::uint64_t Opening = versionToOpen();
+    if (Opening != 0)
+      co_await openVersion(Opening);
     updateMembers();
-    auto Chunks = Versions[Version];
-    std::uint64_t Loaded = loadedVersion();
-    if (!Chunks->held().full() || Loaded == Version || Version != Wanted)
+    if (!Watch.state() || Watch.state()->Busy)
       co_return;
-    if (Watch.state()->Busy || !turnHasCome(Loaded))
+    std::uint64_t Loading = versionToLoad();
+    if (Loading == 0)
       co_return;
+    // Kept alive while it is staged.
+    std::shared_ptr<VersionChunks> Chunks = Versions[Loading];
     co_await load(*Chunks);
   }
 
+  /// @return the next version to fetch, 0 if there is none: the oldest named
+  /// one that the target still lacks comes first, because it has to be in force
+  /// first; the next one follows when it is whole or takes too long.
+  std::uint64_t versionToOpen() const {
+    std::uint64_t Loaded = loadedVersion();
+    std::vector<std::uint64_t> All = namedVersions();
+    for (std::uint64_t Version : All) {
+      bool Newest = Version == All.back();
+      if (Version < Loaded || (Version == Loaded && !Newest))
+        continue;
+      auto Open = Versions.find(Version);
+      // With nothing loaded, no older version is worth the time.
+      if (Open == Versions.end())
+        return Loaded == 0 && !Newest ? All.back() : Version;
+      bool Stuck = BootClock::now() - OpenedAt.at(Version) > FetchPatience;
+      if (!Open->second->held().full() && !Stuck)
+        return 0;
+    }
+    return 0;
+  }
+
+  /// @return the newest version that is whole, newer than the loaded one, and
+  /// whose turn has come; 0 if there is none.
+  std::uint64_t versionToLoad() {
+    std::uint64_t Loaded = loadedVersion();
+    for (auto It = Versions.rbegin(); It != Versions.rend(); ++It)
+      if (It->first > Loaded && It->second->held().full() &&
+          turnHasCome(Loaded, It->first))
+        return It->first;
+    return 0;
+  }
+
   /// Gets the manifest, and what the target has staged of the version.
   asio::awaitable<bool> openVersion(std::uint64_t Version) {
     auto Manifest = co_await findManifest(Version);
@@ -188,6 +233,7 @@
     if (MayBeStaged)
       co_await readStaged(*Chunks);
     Versions[Version] = Chunks;
+    OpenedAt[Version] = BootClock::now();
     while (Versions.size() > KeptVersions) {
       Fetchers.erase(Versions.begin()->first);
       Versions.erase(Versions.begin());
@@ -207,6 +253,7 @@
   findManifest(std::uint64_t Version) {
     std::vector<std::string> Sources = manifestSources(Version);
     for (const std::string &Address : Sources) {
+
       HttpCalls::Call Call;
       bool Origin = Address == OriginAddress;
       if (Origin) {
@@ -220,6 +267,11 @@
       auto Answer = co_await Calls.exchange(Address, std::move(Call));
       if (!Answer)
         continue;
+      if (Answer->Head.Status == 404) {
+        asio::steady_timer Timer(Loop, ManifestPause);
+        co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        continue;
+      }
       std::optional<platform::OriginManifest> Found;
       if (Origin) {
         auto Decoded = platform::decodeManifest(*Answer);
@@ -241,11 +293,10 @@
         Model + "/" + std::to_string(Version), std::move(Members),
         [](const auto &H) { return std::string_view(H.Host.str()); });
     std::vector<std::string> Result;
-    for (std::size_t I = 0; I < std::min<std::size_t>(2, Ranked.size()); ++I) {
-      if (Ranked[I].Host.str() == Settings.Ip)
-        break;
-      Result.push_back(Ranked[I].Host.str() + ":" +
-                       std::to_string(Settings.PeerPort));
+    if (!Ranked.empty() && Ranked.front().Host.str() != Settings.Ip) {
+      std::string First = Ranked.front().Host.str() + ":" +
+                          std::to_string(Settings.PeerPort);
+      Result.assign(ManifestTries, First);
     }
     Result.push_back(OriginAddress);
     return Result;
@@ -301,19 +352,23 @@
       Fetcher->setMembers(Members);
   }
 
-  bool turnHasCome(std::uint64_t Loaded) {
+  bool turnHasCome(std::uint64_t Loaded, std::uint64_t Version) {
     // A target that serves nothing yet loses nothing by loading at once.
     if (Loaded == 0)
       return true;
     std::vector<swarm::EngineHost> Members = members();
-    std::string Key = Model + "/" + std::to_string(Wanted);
+    std::string Key = Model + "/" + std::to_string(Version);
     auto Ranked = core::rendezvousRank(Key, std::move(Members), [](auto &H) {
       return std::string_view(H.Host.str());
     });
     auto Mine = std::find_if(Ranked.begin(), Ranked.end(), [&](auto &H) {
       return H.Host.str() == Settings.Ip;
     });
-    serving::SwitchSchedule Schedule(NamedAt, Settings.Promises.VersionInForce);
+    auto At = Named.find({Model, Version});
+    if (At == Named.end())
+      return true;
+    serving::SwitchSchedule Schedule(At->second,
+                                     Settings.Promises.VersionInForce);
     BootTime Turn = Schedule.switchTime(
         static_cast<std::size_t>(Mine - Ranked.begin()), Ranked.size());
     return BootClock::now() >= Turn;
