--- a/libs/serving/include/serving/SwitchSchedule.h
+++ b/libs/serving/include/serving/SwitchSchedule.h
@@ -19,8 +19,8 @@
 public:
   /// Parts of the time until the version is in force: the first and the last
   /// switch.
-  static constexpr double FirstPart = 0.36;
-  static constexpr double LastPart = 0.82;
+  static constexpr double FirstPart = 0.5;
+  static constexpr double LastPart = 0.91;
 
   /// @param NamedAt the earliest moment at which the version may have been
   /// named.
@@ -30,10 +30,10 @@
   /// @param Rank the target's position among the \p Fleet targets that hold an
   /// older version.
   core::BootTime switchTime(std::size_t Rank, std::size_t Fleet) const {
-    double Position =
-        Fleet > 1 ? static_cast<double>(std::min(Rank, Fleet - 1)) /
-                        static_cast<double>(Fleet - 1)
-                  : 0;
+    double Position = Fleet > 1
+                          ? static_cast<double>(std::min(Rank, Fleet - 1)) /
+                                static_cast<double>(Fleet - 1)
+                          : 0;
     double Part = FirstPart + (LastPart - FirstPart) * Position;
     return NamedAt + std::chrono::duration_cast<std::chrono::milliseconds>(
                          InForce * Part);
--- a/libs/serving/include/serving/TargetBoard.h
+++ b/libs/serving/include/serving/TargetBoard.h
@@ -33,6 +33,8 @@
   LoadReport Load;
   /// The target is loading or about to: it takes no new work.
   bool Switching = false;
+  /// Time until the target is to load another version; 0 if not planned.
+  std::chrono::milliseconds SwitchIn{0};
   std::vector<LoadedModel> Models;
 };
 
@@ -62,6 +64,8 @@
   std::vector<core::RegionId> AllowedRegions;
   /// The model that the target must hold; empty for plain services.
   std::string_view Model;
+  /// How long the request is expected to run; 0 if not known.
+  std::chrono::milliseconds ExpectedTime{0};
   /// A stream goes on only with the version it began with; 0 allows all.
   std::uint64_t ExactVersion = 0;
   /// Targets that this request was sent to already.
@@ -108,6 +112,15 @@
   /// First and longest pause after a target has failed.
   std::chrono::milliseconds FirstPause{400};
   std::chrono::milliseconds LongestPause{3000};
+  /// A request may outlast a planned switch of its target by so much.
+  std::chrono::milliseconds SwitchSlack{250};
+  /// First sign of an answer up to this time counts as usual.
+  std::chrono::milliseconds UsualResponse{200};
+  /// Time beyond that which weighs as much as one request at the target.
+  std::chrono::milliseconds ResponsePerRequest{40};
+  /// What is learnt of a target's response time is forgotten by half in this
+  /// time.
+  std::chrono::milliseconds ResponseHalfLife{1500};
   /// Failures in a row that pause a target that still answers.
   std::uint32_t FailuresToPause = 3;
 };
@@ -152,6 +165,10 @@
   void answeredWarmup(const TargetId &Id, std::chrono::milliseconds Left,
                       core::BootTime Now);
 
+  /// The first sign of an answer came after \p Took.
+  void responded(const TargetId &Id, std::chrono::milliseconds Took,
+                 core::BootTime Now);
+
   /// Chooses the target for one request and counts the send.
   /// @param Random uniform in [0, 1), to break ties.
   std::optional<ChosenTarget> choose(const TargetDemand &Demand,
@@ -186,6 +203,10 @@
     /// `Own` when the load was reported.
     std::uint32_t OwnAtReport = 0;
     bool Switching = false;
+    std::optional<core::BootTime> SwitchAt;
+    /// Response time beyond the usual, as of `SlowSince`.
+    double SlowMilliseconds = 0;
+    core::BootTime SlowSince{};
     core::BootTime ColdUntil{};
     ColdLimit Cold;
     std::uint32_t FailuresInRow = 0;
@@ -197,6 +218,9 @@
 
   double work(const Target &T, core::BootTime Now) const;
   double room(const Target &T) const;
+  double slowness(const Target &T, core::BootTime Now) const;
+  bool endsBeforeSwitch(const Target &T, const TargetDemand &Demand,
+                        core::BootTime Now) const;
   bool serves(const Target &T, const TargetDemand &Demand,
               core::BootTime Now) const;
   bool paused(const Target &T, core::BootTime Now) const;
--- a/libs/serving/src/TargetBoard.cpp
+++ b/libs/serving/src/TargetBoard.cpp
@@ -1,6 +1,7 @@
 #include "serving/TargetBoard.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace rosemarylane::serving {
@@ -62,6 +63,9 @@
     T.FromAgent = true;
     T.OwnAtReport = T.Own;
     T.Switching = Report.Switching;
+    T.SwitchAt.reset();
+    if (Report.SwitchIn.count() > 0)
+      T.SwitchAt = Now + Report.SwitchIn;
     T.Info.Models = Report.Models;
   }
 }
@@ -91,6 +95,33 @@
     Found->second.ColdUntil = Now + Left;
 }
 
+void TargetBoard::responded(const TargetId &Id, std::chrono::milliseconds Took,
+                            core::BootTime Now) {
+  auto Found = Targets.find(Id);
+  if (Found == Targets.end())
+    return;
+  // A new sample counts as much as all that is remembered.
+  Target &T = Found->second;
+  double Beyond = std::max<double>(
+      0, static_cast<double>((Took - Settings.UsualResponse).count()));
+  T.SlowMilliseconds = (slowness(T, Now) + Beyond) / 2;
+  T.SlowSince = Now;
+}
+
+double TargetBoard::slowness(const Target &T, core::BootTime Now) const {
+  if (T.SlowMilliseconds <= 0)
+    return 0;
+  double HalfLives = std::chrono::duration<double>(Now - T.SlowSince) /
+                     std::chrono::duration<double>(Settings.ResponseHalfLife);
+  return T.SlowMilliseconds * std::exp2(-HalfLives);
+}
+
+bool TargetBoard::endsBeforeSwitch(const Target &T, const TargetDemand &Demand,
+                                   core::BootTime Now) const {
+  return !T.SwitchAt ||
+         Now + Demand.ExpectedTime <= *T.SwitchAt + Settings.SwitchSlack;
+}
+
 double TargetBoard::work(const Target &T, core::BootTime Now) const {
   bool Known = T.LoadTime && Now - *T.LoadTime < Settings.ReportLife;
   if (!Known)
@@ -174,7 +205,7 @@
     if (!serves(T, Demand, Now))
       continue;
     Why = NoTarget::Full;
-    if (paused(T, Now))
+    if (paused(T, Now) || !endsBeforeSwitch(T, Demand, Now))
       continue;
     bool Own = T.Info.FailureDomain == Settings.OwnDomain;
     bool Cold = T.WarmupRate > 0 && Now < T.ColdUntil;
@@ -184,7 +215,9 @@
     if (Work >= room(T))
       continue;
     double Score = Work / T.Info.Slots * 16 +
-                   (Own ? 0 : Settings.RemotePenalty) + T.Load.MemoryUsed;
+                   (Own ? 0 : Settings.RemotePenalty) + T.Load.MemoryUsed +
+                   slowness(T, Now) /
+                       static_cast<double>(Settings.ResponsePerRequest.count());
     // A tie goes to each with the same chance.
     if (Score == BestScore)
       ++Ties;
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -225,6 +225,7 @@
   Report.Load.Waiting = From.waiting();
   Report.Load.MemoryUsed = From.memory_permille() / 1000.0;
   Report.Switching = From.switching();
+  Report.SwitchIn = milliseconds(From.switch_in_ms());
   for (const wire::HeldModel &M : From.models())
     Report.Models.push_back({M.model(), M.version()});
   Context.Board.reported(Report, BootClock::now());
@@ -261,7 +262,8 @@
     if (Named.Version <= Known)
       continue;
     // Without an earlier read it may have been named long ago.
-    BootTime NamedAt = Unchanged.value_or(Now);
+    BootTime NamedAt =
+        Unchanged.value_or(Now - Settings.Promises.VersionInForce);
     Known = Named.Version;
     Context.Board.setNamedVersion(Named.Model, Named.Version,
                                   NamedAt + Settings.Promises.VersionInForce -
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds PlainPatience{700};
 /// The same between two events of a stream.
 constexpr milliseconds EventPatience{1100};
+/// What a busy engine takes for one token of an answer.
+constexpr milliseconds TimePerToken{8};
 /// Part of the latency target that a request may spend in the line.
 constexpr double LinePart = 0.5;
 /// Answers of plain services are collected up to this size, so that one that
@@ -66,6 +68,7 @@
   asio::awaitable<SendEnd> collectAnswer();
   asio::awaitable<SendEnd> passStream();
   asio::awaitable<void> passCollected();
+  void noteResponse(const serving::ChosenTarget &Target);
   void noteEnd(const serving::ChosenTarget &Target, SendEnd End);
 
   // Ends of the run.
@@ -87,6 +90,7 @@
   CallerConnection::Request &Request;
   Clock::time_point Started;
   Clock::time_point Until{};
+  Clock::time_point SentAt{};
   asio::steady_timer Timer;
 
   AdmittedRequest Admitted;
@@ -194,6 +198,7 @@
   Demand.AllowedRegions = Admitted.AllowedRegions;
   Demand.Model = Admitted.Marks.Model;
   Demand.Tried = &Tried;
+  Demand.ExpectedTime = TimePerToken * Admitted.Marks.ExpectedTokens;
   Demand.ExactVersion = HeadPassed ? AnswerVersion : 0;
   return Context.Board.choose(Demand, BootClock::now(), Context.random(), Why);
 }
@@ -246,6 +251,11 @@
   co_return End;
 }
 
+void RequestRun::noteResponse(const serving::ChosenTarget &Target) {
+  auto Took = std::chrono::duration_cast<milliseconds>(Clock::now() - SentAt);
+  Context.Board.responded(Target.Id, Took, BootClock::now());
+}
+
 void RequestRun::noteEnd(const serving::ChosenTarget &Target, SendEnd End) {
   BootTime Now = BootClock::now();
   const platform::AnswerMarks &Marks = Send->marks();
@@ -280,6 +290,7 @@
                           : streaming() ? StreamPatience
                                         : PlainPatience;
   auto Fields = platform::targetFields(Request.base(), Marks);
+  SentAt = Clock::now();
   TargetSend::Step Step =
       co_await Send->start(Request, Fields, Admitted.Marks.Id,
                            !Admitted.Route->repeatable(), Until, Patience);
@@ -302,6 +313,7 @@
         Send->status() == 421 ? SendOutcome::Mismatch : SendOutcome::Full;
     co_return SendEnd::Rejected;
   }
+  noteResponse(Target);
   if (streaming() && Send->status() == 200)
     co_return co_await passStream();
   co_return co_await collectAnswer();
--- a/rosemarylane/src/sidecar/ChunkFetcher.cpp
+++ b/rosemarylane/src/sidecar/ChunkFetcher.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds TellPeriod{90};
 constexpr milliseconds ChunkDeadline{1500};
 constexpr std::size_t RemoteReads = 3;
+/// A chunk from a neighbour that takes longer shows a slow link.
+constexpr milliseconds SlowChunk{700};
 /// Connections of one host to the origin, which accepts few from all together.
 constexpr std::size_t OriginReadsAtOnce = 2;
 constexpr milliseconds OriginPoll{10};
@@ -45,10 +47,9 @@
   Result.ListenTime = milliseconds(120);
   Result.SettleTime = milliseconds(120);
   double Bytes = static_cast<double>(Chunks * ChunkBytes);
-  double PerSecond =
-      static_cast<double>(std::max<std::uint64_t>(Settings.LinkBytesPerSecond,
-                                                  1)) *
-      LinkPart;
+  double PerSecond = static_cast<double>(std::max<std::uint64_t>(
+                         Settings.LinkBytesPerSecond, 1)) *
+                     LinkPart;
   Result.CopyTime = std::chrono::duration_cast<std::chrono::nanoseconds>(
       std::chrono::duration<double>(Bytes / PerSecond));
   return Result;
@@ -95,16 +96,21 @@
     });
   }
 
+  /// On a link so slow that chunks hold up live answers, one is fetched at a
+  /// time, with a pause as long as it took.
+  bool yielding() const {
+    return LastTook > SlowChunk &&
+           (InFlight > 0 || Steady::now() < LastEnd + LastTook);
+  }
+
   void plan() {
-    if (!HasMembers)
+    if (!HasMembers || yielding())
       return;
     for (ChunkFetch &Fetch : Planner->plan(Steady::now(), RemoteReads))
       asio::co_spawn(
           Loop,
-          [Self = shared_from_this(),
-           Fetch = std::move(Fetch)]() -> asio::awaitable<void> {
-            co_await Self->fetch(Fetch);
-          },
+          [Self = shared_from_this(), Fetch = std::move(Fetch)]()
+              -> asio::awaitable<void> { co_await Self->fetch(Fetch); },
           asio::detached);
   }
 
@@ -116,19 +122,24 @@
     if (Fetch.From == ChunkFetch::Source::Origin) {
       Call.Request = platform::chunkRequest(M.Model, M.Version, Fetch.Chunk);
     } else {
-      const char *Reader =
-          Fetch.From == ChunkFetch::Source::Neighbour      ? "held"
-          : Fetch.From == ChunkFetch::Source::RegionReader ? "region"
-                                                           : "fleet";
+      const char *Reader = Fetch.From == ChunkFetch::Source::Neighbour ? "held"
+                           : Fetch.From == ChunkFetch::Source::RegionReader
+                               ? "region"
+                               : "fleet";
       Call.Request.Method = "GET";
-      Call.Request.Target =
-          chunkPath(M.Model, M.Version, Fetch.Chunk, Reader);
+      Call.Request.Target = chunkPath(M.Model, M.Version, Fetch.Chunk, Reader);
       Address = Fetch.Host.str() + ":" + std::to_string(Settings.PeerPort);
     }
     bool Origin = Fetch.From == ChunkFetch::Source::Origin;
     if (Origin)
       co_await takeOriginPlace();
+    ++InFlight;
+    Steady::time_point Sent = Steady::now();
     auto Answer = co_await Calls.exchange(Address, std::move(Call));
+    --InFlight;
+    LastEnd = Steady::now();
+    if (Fetch.From == ChunkFetch::Source::Neighbour)
+      LastTook = LastEnd - Sent;
     if (Origin)
       --OriginReads;
     FetchOutcome Outcome = FetchOutcome::Failed;
@@ -211,14 +222,16 @@
   bool Whole = false;
   std::size_t FromOrigin = 0;
   std::size_t OriginReads = 0;
+  std::size_t InFlight = 0;
+  Steady::duration LastTook{};
+  Steady::time_point LastEnd{};
   Steady::time_point Told{};
   Steady::time_point Began = Steady::now();
 };
 
 std::unique_ptr<ChunkFetcher>
 ChunkFetcher::start(asio::io_context &Loop, const NodeSettings &Settings,
-                    HttpCalls &Calls, PeerLink &Link,
-                    std::string OriginAddress,
+                    HttpCalls &Calls, PeerLink &Link, std::string OriginAddress,
                     std::shared_ptr<VersionChunks> Chunks) {
   auto S = std::make_shared<State>(Loop, Settings, Calls, Link,
                                    std::move(OriginAddress), std::move(Chunks));
--- a/rosemarylane/src/sidecar/SidecarProcess.cpp
+++ b/rosemarylane/src/sidecar/SidecarProcess.cpp
@@ -53,12 +53,11 @@
   Hooks.OnRegistry = [this](const serving::StoreSection &Section) {
     Keeper->registryChanged(Section);
   };
-  Follower = StoreFollower::start(Runtime.loop(), Settings,
-                                  serving::PeerRole::Sidecar, Calls, *Link,
-                                  std::move(Hooks));
+  Follower =
+      StoreFollower::start(Runtime.loop(), Settings, serving::PeerRole::Sidecar,
+                           Calls, *Link, std::move(Hooks));
   // Nothing of the store is read before the loop runs, so the hooks find both.
-  Watch = TargetWatch::start(Runtime.loop(), Settings, Calls, *Link,
-                             *Follower);
+  Watch = TargetWatch::start(Runtime.loop(), Settings, Calls, *Link, *Follower);
   Keeper = WeightKeeper::start(Runtime.loop(), Settings, Calls, *Link, *Watch,
                                *Follower);
   Peers = PeerServer::listen(
--- a/rosemarylane/src/sidecar/TargetWatch.cpp
+++ b/rosemarylane/src/sidecar/TargetWatch.cpp
@@ -24,7 +24,13 @@
 /// An unchanged state is told again after this long.
 constexpr milliseconds RepeatPeriod{400};
 
-bool sameWork(const wire::TargetReport &A, const wire::TargetReport &B) {
+/// The time until a switch changes all the time, and is left out.
+bool sameWork(wire::TargetReport A, wire::TargetReport B) {
+  bool Planned = A.switch_in_ms() > 0;
+  if (Planned != (B.switch_in_ms() > 0))
+    return false;
+  A.clear_switch_in_ms();
+  B.clear_switch_in_ms();
   return A.SerializeAsString() == B.SerializeAsString();
 }
 
@@ -86,6 +92,12 @@
       Report.set_memory_permille(static_cast<std::uint32_t>(
           Known->MemoryUsed * 1000 / Known->MemoryTotal));
     Report.set_switching(Switching || Known->Busy);
+    if (SwitchAt) {
+      auto Left = std::chrono::ceil<milliseconds>(*SwitchAt - BootClock::now());
+      // 0 would mean that none is planned.
+      Report.set_switch_in_ms(static_cast<std::uint32_t>(
+          std::max<milliseconds::rep>(Left.count(), 1)));
+    }
     for (const serving::LoadedModel &M : Known->Models) {
       wire::HeldModel *Held = Report.add_models();
       Held->set_model(M.Model);
@@ -128,6 +140,7 @@
   StateHook Hook;
   std::optional<platform::TargetState> Known;
   bool Switching = false;
+  std::optional<BootTime> SwitchAt;
   wire::TargetReport LastNear;
   wire::TargetReport LastFar;
   BootTime ToldNear{};
@@ -151,6 +164,9 @@
 
 void TargetWatch::onState(StateHook Hook) { S->Hook = std::move(Hook); }
 void TargetWatch::setSwitching(bool Switching) { S->Switching = Switching; }
+void TargetWatch::setSwitchTime(std::optional<BootTime> At) {
+  S->SwitchAt = At;
+}
 const std::optional<platform::TargetState> &TargetWatch::state() const {
   return S->Known;
 }
--- a/rosemarylane/src/sidecar/TargetWatch.h
+++ b/rosemarylane/src/sidecar/TargetWatch.h
@@ -1,6 +1,7 @@
 #ifndef ROSEMARYLANE_SIDECAR_TARGET_WATCH_H
 #define ROSEMARYLANE_SIDECAR_TARGET_WATCH_H
 
+#include "core/BootClock.h"
 #include "node/HttpCalls.h"
 #include "node/NodeSettings.h"
 #include "node/PeerLink.h"
@@ -34,6 +35,9 @@
   /// The target is about to load, and should get no new work.
   void setSwitching(bool Switching);
 
+  /// When the target is to load another version, if that is planned.
+  void setSwitchTime(std::optional<core::BootTime> At);
+
   /// @return the newest state; nothing while the target does not answer.
   const std::optional<platform::TargetState> &state() const;
 
--- a/rosemarylane/src/sidecar/WeightKeeper.cpp
+++ b/rosemarylane/src/sidecar/WeightKeeper.cpp
@@ -2,9 +2,9 @@
 
 #include "core/Rendezvous.h"
 #include "platform/Records.h"
+#include "serving/SwitchSchedule.h"
 #include "sidecar/ChunkFetcher.h"
 #include "sidecar/VersionChunks.h"
-#include "serving/SwitchSchedule.h"
 #include "telemetry/Log.h"
 
 #include <algorithm>
@@ -211,15 +211,24 @@
     return 0;
   }
 
-  /// @return the newest version that is whole, newer than the loaded one, and
-  /// whose turn has come; 0 if there is none.
+  /// @return the newest version that is whole and newer than the loaded one,
+  /// once its turn has come; 0 if there is none. The gateways are told of the
+  /// turn before it comes.
   std::uint64_t versionToLoad() {
     std::uint64_t Loaded = loadedVersion();
-    for (auto It = Versions.rbegin(); It != Versions.rend(); ++It)
-      if (It->first > Loaded && It->second->held().full() &&
-          turnHasCome(Loaded, It->first))
-        return It->first;
-    return 0;
+    std::optional<BootTime> Next;
+    std::uint64_t Due = 0;
+    for (const auto &[Version, Chunks] : Versions) {
+      if (Version <= Loaded || !Chunks->held().full())
+        continue;
+      BootTime Turn = turnOf(Loaded, Version);
+      if (BootClock::now() >= Turn)
+        Due = Version;
+      else if (!Next)
+        Next = Turn;
+    }
+    Watch.setSwitchTime(Due == 0 ? Next : std::nullopt);
+    return Due;
   }
 
   /// Gets the manifest, and what the target has staged of the version.
@@ -260,8 +269,8 @@
         Call.Request = platform::manifestRequest(Model, Version);
       } else {
         Call.Request.Method = "GET";
-        Call.Request.Target = std::string(ManifestsPath) + Model + "/" +
-                              std::to_string(Version);
+        Call.Request.Target =
+            std::string(ManifestsPath) + Model + "/" + std::to_string(Version);
       }
       Call.Deadline = ManifestDeadline;
       auto Answer = co_await Calls.exchange(Address, std::move(Call));
@@ -294,8 +303,8 @@
         [](const auto &H) { return std::string_view(H.Host.str()); });
     std::vector<std::string> Result;
     if (!Ranked.empty() && Ranked.front().Host.str() != Settings.Ip) {
-      std::string First = Ranked.front().Host.str() + ":" +
-                          std::to_string(Settings.PeerPort);
+      std::string First =
+          Ranked.front().Host.str() + ":" + std::to_string(Settings.PeerPort);
       Result.assign(ManifestTries, First);
     }
     Result.push_back(OriginAddress);
@@ -352,26 +361,39 @@
       Fetcher->setMembers(Members);
   }
 
-  bool turnHasCome(std::uint64_t Loaded, std::uint64_t Version) {
+  /// @return when the target is to load \p Version; the past if it may at
+  /// once.
+  BootTime turnOf(std::uint64_t Loaded, std::uint64_t Version) const {
     // A target that serves nothing yet loses nothing by loading at once.
-    if (Loaded == 0)
-      return true;
-    std::vector<swarm::EngineHost> Members = members();
-    std::string Key = Model + "/" + std::to_string(Version);
-    auto Ranked = core::rendezvousRank(Key, std::move(Members), [](auto &H) {
-      return std::string_view(H.Host.str());
-    });
-    auto Mine = std::find_if(Ranked.begin(), Ranked.end(), [&](auto &H) {
+    auto At = Named.find({Model, Version});
+    if (Loaded == 0 || At == Named.end())
+      return BootTime();
+    std::vector<swarm::EngineHost> Order = switchOrder(Version);
+    auto Mine = std::find_if(Order.begin(), Order.end(), [&](const auto &H) {
       return H.Host.str() == Settings.Ip;
     });
-    auto At = Named.find({Model, Version});
-    if (At == Named.end())
-      return true;
     serving::SwitchSchedule Schedule(At->second,
                                      Settings.Promises.VersionInForce);
-    BootTime Turn = Schedule.switchTime(
-        static_cast<std::size_t>(Mine - Ranked.begin()), Ranked.size());
-    return BootClock::now() >= Turn;
+    return Schedule.switchTime(static_cast<std::size_t>(Mine - Order.begin()),
+                               Order.size());
+  }
+
+  /// @return the service's hosts in the order in which they switch: failure
+  /// domains in turn, so that none loses many targets at once.
+  std::vector<swarm::EngineHost> switchOrder(std::uint64_t Version) const {
+    std::map<core::FailureDomainId, std::size_t> InDomain;
+    std::vector<std::pair<std::size_t, swarm::EngineHost>> Placed;
+    for (swarm::EngineHost &H : core::rendezvousRank(
+             Model + "/" + std::to_string(Version), members(),
+             [](const auto &H) { return std::string_view(H.Host.str()); }))
+      Placed.emplace_back(InDomain[H.FailureDomain]++, std::move(H));
+    std::stable_sort(
+        Placed.begin(), Placed.end(),
+        [](const auto &A, const auto &B) { return A.first < B.first; });
+    std::vector<swarm::EngineHost> Result;
+    for (auto &[Place, H] : Placed)
+      Result.push_back(std::move(H));
+    return Result;
   }
 
   /// Stages all chunks and orders the load.
@@ -501,8 +523,8 @@
 WeightKeeper::start(asio::io_context &Loop, const NodeSettings &Settings,
                     HttpCalls &Calls, PeerLink &Link, TargetWatch &Watch,
                     const StoreFollower &Follower) {
-  auto S = std::make_shared<State>(Loop, Settings, Calls, Link, Watch,
-                                   Follower);
+  auto S =
+      std::make_shared<State>(Loop, Settings, Calls, Link, Watch, Follower);
   asio::co_spawn(
       Loop, [S]() -> asio::awaitable<void> { co_await S->run(); },
       asio::detached);
--- a/rosemarylane/src/sidecar/WeightKeeper.h
+++ b/rosemarylane/src/sidecar/WeightKeeper.h
@@ -22,10 +22,11 @@
 /// loop's thread.
 class WeightKeeper {
 public:
-  static std::unique_ptr<WeightKeeper>
-  start(boost::asio::io_context &Loop, const NodeSettings &Settings,
-        HttpCalls &Calls, PeerLink &Link, TargetWatch &Watch,
-        const StoreFollower &Follower);
+  static std::unique_ptr<WeightKeeper> start(boost::asio::io_context &Loop,
+                                             const NodeSettings &Settings,
+                                             HttpCalls &Calls, PeerLink &Link,
+                                             TargetWatch &Watch,
+                                             const StoreFollower &Follower);
   ~WeightKeeper();
 
   void operatorsChanged(const serving::StoreSection &Section,
