Pace weights below the link; finish a half-fetched version first

Ruled out: fewer transfers at once (2 instead of 3): the same lateness, and the version took 4.2 to 5.0 s instead of 3.7 to 4.2 s. Also: no version's deadline passes sooner than the contact time after a process that was cut off has learnt of it.

--- a/libs/serving/include/serving/ReadSchedule.h
+++ b/libs/serving/include/serving/ReadSchedule.h
@@ -19,10 +19,10 @@
 /// agreement when those before it fail. A pure value type.
 class ReadSchedule {
 public:
-  static constexpr std::chrono::milliseconds ReadPeriod{700};
+  static constexpr std::chrono::milliseconds ReadPeriod{900};
   /// Age of the newest proof at which the second in rank reads itself, and what
   /// each further rank waits longer.
-  static constexpr std::chrono::milliseconds StepInAge{1300};
+  static constexpr std::chrono::milliseconds StepInAge{1400};
   static constexpr std::chrono::milliseconds StepInPerRank{150};
   static constexpr std::chrono::milliseconds LongestStepIn{2200};
   /// Pause after a failed read.
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -7,6 +7,7 @@
 #include "node/PeerServer.h"
 #include "node/Sockets.h"
 #include "platform/Records.h"
+#include "serving/SwitchSchedule.h"
 #include "telemetry/Log.h"
 
 #include <algorithm>
@@ -36,7 +37,7 @@
 constexpr double GracePart = 0.9;
 /// Time before a version is in force for the whole fleet at which targets with
 /// an older one get no more requests: those waiting inside begin later.
-constexpr milliseconds VersionMargin{500};
+constexpr milliseconds VersionMargin{1200};
 /// A gateway whose proof is older than this part of the revocation time sends
 /// its callers elsewhere.
 constexpr double UnreadyProofPart = 0.7;
@@ -122,10 +123,10 @@
   Context.Follower = Follower.get();
   Peers = PeerServer::listen(
       Runtime.loop(), Settings.Ip + ":" + std::to_string(Settings.PeerPort),
-      [this](const http::Request &R) { return answerPeer(R); });
+      [this](const http::Request &R) { return answerPeer(R); }, 0);
   Readiness = PeerServer::listen(
       Runtime.loop(), Settings.ReadinessAddress,
-      [this](const http::Request &R) { return answerReadiness(R); });
+      [this](const http::Request &R) { return answerReadiness(R); }, 0);
   if (!Peers || !Readiness || !listenForCallers())
     return false;
   shareLimits();
@@ -261,13 +262,12 @@
     std::uint64_t &Known = NamedVersions[Named.Model];
     if (Named.Version <= Known)
       continue;
-    // Without an earlier read it may have been named long ago.
-    BootTime NamedAt =
-        Unchanged.value_or(Now - Settings.Promises.VersionInForce);
     Known = Named.Version;
+    BootTime Deadline = serving::versionDeadline(
+        Unchanged, Now, Settings.Promises.VersionInForce,
+        Settings.Promises.Contact);
     Context.Board.setNamedVersion(Named.Model, Named.Version,
-                                  NamedAt + Settings.Promises.VersionInForce -
-                                      VersionMargin);
+                                  Deadline - VersionMargin);
     telemetry::log(
         telemetry::Level::Info, "version named",
         {{"model", Named.Model}, {"version", std::int64_t(Named.Version)}});
--- a/rosemarylane/src/node/NodeSettings.cpp
+++ b/rosemarylane/src/node/NodeSettings.cpp
@@ -55,6 +55,7 @@
   if (const json::value *Refuse = From.if_contains("refuse_unproved"))
     Result.RefuseUnproved = Refuse->as_bool();
   readMilliseconds(From, "version_in_force_ms", Result.VersionInForce);
+  readMilliseconds(From, "contact_ms", Result.Contact);
   readSeconds(From, "grace_period_s", Result.GracePeriod);
   readMilliseconds(From, "drain_notice_ms", Result.DrainNotice);
   readNumber(From, "retry_ratio", Result.RetryRatio);
--- a/rosemarylane/src/node/NodeSettings.h
+++ b/rosemarylane/src/node/NodeSettings.h
@@ -23,6 +23,8 @@
   bool RefuseUnproved = true;
   /// No request begins on weights older than a named version after this.
   std::chrono::milliseconds VersionInForce{8000};
+  /// A process that was cut off counts as back in contact after this.
+  std::chrono::milliseconds Contact{3000};
   /// From SIGTERM until the process is killed.
   std::chrono::milliseconds GracePeriod{8000};
   /// A leaving target gets no new work after this.
--- a/rosemarylane/src/node/NodeSettingsSchema.h
+++ b/rosemarylane/src/node/NodeSettingsSchema.h
@@ -58,6 +58,7 @@
         "refuse_unproved": {"type": "boolean",
                             "description": "true or false"},
         "version_in_force_ms": {"$ref": "#/definitions/milliseconds"},
+        "contact_ms": {"$ref": "#/definitions/milliseconds"},
         "grace_period_s": {"$ref": "#/definitions/positive"},
         "drain_notice_ms": {"$ref": "#/definitions/milliseconds"},
         "retry_ratio": {"$ref": "#/definitions/positive"},
--- a/rosemarylane/src/node/PeerServer.cpp
+++ b/rosemarylane/src/node/PeerServer.cpp
@@ -1,6 +1,7 @@
 #include "node/PeerServer.h"
 
 #include "node/Sockets.h"
+#include "swarm/TokenBucket.h"
 #include "telemetry/Log.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -25,6 +26,9 @@
 constexpr std::chrono::seconds WriteTimeout{10};
 constexpr std::chrono::milliseconds Silence{3000};
 constexpr std::chrono::milliseconds AcceptPause{50};
+/// Answers of this size and more are paced.
+constexpr std::size_t LargeAnswer = 8 << 10;
+constexpr std::chrono::milliseconds LargeWritePoll{4};
 
 http::Request fromBeast(http_::request<http_::string_body> &&From) {
   http::Request To;
@@ -38,8 +42,9 @@
 } // namespace
 
 struct PeerServer::State : std::enable_shared_from_this<PeerServer::State> {
-  State(asio::io_context &Loop, Handler OnRequest)
-      : Loop(Loop), Acceptor(Loop), OnRequest(std::move(OnRequest)) {}
+  State(asio::io_context &Loop, Handler OnRequest, std::uint64_t LargeRate)
+      : LargeWrites(LargeRate, LargeAnswer), Loop(Loop), Acceptor(Loop),
+        OnRequest(std::move(OnRequest)) {}
 
   asio::awaitable<void> accept() {
     auto Self = shared_from_this();
@@ -79,6 +84,9 @@
       Out.body() = std::move(Answer.Body);
       Out.keep_alive(KeepOpen);
       Out.prepare_payload();
+      bool Large = Out.body().size() >= LargeAnswer;
+      if (Large)
+        co_await Self->takeLargeWrite(Out.body().size());
       Stream.expires_after(WriteTimeout);
       auto [Unwritten, Written] =
           co_await http_::async_write(Stream, Out, Await);
@@ -87,6 +95,16 @@
     }
   }
 
+  asio::awaitable<void> takeLargeWrite(std::size_t Bytes) {
+    asio::steady_timer Pause(Loop);
+    while (!LargeWrites.ready(std::chrono::steady_clock::now())) {
+      Pause.expires_after(LargeWritePoll);
+      co_await Pause.async_wait(Await);
+    }
+    LargeWrites.take(Bytes, std::chrono::steady_clock::now());
+  }
+
+  swarm::TokenBucket LargeWrites;
   asio::io_context &Loop;
   Tcp::acceptor Acceptor;
   Handler OnRequest;
@@ -94,8 +112,9 @@
 
 std::unique_ptr<PeerServer> PeerServer::listen(asio::io_context &Loop,
                                                const std::string &Address,
-                                               Handler OnRequest) {
-  auto S = std::make_shared<State>(Loop, std::move(OnRequest));
+                                               Handler OnRequest,
+                                               std::uint64_t LargeRate) {
+  auto S = std::make_shared<State>(Loop, std::move(OnRequest), LargeRate);
   boost::system::error_code Failed = asio::error::invalid_argument;
   if (auto Endpoint = parseEndpoint(Address)) {
     S->Acceptor.open(Tcp::v4(), Failed);
--- a/rosemarylane/src/node/PeerServer.h
+++ b/rosemarylane/src/node/PeerServer.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -19,10 +20,14 @@
       const http::Request &)>;
 
   /// Binds and listens.
+  /// @param LargeRate bytes per second for large answers together, which are
+  /// written one after the other so that they do not fill the link's queue
+  /// before live answers; 0 for no limit.
   /// @return nothing if the address cannot be bound; the reason is logged.
   static std::unique_ptr<PeerServer> listen(boost::asio::io_context &Loop,
                                             const std::string &Address,
-                                            Handler OnRequest);
+                                            Handler OnRequest,
+                                            std::uint64_t LargeRate);
   ~PeerServer();
 
   struct State;
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -6,9 +6,11 @@
 #include "telemetry/Log.h"
 
 #include <algorithm>
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <random>
 #include <set>
 
@@ -26,6 +28,9 @@
 constexpr milliseconds TickPeriod{100};
 constexpr milliseconds StoreDeadline{900};
 constexpr milliseconds PeerDeadline{700};
+constexpr milliseconds WatchTime{6000};
+constexpr milliseconds WatchDeadline{6600};
+constexpr milliseconds WatchPause{500};
 /// Peers in other failure domains that are asked at once when the own domain
 /// knows nothing fresh.
 constexpr std::size_t AskedElsewhere = 2;
@@ -82,6 +87,9 @@
   serving::LapsedEntries Lapsed;
   serving::ReadSchedule Schedule;
   bool Reading = false;
+  bool Watching = false;
+  /// A change came while a read was in progress.
+  bool ReadAgain = false;
   bool StoreReached = true;
   std::uint64_t Reads = 0;
   std::set<std::string> Fetching;
@@ -123,6 +131,8 @@
     std::size_t Rank = Peers.dutyRank(Now);
     if (!Reading && Schedule.readDue(Rank, Age, Now))
       startRead(Now);
+    if (Rank == 0 && !Watching && Operators.known())
+      startWatch();
     if (Schedule.askDue(Rank, Age, Now))
       askPeers(Rank, Age, Now);
     if (Now - LastGreeting >= GreetPeriod)
@@ -141,10 +151,49 @@
           Self->Reading = false;
           Self->Schedule.readEnded(Done);
           Self->noteStore(Done);
+          if (std::exchange(Self->ReadAgain, false))
+            Self->startRead(BootClock::now());
         },
         asio::detached);
   }
 
+  /// Hears of changes of the operators' section at once. Only a hint: what it
+  /// says is read again, and it proves nothing.
+  void startWatch() {
+    Watching = true;
+    asio::co_spawn(
+        Loop,
+        [Self = shared_from_this()]() -> asio::awaitable<void> {
+          co_await Self->watch();
+          Self->Watching = false;
+        },
+        asio::detached);
+  }
+
+  asio::awaitable<void> watch() {
+    HttpCalls::Call Call;
+    Call.Request =
+        platform::watchRequest(Section::Operators, Operators.at(), WatchTime);
+    Call.Deadline = WatchDeadline;
+    ++Reads;
+    auto Answer =
+        co_await Calls.exchange(Settings.StoreAddress, std::move(Call));
+    bool Changed = false;
+    if (Answer) {
+      auto Decoded = platform::decodeWatch(*Answer);
+      Changed = Decoded && *Decoded;
+    }
+    if (Changed) {
+      if (Reading)
+        ReadAgain = true;
+      else
+        startRead(BootClock::now());
+      co_return;
+    }
+    asio::steady_timer Pause(Loop, WatchPause);
+    co_await Pause.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+
   void noteStore(bool Reached) {
     if (Reached == StoreReached)
       return;
--- a/rosemarylane/src/sidecar/ChunkFetcher.cpp
+++ b/rosemarylane/src/sidecar/ChunkFetcher.cpp
@@ -1,6 +1,8 @@
 #include "sidecar/ChunkFetcher.h"
 
+#include "sidecar/WeightRate.h"
 #include "swarm/SwarmPlanner.h"
+#include "swarm/TokenBucket.h"
 #include "telemetry/Log.h"
 
 #include <algorithm>
@@ -24,20 +26,22 @@
 constexpr milliseconds PlanPeriod{30};
 constexpr milliseconds TellPeriod{90};
 constexpr milliseconds ChunkDeadline{1500};
+/// Chunks asked for at once; they start at the pace that the link is given.
+constexpr std::size_t PullsAtOnce = 4;
 constexpr std::size_t RemoteReads = 3;
 /// A chunk from a neighbour that takes longer shows a slow link.
 constexpr milliseconds SlowChunk{700};
 /// Connections of one host to the origin, which accepts few from all together.
 constexpr std::size_t OriginReadsAtOnce = 2;
 constexpr milliseconds OriginPoll{10};
-/// Part of a link that weights may take while a version spreads.
-constexpr double LinkPart = 0.9;
+constexpr milliseconds LinkPoll{4};
+constexpr std::size_t UsualChunkBytes = 24 << 10;
 
 swarm::PlannerSettings plannerSettings(const NodeSettings &Settings,
                                        std::size_t Chunks,
                                        std::size_t ChunkBytes) {
   swarm::PlannerSettings Result;
-  Result.PullsAtOnce = 3;
+  Result.PullsAtOnce = PullsAtOnce;
   Result.RemoteReadsAtOnce = RemoteReads;
   Result.RequestTimeout = ChunkDeadline;
   Result.RemoteTimeout = ChunkDeadline;
@@ -47,9 +51,8 @@
   Result.ListenTime = milliseconds(120);
   Result.SettleTime = milliseconds(120);
   double Bytes = static_cast<double>(Chunks * ChunkBytes);
-  double PerSecond = static_cast<double>(std::max<std::uint64_t>(
-                         Settings.LinkBytesPerSecond, 1)) *
-                     LinkPart;
+  double PerSecond =
+      static_cast<double>(std::max<std::uint64_t>(weightRate(Settings), 1));
   Result.CopyTime = std::chrono::duration_cast<std::chrono::nanoseconds>(
       std::chrono::duration<double>(Bytes / PerSecond));
   return Result;
@@ -69,11 +72,10 @@
         std::shared_ptr<VersionChunks> Chunks)
       : Loop(Loop), Settings(Settings), Calls(Calls), Link(Link),
         OriginAddress(std::move(OriginAddress)), Chunks(std::move(Chunks)),
-        Timer(Loop) {
+        Timer(Loop), Inbound(weightRate(Settings), UsualChunkBytes / 2) {
     const platform::OriginManifest &M = this->Chunks->manifest();
     core::Digest Version =
         core::Digest::of(M.Model + "/" + std::to_string(M.Version));
-    constexpr std::size_t UsualChunkBytes = 24 << 10;
     Planner = swarm::SwarmPlanner::create(
         core::HostId(Settings.Ip), Version, M.Chunks, this->Chunks->held(),
         plannerSettings(Settings, M.Chunks.size(), UsualChunkBytes),
@@ -133,6 +135,7 @@
     bool Origin = Fetch.From == ChunkFetch::Source::Origin;
     if (Origin)
       co_await takeOriginPlace();
+    co_await takeLink();
     ++InFlight;
     Steady::time_point Sent = Steady::now();
     auto Answer = co_await Calls.exchange(Address, std::move(Call));
@@ -167,6 +170,15 @@
       noteWhole();
   }
 
+  asio::awaitable<void> takeLink() {
+    asio::steady_timer Pause(Loop);
+    while (!Inbound.ready(Steady::now())) {
+      Pause.expires_after(LinkPoll);
+      co_await Pause.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    Inbound.take(UsualChunkBytes, Steady::now());
+  }
+
   asio::awaitable<void> takeOriginPlace() {
     asio::steady_timer Pause(Loop);
     while (OriginReads >= OriginReadsAtOnce) {
@@ -216,6 +228,7 @@
   std::string OriginAddress;
   std::shared_ptr<VersionChunks> Chunks;
   asio::steady_timer Timer;
+  swarm::TokenBucket Inbound;
   std::unique_ptr<swarm::SwarmPlanner> Planner;
   std::vector<swarm::EngineHost> Members;
   bool HasMembers = false;
--- a/rosemarylane/src/sidecar/SidecarProcess.cpp
+++ b/rosemarylane/src/sidecar/SidecarProcess.cpp
@@ -6,6 +6,7 @@
 #include "node/StoreFollower.h"
 #include "sidecar/TargetWatch.h"
 #include "sidecar/WeightKeeper.h"
+#include "sidecar/WeightRate.h"
 #include "telemetry/Log.h"
 
 namespace rosemarylane {
@@ -62,7 +63,8 @@
                                *Follower);
   Peers = PeerServer::listen(
       Runtime.loop(), Settings.Ip + ":" + std::to_string(Settings.PeerPort),
-      [this](const http::Request &R) { return answerPeer(R); });
+      [this](const http::Request &R) { return answerPeer(R); },
+      weightRate(Settings));
   return Peers != nullptr;
 }
 
--- a/rosemarylane/src/sidecar/WeightKeeper.cpp
+++ b/rosemarylane/src/sidecar/WeightKeeper.cpp
@@ -41,8 +41,9 @@
 constexpr milliseconds OrderSettle{600};
 /// Versions whose chunks are kept for peers.
 constexpr std::size_t KeptVersions = 3;
-/// A version that is not whole after so long no longer holds up the next one.
-constexpr milliseconds FetchPatience{4500};
+/// A version of which no chunk came for so long no longer holds up the next
+/// one.
+constexpr milliseconds FetchPatience{1500};
 /// Chunks that are sent to peers at once; more would only slow each other.
 constexpr std::size_t UploadsAtOnce = 5;
 /// The first version of every model; it may be there without being named.
@@ -97,7 +98,11 @@
 
   std::map<std::uint64_t, std::shared_ptr<VersionChunks>> Versions;
   std::map<std::uint64_t, std::unique_ptr<ChunkFetcher>> Fetchers;
-  std::map<std::uint64_t, BootTime> OpenedAt;
+  struct Progress {
+    std::size_t Held = 0;
+    BootTime At{};
+  };
+  std::map<std::uint64_t, Progress> LastProgress;
   std::size_t Uploads = 0;
 
   // --- what is wanted
@@ -190,25 +195,35 @@
     co_await load(*Chunks);
   }
 
-  /// @return the next version to fetch, 0 if there is none: the oldest named
-  /// one that the target still lacks comes first, because it has to be in force
-  /// first; the next one follows when it is whole or takes too long.
-  std::uint64_t versionToOpen() const {
-    std::uint64_t Loaded = loadedVersion();
-    std::vector<std::uint64_t> All = namedVersions();
-    for (std::uint64_t Version : All) {
-      bool Newest = Version == All.back();
-      if (Version < Loaded || (Version == Loaded && !Newest))
-        continue;
-      auto Open = Versions.find(Version);
-      // With nothing loaded, no older version is worth the time.
-      if (Open == Versions.end())
-        return Loaded == 0 && !Newest ? All.back() : Version;
-      bool Stuck = BootClock::now() - OpenedAt.at(Version) > FetchPatience;
-      if (!Open->second->held().full() && !Stuck)
+  /// @return the next version to fetch, 0 if there is none. A version of which
+  /// half is there is finished before a newer one is begun, because it has to
+  /// be in force first; otherwise only the newest is worth the link.
+  std::uint64_t versionToOpen() {
+    std::uint64_t Newest = namedVersions().back();
+    if (Versions.contains(Newest))
+      return 0;
+    for (auto &[Version, Chunks] : Versions) {
+      bool HalfDone = Chunks->held().count() * 2 >= Chunks->size();
+      bool Progressing = progress(Version);
+      bool Useful = Version > loadedVersion() && loadedVersion() != 0;
+      if (!Chunks->held().full() && HalfDone && Progressing && Useful)
         return 0;
     }
-    return 0;
+    std::erase_if(Fetchers, [&](const auto &Item) {
+      return !Versions[Item.first]->held().full();
+    });
+    std::erase_if(Versions,
+                  [](const auto &Item) { return !Item.second->held().full(); });
+    return Newest;
+  }
+
+  /// @return whether a chunk of \p Version came lately.
+  bool progress(std::uint64_t Version) {
+    Progress &P = LastProgress[Version];
+    std::size_t Held = Versions[Version]->held().count();
+    if (Held != P.Held)
+      P = {Held, BootClock::now()};
+    return BootClock::now() - P.At < FetchPatience;
   }
 
   /// @return the newest version that is whole and newer than the loaded one,
@@ -219,10 +234,11 @@
     std::optional<BootTime> Next;
     std::uint64_t Due = 0;
     for (const auto &[Version, Chunks] : Versions) {
-      if (Version <= Loaded || !Chunks->held().full())
+      bool OnTheWay = Chunks->held().count() * 2 >= Chunks->size();
+      if (Version <= Loaded || !OnTheWay)
         continue;
       BootTime Turn = turnOf(Loaded, Version);
-      if (BootClock::now() >= Turn)
+      if (BootClock::now() >= Turn && Chunks->held().full())
         Due = Version;
       else if (!Next)
         Next = Turn;
@@ -242,7 +258,7 @@
     if (MayBeStaged)
       co_await readStaged(*Chunks);
     Versions[Version] = Chunks;
-    OpenedAt[Version] = BootClock::now();
+    LastProgress[Version] = {Chunks->held().count(), BootClock::now()};
     while (Versions.size() > KeptVersions) {
       Fetchers.erase(Versions.begin()->first);
       Versions.erase(Versions.begin());
