Share a target's free places among the gateways that see them

Ruled out: shorter waiting in the gateway alone (the queue was in the engines). Change: each gateway takes its share of the places that a report shows free, rounded at random; remote gateways count a quarter while their own failure domain serves.

--- a/libs/serving/include/serving/TargetBoard.h
+++ b/libs/serving/include/serving/TargetBoard.h
@@ -102,11 +102,14 @@
   std::map<core::FailureDomainId, core::RegionId> RegionOf;
   /// Requests beyond its slots that an engine is given: they wait inside it
   /// for less than the gateway would need to hear of a free slot.
-  double EngineQueue = 1;
+  double EngineQueue = 1.5;
   /// The same for a plain service, as a share of its slots.
   double PlainQueueShare = 1.0;
   /// Load, in slots, by which a target elsewhere must be better.
   double RemotePenalty = 4;
+  /// What a gateway counts for at a target of another failure domain, if its
+  /// own domain has usable targets; 1 otherwise.
+  double RemoteWeight = 0.25;
   /// A report older than this is no longer trusted.
   std::chrono::milliseconds ReportLife{1500};
   /// First and longest pause after a target has failed.
@@ -133,8 +136,10 @@
 /// fail while they look healthy. Each target's load is its last report plus
 /// what this process has sent and seen end since. The least loaded usable
 /// target of the own failure domain is chosen, another domain's only if it is
-/// better by `RemotePenalty`. Pure: time comes in with each call; not
-/// thread-safe.
+/// better by `RemotePenalty`. Of the places that a report shows free, each
+/// gateway takes its share, rounded at random, so that together they fill the
+/// target instead of all sending to the same free slot. Pure: time comes in
+/// with each call; not thread-safe.
 class TargetBoard {
 public:
   explicit TargetBoard(TargetBoardSettings Settings);
@@ -152,11 +157,12 @@
   void setNamedVersion(const std::string &Model, std::uint64_t Version,
                        core::BootTime Deadline);
 
-  /// How many gateways of the own failure domain share the cold limits.
-  void setSharers(std::size_t Gateways);
+  /// How many gateways there are in each failure domain, the own one included.
+  void setGateways(std::map<core::FailureDomainId, std::size_t> InDomain);
 
   /// An agent's report.
-  void reported(const AgentReport &Report, core::BootTime Now);
+  /// @param Random uniform in [0, 1), for the share of the free places.
+  void reported(const AgentReport &Report, core::BootTime Now, double Random);
 
   /// Load that came with an answer.
   void answeredLoad(const TargetId &Id, LoadReport Load, core::BootTime Now);
@@ -202,6 +208,8 @@
     std::uint32_t Own = 0;
     /// `Own` when the load was reported.
     std::uint32_t OwnAtReport = 0;
+    /// Sends that may still follow the last report of the agent.
+    std::uint32_t Allowance = 0;
     bool Switching = false;
     std::optional<core::BootTime> SwitchAt;
     /// Response time beyond the usual, as of `SlowSince`.
@@ -218,6 +226,10 @@
 
   double work(const Target &T, core::BootTime Now) const;
   double room(const Target &T) const;
+  double shareOf(const Target &T) const;
+  bool hasTargets(const core::FailureDomainId &Domain,
+                  std::string_view Service) const;
+  bool agentFresh(const Target &T, core::BootTime Now) const;
   double slowness(const Target &T, core::BootTime Now) const;
   bool endsBeforeSwitch(const Target &T, const TargetDemand &Demand,
                         core::BootTime Now) const;
@@ -239,6 +251,8 @@
   std::map<TargetId, Target> Targets;
   std::set<core::FailureDomainId> Evacuated;
   std::map<std::string, std::vector<NamedVersion>, std::less<>> Named;
+  std::map<core::FailureDomainId, std::size_t> Gateways;
+  /// Gateways of the own failure domain.
   std::size_t Sharers = 1;
 };
 
--- a/libs/serving/src/TargetBoard.cpp
+++ b/libs/serving/src/TargetBoard.cpp
@@ -48,11 +48,42 @@
     List.push_back({Version, Deadline});
 }
 
-void TargetBoard::setSharers(std::size_t Gateways) {
-  Sharers = std::max<std::size_t>(Gateways, 1);
+void TargetBoard::setGateways(
+    std::map<core::FailureDomainId, std::size_t> InDomain) {
+  Gateways = std::move(InDomain);
+  Sharers = std::max<std::size_t>(Gateways[Settings.OwnDomain], 1);
 }
 
-void TargetBoard::reported(const AgentReport &Report, core::BootTime Now) {
+bool TargetBoard::hasTargets(const core::FailureDomainId &Domain,
+                             std::string_view Service) const {
+  if (Evacuated.contains(Domain))
+    return false;
+  return std::any_of(Targets.begin(), Targets.end(), [&](const auto &Item) {
+    const Target &T = Item.second;
+    return T.Info.FailureDomain == Domain && T.Info.Service == Service &&
+           !T.Info.Draining;
+  });
+}
+
+double TargetBoard::shareOf(const Target &T) const {
+  auto Weight = [&](const core::FailureDomainId &Domain) {
+    bool Near =
+        Domain == T.Info.FailureDomain || !hasTargets(Domain, T.Info.Service);
+    return Near ? 1.0 : Settings.RemoteWeight;
+  };
+  double All = 0;
+  for (const auto &[Domain, Count] : Gateways)
+    All += Weight(Domain) * static_cast<double>(Count);
+  double Mine = Weight(Settings.OwnDomain);
+  return Mine / std::max(All, Mine);
+}
+
+bool TargetBoard::agentFresh(const Target &T, core::BootTime Now) const {
+  return T.FromAgent && T.LoadTime && Now - *T.LoadTime < Settings.ReportLife;
+}
+
+void TargetBoard::reported(const AgentReport &Report, core::BootTime Now,
+                           double Random) {
   for (auto &[Id, T] : Targets) {
     if (T.Info.Address != Report.Address)
       continue;
@@ -62,6 +93,9 @@
     T.LoadTime = Now;
     T.FromAgent = true;
     T.OwnAtReport = T.Own;
+    double Free = room(T) - Report.Load.Running - Report.Load.Waiting;
+    T.Allowance =
+        static_cast<std::uint32_t>(std::max(0.0, Free) * shareOf(T) + Random);
     T.Switching = Report.Switching;
     T.SwitchAt.reset();
     if (Report.SwitchIn.count() > 0)
@@ -76,9 +110,7 @@
   if (Found == Targets.end())
     return;
   Target &T = Found->second;
-  bool AgentIsFresh =
-      T.FromAgent && T.LoadTime && Now - *T.LoadTime < Settings.ReportLife;
-  if (AgentIsFresh)
+  if (agentFresh(T, Now))
     return;
   Load.MemoryUsed = T.Load.MemoryUsed;
   T.Load = Load;
@@ -212,7 +244,7 @@
     if (Cold && (!Own || !T.Cold.ready(T.WarmupRate, Sharers, Now)))
       continue;
     double Work = work(T, Now);
-    if (Work >= room(T))
+    if (Work >= room(T) || (agentFresh(T, Now) && T.Allowance == 0))
       continue;
     double Score = Work / T.Info.Slots * 16 +
                    (Own ? 0 : Settings.RemotePenalty) + T.Load.MemoryUsed +
@@ -246,6 +278,8 @@
   if (Best->Pause.count() > 0)
     Best->Probing = true;
   ++Best->Own;
+  if (Best->Allowance > 0)
+    --Best->Allowance;
   return Chosen;
 }
 
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -229,7 +229,7 @@
   Report.SwitchIn = milliseconds(From.switch_in_ms());
   for (const wire::HeldModel &M : From.models())
     Report.Models.push_back({M.model(), M.version()});
-  Context.Board.reported(Report, BootClock::now());
+  Context.Board.reported(Report, BootClock::now(), Context.random());
   Context.advanceLines();
 }
 
@@ -298,7 +298,11 @@
     Near = std::max(Near, AssumedGateways);
     All = std::max(All, AssumedGateways * Settings.RegionOf.size());
   }
-  Context.Board.setSharers(Near);
+  std::map<core::FailureDomainId, std::size_t> InDomain;
+  for (const auto &[Domain, Region] : Settings.RegionOf)
+    InDomain[Domain] = Follower ? Follower->peers().gateways(Domain, Now) : 0;
+  InDomain[Settings.FailureDomain] = Near;
+  Context.Board.setGateways(std::move(InDomain));
   for (auto &[Service, Share] : Context.Retries)
     Share.setGateways(All);
 }
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -32,13 +32,13 @@
 /// What a busy engine takes for one token of an answer.
 constexpr milliseconds TimePerToken{8};
 /// Part of the latency target that a request may spend in the line.
-constexpr double LinePart = 0.5;
+constexpr double LinePart = 0.3;
 /// Answers of plain services are collected up to this size, so that one that
 /// breaks off can be tried elsewhere or reported as failed.
 constexpr std::size_t MaxCollectedBytes = 1 << 20;
 /// A refused caller is asked to come back after a time drawn from this range.
-constexpr milliseconds FirstReturn{300};
-constexpr milliseconds LastReturn{1500};
+constexpr milliseconds FirstReturn{500};
+constexpr milliseconds LastReturn{1900};
 
 std::string retryAfterSeconds(double Random) {
   double Milliseconds =
