--- /dev/null
+++ b/libs/serving/tests/LimitsTest.cpp
@@ -0,0 +1,127 @@
+#include "serving/ColdLimit.h"
+#include "serving/RetryShare.h"
+#include "serving/SwitchSchedule.h"
+#include "serving/WaitLine.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <vector>
+
+using namespace rosemarylane;
+using namespace rosemarylane::serving;
+using std::chrono::milliseconds;
+
+namespace {
+const core::BootTime Start = core::BootTime(std::chrono::hours(1));
+}
+
+BOOST_AUTO_TEST_SUITE(limits)
+
+BOOST_AUTO_TEST_CASE(cold_target_gets_no_more_than_it_bears_in_any_second) {
+  // Load pattern: three gateways find a cold target empty and press as hard as
+  // they can.
+  constexpr double Rate = 36;
+  constexpr double Bearable = Rate * 1.5 + 5;
+  std::vector<ColdLimit> Gateways(3);
+  std::deque<core::BootTime> Sent;
+  std::size_t Naive = 0;
+  for (int Ms = 0; Ms < 3000; ++Ms) {
+    core::BootTime Now = Start + milliseconds(Ms);
+    for (ColdLimit &G : Gateways) {
+      ++Naive;
+      if (G.tryTake(Rate, Gateways.size(), Now))
+        Sent.push_back(Now);
+    }
+    while (!Sent.empty() && Now - Sent.front() >= milliseconds(1000))
+      Sent.pop_front();
+    BOOST_REQUIRE(Sent.size() <= Bearable);
+  }
+  BOOST_TEST(Sent.size() >= Rate * 0.8);
+  BOOST_TEST(Naive > Bearable);
+}
+
+BOOST_AUTO_TEST_CASE(retries_of_all_gateways_stay_within_the_fleets_budget) {
+  // Load pattern: every send fails and everybody wants to send again.
+  constexpr std::size_t Gateways = 9;
+  constexpr int PerSecond = 17;
+  RetryShare::Settings Fleet{0.2, 106, milliseconds(10000)};
+  std::vector<RetryShare> Shares(Gateways, RetryShare(Fleet));
+  for (RetryShare &S : Shares)
+    S.setGateways(Gateways);
+  std::deque<core::BootTime> Repeats;
+  std::size_t Most = 0;
+  for (int Ms = 0; Ms < 40000; Ms += 1000 / PerSecond) {
+    core::BootTime Now = Start + milliseconds(Ms);
+    for (RetryShare &S : Shares) {
+      S.firstSend();
+      while (S.tryRepeat(Now))
+        Repeats.push_back(Now);
+    }
+    while (!Repeats.empty() && Now - Repeats.front() >= Fleet.Window)
+      Repeats.pop_front();
+    Most = std::max(Most, Repeats.size());
+  }
+  double Allowed = 0.2 * PerSecond * 10 * Gateways + 106;
+  BOOST_TEST(static_cast<double>(Most) <= Allowed);
+  BOOST_TEST(static_cast<double>(Most) >= Allowed * 0.5);
+}
+
+BOOST_AUTO_TEST_CASE(switches_are_spread_and_end_before_the_version_is_due) {
+  SwitchSchedule Schedule(Start, milliseconds(8000));
+  core::BootTime Last = Start;
+  for (std::size_t Rank = 0; Rank < 15; ++Rank) {
+    core::BootTime At = Schedule.switchTime(Rank, 15);
+    BOOST_TEST((At > Last));
+    BOOST_TEST((At < Start + milliseconds(8000)));
+    Last = At;
+  }
+}
+
+BOOST_AUTO_TEST_CASE(deadline_of_a_version_learnt_late) {
+  constexpr milliseconds InForce{8000};
+  constexpr milliseconds Contact{3000};
+  // Learnt at once: counted from the last proof that it had not been named.
+  BOOST_TEST((versionDeadline(Start, Start + milliseconds(700), InForce,
+                              Contact) == Start + InForce));
+  // Cut off for long: not before it is back in contact.
+  auto Learnt = Start + milliseconds(9000);
+  BOOST_TEST(
+      (versionDeadline(Start, Learnt, InForce, Contact) == Learnt + Contact));
+  // Just started, so it may be due already.
+  BOOST_TEST(
+      (versionDeadline(std::nullopt, Learnt, InForce, Contact) == Learnt));
+}
+
+BOOST_AUTO_TEST_CASE(line_starts_the_most_urgent_first) {
+  WaitLine Line(4);
+  std::vector<int> Started;
+  int Free = 0;
+  auto Join = [&](std::uint32_t Priority, int Name) {
+    return Line.join(Priority, [&Started, &Free, Name] {
+      if (Free == 0)
+        return false;
+      --Free;
+      Started.push_back(Name);
+      return true;
+    });
+  };
+  auto A = Join(2, 1);
+  auto B = Join(1, 2);
+  auto C = Join(1, 3);
+  Free = 2;
+  Line.advance();
+  BOOST_TEST(Started == (std::vector<int>{2, 3}),
+             boost::test_tools::per_element());
+  BOOST_TEST(Line.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(full_line_turns_away) {
+  WaitLine Line(1);
+  auto First = Line.join(0, [] { return false; });
+  BOOST_TEST(First != nullptr);
+  BOOST_TEST(Line.join(0, [] { return false; }) == nullptr);
+  First.reset();
+  BOOST_TEST(Line.join(0, [] { return false; }) != nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/serving/tests/PeersTest.cpp
@@ -0,0 +1,75 @@
+#include "serving/PeerTable.h"
+#include "serving/ReadSchedule.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace rosemarylane;
+using namespace rosemarylane::serving;
+using std::chrono::milliseconds;
+
+namespace {
+
+const core::BootTime Start = core::BootTime(std::chrono::hours(1));
+
+Peer peer(const std::string &Ip, const std::string &Domain, PeerRole Role) {
+  return {Ip, core::FailureDomainId(Domain), Role};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(peers)
+
+BOOST_AUTO_TEST_CASE(all_members_agree_on_who_reads_the_store) {
+  std::vector<Peer> All{peer("10.1.0.1", "a", PeerRole::Gateway),
+                        peer("10.1.0.2", "a", PeerRole::Gateway),
+                        peer("10.1.0.3", "a", PeerRole::Sidecar)};
+  std::vector<std::string> Readers;
+  for (const Peer &Self : All) {
+    PeerTable Table(Self);
+    for (const Peer &Other : All)
+      Table.heard(Other, milliseconds(0), Start);
+    Readers.push_back(Table.dutyOrder(Start).front().Ip);
+  }
+  BOOST_TEST(Readers[0] == Readers[1]);
+  BOOST_TEST(Readers[1] == Readers[2]);
+  BOOST_TEST(Readers[0] != "10.1.0.3");
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_peer_takes_no_duty_but_still_counts_in_limits) {
+  PeerTable Table(peer("10.1.0.1", "a", PeerRole::Gateway));
+  Table.heard(peer("10.1.0.2", "a", PeerRole::Gateway), milliseconds(0), Start);
+  auto Later = Start + milliseconds(5000);
+  BOOST_TEST(Table.dutyOrder(Later).size() == 1U);
+  BOOST_TEST(Table.gateways(core::FailureDomainId("a"), Later) == 2U);
+  auto MuchLater = Start + milliseconds(31000);
+  BOOST_TEST(Table.gateways(core::FailureDomainId("a"), MuchLater) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(hearsay_never_makes_a_peer_younger) {
+  PeerTable Table(peer("10.1.0.1", "a", PeerRole::Gateway));
+  Peer Other = peer("10.1.0.2", "a", PeerRole::Gateway);
+  Table.heard(Other, milliseconds(1500), Start);
+  BOOST_TEST(!Table.isLive(Other.Ip, Start + milliseconds(600)));
+}
+
+BOOST_AUTO_TEST_CASE(only_the_first_in_order_reads_while_proofs_are_fresh) {
+  ReadSchedule Schedule;
+  BOOST_TEST(Schedule.readDue(0, milliseconds(300), Start));
+  BOOST_TEST(!Schedule.readDue(1, milliseconds(300), Start));
+  BOOST_TEST(!Schedule.readDue(5, milliseconds(1450), Start));
+  BOOST_TEST(Schedule.readDue(1, milliseconds(1450), Start));
+  BOOST_TEST(Schedule.readDue(50, milliseconds(2300), Start));
+  BOOST_TEST(Schedule.readDue(5, std::nullopt, Start));
+}
+
+BOOST_AUTO_TEST_CASE(a_failed_read_is_not_repeated_at_once) {
+  ReadSchedule Schedule;
+  Schedule.readStarted(Start);
+  Schedule.readEnded(false);
+  BOOST_TEST(
+      !Schedule.readDue(0, milliseconds(3000), Start + milliseconds(300)));
+  BOOST_TEST(
+      Schedule.readDue(0, milliseconds(3000), Start + milliseconds(600)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/serving/tests/StoreSectionTest.cpp
@@ -0,0 +1,95 @@
+#include "serving/LapsedEntries.h"
+#include "serving/StoreImage.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace rosemarylane;
+using namespace rosemarylane::serving;
+using std::chrono::milliseconds;
+
+namespace {
+
+const core::BootTime Start = core::BootTime(std::chrono::hours(1));
+
+StoreSection::Items items(const std::string &Value, std::int64_t Revision) {
+  return {{"a", {Value, Revision}}};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(store_section)
+
+BOOST_AUTO_TEST_CASE(never_goes_back_to_an_older_read) {
+  StoreSection Section;
+  Section.adopt(items("new", 9), 10, Start);
+  BOOST_TEST(!Section.adopt(items("old", 3), 5, Start + milliseconds(50)));
+  BOOST_TEST(Section.items().at("a").Value == "new");
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_that_has_only_an_older_read_proves_nothing) {
+  StoreSection Mine;
+  StoreSection Theirs;
+  Mine.adopt(items("new", 9), 10, Start);
+  Theirs.adopt(items("old", 3), 5, Start + milliseconds(500));
+  auto Compared =
+      Mine.compare(Theirs.summary(Start + milliseconds(500)), Start);
+  BOOST_TEST((Compared == StoreSection::Compared::MineNewer));
+  BOOST_TEST(Mine.proofAge(Start + milliseconds(1000))->count() == 1000);
+}
+
+BOOST_AUTO_TEST_CASE(delay_of_a_reply_never_makes_a_proof_look_younger) {
+  // The reply is 400 ms old when it arrives; its age is added to the moment of
+  // the question.
+  StoreSection Mine;
+  StoreSection Theirs;
+  Mine.adopt(items("x", 3), 5, Start);
+  Theirs.adopt(items("x", 3), 5, Start + milliseconds(100));
+  auto Summary = Theirs.summary(Start + milliseconds(300));
+  Mine.compare(Summary, /*Asked=*/Start + milliseconds(290));
+  auto Age = Mine.proofAge(Start + milliseconds(700));
+  BOOST_TEST(Age->count() >= 600);
+}
+
+BOOST_AUTO_TEST_CASE(proofs_understate_no_age_in_any_order_of_messages) {
+  BOOST_TEST(rc::check([] {
+    // The store holds revision 1 until `Changed`; then every proof of it that
+    // is claimed must be from before.
+    const auto Changed = Start + milliseconds(*rc::gen::inRange(0, 2000));
+    std::vector<StoreSection> Processes(3);
+    core::BootTime Now = Start;
+    for (int Step = 0; Step < 60; ++Step) {
+      Now += milliseconds(*rc::gen::inRange(1, 80));
+      auto &One = Processes[*rc::gen::inRange<std::size_t>(0, 3)];
+      if (*rc::gen::arbitrary<bool>()) {
+        bool Old = Now < Changed;
+        One.adopt(items(Old ? "old" : "new", Old ? 1 : 2), Old ? 1 : 2, Now);
+      } else {
+        auto &Other = Processes[*rc::gen::inRange<std::size_t>(0, 3)];
+        auto Asked = Now - milliseconds(*rc::gen::inRange(0, 50));
+        if (Asked >= Start)
+          One.compare(Other.summary(Now), Asked);
+      }
+      for (const StoreSection &P : Processes)
+        if (P.known() && P.items().at("a").Value == "old")
+          RC_ASSERT(Now - *P.proofAge(Now) <= Changed);
+    }
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(entries_that_lapsed_with_the_store_are_kept_for_a_while) {
+  LapsedEntries Lapsed;
+  StoreSection::Items Held = items("x", 0);
+  auto First = Lapsed.apply({}, Held, milliseconds(5000), Start);
+  BOOST_TEST(First.size() == 1);
+  auto Later =
+      Lapsed.apply({}, First, milliseconds(900), Start + milliseconds(2300));
+  BOOST_TEST(Later.empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_goes_while_the_store_answers_is_gone) {
+  LapsedEntries Lapsed;
+  BOOST_TEST(Lapsed.apply({}, items("x", 0), milliseconds(900), Start).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/serving/tests/StreamTest.cpp
@@ -0,0 +1,47 @@
+#include "serving/EventSplitter.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using rosemarylane::serving::EventSplitter;
+
+BOOST_AUTO_TEST_SUITE(event_splitter)
+
+BOOST_AUTO_TEST_CASE(only_whole_events_pass_however_the_bytes_are_cut) {
+  BOOST_TEST(rc::check([] {
+    std::string Stream;
+    int Events = *rc::gen::inRange(1, 8);
+    for (int I = 0; I < Events; ++I)
+      Stream += "id: " + std::to_string(I) + "\ndata: x\n\n";
+    std::size_t Cut = *rc::gen::inRange<std::size_t>(0, Stream.size() + 1);
+    EventSplitter Splitter;
+    std::string Out;
+    for (std::size_t At = 0; At < Cut;) {
+      std::size_t Size =
+          std::min(Cut - At, *rc::gen::inRange<std::size_t>(1, 9));
+      Out += Splitter.feed(std::string_view(Stream).substr(At, Size));
+      At += Size;
+    }
+    RC_ASSERT(Stream.starts_with(Out));
+    RC_ASSERT(Out.empty() || Out.ends_with("\n\n"));
+    RC_ASSERT(Out.size() + Splitter.pending() == Cut);
+    if (Cut == Stream.size())
+      RC_ASSERT(Splitter.lastId() == std::to_string(Events - 1));
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(reads_ids_with_carriage_returns) {
+  EventSplitter Splitter;
+  Splitter.feed("id: 12\r\ndata: a\r\n\r\n");
+  BOOST_TEST(Splitter.lastId() == "12");
+}
+
+BOOST_AUTO_TEST_CASE(an_incomplete_event_is_dropped_before_another_goes_on) {
+  EventSplitter Splitter;
+  Splitter.feed("id: 1\ndata: a\n\nid: 2\nda");
+  Splitter.dropPending();
+  BOOST_TEST(Splitter.lastId() == "1");
+  BOOST_TEST(Splitter.feed("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/serving/tests/TargetBoardTest.cpp
@@ -0,0 +1,278 @@
+#include "serving/TargetBoard.h"
+
+#include <boost/test/unit_test.hpp>
+#include <queue>
+#include <random>
+
+using namespace rosemarylane;
+using namespace rosemarylane::serving;
+using std::chrono::milliseconds;
+
+namespace {
+
+const core::BootTime Start = core::BootTime(std::chrono::hours(1));
+constexpr std::uint32_t Slots = 16;
+
+ServingConfig engineConfig() {
+  ServingConfig Config;
+  Service Engine;
+  Engine.Name = "engine";
+  Engine.WarmupRate = 36;
+  Engine.Engine.emplace();
+  Engine.Engine->Models = {"m"};
+  Config.Services.push_back(Engine);
+  Config.index();
+  return Config;
+}
+
+RegisteredTarget target(int Number, const std::string &Domain) {
+  RegisteredTarget T;
+  T.Id = TargetId("t" + std::to_string(Number));
+  T.Service = "engine";
+  T.Address = "10.0.0." + std::to_string(Number) + ":80";
+  T.FailureDomain = core::FailureDomainId(Domain);
+  T.Slots = Slots;
+  T.TellsModels = true;
+  T.Models = {{"m", 1}};
+  T.Born = 7;
+  return T;
+}
+
+TargetBoard board(const std::string &Domain, std::size_t GatewaysPerDomain,
+                  double EngineQueue = TargetBoardSettings().EngineQueue) {
+  TargetBoardSettings Settings;
+  Settings.OwnDomain = core::FailureDomainId(Domain);
+  Settings.EngineQueue = EngineQueue;
+  for (const char *Name : {"a", "b", "c"})
+    Settings.RegionOf[core::FailureDomainId(Name)] =
+        core::RegionId(std::string("region-") + Name);
+  TargetBoard Board(Settings);
+  std::map<core::FailureDomainId, std::size_t> Gateways;
+  for (const char *Name : {"a", "b", "c"})
+    Gateways[core::FailureDomainId(Name)] = GatewaysPerDomain;
+  Board.setGateways(Gateways);
+  return Board;
+}
+
+TargetDemand demand() {
+  TargetDemand D;
+  D.Service = "engine";
+  D.Model = "m";
+  return D;
+}
+
+AgentReport report(const RegisteredTarget &T, std::uint32_t Running,
+                   std::uint32_t Waiting = 0) {
+  AgentReport R;
+  R.Address = T.Address;
+  R.Born = T.Born;
+  R.Load = {Running, Waiting, 0};
+  R.Models = T.Models;
+  return R;
+}
+
+/// The fleet that the replay runs on: gateways of one failure domain, engines
+/// that run so many requests at once and let the others wait, and reports that
+/// come late.
+struct Overload {
+  std::size_t Gateways = 9;
+  std::size_t Engines = 3;
+  /// Requests per second, all gateways together.
+  double Rate = 90;
+  milliseconds RunTime{850};
+  milliseconds ReportPeriod{60};
+  milliseconds ReportAge{20};
+};
+
+struct OverloadResult {
+  std::size_t Sent = 0;
+  std::size_t Started = 0;
+  std::size_t QueuedLong = 0;
+};
+
+/// Replays a sustained overload; a request that finds no place is refused.
+/// @param Naive ignores shares: every gateway trusts the last report alone.
+OverloadResult replay(const Overload &Load, bool Naive) {
+  std::mt19937 Random(7);
+  std::uniform_real_distribution<double> Uniform(0, 1);
+  std::vector<RegisteredTarget> Infos;
+  for (std::size_t I = 0; I < Load.Engines; ++I)
+    Infos.push_back(target(static_cast<int>(I), "a"));
+  std::vector<TargetBoard> Boards;
+  ServingConfig Config = engineConfig();
+  for (std::size_t G = 0; G < Load.Gateways; ++G) {
+    TargetBoard Board = board("a", 0);
+    Board.setGateways(
+        {{core::FailureDomainId("a"), Naive ? 1 : Load.Gateways}});
+    Board.setRegistered(Infos, Config, Start);
+    Boards.push_back(std::move(Board));
+  }
+  struct Engine {
+    std::vector<int> RunningUntil;
+    std::queue<int> QueuedAt;
+  };
+  std::vector<Engine> Engines(Load.Engines);
+  struct Ended {
+    int At;
+    std::size_t Gateway;
+    TargetId Id;
+  };
+  std::vector<Ended> Ends;
+  OverloadResult Result;
+  constexpr int LongWaitMs = 200;
+  for (int Ms = 0; Ms < 20000; ++Ms) {
+    core::BootTime Now = Start + milliseconds(Ms);
+    for (std::size_t E = 0; E < Engines.size(); ++E) {
+      std::erase_if(Engines[E].RunningUntil, [&](int At) { return At <= Ms; });
+      while (Engines[E].RunningUntil.size() < Slots &&
+             !Engines[E].QueuedAt.empty()) {
+        int Waited = Ms - Engines[E].QueuedAt.front();
+        Engines[E].QueuedAt.pop();
+        Result.QueuedLong += Waited > LongWaitMs;
+        ++Result.Started;
+        Engines[E].RunningUntil.push_back(
+            Ms + static_cast<int>(Load.RunTime.count()));
+      }
+      if (Ms % Load.ReportPeriod.count() == 0)
+        for (TargetBoard &B : Boards)
+          B.reported(
+              report(Infos[E],
+                     static_cast<std::uint32_t>(Engines[E].RunningUntil.size()),
+                     static_cast<std::uint32_t>(Engines[E].QueuedAt.size())),
+              Now, Uniform(Random));
+    }
+    for (const Ended &E : Ends)
+      if (E.At <= Ms)
+        Boards[E.Gateway].ended(E.Id, SendOutcome::Served, Now);
+    std::erase_if(Ends, [&](const Ended &E) { return E.At <= Ms; });
+    if (Uniform(Random) >= Load.Rate / 1000)
+      continue;
+    std::size_t G = Random() % Boards.size();
+    NoTarget Why{};
+    auto Chosen = Boards[G].choose(demand(), Now, Uniform(Random), Why);
+    if (!Chosen)
+      continue;
+    ++Result.Sent;
+    std::size_t E = static_cast<std::size_t>(Chosen->Id.str()[1] - '0');
+    Engines[E].QueuedAt.push(Ms);
+    Ends.push_back(
+        {Ms + static_cast<int>(Load.RunTime.count()), G, Chosen->Id});
+  }
+  return Result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(target_board)
+
+BOOST_AUTO_TEST_CASE(overload_is_not_queued_in_the_engines) {
+  // Nine gateways offer 1.6 times what three engines can do.
+  OverloadResult Shared = replay(Overload(), /*Naive=*/false);
+  OverloadResult Naive = replay(Overload(), /*Naive=*/true);
+  double Capacity = 3.0 * Slots / 0.85 * 20;
+  BOOST_TEST_MESSAGE("shared " << Shared.Started << " started, "
+                               << Shared.QueuedLong << " queued long; naive "
+                               << Naive.Started << ", " << Naive.QueuedLong
+                               << "; capacity " << Capacity);
+  BOOST_TEST(static_cast<double>(Shared.Started) >= 0.9 * Capacity);
+  BOOST_TEST(static_cast<double>(Shared.QueuedLong) <=
+             0.02 * static_cast<double>(Shared.Started));
+  BOOST_TEST(Naive.QueuedLong > 4 * Shared.QueuedLong);
+}
+
+BOOST_AUTO_TEST_CASE(nearer_targets_first_others_before_a_refusal) {
+  TargetBoard Board = board("a", 1);
+  std::vector<RegisteredTarget> Infos{target(1, "a"), target(2, "b")};
+  Board.setRegistered(Infos, engineConfig(), Start);
+  Board.reported(report(Infos[0], 3), Start, 0.99);
+  Board.reported(report(Infos[1], 2), Start, 0.99);
+  NoTarget Why{};
+  BOOST_TEST(Board.choose(demand(), Start, 0.5, Why)->Id.str() == "t1");
+  Board.reported(report(Infos[0], 16, 2), Start, 0.99);
+  BOOST_TEST(Board.choose(demand(), Start, 0.5, Why)->Id.str() == "t2");
+}
+
+BOOST_AUTO_TEST_CASE(evacuated_leaving_and_switching_targets_get_nothing) {
+  TargetBoard Board = board("a", 1);
+  std::vector<RegisteredTarget> Infos{target(1, "a"), target(2, "b"),
+                                      target(3, "c")};
+  Infos[1].Draining = true;
+  Board.setRegistered(Infos, engineConfig(), Start);
+  AgentReport Switching = report(Infos[2], 0);
+  Switching.Switching = true;
+  Board.reported(Switching, Start, 0.99);
+  Board.setEvacuated({core::FailureDomainId("a")});
+  NoTarget Why{};
+  BOOST_TEST(!Board.choose(demand(), Start, 0.5, Why).has_value());
+  BOOST_TEST((Why == NoTarget::Unavailable));
+}
+
+BOOST_AUTO_TEST_CASE(each_named_version_keeps_its_own_deadline) {
+  // Seen on a played day: a second version named two seconds after the first
+  // put off the first one's deadline.
+  TargetBoard Board = board("a", 1);
+  Board.setRegistered({target(1, "a")}, engineConfig(), Start);
+  Board.setNamedVersion("m", 2, Start + milliseconds(8000));
+  Board.setNamedVersion("m", 3, Start + milliseconds(10000));
+  NoTarget Why{};
+  auto Before = Start + milliseconds(7900);
+  BOOST_TEST(Board.choose(demand(), Before, 0.5, Why).has_value());
+  auto After = Start + milliseconds(8100);
+  BOOST_TEST(!Board.choose(demand(), After, 0.5, Why).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(no_long_request_shortly_before_a_switch) {
+  TargetBoard Board = board("a", 1);
+  RegisteredTarget Info = target(1, "a");
+  Board.setRegistered({Info}, engineConfig(), Start);
+  AgentReport Planned = report(Info, 1);
+  Planned.SwitchIn = milliseconds(600);
+  Board.reported(Planned, Start, 0.99);
+  TargetDemand Long = demand();
+  Long.ExpectedTime = milliseconds(1500);
+  TargetDemand Short = demand();
+  Short.ExpectedTime = milliseconds(300);
+  NoTarget Why{};
+  BOOST_TEST(!Board.choose(Long, Start, 0.5, Why).has_value());
+  BOOST_TEST((Why == NoTarget::Full));
+  BOOST_TEST(Board.choose(Short, Start, 0.5, Why).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_failing_target_is_tried_again_by_single_requests) {
+  TargetBoard Board = board("a", 1);
+  Board.setRegistered({target(1, "a")}, engineConfig(), Start);
+  NoTarget Why{};
+  auto First = Board.choose(demand(), Start, 0.5, Why);
+  Board.ended(First->Id, SendOutcome::Broken, Start);
+  BOOST_TEST(!Board.choose(demand(), Start, 0.5, Why).has_value());
+  auto Later = Start + milliseconds(500);
+  BOOST_TEST(Board.choose(demand(), Later, 0.5, Why).has_value());
+  BOOST_TEST(!Board.choose(demand(), Later, 0.5, Why).has_value());
+  Board.ended(First->Id, SendOutcome::Served, Later);
+  BOOST_TEST(Board.choose(demand(), Later, 0.5, Why).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_link_weighs_like_load) {
+  TargetBoard Board = board("a", 1);
+  std::vector<RegisteredTarget> Infos{target(1, "a"), target(2, "a")};
+  Board.setRegistered(Infos, engineConfig(), Start);
+  Board.reported(report(Infos[0], 2), Start, 0.99);
+  Board.reported(report(Infos[1], 6), Start, 0.99);
+  Board.responded(Infos[0].Id, milliseconds(900), Start);
+  NoTarget Why{};
+  BOOST_TEST(Board.choose(demand(), Start, 0.5, Why)->Id.str() == "t2");
+}
+
+BOOST_AUTO_TEST_CASE(a_new_incarnation_inherits_nothing) {
+  TargetBoard Board = board("a", 1);
+  RegisteredTarget Info = target(1, "a");
+  Board.setRegistered({Info}, engineConfig(), Start);
+  NoTarget Why{};
+  auto Chosen = Board.choose(demand(), Start, 0.5, Why);
+  Board.ended(Chosen->Id, SendOutcome::Broken, Start);
+  Info.Born = 8;
+  Board.setRegistered({Info}, engineConfig(), Start);
+  BOOST_TEST(Board.choose(demand(), Start, 0.5, Why).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
