Read the origin without waiting for neighbours' chunks

Found: origin reads waited for the pace of the host's link, three remote reads at a time waited at readers, and reads of the dead origin piled up (25 under way). Change: only neighbours' chunks wait for the pace; ten remote reads may wait; a read without a place at the origin is planned anew after 0.4 s.

--- a/rosemarylane/src/node/HttpCalls.cpp
+++ b/rosemarylane/src/node/HttpCalls.cpp
@@ -20,6 +20,7 @@
 /// A kept connection idle for longer is closed rather than used.
 constexpr std::chrono::seconds IdleLife{4};
 constexpr std::size_t KeptPerAddress = 4;
+constexpr std::chrono::milliseconds ConnectTimeout{400};
 constexpr std::chrono::milliseconds Silence{1500};
 
 struct Kept {
@@ -99,7 +100,8 @@
     bool Reused = Stream != nullptr;
     if (!Reused) {
       Stream = std::make_unique<beast::tcp_stream>(S->Loop);
-      Stream->expires_at(Until);
+      Stream->expires_at(
+          std::min(Until, std::chrono::steady_clock::now() + ConnectTimeout));
       auto [Failed] = co_await Stream->async_connect(*Endpoint, Await);
       if (Failed) {
         S->Idle.erase(Address);
--- a/rosemarylane/src/sidecar/ChunkFetcher.cpp
+++ b/rosemarylane/src/sidecar/ChunkFetcher.cpp
@@ -28,13 +28,18 @@
 constexpr milliseconds ChunkDeadline{1500};
 /// Chunks asked for at once; they start at the pace that the link is given.
 constexpr std::size_t PullsAtOnce = 4;
-constexpr std::size_t RemoteReads = 3;
+constexpr std::size_t RemoteReads = 10;
 /// A chunk from a neighbour that takes longer shows a slow link.
 constexpr milliseconds SlowChunk{700};
 /// Connections of one host to the origin, which accepts few from all together.
 constexpr std::size_t OriginReadsAtOnce = 2;
 constexpr milliseconds OriginPoll{10};
+/// A read that finds no connection to the origin for so long is planned anew.
+constexpr milliseconds OriginWait{400};
+/// Pause after the origin could not be reached.
+constexpr milliseconds OriginPause{120};
 constexpr milliseconds LinkPoll{4};
+constexpr milliseconds LogPeriod{500};
 constexpr std::size_t UsualChunkBytes = 24 << 10;
 
 swarm::PlannerSettings plannerSettings(const NodeSettings &Settings,
@@ -48,8 +53,8 @@
   Result.StallTimeout = milliseconds(700);
   Result.BusyDelay = milliseconds(40);
   Result.PollDelay = milliseconds(60);
-  Result.ListenTime = milliseconds(120);
-  Result.SettleTime = milliseconds(120);
+  Result.ListenTime = milliseconds(30);
+  Result.SettleTime = milliseconds(30);
   double Bytes = static_cast<double>(Chunks * ChunkBytes);
   double PerSecond =
       static_cast<double>(std::max<std::uint64_t>(weightRate(Settings), 1));
@@ -90,6 +95,8 @@
     plan();
     if (Steady::now() - Told >= TellPeriod)
       tell(true);
+    if (Steady::now() - Logged >= LogPeriod)
+      logProgress();
     Timer.expires_after(PlanPeriod);
     Timer.async_wait([Weak = weak_from_this()](auto Failed) {
       auto Self = Weak.lock();
@@ -133,9 +140,21 @@
       Address = Fetch.Host.str() + ":" + std::to_string(Settings.PeerPort);
     }
     bool Origin = Fetch.From == ChunkFetch::Source::Origin;
+    bool Allowed = true;
     if (Origin)
-      co_await takeOriginPlace();
-    co_await takeLink();
+      Allowed = co_await takeOriginPlace(Fetch.Chunk);
+    if (!Allowed) {
+      Planner->finished(Fetch.Id,
+                        Chunks->has(Fetch.Chunk) ? FetchOutcome::Stored
+                                                 : FetchOutcome::Busy,
+                        Steady::now());
+      co_return;
+    }
+    // The origin feeds the whole fleet: its chunks do not wait for others.
+    if (Fetch.From == ChunkFetch::Source::Neighbour)
+      co_await takeLink();
+    else
+      Inbound.take(UsualChunkBytes, Steady::now());
     ++InFlight;
     Steady::time_point Sent = Steady::now();
     auto Answer = co_await Calls.exchange(Address, std::move(Call));
@@ -143,6 +162,10 @@
     LastEnd = Steady::now();
     if (Fetch.From == ChunkFetch::Source::Neighbour)
       LastTook = LastEnd - Sent;
+    if (Origin && !Answer) {
+      asio::steady_timer Pause(Loop, OriginPause);
+      co_await Pause.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
     if (Origin)
       --OriginReads;
     FetchOutcome Outcome = FetchOutcome::Failed;
@@ -179,13 +202,18 @@
     Inbound.take(UsualChunkBytes, Steady::now());
   }
 
-  asio::awaitable<void> takeOriginPlace() {
+  /// @return false if the chunk came another way, or the wait is too long.
+  asio::awaitable<bool> takeOriginPlace(std::size_t Chunk) {
     asio::steady_timer Pause(Loop);
+    Steady::time_point Until = Steady::now() + OriginWait;
     while (OriginReads >= OriginReadsAtOnce) {
+      if (Chunks->has(Chunk) || Steady::now() >= Until)
+        co_return false;
       Pause.expires_after(OriginPoll);
       co_await Pause.async_wait(asio::as_tuple(asio::use_awaitable));
     }
     ++OriginReads;
+    co_return true;
   }
 
   void noteSpoilt(const ChunkFetch &Fetch, const std::string &Address) {
@@ -209,6 +237,16 @@
                                  .count())}});
   }
 
+  void logProgress() {
+    Logged = Steady::now();
+    telemetry::log(telemetry::Level::Info, "version incomplete",
+                   {{"version", std::int64_t(Chunks->manifest().Version)},
+                    {"held", std::int64_t(Chunks->held().count())},
+                    {"from_origin", std::int64_t(FromOrigin)},
+                    {"under_way", std::int64_t(InFlight)},
+                    {"members", std::int64_t(Members.size())}});
+  }
+
   void tell(bool Ask) {
     Told = Steady::now();
     wire::NodeMessage Message;
@@ -239,6 +277,7 @@
   Steady::duration LastTook{};
   Steady::time_point LastEnd{};
   Steady::time_point Told{};
+  Steady::time_point Logged{};
   Steady::time_point Began = Steady::now();
 };
 
