Nothing begins on an older version at the bound; readers wait while the origin is away

Ruled out: a wider margin (1.2 s was not enough and refuses more). Change: a request at a target with an older version is given up if it has not begun shortly before the bound. A host that finds the origin away tells those who ask it, and nobody steps in for readers meanwhile. An incomplete version is finished before a newer one only if it can still serve.

--- a/libs/serving/include/serving/TargetBoard.h
+++ b/libs/serving/include/serving/TargetBoard.h
@@ -87,6 +87,9 @@
   std::string Address;
   /// Version that the target is known to hold, 0 if not known.
   std::uint64_t Version = 0;
+  /// The request must have begun by then, because a newer version than the
+  /// target's is in force afterwards.
+  std::optional<core::BootTime> BeginBy;
   /// The target must refuse if it holds another version by now.
   bool VersionRequired = false;
   /// Work known at the target before this request, as a share of its slots.
@@ -124,6 +127,10 @@
   /// What is learnt of a target's response time is forgotten by half in this
   /// time.
   std::chrono::milliseconds ResponseHalfLife{1500};
+  /// Targets with an older version get no more requests so long before a newer
+  /// one is in force, and none of theirs begins so shortly before.
+  std::chrono::milliseconds VersionMargin{500};
+  std::chrono::milliseconds BeginMargin{200};
   /// Failures in a row that pause a target that still answers.
   std::uint32_t FailuresToPause = 3;
 };
@@ -153,7 +160,8 @@
   void setEvacuated(std::set<core::FailureDomainId> Domains);
 
   /// A version named of \p Model. Targets that hold an older one get no new
-  /// work after \p Deadline; earlier named versions keep their own deadlines.
+  /// work shortly before \p Deadline; earlier named versions keep their own
+  /// deadlines.
   void setNamedVersion(const std::string &Model, std::uint64_t Version,
                        core::BootTime Deadline);
 
@@ -236,6 +244,8 @@
   bool serves(const Target &T, const TargetDemand &Demand,
               core::BootTime Now) const;
   bool paused(const Target &T, core::BootTime Now) const;
+  std::optional<core::BootTime> beginBy(const Target &T,
+                                        std::string_view Model) const;
   std::uint64_t versionOf(const Target &T, std::string_view Model) const;
   bool versionUsable(const Target &T, const TargetDemand &Demand,
                      core::BootTime Now) const;
--- a/libs/serving/src/TargetBoard.cpp
+++ b/libs/serving/src/TargetBoard.cpp
@@ -183,6 +183,18 @@
   return 0;
 }
 
+std::optional<core::BootTime>
+TargetBoard::beginBy(const Target &T, std::string_view Model) const {
+  auto Found = Named.find(Model);
+  if (Found == Named.end())
+    return std::nullopt;
+  std::uint64_t Held = versionOf(T, Model);
+  for (const NamedVersion &N : Found->second)
+    if (Held < N.Version)
+      return N.Deadline - Settings.BeginMargin;
+  return std::nullopt;
+}
+
 bool TargetBoard::versionUsable(const Target &T, const TargetDemand &Demand,
                                 core::BootTime Now) const {
   if (Demand.Model.empty() || !T.Engine || !T.Info.TellsModels)
@@ -195,10 +207,10 @@
   auto Found = Named.find(Demand.Model);
   if (Found == Named.end())
     return true;
-  return std::none_of(Found->second.begin(), Found->second.end(),
-                      [&](const NamedVersion &N) {
-                        return Held < N.Version && Now >= N.Deadline;
-                      });
+  return std::none_of(
+      Found->second.begin(), Found->second.end(), [&](const NamedVersion &N) {
+        return Held < N.Version && Now >= N.Deadline - Settings.VersionMargin;
+      });
 }
 
 bool TargetBoard::regionAllowed(const Target &T,
@@ -269,6 +281,7 @@
   Chosen.Id = Best->Info.Id;
   Chosen.Address = Best->Info.Address;
   Chosen.Version = versionOf(*Best, Demand.Model);
+  Chosen.BeginBy = beginBy(*Best, Demand.Model);
   Chosen.VersionRequired = Demand.ExactVersion != 0;
   Chosen.Load = work(*Best, Now) / Best->Info.Slots;
   Chosen.OwnDomain = Best->Info.FailureDomain == Settings.OwnDomain;
--- a/libs/swarm/include/swarm/SwarmPlanner.h
+++ b/libs/swarm/include/swarm/SwarmPlanner.h
@@ -133,6 +133,10 @@
   /// A chunk came after its fetch had been given up.
   virtual void storedLate(std::size_t Chunk, core::TimePoint Now) = 0;
 
+  /// The origin cannot be reached, as this host or a reader has found. That no
+  /// chunk comes is then no reason to step in for the readers.
+  virtual void originAway(core::TimePoint Now) { (void)Now; }
+
   /// The engine no longer holds a chunk.
   virtual void lost(std::size_t Chunk) = 0;
 
--- a/libs/swarm/src/SwarmPlanner.cpp
+++ b/libs/swarm/src/SwarmPlanner.cpp
@@ -50,6 +50,8 @@
     LastProgress = Now;
   }
 
+  void originAway(TimePoint Now) override { LastProgress = Now; }
+
   const std::vector<core::HostId> &view() const override { return ViewHosts; }
 
   void peerHolds(const core::HostId &Host, ChunkSet Chunks,
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -35,9 +35,6 @@
 constexpr milliseconds AcceptAfterStop{2500};
 /// Part of the grace period after which what is still in progress is given up.
 constexpr double GracePart = 0.9;
-/// Time before a version is in force for the whole fleet at which targets with
-/// an older one get no more requests: those waiting inside begin later.
-constexpr milliseconds VersionMargin{1200};
 /// A gateway whose proof is older than this part of the revocation time sends
 /// its callers elsewhere.
 constexpr double UnreadyProofPart = 0.7;
@@ -266,8 +263,7 @@
     BootTime Deadline = serving::versionDeadline(
         Unchanged, Now, Settings.Promises.VersionInForce,
         Settings.Promises.Contact);
-    Context.Board.setNamedVersion(Named.Model, Named.Version,
-                                  Deadline - VersionMargin);
+    Context.Board.setNamedVersion(Named.Model, Named.Version, Deadline);
     telemetry::log(
         telemetry::Level::Info, "version named",
         {{"model", Named.Model}, {"version", std::int64_t(Named.Version)}});
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -286,9 +286,13 @@
   Marks.ContinueAfter = HeadPassed ? Events.lastId() : "";
   bool MoreAllowed = Admitted.Route->repeatable() &&
                      Outcome.arrivals() + 1 < Admitted.Route->MaxAttempts;
+  // Also a request that waits inside a target must begin in time.
   milliseconds Patience = !MoreAllowed  ? Admitted.TimeLeft
                           : streaming() ? StreamPatience
                                         : PlainPatience;
+  if (Target.BeginBy)
+    Patience = std::min(Patience, std::chrono::duration_cast<milliseconds>(
+                                      *Target.BeginBy - BootClock::now()));
   auto Fields = platform::targetFields(Request.base(), Marks);
   SentAt = Clock::now();
   TargetSend::Step Step =
--- a/rosemarylane/src/sidecar/ChunkFetcher.cpp
+++ b/rosemarylane/src/sidecar/ChunkFetcher.cpp
@@ -38,6 +38,7 @@
 constexpr milliseconds OriginWait{400};
 /// Pause after the origin could not be reached.
 constexpr milliseconds OriginPause{120};
+constexpr milliseconds OriginAwayTime{1000};
 constexpr milliseconds LinkPoll{4};
 constexpr milliseconds LogPeriod{500};
 constexpr std::size_t UsualChunkBytes = 24 << 10;
@@ -179,6 +180,12 @@
         noteSpoilt(Fetch, Address);
     } else if (Answer && Answer->Head.Status == 404) {
       Outcome = FetchOutcome::NotHeld;
+    } else if (Answer && Answer->Head.Status == OriginAwayStatus) {
+      noteOriginAway();
+      Outcome = FetchOutcome::NotHeld;
+    } else if (Origin && !Answer) {
+      noteOriginAway();
+      Outcome = FetchOutcome::NotHeld;
     } else if (Answer && Answer->Head.Status == 503) {
       Outcome = FetchOutcome::Busy;
     }
@@ -216,6 +223,11 @@
     co_return true;
   }
 
+  void noteOriginAway() {
+    OriginLost = Steady::now();
+    Planner->originAway(OriginLost);
+  }
+
   void noteSpoilt(const ChunkFetch &Fetch, const std::string &Address) {
     telemetry::log(telemetry::Level::Warning, "chunk has a wrong digest",
                    {{"version", std::int64_t(Chunks->manifest().Version)},
@@ -276,6 +288,7 @@
   std::size_t InFlight = 0;
   Steady::duration LastTook{};
   Steady::time_point LastEnd{};
+  Steady::time_point OriginLost{};
   Steady::time_point Told{};
   Steady::time_point Logged{};
   Steady::time_point Began = Steady::now();
@@ -311,6 +324,10 @@
     S->Planner->peerHolds(core::HostId(Ip), std::move(*Held), Steady::now());
 }
 
+bool ChunkFetcher::originAway() const {
+  return Steady::now() - S->OriginLost < OriginAwayTime;
+}
+
 void ChunkFetcher::demanded(std::size_t Chunk, bool AsFleetReader) {
   if (S->HasMembers)
     S->Planner->demanded(Chunk, AsFleetReader
--- a/rosemarylane/src/sidecar/ChunkFetcher.h
+++ b/rosemarylane/src/sidecar/ChunkFetcher.h
@@ -40,6 +40,9 @@
   /// that is not held yet.
   void demanded(std::size_t Chunk, bool AsFleetReader);
 
+  /// @return whether the origin could not be reached lately.
+  bool originAway() const;
+
   struct State;
 
 private:
@@ -47,6 +50,9 @@
   std::shared_ptr<State> S;
 };
 
+/// A reader's answer when it cannot read because the origin is away.
+inline constexpr unsigned OriginAwayStatus = 504;
+
 /// @return the path of a chunk on the peer port.
 std::string chunkPath(const std::string &Model, std::uint64_t Version,
                       std::size_t Chunk, const char *Reader);
--- a/rosemarylane/src/sidecar/WeightKeeper.cpp
+++ b/rosemarylane/src/sidecar/WeightKeeper.cpp
@@ -5,6 +5,7 @@
 #include "serving/SwitchSchedule.h"
 #include "sidecar/ChunkFetcher.h"
 #include "sidecar/VersionChunks.h"
+#include "sidecar/WeightRate.h"
 #include "telemetry/Log.h"
 
 #include <algorithm>
@@ -41,9 +42,11 @@
 constexpr milliseconds OrderSettle{600};
 /// Versions whose chunks are kept for peers.
 constexpr std::size_t KeptVersions = 3;
-/// A version of which no chunk came for so long no longer holds up the next
-/// one.
-constexpr milliseconds FetchPatience{1500};
+/// A version begun so long before the next one was named is finished first.
+constexpr milliseconds HeadStart{1000};
+/// Part of the time until the next version is in force up to which the one
+/// before it can still serve.
+constexpr double LastUsefulPart = 0.75;
 /// Chunks that are sent to peers at once; more would only slow each other.
 constexpr std::size_t UploadsAtOnce = 5;
 /// The first version of every model; it may be there without being named.
@@ -91,18 +94,18 @@
   std::string Service;
   std::string Model;
   std::string OriginAddress;
-  /// When each version of any model was named, at the earliest.
-  std::map<std::pair<std::string, std::uint64_t>, BootTime> Named;
+  /// A version that was named.
+  struct NamedVersion {
+    /// At the earliest.
+    BootTime NamedAt{};
+    BootTime LearntAt{};
+  };
+  std::map<std::pair<std::string, std::uint64_t>, NamedVersion> Named;
   std::vector<serving::RegisteredTarget> Targets;
   std::optional<serving::ServingConfig> Config;
 
   std::map<std::uint64_t, std::shared_ptr<VersionChunks>> Versions;
   std::map<std::uint64_t, std::unique_ptr<ChunkFetcher>> Fetchers;
-  struct Progress {
-    std::size_t Held = 0;
-    BootTime At{};
-  };
-  std::map<std::uint64_t, Progress> LastProgress;
   std::size_t Uploads = 0;
 
   // --- what is wanted
@@ -118,7 +121,10 @@
       // Without an earlier read it may have been named long ago.
       BootTime At = Unchanged.value_or(BootClock::now() -
                                        Settings.Promises.VersionInForce);
-      bool New = Named.try_emplace({V.Model, V.Version}, At).second;
+      bool New = Named
+                     .try_emplace({V.Model, V.Version},
+                                  NamedVersion{At, BootClock::now()})
+                     .second;
       if (New)
         telemetry::log(
             telemetry::Level::Info, "version wanted",
@@ -195,20 +201,15 @@
     co_await load(*Chunks);
   }
 
-  /// @return the next version to fetch, 0 if there is none. A version of which
-  /// half is there is finished before a newer one is begun, because it has to
-  /// be in force first; otherwise only the newest is worth the link.
+  /// @return the next version to fetch, 0 if there is none: the newest named
+  /// one, unless an older one is worth finishing first.
   std::uint64_t versionToOpen() {
     std::uint64_t Newest = namedVersions().back();
     if (Versions.contains(Newest))
       return 0;
-    for (auto &[Version, Chunks] : Versions) {
-      bool HalfDone = Chunks->held().count() * 2 >= Chunks->size();
-      bool Progressing = progress(Version);
-      bool Useful = Version > loadedVersion() && loadedVersion() != 0;
-      if (!Chunks->held().full() && HalfDone && Progressing && Useful)
+    for (auto &[Version, Chunks] : Versions)
+      if (!Chunks->held().full() && worthFinishing(Version, *Chunks))
         return 0;
-    }
     std::erase_if(Fetchers, [&](const auto &Item) {
       return !Versions[Item.first]->held().full();
     });
@@ -217,13 +218,38 @@
     return Newest;
   }
 
-  /// @return whether a chunk of \p Version came lately.
-  bool progress(std::uint64_t Version) {
-    Progress &P = LastProgress[Version];
-    std::size_t Held = Versions[Version]->held().count();
-    if (Held != P.Held)
-      P = {Held, BootClock::now()};
-    return BootClock::now() - P.At < FetchPatience;
+  /// An incomplete version is finished before a newer one is begun if it was
+  /// begun clearly earlier, as all hosts see alike, and if it can serve before
+  /// the newer one has to be in force.
+  bool worthFinishing(std::uint64_t Version,
+                      const VersionChunks &Chunks) const {
+    std::uint64_t Loaded = loadedVersion();
+    if (Loaded == 0 || Version < Loaded)
+      return false;
+    auto Mine = Named.find({Model, Version});
+    auto Next = Named.upper_bound({Model, Version});
+    if (Mine == Named.end() || Next == Named.end() ||
+        Next->first.first != Model)
+      return false;
+    if (Next->second.LearntAt - Mine->second.LearntAt < HeadStart)
+      return false;
+    double Missing = 1 - static_cast<double>(Chunks.held().count()) /
+                             static_cast<double>(Chunks.size());
+    auto Fetch = std::chrono::duration_cast<milliseconds>(copyTime() * Missing);
+    auto Needed = Next->second.NamedAt +
+                  std::chrono::duration_cast<milliseconds>(
+                      Settings.Promises.VersionInForce * LastUsefulPart);
+    return BootClock::now() + Fetch < Needed;
+  }
+
+  /// @return the time that one copy of the weights takes over the own link.
+  std::chrono::duration<double> copyTime() const {
+    const serving::Service *Mine = Config->service(Service);
+    double Bytes =
+        static_cast<double>(Mine->Engine->Chunks) * Mine->Engine->ChunkBytes;
+    double Rate =
+        static_cast<double>(std::max<std::uint64_t>(weightRate(Settings), 1));
+    return std::chrono::duration<double>(Bytes / Rate);
   }
 
   /// @return the newest version that is whole and newer than the loaded one,
@@ -258,7 +284,6 @@
     if (MayBeStaged)
       co_await readStaged(*Chunks);
     Versions[Version] = Chunks;
-    LastProgress[Version] = {Chunks->held().count(), BootClock::now()};
     while (Versions.size() > KeptVersions) {
       Fetchers.erase(Versions.begin()->first);
       Versions.erase(Versions.begin());
@@ -388,7 +413,7 @@
     auto Mine = std::find_if(Order.begin(), Order.end(), [&](const auto &H) {
       return H.Host.str() == Settings.Ip;
     });
-    serving::SwitchSchedule Schedule(At->second,
+    serving::SwitchSchedule Schedule(At->second.NamedAt,
                                      Settings.Promises.VersionInForce);
     return Schedule.switchTime(static_cast<std::size_t>(Mine - Order.begin()),
                                Order.size());
@@ -509,6 +534,10 @@
     bool Reader = Parts[3] != "held";
     if (Reader && !Chunks->has(Index))
       co_await awaitChunk(*Chunks, Index, Parts[3] == "fleet");
+    auto Fetcher = Fetchers.find(Chunks->manifest().Version);
+    if (!Chunks->has(Index) && Reader && Fetcher != Fetchers.end() &&
+        Fetcher->second->originAway())
+      Answer.Head.Status = OriginAwayStatus;
     if (!Chunks->has(Index))
       co_return Answer;
     if (!Reader && Uploads >= UploadsAtOnce) {
