End the process at once after a drain

Ruled out: requests in progress (the drain itself ended). Change: after the last log lines the process ends without destructors.

--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -368,9 +368,9 @@
     return Runtime.error();
   GatewayProcess Process(**Runtime);
   if (!Process.start())
-    return ExitCode::Unreachable;
+    NodeRuntime::exit(ExitCode::Unreachable);
   (*Runtime)->run([&] { Process.stop(); });
-  return ExitCode::Ok;
+  NodeRuntime::exit(ExitCode::Ok);
 }
 
 } // namespace rosemarylane
--- a/rosemarylane/src/node/NodeRuntime.cpp
+++ b/rosemarylane/src/node/NodeRuntime.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <popt.h>
 
@@ -141,9 +142,12 @@
 NodeRuntime::NodeRuntime(NodeKind Kind, std::string Path, NodeSettings Settings)
     : S(std::make_unique<State>(Kind, std::move(Path), std::move(Settings))) {}
 
-NodeRuntime::~NodeRuntime() {
+NodeRuntime::~NodeRuntime() = default;
+
+void NodeRuntime::exit(ExitCode Code) {
   telemetry::log(telemetry::Level::Info, "stopped");
   telemetry::stopLog();
+  std::_Exit(static_cast<int>(Code));
 }
 
 boost::asio::io_context &NodeRuntime::loop() { return S->Loop; }
--- a/rosemarylane/src/node/NodeRuntime.h
+++ b/rosemarylane/src/node/NodeRuntime.h
@@ -30,6 +30,11 @@
   void run(std::function<void()> OnStop);
   void stop();
 
+  /// Writes the last log lines and ends the process at once: nothing is left
+  /// that a destructor would have to release, and libraries' threads are not
+  /// waited for, which would use up the grace period.
+  [[noreturn]] static void exit(ExitCode Code);
+
 private:
   NodeRuntime(NodeKind Kind, std::string Path, NodeSettings Settings);
   struct State;
--- a/rosemarylane/src/sidecar/SidecarProcess.cpp
+++ b/rosemarylane/src/sidecar/SidecarProcess.cpp
@@ -89,9 +89,9 @@
     return Runtime.error();
   SidecarProcess Process(**Runtime);
   if (!Process.start())
-    return ExitCode::Unreachable;
+    NodeRuntime::exit(ExitCode::Unreachable);
   (*Runtime)->run([&] { (*Runtime)->stop(); });
-  return ExitCode::Ok;
+  NodeRuntime::exit(ExitCode::Ok);
 }
 
 } // namespace rosemarylane
