--- a/rosemarylane/src/sidecar/ChunkFetcher.cpp
+++ b/rosemarylane/src/sidecar/ChunkFetcher.cpp
@@ -311,6 +311,14 @@
 void ChunkFetcher::setMembers(const std::vector<swarm::EngineHost> &Members) {
   if (S->HasMembers && S->Members == Members)
     return;
+  // A host whose target is not registered just now has no rank among the
+  // others, and keeps the ranks that it had.
+  bool Ranked = std::any_of(Members.begin(), Members.end(),
+                            [&](const swarm::EngineHost &H) {
+                              return H.Host.str() == S->Settings.Ip;
+                            });
+  if (!Ranked)
+    return;
   S->Members = Members;
   S->HasMembers = true;
   S->Planner->setMembers(Members, static_cast<std::uint32_t>(Members.size()),
--- a/rosemarylane/src/sidecar/WeightKeeper.cpp
+++ b/rosemarylane/src/sidecar/WeightKeeper.cpp
@@ -245,6 +245,9 @@
   /// @return the time that one copy of the weights takes over the own link.
   std::chrono::duration<double> copyTime() const {
     const serving::Service *Mine = Config->service(Service);
+    // The configuration may have dropped the service meanwhile.
+    if (!Mine || !Mine->Engine)
+      return std::chrono::duration<double>(0);
     double Bytes =
         static_cast<double>(Mine->Engine->Chunks) * Mine->Engine->ChunkBytes;
     double Rate =
