Who cannot reach the store reads last; targets of silent hosts come last

Ruled out: the relay within the domain (changes are announced at once). Change: each message says whether its sender reaches the store, and those that do not come last in the duty order; a target whose agent is silent for 0.9 s weighs 12 requests more.

--- a/libs/serving/include/serving/PeerTable.h
+++ b/libs/serving/include/serving/PeerTable.h
@@ -20,6 +20,8 @@
   std::string Ip;
   core::FailureDomainId FailureDomain;
   PeerRole Role = PeerRole::Gateway;
+  /// It could not reach the store when it last tried.
+  bool StoreLost = false;
 
   bool operator==(const Peer &) const = default;
 };
@@ -58,9 +60,12 @@
   std::vector<Peer> live(core::BootTime Now) const;
   bool isLive(const std::string &Ip, core::BootTime Now) const;
 
+  /// The own process's last try to reach the store.
+  void setStoreLost(bool Lost) { Own.StoreLost = Lost; }
+
   /// @return live processes of the own failure domain in the order in which
-  /// they take its duties, the own one included: gateways before sidecars, then
-  /// by rendezvous hashing.
+  /// they take its duties, the own one included: those that reach the store
+  /// first, gateways before sidecars, then by rendezvous hashing.
   std::vector<Peer> dutyOrder(core::BootTime Now) const;
 
   /// @return the own position in `dutyOrder`.
--- a/libs/serving/include/serving/ReadSchedule.h
+++ b/libs/serving/include/serving/ReadSchedule.h
@@ -22,11 +22,14 @@
   static constexpr std::chrono::milliseconds ReadPeriod{900};
   /// Age of the newest proof at which the second in rank reads itself, and what
   /// each further rank waits longer.
-  static constexpr std::chrono::milliseconds StepInAge{1400};
+  static constexpr std::chrono::milliseconds StepInAge{1200};
   static constexpr std::chrono::milliseconds StepInPerRank{150};
   static constexpr std::chrono::milliseconds LongestStepIn{2200};
   /// Pause after a failed read.
   static constexpr std::chrono::milliseconds FailurePause{500};
+  /// A process that lost the store tries it again after this long, also while
+  /// others read.
+  static constexpr std::chrono::milliseconds RetryPeriod{3000};
   static constexpr std::chrono::milliseconds AskPeriod{350};
 
   void readStarted(core::BootTime Now) { LastRead = Now; }
@@ -44,6 +47,8 @@
       return false;
     if (Rank == 0 || !ProofAge)
       return true;
+    if (LastFailed && Now - *LastRead >= RetryPeriod)
+      return true;
     auto Patience = std::min(
         StepInAge + StepInPerRank * static_cast<int>(Rank - 1), LongestStepIn);
     return *ProofAge >= Patience;
--- a/libs/serving/include/serving/TargetBoard.h
+++ b/libs/serving/include/serving/TargetBoard.h
@@ -113,6 +113,10 @@
   /// What a gateway counts for at a target of another failure domain, if its
   /// own domain has usable targets; 1 otherwise.
   double RemoteWeight = 0.25;
+  /// An agent that has reported before and is silent for longer may have gone
+  /// with its host; its target then weighs so many requests more.
+  std::chrono::milliseconds AgentSilence{900};
+  double SilentPenalty = 12;
   /// A report older than this is no longer trusted.
   std::chrono::milliseconds ReportLife{1500};
   /// First and longest pause after a target has failed.
@@ -212,6 +216,7 @@
     LoadReport Load;
     std::optional<core::BootTime> LoadTime;
     bool FromAgent = false;
+    std::optional<core::BootTime> AgentHeard;
     /// Sent by this process and not ended.
     std::uint32_t Own = 0;
     /// `Own` when the load was reported.
@@ -238,6 +243,7 @@
   bool hasTargets(const core::FailureDomainId &Domain,
                   std::string_view Service) const;
   bool agentFresh(const Target &T, core::BootTime Now) const;
+  double silence(const Target &T, core::BootTime Now) const;
   double slowness(const Target &T, core::BootTime Now) const;
   bool endsBeforeSwitch(const Target &T, const TargetDemand &Demand,
                         core::BootTime Now) const;
--- a/libs/serving/src/PeerTable.cpp
+++ b/libs/serving/src/PeerTable.cpp
@@ -14,8 +14,10 @@
   auto [Found, New] = Known.try_emplace(Who.Ip, Entry{Who, At});
   if (New)
     return;
+  if (At < Found->second.Heard)
+    return;
   Found->second.Who = Who;
-  Found->second.Heard = std::max(Found->second.Heard, At);
+  Found->second.Heard = At;
 }
 
 void PeerTable::forget(core::BootTime Now) {
@@ -48,6 +50,8 @@
   std::stable_partition(Members.begin(), Members.end(), [](const Peer &P) {
     return P.Role == PeerRole::Gateway;
   });
+  std::stable_partition(Members.begin(), Members.end(),
+                        [](const Peer &P) { return !P.StoreLost; });
   return Members;
 }
 
--- a/libs/serving/src/TargetBoard.cpp
+++ b/libs/serving/src/TargetBoard.cpp
@@ -92,6 +92,7 @@
     T.Load = Report.Load;
     T.LoadTime = Now;
     T.FromAgent = true;
+    T.AgentHeard = Now;
     T.OwnAtReport = T.Own;
     double Free = room(T) - Report.Load.Running - Report.Load.Waiting;
     T.Allowance =
@@ -140,6 +141,11 @@
   T.SlowSince = Now;
 }
 
+double TargetBoard::silence(const Target &T, core::BootTime Now) const {
+  bool Silent = T.AgentHeard && Now - *T.AgentHeard > Settings.AgentSilence;
+  return Silent ? Settings.SilentPenalty : 0;
+}
+
 double TargetBoard::slowness(const Target &T, core::BootTime Now) const {
   if (T.SlowMilliseconds <= 0)
     return 0;
@@ -260,6 +266,7 @@
       continue;
     double Score = Work / T.Info.Slots * 16 +
                    (Own ? 0 : Settings.RemotePenalty) + T.Load.MemoryUsed +
+                   silence(T, Now) +
                    slowness(T, Now) /
                        static_cast<double>(Settings.ResponsePerRequest.count());
     // A tie goes to each with the same chance.
--- a/libs/serving/tests/PeersTest.cpp
+++ b/libs/serving/tests/PeersTest.cpp
@@ -45,6 +45,23 @@
   BOOST_TEST(Table.gateways(core::FailureDomainId("a"), MuchLater) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(who_cannot_reach_the_store_reads_last) {
+  // Seen on a played day: the store turned the reader away, and its failure
+  // domain heard of a leaving target after 2.0 s.
+  Peer Self = peer("10.1.0.1", "a", PeerRole::Gateway);
+  PeerTable Table(Self);
+  Peer Other = peer("10.1.0.2", "a", PeerRole::Gateway);
+  Table.heard(Other, milliseconds(0), Start);
+  std::string First = Table.dutyOrder(Start).front().Ip;
+  if (First == Self.Ip) {
+    Table.setStoreLost(true);
+  } else {
+    Other.StoreLost = true;
+    Table.heard(Other, milliseconds(0), Start + milliseconds(10));
+  }
+  BOOST_TEST(Table.dutyOrder(Start + milliseconds(10)).front().Ip != First);
+}
+
 BOOST_AUTO_TEST_CASE(hearsay_never_makes_a_peer_younger) {
   PeerTable Table(peer("10.1.0.1", "a", PeerRole::Gateway));
   Peer Other = peer("10.1.0.2", "a", PeerRole::Gateway);
@@ -56,8 +73,8 @@
   ReadSchedule Schedule;
   BOOST_TEST(Schedule.readDue(0, milliseconds(300), Start));
   BOOST_TEST(!Schedule.readDue(1, milliseconds(300), Start));
-  BOOST_TEST(!Schedule.readDue(5, milliseconds(1450), Start));
-  BOOST_TEST(Schedule.readDue(1, milliseconds(1450), Start));
+  BOOST_TEST(!Schedule.readDue(5, milliseconds(1250), Start));
+  BOOST_TEST(Schedule.readDue(1, milliseconds(1250), Start));
   BOOST_TEST(Schedule.readDue(50, milliseconds(2300), Start));
   BOOST_TEST(Schedule.readDue(5, std::nullopt, Start));
 }
--- a/libs/serving/tests/TargetBoardTest.cpp
+++ b/libs/serving/tests/TargetBoardTest.cpp
@@ -215,9 +215,12 @@
   Board.setNamedVersion("m", 2, Start + milliseconds(8000));
   Board.setNamedVersion("m", 3, Start + milliseconds(10000));
   NoTarget Why{};
-  auto Before = Start + milliseconds(7900);
-  BOOST_TEST(Board.choose(demand(), Before, 0.5, Why).has_value());
-  auto After = Start + milliseconds(8100);
+  auto Before = Start + milliseconds(7400);
+  auto Chosen = Board.choose(demand(), Before, 0.5, Why);
+  BOOST_REQUIRE(Chosen.has_value());
+  // What waits inside the target must begin before the bound as well.
+  BOOST_TEST((*Chosen->BeginBy < Start + milliseconds(8000)));
+  auto After = Start + milliseconds(7600);
   BOOST_TEST(!Board.choose(demand(), After, 0.5, Why).has_value());
 }
 
@@ -263,6 +266,19 @@
   BOOST_TEST(Board.choose(demand(), Start, 0.5, Why)->Id.str() == "t2");
 }
 
+BOOST_AUTO_TEST_CASE(a_target_whose_agent_went_silent_comes_last) {
+  // Seen on a recorded day: a host went dark, its target looked idle, and 28
+  // streams waited for it in vain.
+  TargetBoard Board = board("a", 1);
+  std::vector<RegisteredTarget> Infos{target(1, "a"), target(2, "a")};
+  Board.setRegistered(Infos, engineConfig(), Start);
+  Board.reported(report(Infos[0], 0), Start, 0.99);
+  auto Later = Start + milliseconds(1000);
+  Board.reported(report(Infos[1], 8), Later, 0.99);
+  NoTarget Why{};
+  BOOST_TEST(Board.choose(demand(), Later, 0.5, Why)->Id.str() == "t2");
+}
+
 BOOST_AUTO_TEST_CASE(a_new_incarnation_inherits_nothing) {
   TargetBoard Board = board("a", 1);
   RegisteredTarget Info = target(1, "a");
--- a/rosemarylane/src/node/PeerLink.cpp
+++ b/rosemarylane/src/node/PeerLink.cpp
@@ -42,6 +42,7 @@
   std::uint16_t Port;
   MessageHook OnMessage;
   wire::Node Self;
+  bool StoreLost = false;
   Udp::endpoint From;
   std::array<char, MaxDatagramBytes> Bytes{};
 };
@@ -77,12 +78,15 @@
   S->Socket.close(Ignored);
 }
 
+void PeerLink::setStoreLost(bool Lost) { S->StoreLost = Lost; }
+
 void PeerLink::send(const std::string &Ip, wire::NodeMessage Message) {
   boost::system::error_code Failed;
   auto Address = asio::ip::make_address(Ip, Failed);
   if (Failed)
     return;
   *Message.mutable_sender() = S->Self;
+  Message.mutable_sender()->set_store_lost(S->StoreLost);
   std::string Bytes = Message.SerializeAsString();
   // A full buffer or an unreachable peer loses the datagram, as the network
   // may.
@@ -101,6 +105,7 @@
   Result.Role = From.role() == wire::NODE_ROLE_SIDECAR
                     ? serving::PeerRole::Sidecar
                     : serving::PeerRole::Gateway;
+  Result.StoreLost = From.store_lost();
   return Result;
 }
 
@@ -109,6 +114,7 @@
   Result.set_ip(From.Ip);
   Result.set_failure_domain(From.FailureDomain.str());
   Result.set_role(toWire(From.Role));
+  Result.set_store_lost(From.StoreLost);
   return Result;
 }
 
--- a/rosemarylane/src/node/PeerLink.h
+++ b/rosemarylane/src/node/PeerLink.h
@@ -35,6 +35,9 @@
   /// \p Ip. Dropped if the socket's buffer is full.
   void send(const std::string &Ip, wire::NodeMessage Message);
 
+  /// What later messages say of the own process's way to the store.
+  void setStoreLost(bool Lost);
+
   struct State;
 
 private:
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -26,7 +26,7 @@
 namespace {
 
 constexpr milliseconds TickPeriod{100};
-constexpr milliseconds StoreDeadline{900};
+constexpr milliseconds StoreDeadline{600};
 constexpr milliseconds PeerDeadline{700};
 constexpr milliseconds WatchTime{6000};
 constexpr milliseconds WatchDeadline{6600};
@@ -198,6 +198,8 @@
     if (Reached == StoreReached)
       return;
     StoreReached = Reached;
+    Peers.setStoreLost(!Reached);
+    Link.setStoreLost(!Reached);
     telemetry::log(
         telemetry::Level::Warning, Reached ? "store regained" : "store lost",
         {{"proof_age_ms", countOf(Operators.proofAge(BootClock::now()))}});
