--- a/libs/core/include/core/BootClock.h
+++ b/libs/core/include/core/BootClock.h
@@ -12,7 +12,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
 
   static time_point now();
 };
--- a/libs/serving/tests/LimitsTest.cpp
+++ b/libs/serving/tests/LimitsTest.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 const core::BootTime Start = core::BootTime(std::chrono::hours(1));
-}
+} // namespace
 
 BOOST_AUTO_TEST_SUITE(limits)
 
--- a/rosemarylane/src/gateway/GatewayMetrics.h
+++ b/rosemarylane/src/gateway/GatewayMetrics.h
@@ -5,10 +5,6 @@
 #include <memory>
 #include <string>
 
-namespace prometheus {
-class Registry;
-}
-
 namespace rosemarylane {
 
 /// Counters and latency histograms of a gateway.
--- a/rosemarylane/src/node/PeerLink.cpp
+++ b/rosemarylane/src/node/PeerLink.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 constexpr std::size_t MaxDatagramBytes = 16 << 10;
-}
+} // namespace
 
 struct PeerLink::State : std::enable_shared_from_this<PeerLink::State> {
   State(asio::io_context &Loop, std::uint16_t Port, MessageHook OnMessage)
