--- a/libs/serving/include/serving/TargetBoard.h
+++ b/libs/serving/include/serving/TargetBoard.h
@@ -110,8 +110,8 @@
   double PlainQueueShare = 1.0;
   /// Load, in slots, by which a target elsewhere must be better.
   double RemotePenalty = 4;
-  /// What a gateway counts for at a target of another failure domain, if its
-  /// own domain has usable targets; 1 otherwise.
+  /// What a gateway counts for at a target of another failure domain if its own
+  /// domain has its part of the targets; up to 1 the fewer it has.
   double RemoteWeight = 0.25;
   /// An agent that has reported before and is silent for longer may have gone
   /// with its host; its target then weighs so many requests more.
@@ -240,8 +240,8 @@
   double work(const Target &T, core::BootTime Now) const;
   double room(const Target &T) const;
   double shareOf(const Target &T) const;
-  bool hasTargets(const core::FailureDomainId &Domain,
-                  std::string_view Service) const;
+  double remoteWeight(const core::FailureDomainId &Domain,
+                      std::string_view Service) const;
   bool agentFresh(const Target &T, core::BootTime Now) const;
   double silence(const Target &T, core::BootTime Now) const;
   double slowness(const Target &T, core::BootTime Now) const;
--- a/libs/serving/src/TargetBoard.cpp
+++ b/libs/serving/src/TargetBoard.cpp
@@ -54,22 +54,36 @@
   Sharers = std::max<std::size_t>(Gateways[Settings.OwnDomain], 1);
 }
 
-bool TargetBoard::hasTargets(const core::FailureDomainId &Domain,
-                             std::string_view Service) const {
-  if (Evacuated.contains(Domain))
-    return false;
-  return std::any_of(Targets.begin(), Targets.end(), [&](const auto &Item) {
-    const Target &T = Item.second;
-    return T.Info.FailureDomain == Domain && T.Info.Service == Service &&
-           !T.Info.Draining;
-  });
+double TargetBoard::remoteWeight(const core::FailureDomainId &Domain,
+                                 std::string_view Service) const {
+  double Here = 0;
+  double Everywhere = 0;
+  for (const auto &[Id, T] : Targets) {
+    bool Takes = T.Info.Service == Service && !T.Info.Draining &&
+                 !Evacuated.contains(T.Info.FailureDomain);
+    if (!Takes)
+      continue;
+    ++Everywhere;
+    if (T.Info.FailureDomain == Domain)
+      ++Here;
+  }
+  double AllGateways = 0;
+  for (const auto &[Other, Count] : Gateways)
+    AllGateways += static_cast<double>(Count);
+  auto Found = Gateways.find(Domain);
+  if (Found == Gateways.end() || Found->second == 0 || Everywhere == 0)
+    return 1;
+  double Part =
+      (Here / static_cast<double>(Found->second)) / (Everywhere / AllGateways);
+  return std::max(Settings.RemoteWeight,
+                  1 - (1 - Settings.RemoteWeight) * Part);
 }
 
 double TargetBoard::shareOf(const Target &T) const {
   auto Weight = [&](const core::FailureDomainId &Domain) {
-    bool Near =
-        Domain == T.Info.FailureDomain || !hasTargets(Domain, T.Info.Service);
-    return Near ? 1.0 : Settings.RemoteWeight;
+    return Domain == T.Info.FailureDomain
+               ? 1.0
+               : remoteWeight(Domain, T.Info.Service);
   };
   double All = 0;
   for (const auto &[Domain, Count] : Gateways)
--- a/libs/serving/tests/TargetBoardTest.cpp
+++ b/libs/serving/tests/TargetBoardTest.cpp
@@ -266,6 +266,35 @@
   BOOST_TEST(Board.choose(demand(), Start, 0.5, Why)->Id.str() == "t2");
 }
 
+BOOST_AUTO_TEST_CASE(a_domain_with_few_targets_gets_its_part_elsewhere) {
+  // Seen on a recorded day: after a restart one failure domain had 2 of 14
+  // targets, and its gateways refused a third of their requests while others
+  // had room.
+  auto PlacesAtRemote = [](int OwnTargets, int RemoteTargets) {
+    TargetBoard Board = board("a", 2);
+    std::vector<RegisteredTarget> Infos;
+    for (int I = 0; I < OwnTargets; ++I)
+      Infos.push_back(target(I, "a"));
+    for (int I = 0; I < RemoteTargets; ++I)
+      Infos.push_back(target(100 + I, I % 2 ? "b" : "c"));
+    Board.setRegistered(Infos, engineConfig(), Start);
+    int Places = 0;
+    for (const RegisteredTarget &Info : Infos) {
+      bool Own = Info.FailureDomain == core::FailureDomainId("a");
+      Board.reported(report(Info, Own ? Slots + 2 : 4), Start, 0.5);
+    }
+    NoTarget Why{};
+    while (Board.choose(demand(), Start, 0.5, Why))
+      ++Places;
+    return Places;
+  };
+  int Enough = PlacesAtRemote(5, 10);
+  int Few = PlacesAtRemote(1, 10);
+  int None = PlacesAtRemote(0, 10);
+  BOOST_TEST(Few > Enough * 3 / 2);
+  BOOST_TEST(None >= Few);
+}
+
 BOOST_AUTO_TEST_CASE(a_target_whose_agent_went_silent_comes_last) {
   // Seen on a recorded day: a host went dark, its target looked idle, and 28
   // streams waited for it in vain.
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -222,8 +222,10 @@
       Timer.cancel();
     return Taken.has_value();
   });
-  if (!Place)
+  if (!Place) {
+    Why = serving::NoTarget::Full;
     co_return std::nullopt;
+  }
   auto Joined = Clock::now();
   Timer.expires_at(WaitUntil);
   Line.advance();
