A watch calls no hook after its handle was dropped

The sockets' duty held the watch alive while it read a part, so a change that was already posted found it. Change: the handle marks the watch as dropped, and deliveries look at the mark. Test: watch_dropped_while_changes_still_arrive_stays_quiet, which failed before.

--- a/libs/store/src/EtcdKeyValue.cpp
+++ b/libs/store/src/EtcdKeyValue.cpp
@@ -5,6 +5,8 @@
 #include "StoreErrors.h"
 #include "http/Client.h"
 
+#include <atomic>
+
 namespace rosemarylane::store {
 
 namespace {
@@ -19,7 +21,8 @@
 }
 
 /// One watch. `Line` and `Ended` belong to the sockets' duty, the hooks to the
-/// delivering one; expires with its handle, and then calls no hook.
+/// delivering one; calls no hook once its handle was dropped, although the
+/// sockets' duty may still be reading a part for it.
 class WatchState : public std::enable_shared_from_this<WatchState> {
 public:
   WatchState(runtime::Duty &Deliver, std::function<void(StoredValue)> OnChange,
@@ -41,6 +44,9 @@
       lose(malformedAnswer(CallKind::Read, "line too long"));
   }
 
+  /// The handle is dropped.
+  void drop() { Dropped = true; }
+
   void lose(StoreError Why) {
     if (std::exchange(Ended, true))
       return;
@@ -66,7 +72,8 @@
 
   template <typename Hook> void deliver(Hook Call) {
     Deliver.postAlways([Weak = weak_from_this(), Call = std::move(Call)] {
-      if (auto Self = Weak.lock())
+      auto Self = Weak.lock();
+      if (Self && !Self->Dropped)
         Call(*Self);
     });
   }
@@ -74,6 +81,7 @@
   runtime::Duty &Deliver;
   std::function<void(StoredValue)> OnChange;
   std::function<void(StoreError)> OnLost;
+  std::atomic<bool> Dropped{false};
   std::string Line;
   bool Ended = false;
 };
@@ -84,7 +92,10 @@
   EtcdWatch(std::shared_ptr<WatchState> State,
             std::shared_ptr<http::Client::Call> Running)
       : State(std::move(State)), Running(std::move(Running)) {}
-  ~EtcdWatch() override { Running->cancel(); }
+  ~EtcdWatch() override {
+    State->drop();
+    Running->cancel();
+  }
 
 private:
   std::shared_ptr<WatchState> State;
--- a/libs/store/tests/EtcdKeyValueTest.cpp
+++ b/libs/store/tests/EtcdKeyValueTest.cpp
@@ -237,6 +237,40 @@
   Held.reset();
 }
 
+BOOST_AUTO_TEST_CASE(watch_dropped_while_changes_still_arrive_stays_quiet) {
+  // So many changes in one part that the first is delivered, and the watch
+  // dropped, while the part is still being read.
+  std::promise<void> Gone;
+  serve([&](auto X) {
+    Held = X;
+    X->onGone([&] { Gone.set_value(); });
+    X->startStream({200, {}});
+    std::string Part;
+    for (int I = 0; I < 5000; ++I)
+      Part += ChangeOfAToRevision7;
+    X->write(std::move(Part));
+  });
+  std::unique_ptr<KeyValue::Watch> Watch;
+  std::promise<void> Assigned;
+  auto IsAssigned = Assigned.get_future();
+  std::atomic<int> Calls{0};
+  Watch = Store->watch(
+      "k", 1,
+      [&](const StoredValue &) {
+        if (++Calls > 1)
+          return;
+        IsAssigned.wait();
+        Watch.reset();
+      },
+      [&](const StoreError &) { ++Calls; });
+  Assigned.set_value();
+  BOOST_TEST(
+      (Gone.get_future().wait_for(Patience) == std::future_status::ready));
+  Service.reset();
+  Held.reset();
+  BOOST_TEST(Calls == 1);
+}
+
 BOOST_AUTO_TEST_CASE(host_list_and_origin) {
   serve([](auto X) {
     if (X->request().Target == "/v1/hosts")
