--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -124,6 +124,10 @@
   /// What the load balancer is told about the target of the last attempt.
   TargetFeedback LastFeedback = TargetFeedback::Abandoned;
   std::string LastTarget;
+  /// Whether the last attempt was sent on a pooled connection.
+  bool LastReused = false;
+  /// When the last attempt began; empty before the first one.
+  std::optional<milliseconds> LastSentAfter;
   /// Load of the target of the last attempt, as a fraction of its slots.
   double LastLoad = 0;
   /// Age of that load in milliseconds; -1 before the first attempt.
@@ -285,6 +289,7 @@
   LastTarget = Target.Id.str();
   LastLoad = Target.Load;
   LastLoadAgeMs = Target.LoadAge.count();
+  LastSentAfter = elapsed();
   AttemptedTargets.push_back(Target.Id);
   SendResult AttemptResult = co_await exchange(Target);
   if (Caller->disconnected()) {
@@ -304,6 +309,7 @@
 
 void RequestRun::recordAttemptEnd(const serving::SelectedTarget &Target,
                                   SendResult AttemptResult) {
+  LastReused = Attempt->reusedConnection();
   BootTime Now = BootClock::now();
   const platform::AnswerMarks &HeaderValues = Attempt->headerValues();
   bool HasResponse = AttemptResult == SendResult::Answered ||
@@ -526,6 +532,9 @@
        {"target_load", LastLoad},
        {"load_age_ms", LastLoadAgeMs},
        {"sends", std::int64_t(AttemptedTargets.size())},
+       {"sent_after_ms",
+        LastSentAfter ? LastSentAfter->count() : std::int64_t(-1)},
+       {"reused", LastReused},
        {"waited_ms", std::int64_t(QueueTime.count())},
        {"configuration", std::int64_t(Version)},
        {"proof_age_ms",
--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -79,7 +79,8 @@
   TcpStream = Context.TargetConnections.acquireIdle(
       Target.Id, core::BootClock::now(),
       NewConnectionOnly ? MaxIdleTimeNonRepeatable : MaxIdleTimeRepeatable);
-  if (TcpStream)
+  ReusedConnection = TcpStream != nullptr;
+  if (ReusedConnection)
     co_return true;
   auto Remaining =
       std::chrono::duration_cast<milliseconds>(Deadline - Clock::now());
--- a/rosemarylane/src/gateway/TargetSend.h
+++ b/rosemarylane/src/gateway/TargetSend.h
@@ -76,6 +76,9 @@
   const platform::HttpFields &head() const;
   /// @return the values parsed from the header fields of the response.
   const platform::AnswerMarks &headerValues() const { return HeaderValues; }
+  /// @return whether the request was sent on a pooled connection.
+  bool reusedConnection() const { return ReusedConnection; }
+
   std::string_view bodyData() const {
     return {BodyBuffer.data(), BodyDataSize};
   }
@@ -112,6 +115,7 @@
   /// The last part of the body; its first `BodyDataSize` bytes are valid.
   std::string BodyBuffer;
   std::size_t BodyDataSize = 0;
+  bool ReusedConnection = false;
   bool IsHeadRequest = false;
   bool IsComplete = false;
   bool Cancelled = false;
--- a/rosemarylane/src/node/HttpClient.cpp
+++ b/rosemarylane/src/node/HttpClient.cpp
@@ -149,7 +149,8 @@
           co_await beast::http::async_read(*Stream, Buffer, Parser, Await);
       Failed = ReadFailed;
       if (Spec.OnBodyEnd)
-        Spec.OnBodyEnd(std::chrono::steady_clock::now() - HeaderReceivedAt);
+        Spec.OnBodyEnd({std::chrono::steady_clock::now() - HeaderReceivedAt,
+                        Parser.get().body().size(), !ReadFailed});
     }
     if (!Failed) {
       bool KeepOpen = Parser.keep_alive() && Buffer.size() == 0;
--- a/rosemarylane/src/node/HttpClient.h
+++ b/rosemarylane/src/node/HttpClient.h
@@ -25,6 +25,14 @@
 /// thread; outlives its calls.
 class HttpClient {
 public:
+  /// What was received of the body of a response.
+  struct BodyTransfer {
+    /// Time since the header: the transfer time without the server's delay.
+    std::chrono::steady_clock::duration Time{0};
+    std::size_t Bytes = 0;
+    bool Complete = false;
+  };
+
   struct Call {
     http::Request Request;
     /// Includes connecting.
@@ -33,9 +41,8 @@
     /// before any byte of the response.
     bool RetryOnStaleConnection = true;
     std::size_t MaxBodyBytes = 8 << 20;
-    /// Called when reading the body has ended or failed, with the time since
-    /// the header: the transfer time without the server's delay.
-    std::function<void(std::chrono::steady_clock::duration)> OnBodyEnd;
+    /// Called when reading the body has ended or failed.
+    std::function<void(const BodyTransfer &)> OnBodyEnd;
   };
 
   explicit HttpClient(boost::asio::io_context &Loop);
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -45,6 +45,9 @@
 constexpr milliseconds ProbeSilenceSameDomain{1500};
 constexpr milliseconds ProbeSilenceOtherDomain{3000};
 
+/// Complete transfers of a section's body that took less time are not logged.
+constexpr milliseconds LoggedTransferTime{100};
+
 constexpr const char *OperatorsPath = "/sections/operators";
 constexpr const char *RegistryPath = "/sections/registry";
 
@@ -65,6 +68,10 @@
   return To;
 }
 
+const char *nameOf(Section Which) {
+  return Which == Section::Operators ? "operators" : "registry";
+}
+
 /// @return \p Age in milliseconds for the log, or -1 if absent.
 std::int64_t countOf(std::optional<milliseconds> Age) {
   return Age ? Age->count() : -1;
@@ -278,11 +285,14 @@
       HttpClient::Call Call;
       Call.Request = platform::pageRequest(Which, After);
       Call.Timeout = StoreTimeout;
+      Call.OnBodyEnd = transferLog(Which, "store", Sent);
       ++StoreRequests;
       auto Answer =
           co_await Client.exchange(Settings.StoreAddress, std::move(Call));
-      if (!Answer)
+      if (!Answer) {
+        logFailedRead(Which, "store", Answer.error());
         co_return false;
+      }
       auto Page = platform::decodePage(Which, *Answer);
       if (!Page) {
         logWarning("cannot decode a page of items from the store",
@@ -313,6 +323,36 @@
     telemetry::log(telemetry::Level::Warning, Text, {{"detail", Detail}});
   }
 
+  /// @return a hook that logs the transfer of a section if it failed, or took
+  /// noticeable time.
+  /// @param Source `store`, or the IP address of the peer.
+  std::function<void(const HttpClient::BodyTransfer &)>
+  transferLog(Section Which, std::string Source, BootTime Sent) {
+    return [Which, Source = std::move(Source),
+            Sent](const HttpClient::BodyTransfer &Body) {
+      auto Time = std::chrono::duration_cast<milliseconds>(Body.Time);
+      if (Body.Complete && Time < LoggedTransferTime)
+        return;
+      auto SinceSent =
+          std::chrono::duration_cast<milliseconds>(BootClock::now() - Sent);
+      telemetry::log(telemetry::Level::Info, "section transferred",
+                     {{"section", std::string(nameOf(Which))},
+                      {"source", Source},
+                      {"bytes", std::int64_t(Body.Bytes)},
+                      {"body_ms", std::int64_t(Time.count())},
+                      {"ms", std::int64_t(SinceSent.count())},
+                      {"complete", Body.Complete}});
+    };
+  }
+
+  void logFailedRead(Section Which, const std::string &Source,
+                     const http::Error &Error) {
+    telemetry::log(telemetry::Level::Warning, "section not read",
+                   {{"section", std::string(nameOf(Which))},
+                    {"source", Source},
+                    {"error", Error.Detail}});
+  }
+
   /// Replaces the copy of a section, unless \p Items are older, and announces
   /// the change.
   /// @param ConfirmedAt when the read that returned \p Items was sent.
@@ -329,14 +369,12 @@
     if (!Known.adopt(std::move(Items), StoreRevision, ConfirmedAt,
                      CountdownStart))
       return;
-    telemetry::log(
-        telemetry::Level::Info, "section adopted",
-        {{"section", Which == Section::Operators ? std::string("operators")
-                                                 : std::string("registry")},
-         {"store_revision", StoreRevision},
-         {"source", Source},
-         {"items", std::int64_t(Known.items().size())},
-         {"age_ms", countOf(Known.staleness(Now))}});
+    telemetry::log(telemetry::Level::Info, "section adopted",
+                   {{"section", std::string(nameOf(Which))},
+                    {"store_revision", StoreRevision},
+                    {"source", Source},
+                    {"items", std::int64_t(Known.items().size())},
+                    {"age_ms", countOf(Known.staleness(Now))}});
     if (Which == Section::Operators && Callbacks.OnOperatorsChanged)
       Callbacks.OnOperatorsChanged(Known, CountdownStart);
     if (Which == Section::Registry && Callbacks.OnRegistryChanged)
@@ -492,8 +530,11 @@
     Call.Request.Target = Path;
     Call.Timeout = PeerTimeout;
     BootTime Sent = BootClock::now();
+    Call.OnBodyEnd = transferLog(Which, Ip, Sent);
     std::string Address = Ip + ":" + std::to_string(Settings.PeerPort);
     auto Answer = co_await Client.exchange(Address, std::move(Call));
+    if (!Answer)
+      logFailedRead(Which, Ip, Answer.error());
     if (!Answer || Answer->Head.Status != 200)
       co_return;
     wire::Section Theirs;
--- a/rosemarylane/src/sidecar/ChunkFetcher.cpp
+++ b/rosemarylane/src/sidecar/ChunkFetcher.cpp
@@ -176,9 +176,10 @@
     else
       InboundBandwidth.take(AssumedChunkBytes, Steady::now());
     if (Fetch.From == ChunkFetch::Source::DomainPeer)
-      Call.OnBodyEnd = [Self = shared_from_this()](Steady::duration Duration) {
-        Self->LinkThrottle.recordTransfer(Duration, Steady::now());
-      };
+      Call.OnBodyEnd =
+          [Self = shared_from_this()](const HttpClient::BodyTransfer &Body) {
+            Self->LinkThrottle.recordTransfer(Body.Time, Steady::now());
+          };
     ++FetchesInFlight;
     auto Response = co_await Calls.exchange(Address, std::move(Call));
     --FetchesInFlight;
