--- a/rosemarylane/tests/HttpCallsTest.cpp
+++ b/rosemarylane/tests/HttpCallsTest.cpp
@@ -125,8 +125,8 @@
         HttpClient::Call Call;
         Call.Request.Method = "GET";
         Call.Request.Target = "/";
-        Call.OnBodyEnd = [&](std::chrono::steady_clock::duration T) {
-          Took = T;
+        Call.OnBodyEnd = [&](const HttpClient::BodyTransfer &Body) {
+          Took = Body.Time;
         };
         auto Answer = co_await Calls.exchange(Address, std::move(Call));
         BOOST_TEST(Answer.has_value());
