--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -1,5 +1,7 @@
 #include "gateway/TargetSend.h"
 
+#include "node/Sockets.h"
+
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -65,6 +67,7 @@
   if (Cancelled)
     co_return Result::Broken;
   TcpStream->expires_at(std::min(Deadline, Clock::now() + Timeout));
+  resetOnClose(TcpStream->socket(), true);
   // Read the response even if the write failed: the target may have refused the
   // request before it had read all of it.
   co_await write(Request, Fields);
@@ -205,6 +208,7 @@
   if (!Reusable)
     return cancel();
   TcpStream->expires_never();
+  resetOnClose(TcpStream->socket(), false);
   Context.TargetConnections.release(Target.Id, std::move(TcpStream),
                                     core::BootClock::now(),
                                     HeaderValues.KeepFor);
--- a/rosemarylane/src/gateway/TargetSend.h
+++ b/rosemarylane/src/gateway/TargetSend.h
@@ -23,7 +23,7 @@
 ///
 /// Call `start` to write the request and read the head of the matching
 /// response, then `next` until it returns `Result::End`, then `release`. An
-/// instance serves one attempt.
+/// instance serves one attempt; one that is not released is withdrawn.
 ///
 /// Must outlive the coroutine that awaits it. Not thread-safe: used only on the
 /// thread of the event loop. `cancel` may be called while `start` or `next` is
@@ -87,8 +87,8 @@
   /// it. Call this after `Result::End`.
   void release();
 
-  /// Closes the connection, which also makes the target stop working on the
-  /// request.
+  /// Resets the connection, which withdraws what the target's host has not
+  /// received yet, and makes the target stop working on the request.
   void cancel();
 
 private:
--- a/rosemarylane/src/node/HttpClient.cpp
+++ b/rosemarylane/src/node/HttpClient.cpp
@@ -94,6 +94,7 @@
 
   void release(const std::string &Address,
                std::unique_ptr<beast::tcp_stream> Stream) {
+    resetOnClose(Stream->socket(), false);
     std::vector<IdleConnection> &List = Idle[Address];
     if (List.size() < MaxIdlePerAddress)
       List.push_back({std::move(Stream), core::BootClock::now()});
@@ -129,6 +130,7 @@
       enableDeadPeerDetection(Stream->socket(), DeadPeerTimeout);
     }
     Stream->expires_at(Deadline);
+    resetOnClose(Stream->socket(), true);
     auto [WriteFailed, Written] =
         co_await beast::http::async_write(*Stream, Message, Await);
     boost::system::error_code Failed = WriteFailed;
--- a/rosemarylane/src/node/Sockets.cpp
+++ b/rosemarylane/src/node/Sockets.cpp
@@ -74,4 +74,10 @@
          peek(Socket.native_handle()) == PeekResult::Closed;
 }
 
+void resetOnClose(Tcp::socket &Socket, bool Reset) {
+  // A failure is ignored: the connection is then closed plainly.
+  boost::system::error_code Ignored;
+  Socket.set_option(asio::socket_base::linger(Reset, /*timeout=*/0), Ignored);
+}
+
 } // namespace rosemarylane
--- a/rosemarylane/src/node/Sockets.h
+++ b/rosemarylane/src/node/Sockets.h
@@ -27,6 +27,11 @@
 /// bytes, it counts as open.
 bool closedByPeer(boost::asio::ip::tcp::socket &Socket);
 
+/// Sets whether closing the connection, also by a timeout of its stream, resets
+/// it. A reset withdraws the bytes that the peer's host has not received yet,
+/// whereas a plain close still delivers them.
+void resetOnClose(boost::asio::ip::tcp::socket &Socket, bool Reset);
+
 } // namespace rosemarylane
 
 #endif // ROSEMARYLANE_NODE_SOCKETS_H
