--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -78,6 +78,13 @@
   sendAttempt(const serving::SelectedTarget &Target);
   /// Sends the request and receives the response; part of `sendAttempt`.
   asio::awaitable<SendResult> exchange(const serving::SelectedTarget &Target);
+  /// @return whether another attempt may follow the one in progress.
+  bool mayRetry() const;
+  /// @return when an attempt that begins now gives up without a response head.
+  Clock::time_point headDeadline(const serving::SelectedTarget &Target) const;
+  /// @return what the target is told about the request.
+  platform::TargetMarks
+  targetMarks(const serving::SelectedTarget &Target) const;
   asio::awaitable<SendResult> bufferResponse();
   asio::awaitable<SendResult> forwardStream();
   asio::awaitable<void> forwardBuffered();
@@ -326,25 +333,16 @@
   Context.advanceWaitQueues();
 }
 
-asio::awaitable<SendResult>
-RequestRun::exchange(const serving::SelectedTarget &Target) {
-  Attempt = std::make_unique<TargetSend>(Context, Target);
-  // Written to the header fields of the request to the target.
-  platform::TargetMarks HeaderValues;
-  HeaderValues.TimeLeft = std::max(
-      milliseconds(1),
-      std::chrono::duration_cast<milliseconds>(Deadline - Clock::now()));
-  HeaderValues.Target = Target.Id;
-  HeaderValues.Workspace = Admitted.Workspace;
-  HeaderValues.Priority = Admitted.Priority;
-  // Whether the request names a model; it does not for plain services.
-  HeaderValues.ForModel = !Admitted.HeaderValues.Model.empty();
-  HeaderValues.Version = Target.VersionRequired ? Target.Version : 0;
-  HeaderValues.ContinueAfter = HeadForwarded ? Splitter.lastEventId() : "";
+bool RequestRun::mayRetry() const {
   // `attemptCount` leaves out attempts that ended with `SendResult::NotSent`.
-  bool MayRetry = Admitted.Route->repeatable() &&
-                  Outcome.attemptCount() + 1 < Admitted.Route->MaxAttempts;
-  milliseconds Timeout = !MayRetry       ? Admitted.TimeLimit
+  return Admitted.Route->repeatable() &&
+         Outcome.attemptCount() + 1 < Admitted.Route->MaxAttempts;
+}
+
+Clock::time_point
+RequestRun::headDeadline(const serving::SelectedTarget &Target) const {
+  Clock::time_point Now = Clock::now();
+  milliseconds Timeout = !mayRetry()     ? Admitted.TimeLimit
                          : isStreaming() ? StreamHeadTimeout
                                          : BufferedHeadTimeout;
   // The target must start the request by `StartDeadline`, shortly before a
@@ -353,14 +351,42 @@
   if (Target.StartDeadline)
     Timeout = std::min(Timeout, std::chrono::duration_cast<milliseconds>(
                                     *Target.StartDeadline - BootClock::now()));
-  auto Fields = platform::targetFields(Request.base(), HeaderValues);
+  return std::min(Deadline, Now + Timeout);
+}
+
+platform::TargetMarks
+RequestRun::targetMarks(const serving::SelectedTarget &Target) const {
+  platform::TargetMarks Marks;
+  Marks.TimeLeft = std::max(
+      milliseconds(1),
+      std::chrono::duration_cast<milliseconds>(Deadline - Clock::now()));
+  Marks.Target = Target.Id;
+  Marks.Workspace = Admitted.Workspace;
+  Marks.Priority = Admitted.Priority;
+  // Whether the request names a model; it does not for plain services.
+  Marks.ForModel = !Admitted.HeaderValues.Model.empty();
+  Marks.Version = Target.VersionRequired ? Target.Version : 0;
+  Marks.ContinueAfter = HeadForwarded ? Splitter.lastEventId() : "";
+  return Marks;
+}
+
+asio::awaitable<SendResult>
+RequestRun::exchange(const serving::SelectedTarget &Target) {
+  Attempt = std::make_unique<TargetSend>(Context, Target);
+  Clock::time_point HeadDeadline = headDeadline(Target);
+  bool Connected =
+      co_await Attempt->connect(!Admitted.Route->repeatable(), HeadDeadline);
+  if (!Connected) {
+    LastFeedback = TargetFeedback::Broken;
+    co_return SendResult::NotSent;
+  }
+  auto Fields = platform::targetFields(Request.base(), targetMarks(Target));
   SentAt = Clock::now();
-  TargetSend::Result Result =
-      co_await Attempt->start(Request, Fields, Admitted.HeaderValues.Id,
-                              !Admitted.Route->repeatable(), Deadline, Timeout);
+  TargetSend::Result Result = co_await Attempt->start(
+      Request, Fields, Admitted.HeaderValues.Id, HeadDeadline);
   switch (Result) {
   case TargetSend::Result::NotSent:
-    LastFeedback = TargetFeedback::Broken;
+    LastFeedback = TargetFeedback::Abandoned;
     co_return SendResult::NotSent;
   case TargetSend::Result::Broken:
   case TargetSend::Result::End:
@@ -414,11 +440,9 @@
 }
 
 asio::awaitable<SendResult> RequestRun::forwardStream() {
-  bool MayRetry = Admitted.Route->repeatable() &&
-                  Outcome.attemptCount() + 1 < Admitted.Route->MaxAttempts;
   Splitter.discardPending();
   for (;;) {
-    milliseconds Timeout = MayRetry ? StreamReadTimeout : Admitted.TimeLimit;
+    milliseconds Timeout = mayRetry() ? StreamReadTimeout : Admitted.TimeLimit;
     TargetSend::Result Result = co_await Attempt->next(Deadline, Timeout);
     if (Caller->disconnected())
       co_return SendResult::Unknown;
--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -58,15 +58,11 @@
 asio::awaitable<TargetSend::Result>
 TargetSend::start(const CallerConnection::Request &Request,
                   const platform::HttpFields &Fields, const std::string &Id,
-                  bool NewConnectionOnly, Clock::time_point Deadline,
-                  milliseconds Timeout) {
+                  Clock::time_point HeadDeadline) {
   IsHeadRequest = Request.method() == http_::verb::head;
-  bool Connected = co_await connect(NewConnectionOnly, Deadline);
-  if (!Connected)
+  if (Cancelled || Clock::now() >= HeadDeadline)
     co_return Result::NotSent;
-  if (Cancelled)
-    co_return Result::Broken;
-  TcpStream->expires_at(std::min(Deadline, Clock::now() + Timeout));
+  TcpStream->expires_at(HeadDeadline);
   resetOnClose(TcpStream->socket(), true);
   // Read the response even if the write failed: the target may have refused the
   // request before it had read all of it.
--- a/rosemarylane/src/gateway/TargetSend.h
+++ b/rosemarylane/src/gateway/TargetSend.h
@@ -21,9 +21,10 @@
 /// several. `Result` is what one call of `start` or `next` gave;
 /// `serving::SendResult` is the result of the whole attempt.
 ///
-/// Call `start` to write the request and read the head of the matching
-/// response, then `next` until it returns `Result::End`, then `release`. An
-/// instance serves one attempt; one that is not released is withdrawn.
+/// Call `connect`, then `start` to write the request and read the head of the
+/// matching response, then `next` until it returns `Result::End`, then
+/// `release`. An instance serves one attempt; one that is not released is
+/// withdrawn.
 ///
 /// Must outlive the coroutine that awaits it. Not thread-safe: used only on the
 /// thread of the event loop. `cancel` may be called while `start` or `next` is
@@ -37,7 +38,7 @@
     Data,
     /// The response is complete.
     End,
-    /// No connection could be opened, so no byte was sent.
+    /// No byte was sent.
     NotSent,
     /// The connection failed; or a late response to an earlier request on the
     /// same connection came first and could not be skipped; or the response
@@ -51,21 +52,25 @@
   TargetSend(GatewayContext &Context, serving::SelectedTarget Target);
   ~TargetSend();
 
+  /// Takes a pooled connection or opens one. Called before `start`; what is
+  /// sent is decided after it, because it may take time.
+  /// @param NewConnectionOnly whether to limit the idle time of a pooled
+  /// connection as for a request that must not run twice.
+  /// @return whether there is a connection.
+  boost::asio::awaitable<bool> connect(bool NewConnectionOnly,
+                                       Clock::time_point Deadline);
+
   /// Sends the request and reads the head of its response.
   /// @param Fields header fields to send, in place of those of \p Request.
   /// @param Id id of the request. A successful response must repeat it; an
   /// error response may lack it, but must not have another one.
-  /// @param NewConnectionOnly whether to limit the idle time of a pooled
-  /// connection as for a request that must not run twice.
-  /// @param Timeout time limit from the write of the request to the head of the
-  /// response.
+  /// @param HeadDeadline when to give up without the head of the response. If
+  /// it has passed, nothing is sent.
   /// @return `Data` once the head is read; otherwise why there is none.
   boost::asio::awaitable<Result> start(const CallerConnection::Request &Request,
                                        const platform::HttpFields &Fields,
                                        const std::string &Id,
-                                       bool NewConnectionOnly,
-                                       Clock::time_point Deadline,
-                                       std::chrono::milliseconds Timeout);
+                                       Clock::time_point HeadDeadline);
 
   /// Reads the next part of the body into `bodyData()`.
   /// @param Timeout time limit for this part.
@@ -96,8 +101,6 @@
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-  boost::asio::awaitable<bool> connect(bool NewConnectionOnly,
-                                       Clock::time_point Deadline);
   boost::asio::awaitable<void> write(const CallerConnection::Request &Request,
                                      const platform::HttpFields &Fields);
   boost::asio::awaitable<Result> readHead(const std::string &Id);
