--- a/libs/serving/include/serving/ReadSchedule.h
+++ b/libs/serving/include/serving/ReadSchedule.h
@@ -17,8 +17,10 @@
 /// The first process in the failure domain's `PeerTable::storeReaderOrder`
 /// reads periodically. Each later one reads only when its data has become
 /// staler than its rank allows, so that it takes over without coordination if
-/// those before it fail. Value type without a clock of its own; not
-/// thread-safe.
+/// those before it fail. It does not take over while a peer says that it is
+/// reading: a large section takes time on a narrow link, and each further copy
+/// would slow down the others until none of them is completed. Value type
+/// without a clock of its own; not thread-safe.
 class ReadSchedule {
 public:
   static constexpr std::chrono::milliseconds ReadPeriod{900};
@@ -36,9 +38,18 @@
   /// others read.
   static constexpr std::chrono::milliseconds RetryPeriod{3000};
   static constexpr std::chrono::milliseconds PeerQueryPeriod{350};
+  /// How long a peer's message that it is reading holds off a takeover: two
+  /// periods of the queries that are answered by such messages.
+  static constexpr std::chrono::milliseconds PeerReadTtl{700};
+  /// Upper limit of the staleness up to which peers that are reading hold off a
+  /// takeover.
+  static constexpr std::chrono::milliseconds MaxDeferredStaleness{3200};
 
   void readStarted(core::BootTime Now) { LastRead = Now; }
   void readFinished(bool Succeeded) { LastFailed = !Succeeded; }
+  /// Records that a peer of this failure domain says that it is reading, or
+  /// that this process is receiving a copy from a peer.
+  void peerReading(core::BootTime Now) { PeerReadingAt = Now; }
   void peerQueryStarted(core::BootTime Now) { LastPeerQuery = Now; }
 
   /// @param Staleness staleness of the least recently confirmed section; absent
@@ -52,6 +63,9 @@
       return false;
     if (Rank == 0 || !Staleness)
       return true;
+    bool PeerReading = PeerReadingAt && Now - *PeerReadingAt < PeerReadTtl;
+    if (PeerReading && *Staleness < MaxDeferredStaleness)
+      return false;
     if (LastFailed && Now - *LastRead >= RetryPeriod)
       return true;
     auto TakeoverThreshold = std::min(
@@ -73,6 +87,7 @@
 private:
   std::optional<core::BootTime> LastRead;
   std::optional<core::BootTime> LastPeerQuery;
+  std::optional<core::BootTime> PeerReadingAt;
   bool LastFailed = false;
 };
 
--- a/libs/serving/tests/PeersTest.cpp
+++ b/libs/serving/tests/PeersTest.cpp
@@ -83,6 +83,22 @@
   BOOST_TEST(Schedule.readDue(5, std::nullopt, Start));
 }
 
+// Guards against a link that is full of copies of which none is completed.
+BOOST_AUTO_TEST_CASE(nobody_takes_over_while_a_peer_is_reading) {
+  ReadSchedule Schedule;
+  Schedule.peerReading(Start);
+  auto Soon = Start + milliseconds(600);
+  BOOST_TEST(!Schedule.readDue(1, milliseconds(2300), Soon));
+  BOOST_TEST(!Schedule.readDue(50, milliseconds(3100), Soon));
+  // The first in order still reads, and so does a process without any data.
+  BOOST_TEST(Schedule.readDue(0, milliseconds(2300), Soon));
+  BOOST_TEST(Schedule.readDue(1, std::nullopt, Soon));
+  // The peer has gone silent, or has been reading for too long.
+  BOOST_TEST(
+      Schedule.readDue(1, milliseconds(2300), Start + milliseconds(800)));
+  BOOST_TEST(Schedule.readDue(1, milliseconds(3300), Soon));
+}
+
 BOOST_AUTO_TEST_CASE(a_failed_read_is_not_repeated_at_once) {
   ReadSchedule Schedule;
   Schedule.readStarted(Start);
--- a/rosemarylane/src/node/HttpClient.cpp
+++ b/rosemarylane/src/node/HttpClient.cpp
@@ -57,6 +57,28 @@
   return To;
 }
 
+using BodyParser = beast::http::response_parser<beast::http::string_body>;
+
+/// Reads the rest of a response.
+/// @param Timeout `HttpClient::Call::BodyTimeout`; 0 leaves the deadline of
+/// \p Stream as it is.
+asio::awaitable<boost::system::error_code>
+readBody(beast::tcp_stream &Stream, beast::flat_buffer &Buffer,
+         BodyParser &Parser, std::chrono::milliseconds Timeout) {
+  using Clock = std::chrono::steady_clock;
+  auto Deadline = Clock::now() + Timeout;
+  while (!Parser.is_done()) {
+    if (Timeout.count() > 0)
+      Stream.expires_at(
+          std::min(Deadline, Clock::now() + HttpClient::BodyStallTimeout));
+    auto [Failed, Bytes] =
+        co_await beast::http::async_read_some(Stream, Buffer, Parser, Await);
+    if (Failed)
+      co_return Failed;
+  }
+  co_return boost::system::error_code();
+}
+
 } // namespace
 
 struct HttpClient::State {
@@ -135,7 +157,7 @@
         co_await beast::http::async_write(*Stream, Message, Await);
     boost::system::error_code Failed = WriteFailed;
     beast::flat_buffer Buffer;
-    beast::http::response_parser<beast::http::string_body> Parser;
+    BodyParser Parser;
     Parser.body_limit(Spec.MaxBodyBytes);
     std::size_t ResponseBytes = 0;
     if (!Failed) {
@@ -147,12 +169,10 @@
     }
     if (!Failed) {
       auto HeaderReceivedAt = std::chrono::steady_clock::now();
-      auto [ReadFailed, Read] =
-          co_await beast::http::async_read(*Stream, Buffer, Parser, Await);
-      Failed = ReadFailed;
+      Failed = co_await readBody(*Stream, Buffer, Parser, Spec.BodyTimeout);
       if (Spec.OnBodyEnd)
         Spec.OnBodyEnd({std::chrono::steady_clock::now() - HeaderReceivedAt,
-                        Parser.get().body().size(), !ReadFailed});
+                        Parser.get().body().size(), !Failed});
     }
     if (!Failed) {
       bool KeepOpen = Parser.keep_alive() && Buffer.size() == 0;
--- a/rosemarylane/src/node/HttpClient.h
+++ b/rosemarylane/src/node/HttpClient.h
@@ -37,6 +37,11 @@
     http::Request Request;
     /// Includes connecting.
     std::chrono::milliseconds Timeout{1000};
+    /// If not 0, `Timeout` ends with the header. Reading the body may then take
+    /// this long, as long as some of it arrives within each
+    /// `BodyStallTimeout`: a large body on a narrow link is given the time that
+    /// it takes, instead of being started again.
+    std::chrono::milliseconds BodyTimeout{0};
     /// Whether to repeat the request on a new connection if a reused one fails
     /// before any byte of the response.
     bool RetryOnStaleConnection = true;
@@ -45,6 +50,8 @@
     std::function<void(const BodyTransfer &)> OnBodyEnd;
   };
 
+  static constexpr std::chrono::milliseconds BodyStallTimeout{600};
+
   explicit HttpClient(boost::asio::io_context &Loop);
   ~HttpClient();
 
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -5,6 +5,7 @@
 #include "serving/ReadSchedule.h"
 #include "serving/StoreOutage.h"
 #include "telemetry/Log.h"
+#include "wire/Compression.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -30,6 +31,14 @@
 /// Timeouts of whole HTTP exchanges, including the connection setup.
 constexpr milliseconds StoreTimeout{600};
 constexpr milliseconds PeerTimeout{700};
+/// Time limit for the body of a section, from the store or a peer, while bytes
+/// keep arriving. Shorter than the time within which a change has to be in
+/// force.
+constexpr milliseconds SectionBodyTimeout{2500};
+/// Limit of one decompressed value.
+constexpr std::size_t MaxValueBytes = 8 << 20;
+/// Values of at least this size are compressed for peers.
+constexpr std::size_t MinCompressedBytes = 4 << 10;
 /// How long the store may hold a watch request open if nothing changes.
 constexpr milliseconds WatchDuration{6000};
 /// `WatchDuration` plus the `StoreTimeout` that other requests have.
@@ -50,6 +59,8 @@
 
 constexpr const char *OperatorsPath = "/sections/operators";
 constexpr const char *RegistryPath = "/sections/registry";
+/// Appended to the path of a section for compressed values.
+constexpr std::string_view CompressedSuffix = "/compressed";
 
 void toWire(const StoreSection::Summary &From, wire::SectionSummary &To) {
   To.set_at(From.At);
@@ -112,6 +123,12 @@
   std::uint64_t StoreRequests = 0;
   /// Paths of the sections that are being fetched from a peer.
   std::set<std::string> Fetching;
+  struct CompressedItem {
+    std::int64_t Revision = 0;
+    std::string Bytes;
+  };
+  /// Large values as last served to peers, by key.
+  std::map<std::string, CompressedItem> CompressedItems;
   /// When each outstanding query was sent, by its number.
   std::map<std::uint64_t, BootTime> QueriesSent;
   std::uint64_t LastQuery = 0;
@@ -151,6 +168,8 @@
     });
     auto Staleness = maxStaleness(Now);
     std::size_t Rank = Peers.storeReaderRank(Now);
+    if (Fetching.contains(OperatorsPath))
+      Schedule.peerReading(Now);
     if (!Reading && Schedule.readDue(Rank, Staleness, Now))
       startRead(Now);
     if (Rank == 0 && !Watching && Operators.known())
@@ -285,6 +304,7 @@
       HttpClient::Call Call;
       Call.Request = platform::pageRequest(Which, After);
       Call.Timeout = StoreTimeout;
+      Call.BodyTimeout = SectionBodyTimeout;
       Call.OnBodyEnd = transferLog(Which, "store", Sent);
       ++StoreRequests;
       auto Answer =
@@ -375,6 +395,8 @@
                     {"source", Source},
                     {"items", std::int64_t(Known.items().size())},
                     {"age_ms", countOf(Known.staleness(Now))}});
+    if (Which == Section::Operators)
+      CompressedItems.clear();
     if (Which == Section::Operators && Callbacks.OnOperatorsChanged)
       Callbacks.OnOperatorsChanged(Known, CountdownStart);
     if (Which == Section::Registry && Callbacks.OnRegistryChanged)
@@ -457,6 +479,8 @@
     Reply->set_number(Query.number());
     toWire(Operators.summary(Now), *Reply->mutable_operators());
     toWire(Registry.summary(Now), *Reply->mutable_registry());
+    Reply->set_reading(Reading || Fetching.contains(OperatorsPath));
+    Reply->set_compresses(true);
     for (const auto &[Known, Entry] : Peers.entries()) {
       wire::Node *Member = Reply->add_members();
       *Member = peerToWire(Entry.Details);
@@ -479,13 +503,15 @@
         query(From.Ip, /*AnnouncesChange=*/false, Now);
     }
     if (Message.has_reply())
-      handleReply(From.Ip, Message.reply(), Now);
+      handleReply(From, Message.reply(), Now);
     if (Peers.entries().size() != Before && Callbacks.OnPeersAdded)
       Callbacks.OnPeersAdded();
   }
 
-  void handleReply(const std::string &Ip, const wire::Reply &Reply,
+  void handleReply(const serving::Peer &From, const wire::Reply &Reply,
                    BootTime Now) {
+    if (Reply.reading() && From.FailureDomain == Settings.FailureDomain)
+      Schedule.peerReading(Now);
     for (const wire::Node &Member : Reply.members())
       Peers.recordContact(peerFromWire(Member),
                           milliseconds(Member.silent_ms()), Now);
@@ -502,34 +528,37 @@
     bool KnowsMore = Result == Comparison::Same && Theirs.HasChangeTimes &&
                      Operators.lacksChangeTimes();
     if (Result == Comparison::PeerNewer || KnowsMore)
-      fetch(Section::Operators, Ip);
+      fetch(Section::Operators, From.Ip, Reply.compresses());
     if (Registry.compareAndConfirm(fromWire(Reply.registry()), Sent) ==
         Comparison::PeerNewer)
-      fetch(Section::Registry, Ip);
+      fetch(Section::Registry, From.Ip, Reply.compresses());
   }
 
-  void fetch(Section Which, const std::string &Ip) {
+  void fetch(Section Which, const std::string &Ip, bool Compressed) {
     const char *Path =
         Which == Section::Operators ? OperatorsPath : RegistryPath;
     if (!Fetching.insert(Path).second)
       return;
     asio::co_spawn(
         Loop,
-        [Self = shared_from_this(), Which, Ip,
-         Path]() -> asio::awaitable<void> {
-          co_await Self->fetchFrom(Which, Ip, Path);
+        [Self = shared_from_this(), Which, Ip, Path,
+         Compressed]() -> asio::awaitable<void> {
+          co_await Self->fetchFrom(Which, Ip, Path, Compressed);
           Self->Fetching.erase(Path);
         },
         asio::detached);
   }
 
   asio::awaitable<void> fetchFrom(Section Which, std::string Ip,
-                                  const char *Path) {
+                                  std::string Path, bool Compressed) {
     HttpClient::Call Call;
     Call.Request.Method = "GET";
-    Call.Request.Target = Path;
+    Call.Request.Target = std::move(Path);
+    if (Compressed)
+      Call.Request.Target += CompressedSuffix;
     Call.Timeout = PeerTimeout;
     BootTime Sent = BootClock::now();
+    Call.BodyTimeout = SectionBodyTimeout;
     Call.OnBodyEnd = transferLog(Which, Ip, Sent);
     std::string Address = Ip + ":" + std::to_string(Settings.PeerPort);
     auto Answer = co_await Client.exchange(Address, std::move(Call));
@@ -545,6 +574,15 @@
     for (const wire::SectionItem &Item : Theirs.items()) {
       serving::StoredItem &Copy = Items[Item.key()];
       Copy.Value = Item.value();
+      if (Item.has_compressed_value()) {
+        if (Item.value_bytes() > MaxValueBytes)
+          co_return;
+        auto Value =
+            wire::decompress(Item.compressed_value(), Item.value_bytes());
+        if (!Value)
+          co_return;
+        Copy.Value = std::move(*Value);
+      }
       Copy.Revision = Item.revision();
       if (Item.has_changed_after_age_ms())
         Copy.ChangedAfter = Sent - milliseconds(Item.changed_after_age_ms());
@@ -553,7 +591,19 @@
           Sent - milliseconds(Theirs.summary().proof_age_ms()), Ip);
   }
 
-  std::optional<http::Response> serveSection(const std::string &Path) const {
+  /// @return the value of an item as gzip, compressed once for all peers.
+  const std::string &compressedValue(const std::string &Key,
+                                     const serving::StoredItem &Item) {
+    CompressedItem &Known = CompressedItems[Key];
+    if (Known.Bytes.empty() || Known.Revision != Item.Revision)
+      Known = {Item.Revision, wire::compress(Item.Value)};
+    return Known.Bytes;
+  }
+
+  std::optional<http::Response> serveSection(std::string_view Path) {
+    bool Compressed = Path.ends_with(CompressedSuffix);
+    if (Compressed)
+      Path.remove_suffix(CompressedSuffix.size());
     const StoreSection *Which = nullptr;
     if (Path == OperatorsPath)
       Which = &Operators;
@@ -567,7 +617,14 @@
     for (const auto &[Key, Item] : Which->items()) {
       wire::SectionItem *Copy = Body.add_items();
       Copy->set_key(Key);
-      Copy->set_value(Item.Value);
+      // Revisions of the registry's items are not known.
+      if (Compressed && Item.Revision != 0 &&
+          Item.Value.size() >= MinCompressedBytes) {
+        Copy->set_compressed_value(compressedValue(Key, Item));
+        Copy->set_value_bytes(Item.Value.size());
+      } else {
+        Copy->set_value(Item.Value);
+      }
       Copy->set_revision(Item.Revision);
       if (Item.ChangedAfter)
         Copy->set_changed_after_age_ms(
