--- a/rosemarylane/src/sidecar/ChunkFetcher.cpp
+++ b/rosemarylane/src/sidecar/ChunkFetcher.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/ChunkFetcher.h"
 
+#include "sidecar/PeerPaths.h"
 #include "swarm/SlowLink.h"
 #include "swarm/SwarmPlanner.h"
 #include "swarm/TokenBucket.h"
@@ -84,12 +85,6 @@
 
 } // namespace
 
-std::string chunkPath(const std::string &Model, std::uint64_t Version,
-                      std::size_t Chunk, const char *Role) {
-  return "/chunks/" + Model + "/" + std::to_string(Version) + "/" +
-         std::to_string(Chunk) + "/" + Role;
-}
-
 struct ChunkFetcher::State : std::enable_shared_from_this<ChunkFetcher::State> {
   State(asio::io_context &Loop, const NodeSettings &Settings, HttpClient &Calls,
         PeerSocket &Link, std::string OriginAddress,
--- a/rosemarylane/src/sidecar/ChunkFetcher.h
+++ b/rosemarylane/src/sidecar/ChunkFetcher.h
@@ -68,12 +68,6 @@
 /// HTTP status with which a reader reports that the origin is unreachable.
 inline constexpr unsigned OriginUnreachableStatus = 504;
 
-/// @param Role in which the host is asked: `held` for chunks that it
-/// already holds, `region` or `fleet` as a designated reader.
-/// @return the path of a chunk on the peer port.
-std::string chunkPath(const std::string &Model, std::uint64_t Version,
-                      std::size_t Chunk, const char *Role);
-
 } // namespace rosemarylane
 
 #endif // ROSEMARYLANE_SIDECAR_CHUNK_FETCHER_H
--- /dev/null
+++ b/rosemarylane/src/sidecar/ChunkServer.h
@@ -0,0 +1,49 @@
+#ifndef ROSEMARYLANE_SIDECAR_CHUNK_SERVER_H
+#define ROSEMARYLANE_SIDECAR_CHUNK_SERVER_H
+
+#include "http/Message.h"
+#include "node/PeerSocket.h"
+#include "sidecar/ServedModel.h"
+#include "sidecar/VersionStore.h"
+#include "wire/node.pb.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <string>
+
+namespace rosemarylane {
+
+/// Serves chunks and manifests to other hosts, and tells them which chunks this
+/// host holds.
+///
+/// Lives as long as the `WeightKeeper` that owns it, and longer than every call
+/// of `handleRequest`. Not thread-safe: used only on the thread of the event
+/// loop.
+class ChunkServer {
+public:
+  ChunkServer(boost::asio::io_context &Loop, PeerSocket &Link,
+              const ServedModel &Served, const VersionStore &Versions)
+      : Loop(Loop), Link(Link), Served(Served), Versions(Versions) {}
+
+  /// Handles a peer's report of the chunks that it holds, and replies with this
+  /// host's chunks if the peer asks for them; other messages are ignored.
+  void handleMessage(const wire::NodeMessage &Message);
+
+  /// Responds to a peer's request for a chunk or manifest. A chunk that this
+  /// host is asked for as a reader, and does not hold yet, is waited for.
+  /// @param Path begins with `ChunksPath` or `ManifestsPath`.
+  boost::asio::awaitable<http::Response> handleRequest(std::string Path);
+
+private:
+  boost::asio::awaitable<void>
+  awaitChunk(VersionChunks &Chunks, std::size_t Index, bool AsFleetReader);
+
+  boost::asio::io_context &Loop;
+  PeerSocket &Link;
+  const ServedModel &Served;
+  const VersionStore &Versions;
+};
+
+} // namespace rosemarylane
+
+#endif // ROSEMARYLANE_SIDECAR_CHUNK_SERVER_H
--- a/rosemarylane/src/sidecar/WeightKeeper.h
+++ b/rosemarylane/src/sidecar/WeightKeeper.h
@@ -23,7 +23,10 @@
 /// Fetches the chunks of the version, waits until it is the target's turn to
 /// switch, stages the chunks at the target, and orders it to load them. Also
 /// serves chunks and manifests to other hosts; pass requests for which
-/// `handlesPath` is true to `handleRequest`.
+/// `handlesPath` is true to `handleRequest`. Connects the parts of this work,
+/// and decides what is done when: `ServedModel` knows which versions there are,
+/// `ManifestClient` and `ChunkFetcher` fetch them into the `VersionStore`,
+/// `TargetLoader` loads them, `ChunkServer` serves them to other hosts.
 ///
 /// No load order is sent to a target that restarted while the chunks were being
 /// staged; chunks that this host holds are kept when the target restarts. The
