--- a/libs/serving/include/serving/WaitLine.h
+++ b/libs/serving/include/serving/AdmissionQueue.h
@@ -1,5 +1,5 @@
-#ifndef ROSEMARYLANE_SERVING_WAIT_LINE_H
-#define ROSEMARYLANE_SERVING_WAIT_LINE_H
+#ifndef ROSEMARYLANE_SERVING_ADMISSION_QUEUE_H
+#define ROSEMARYLANE_SERVING_ADMISSION_QUEUE_H
 
 #include "core/BootClock.h"
 
@@ -8,8 +8,6 @@
 #include <map>
 #include <memory>
 
-// Declares AdmissionQueue.
-
 namespace rosemarylane::serving {
 
 /// Bounded priority queue of the requests that wait for a free slot at a
@@ -77,4 +75,4 @@
 
 } // namespace rosemarylane::serving
 
-#endif // ROSEMARYLANE_SERVING_WAIT_LINE_H
+#endif // ROSEMARYLANE_SERVING_ADMISSION_QUEUE_H
--- a/libs/serving/include/serving/LapsedEntries.h
+++ b/libs/serving/include/serving/LapsedEntries.h
@@ -2,7 +2,7 @@
 #define ROSEMARYLANE_SERVING_LAPSED_ENTRIES_H
 
 #include "core/BootClock.h"
-#include "serving/StoreImage.h"
+#include "serving/StoreSection.h"
 
 #include <chrono>
 #include <map>
--- a/libs/serving/include/serving/TargetBoard.h
+++ b/libs/serving/include/serving/LoadBalancer.h
@@ -1,5 +1,5 @@
-#ifndef ROSEMARYLANE_SERVING_TARGET_BOARD_H
-#define ROSEMARYLANE_SERVING_TARGET_BOARD_H
+#ifndef ROSEMARYLANE_SERVING_LOAD_BALANCER_H
+#define ROSEMARYLANE_SERVING_LOAD_BALANCER_H
 
 #include "core/BootClock.h"
 #include "core/Ids.h"
@@ -15,8 +15,6 @@
 #include <string>
 #include <vector>
 
-// Declares LoadBalancer, its settings, and the types that it takes and returns.
-
 namespace rosemarylane::serving {
 
 /// Load of a target, as reported by the target or its agent.
@@ -357,4 +355,4 @@
 
 } // namespace rosemarylane::serving
 
-#endif // ROSEMARYLANE_SERVING_TARGET_BOARD_H
+#endif // ROSEMARYLANE_SERVING_LOAD_BALANCER_H
--- a/libs/serving/include/serving/StoreImage.h
+++ b/libs/serving/include/serving/StoreSection.h
@@ -1,5 +1,5 @@
-#ifndef ROSEMARYLANE_SERVING_STORE_IMAGE_H
-#define ROSEMARYLANE_SERVING_STORE_IMAGE_H
+#ifndef ROSEMARYLANE_SERVING_STORE_SECTION_H
+#define ROSEMARYLANE_SERVING_STORE_SECTION_H
 
 #include "core/BootClock.h"
 
@@ -9,8 +9,6 @@
 #include <optional>
 #include <string>
 
-// Declares StoreSection and StoredItem.
-
 namespace rosemarylane::serving {
 
 /// A value as last written to the platform's store.
@@ -109,4 +107,4 @@
 
 } // namespace rosemarylane::serving
 
-#endif // ROSEMARYLANE_SERVING_STORE_IMAGE_H
+#endif // ROSEMARYLANE_SERVING_STORE_SECTION_H
--- a/libs/serving/src/TargetBoard.cpp
+++ b/libs/serving/src/LoadBalancer.cpp
@@ -1,4 +1,4 @@
-#include "serving/TargetBoard.h"
+#include "serving/LoadBalancer.h"
 
 #include <algorithm>
 #include <cmath>
--- a/libs/serving/src/StoreImage.cpp
+++ b/libs/serving/src/StoreSection.cpp
@@ -1,4 +1,4 @@
-#include "serving/StoreImage.h"
+#include "serving/StoreSection.h"
 
 #include "core/Rendezvous.h"
 
--- a/libs/serving/tests/LimitsTest.cpp
+++ b/libs/serving/tests/LimitsTest.cpp
@@ -1,7 +1,7 @@
+#include "serving/AdmissionQueue.h"
 #include "serving/ColdLimit.h"
 #include "serving/RetryShare.h"
 #include "serving/VersionDeadlines.h"
-#include "serving/WaitLine.h"
 
 #include <boost/test/unit_test.hpp>
 #include <deque>
--- a/libs/serving/tests/StoreSectionTest.cpp
+++ b/libs/serving/tests/StoreSectionTest.cpp
@@ -1,5 +1,5 @@
+#include "serving/StoreSection.h"
 #include "serving/LapsedEntries.h"
-#include "serving/StoreImage.h"
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
--- a/rosemarylane/src/gateway/GatewayContext.h
+++ b/rosemarylane/src/gateway/GatewayContext.h
@@ -5,10 +5,10 @@
 #include "gateway/TargetPool.h"
 #include "node/NodeSettings.h"
 #include "node/StoreFollower.h"
+#include "serving/AdmissionQueue.h"
+#include "serving/LoadBalancer.h"
 #include "serving/RetryShare.h"
 #include "serving/ServingConfig.h"
-#include "serving/TargetBoard.h"
-#include "serving/WaitLine.h"
 
 #include <boost/asio/io_context.hpp>
 #include <map>
@@ -21,8 +21,7 @@
 /// State shared by all requests of a gateway: configuration, targets,
 /// connections, wait queues, retry budgets and metrics.
 ///
-/// `serving/TargetBoard.h` declares `LoadBalancer`, `serving/WaitLine.h` the
-/// `AdmissionQueue`, and `serving/RetryShare.h` the retry budget.
+/// `serving/RetryShare.h` declares the retry budget.
 ///
 /// Owned by `GatewayProcess` and valid for as long as the process runs. Not
 /// thread-safe: used only on the thread of the event loop.
--- a/rosemarylane/src/gateway/TargetSend.h
+++ b/rosemarylane/src/gateway/TargetSend.h
@@ -4,7 +4,7 @@
 #include "gateway/CallerConnection.h"
 #include "gateway/TargetPool.h"
 #include "platform/RequestHeaders.h"
-#include "serving/TargetBoard.h"
+#include "serving/LoadBalancer.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
--- a/rosemarylane/src/node/StoreFollower.h
+++ b/rosemarylane/src/node/StoreFollower.h
@@ -8,7 +8,7 @@
 #include "node/PeerSocket.h"
 #include "platform/Records.h"
 #include "serving/PeerTable.h"
-#include "serving/StoreImage.h"
+#include "serving/StoreSection.h"
 #include "wire/node.pb.h"
 
 #include <boost/asio/io_context.hpp>
