--- a/libs/serving/include/serving/LoadBalancer.h
+++ b/libs/serving/include/serving/LoadBalancer.h
@@ -251,14 +251,6 @@
   void recordResult(const TargetId &Id, TargetFeedback Outcome,
                     core::BootTime Now);
 
-  /// @return free slots of \p Service at targets that are not draining,
-  /// ejected, evacuated or loading a version; negative if they have more
-  /// requests than slots.
-  double freeSlots(std::string_view Service, core::BootTime Now) const;
-
-  /// @return slots of \p Service at the same targets.
-  double totalSlots(std::string_view Service, core::BootTime Now) const;
-
   /// @return whether the target is registered, not draining and not ejected.
   /// Evacuations and switches of versions are not considered.
   bool isHealthy(const TargetId &Id, core::BootTime Now) const;
--- a/libs/serving/src/LoadBalancer.cpp
+++ b/libs/serving/src/LoadBalancer.cpp
@@ -419,30 +419,6 @@
   }
 }
 
-double LoadBalancer::freeSlots(std::string_view Service,
-                               core::BootTime Now) const {
-  double Free = 0;
-  for (const auto &[Id, T] : Targets) {
-    if (T.Info.Service != Service || T.Info.Draining || T.Switching ||
-        isEjected(T, Now) || Evacuated.contains(T.Info.FailureDomain))
-      continue;
-    Free += T.Info.Slots - estimatedLoad(T, Now);
-  }
-  return Free;
-}
-
-double LoadBalancer::totalSlots(std::string_view Service,
-                                core::BootTime Now) const {
-  double Total = 0;
-  for (const auto &[Id, T] : Targets) {
-    if (T.Info.Service != Service || T.Info.Draining || T.Switching ||
-        isEjected(T, Now) || Evacuated.contains(T.Info.FailureDomain))
-      continue;
-    Total += T.Info.Slots;
-  }
-  return Total;
-}
-
 bool LoadBalancer::isHealthy(const TargetId &Id, core::BootTime Now) const {
   auto Found = Targets.find(Id);
   return Found != Targets.end() && !Found->second.Info.Draining &&
