--- a/bench/src/Experiment.cpp
+++ b/bench/src/Experiment.cpp
@@ -124,6 +124,16 @@
           std::to_string(SteadyEngineConcurrency)};
 }
 
+std::unique_ptr<Fleet> startFleet(const ExperimentOptions &Options,
+                                  std::vector<DomainShape> Domains,
+                                  std::vector<std::string> EngineOptions) {
+  FleetShape Shape;
+  Shape.BasePort = Options.BasePort;
+  Shape.Domains = std::move(Domains);
+  Shape.EngineOptions = std::move(EngineOptions);
+  return orThrow(Fleet::start(Shape));
+}
+
 std::vector<std::string> originRate(std::uint64_t BytesPerSecond) {
   return {"--origin-rate", std::to_string(BytesPerSecond)};
 }
--- a/bench/src/Experiment.h
+++ b/bench/src/Experiment.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -88,6 +89,12 @@
 /// Requests that one `steadyEngine` runs at a time.
 constexpr int SteadyEngineConcurrency = 8;
 
+/// Starts a fleet of these failure domains, at the ports of \p Options.
+/// @param EngineOptions options of every engine stand-in.
+std::unique_ptr<Fleet> startFleet(const ExperimentOptions &Options,
+                                  std::vector<DomainShape> Domains,
+                                  std::vector<std::string> EngineOptions);
+
 /// Options of a platform stand-in whose origin sends at most that many bytes a
 /// second.
 std::vector<std::string> originRate(std::uint64_t BytesPerSecond);
--- a/bench/src/experiments/AtMostOnce.cpp
+++ b/bench/src/experiments/AtMostOnce.cpp
@@ -87,13 +87,10 @@
 } // namespace
 
 json::object runAtMostOnce(const ExperimentOptions &Options) {
-  FleetShape Shape;
-  Shape.BasePort = Options.BasePort;
-  Shape.Domains = domainShapes(3, 2, 1);
-  for (DomainShape &Domain : Shape.Domains)
+  std::vector<DomainShape> Domains = domainShapes(3, 2, 1);
+  for (DomainShape &Domain : Domains)
     Domain.Services = 1;
-  Shape.EngineOptions = fastEngine();
-  auto Running = orThrow(Fleet::start(Shape));
+  auto Running = startFleet(Options, std::move(Domains), fastEngine());
   serveDraft(*Running);
   orThrow(Running->setFaults(Running->platformAddress(),
                              R"({"only": "/v3/kv/", "latency_ms": )" +
--- a/bench/src/experiments/Config.cpp
+++ b/bench/src/experiments/Config.cpp
@@ -72,11 +72,7 @@
 
 json::object runConfig(const ExperimentOptions &Options) {
   bool Outage = Options.Part == "outage";
-  FleetShape Shape;
-  Shape.BasePort = Options.BasePort;
-  Shape.Domains = domainShapes(6, 2, 2);
-  Shape.EngineOptions = fastEngine();
-  auto Running = orThrow(Fleet::start(Shape));
+  auto Running = startFleet(Options, domainShapes(6, 2, 2), fastEngine());
   serveDraft(*Running);
   Samples Times;
   json::array All;
--- a/bench/src/experiments/FailureDomain.cpp
+++ b/bench/src/experiments/FailureDomain.cpp
@@ -142,11 +142,8 @@
 
 json::object runFailureDomain(const ExperimentOptions &Options) {
   bool Cut = Options.Part == "cut";
-  FleetShape Shape;
-  Shape.BasePort = Options.BasePort;
-  Shape.Domains = domainShapes(DomainCount, 2, 2);
-  Shape.EngineOptions = steadyEngine();
-  auto Running = orThrow(Fleet::start(Shape));
+  auto Running =
+      startFleet(Options, domainShapes(DomainCount, 2, 2), steadyEngine());
   serveDraft(*Running);
   Schedule Changes(*Running, Cut);
   LoadShape Load;
--- a/bench/src/experiments/Hops.cpp
+++ b/bench/src/experiments/Hops.cpp
@@ -66,11 +66,7 @@
 } // namespace
 
 json::object runHops(const ExperimentOptions &Options) {
-  FleetShape Shape;
-  Shape.BasePort = Options.BasePort;
-  Shape.Domains = domainShapes(1, 1, 1);
-  Shape.EngineOptions = fastEngine();
-  auto Running = orThrow(Fleet::start(Shape));
+  auto Running = startFleet(Options, domainShapes(1, 1, 1), fastEngine());
   serveDraft(*Running);
   json::array Runs;
   Runs.push_back(compare(*Running, Options, "rest", RestRate));
--- a/bench/src/experiments/Overload.cpp
+++ b/bench/src/experiments/Overload.cpp
@@ -119,11 +119,7 @@
 } // namespace
 
 json::object runOverload(const ExperimentOptions &Options) {
-  FleetShape Shape;
-  Shape.BasePort = Options.BasePort;
-  Shape.Domains = domainShapes(2, 2, 2);
-  Shape.EngineOptions = steadyEngine();
-  auto Running = orThrow(Fleet::start(Shape));
+  auto Running = startFleet(Options, domainShapes(2, 2, 2), steadyEngine());
   serveClasses(*Running);
   double Capacity = measureCapacity(*Running);
   Chart Drawn;
