--- a/libs/swarm/src/PlannerState.h
+++ b/libs/swarm/src/PlannerState.h
@@ -2,7 +2,6 @@
 #define ROSEMARYLANE_SWARM_PLANNER_STATE_H
 
 #include "core/Time.h"
-#include "swarm/ChunkSet.h"
 #include "swarm/ReaderRanks.h"
 #include "swarm/SwarmPlanner.h"
 
@@ -18,18 +17,6 @@
 /// chunks of the version, but may always send one.
 inline constexpr std::size_t ChunksPerDuplicateRequest = 100;
 
-/// A peer in the view and its holdings.
-struct ViewPeer {
-  core::HostId Host;
-  ChunkSet Held;
-  /// Whether the peer has reported its holdings at least once.
-  bool HoldingsKnown = false;
-  /// No chunk is pulled from the peer before this time.
-  core::TimePoint AvoidUntil{};
-  /// Number of pulls from the peer that are in progress.
-  std::size_t ActiveFetches = 0;
-};
-
 /// Fetch state of one chunk.
 struct ChunkState {
   /// The chunk is not read before this time. Does not delay pulls.
--- a/libs/swarm/src/SwarmPlanner.cpp
+++ b/libs/swarm/src/SwarmPlanner.cpp
@@ -1,6 +1,7 @@
 #include "swarm/SwarmPlanner.h"
 
 #include "OriginBudget.h"
+#include "PeerView.h"
 #include "PlannerState.h"
 #include "swarm/ReaderRanks.h"
 
@@ -28,7 +29,7 @@
       : Self(std::move(Self)), Version(Version), ChunkIds(std::move(Chunks)),
         Settings(Settings), Random(Seed), HeldChunks(std::move(Held)),
         SeenChunks(HeldChunks), PendingChunks(ChunkIds.size()),
-        ChunkStates(ChunkIds.size()), HolderCounts(ChunkIds.size()) {
+        ChunkStates(ChunkIds.size()), View(ChunkIds.size()) {
     assert(HeldChunks.size() == ChunkIds.size());
   }
 
@@ -47,7 +48,7 @@
     Ranks = ReaderRanks(Version, ChunkIds, Members, SelfIndex);
     Budget.setFleet(ChunkIds.size(), Members.size(), Replicas,
                     Ranks.ingressHostCount(), Settings.CopyTime);
-    updateView();
+    View.update(domainPeers());
     cancelFetchesFromDepartedHosts();
     updateChunksToRead();
     StallTimerStart = Now;
@@ -55,25 +56,17 @@
 
   void markOriginUnreachable(TimePoint Now) override { StallTimerStart = Now; }
 
-  const std::vector<core::HostId> &view() const override { return ViewHosts; }
+  const std::vector<core::HostId> &view() const override {
+    return View.hosts();
+  }
 
   void peerHolds(const core::HostId &Host, ChunkSet Chunks,
                  TimePoint Now) override {
-    ViewPeer *Peer = viewPeer(Host);
+    ViewPeer *Peer = View.find(Host);
     if (!Peer || Chunks.size() != ChunkIds.size())
       return;
-    Peer->HoldingsKnown = true;
-    ChunkSet Changed = Peer->Held;
-    Changed ^= Chunks;
-    Changed.forEach([&](std::size_t C) {
-      if (!Chunks.contains(C)) {
-        --HolderCounts[C];
-        return;
-      }
-      ++HolderCounts[C];
-      markSeen(C, Now);
-    });
-    Peer->Held = std::move(Chunks);
+    ChunkSet Gained = View.recordHoldings(*Peer, std::move(Chunks));
+    Gained.forEach([&](std::size_t C) { markSeen(C, Now); });
   }
 
   void markDemanded(std::size_t Chunk, ChunkFetch::Source As) override {
@@ -151,33 +144,18 @@
 private:
   // ---- Members and view ----
 
-  void updateView() {
-    std::vector<core::HostId> DomainPeers;
+  /// @return the hosts of the failure domain whose holdings are tracked.
+  std::vector<core::HostId> domainPeers() const {
+    std::vector<core::HostId> Result;
     for (const EngineHost &Member : Members)
       if (Member.FailureDomain == Members[SelfIndex].FailureDomain &&
           Member.Host != Self)
-        DomainPeers.push_back(Member.Host);
-    DomainPeers = core::rendezvousRank(
-        Self.str(), std::move(DomainPeers),
+        Result.push_back(Member.Host);
+    Result = core::rendezvousRank(
+        Self.str(), std::move(Result),
         [](const core::HostId &H) -> std::string_view { return H.str(); });
-    DomainPeers.resize(std::min(DomainPeers.size(), Settings.ViewSize));
-    std::vector<ViewPeer> Next;
-    for (const core::HostId &Host : DomainPeers) {
-      ViewPeer *Old = viewPeer(Host);
-      Next.push_back(Old ? std::move(*Old)
-                         : ViewPeer{Host, ChunkSet(ChunkIds.size())});
-    }
-    View = std::move(Next);
-    ViewHosts = std::move(DomainPeers);
-    std::fill(HolderCounts.begin(), HolderCounts.end(), 0);
-    for (const ViewPeer &Peer : View)
-      Peer.Held.forEach([&](std::size_t C) { ++HolderCounts[C]; });
-  }
-
-  ViewPeer *viewPeer(const core::HostId &Host) {
-    auto Found = std::find_if(View.begin(), View.end(),
-                              [&](const auto &P) { return P.Host == Host; });
-    return Found == View.end() ? nullptr : &*Found;
+    Result.resize(std::min(Result.size(), Settings.ViewSize));
+    return Result;
   }
 
   void cancelFetchesFromDepartedHosts() {
@@ -213,9 +191,7 @@
         Now - MembersChangedAt < Settings.SettleTime &&
         Now - StartedAt < MaxSettlePeriods * Settings.SettleTime)
       return false;
-    return Now - StartedAt >= Settings.DiscoveryTime ||
-           std::all_of(View.begin(), View.end(),
-                       [](const ViewPeer &P) { return P.HoldingsKnown; });
+    return Now - StartedAt >= Settings.DiscoveryTime || View.allHoldingsKnown();
   }
 
   // ---- Fetches in progress ----
@@ -227,7 +203,7 @@
     ChunkFetch Fetch{NextId++, Chunk, From, std::move(Host)};
     if (From == ChunkFetch::Source::DomainPeer) {
       ++ActivePulls;
-      ++viewPeer(Fetch.Host)->ActiveFetches;
+      ++View.find(Fetch.Host)->ActiveFetches;
     }
     ActiveRemoteReads += isRemote(From);
     ++ChunkStates[Chunk].ActiveFetches;
@@ -242,7 +218,7 @@
     const ChunkFetch &Fetch = Item->second.Fetch;
     if (Fetch.From == ChunkFetch::Source::DomainPeer) {
       --ActivePulls;
-      if (ViewPeer *Peer = viewPeer(Fetch.Host))
+      if (ViewPeer *Peer = View.find(Fetch.Host))
         --Peer->ActiveFetches;
     }
     ActiveRemoteReads -= isRemote(Fetch.From);
@@ -279,7 +255,7 @@
                std::chrono::nanoseconds PeerDelay) {
     if (Fetch.From != ChunkFetch::Source::DomainPeer)
       ChunkStates[Fetch.Chunk].RetryAt = Now + Settings.PollDelay;
-    else if (ViewPeer *Peer = viewPeer(Fetch.Host))
+    else if (ViewPeer *Peer = View.find(Fetch.Host))
       Peer->AvoidUntil = Now + PeerDelay;
   }
 
@@ -290,11 +266,9 @@
         ++ChunkStates[Fetch.Chunk].FailedAttempts;
       return;
     }
-    ViewPeer *Peer = viewPeer(Fetch.Host);
-    if (Peer && Peer->Held.contains(Fetch.Chunk)) {
-      Peer->Held.erase(Fetch.Chunk);
-      --HolderCounts[Fetch.Chunk];
-    }
+    ViewPeer *Peer = View.find(Fetch.Host);
+    if (Peer)
+      View.removeHolding(*Peer, Fetch.Chunk);
   }
 
   void handleFailure(const ChunkFetch &Fetch, TimePoint Now) {
@@ -355,7 +329,7 @@
     std::erase_if(ChunksToRead,
                   [&](std::size_t C) { return HeldChunks.contains(C); });
     for (std::size_t C : ChunksToRead)
-      if (!PendingChunks.contains(C) && HolderCounts[C] == 0 &&
+      if (!PendingChunks.contains(C) && View.holderCount(C) == 0 &&
           ChunkStates[C].RetryAt <= Now)
         planRead(C, Now, RemoteReads, Result);
   }
@@ -369,7 +343,7 @@
     for (std::size_t C = 0; C < ChunkIds.size(); ++C) {
       std::uint32_t Rank = Ranks.readers(C).OwnDomainRank;
       if (HeldChunks.contains(C) || PendingChunks.contains(C) ||
-          HolderCounts[C] != 0 || Rank == 0 ||
+          View.holderCount(C) != 0 || Rank == 0 ||
           StalledFor <= Settings.StallTimeout * Rank ||
           ChunkStates[C].RetryAt > Now)
         continue;
@@ -406,7 +380,7 @@
     while (ActivePulls < Settings.MaxPulls) {
       std::vector<ViewPeer *> Idle;
       ChunkSet Offered(ChunkIds.size());
-      for (ViewPeer &Peer : View)
+      for (ViewPeer &Peer : View.peers())
         if (Peer.ActiveFetches == 0 && Peer.AvoidUntil <= Now) {
           Idle.push_back(&Peer);
           Offered |= Peer.Held;
@@ -431,9 +405,9 @@
     std::optional<std::size_t> Best;
     std::size_t Ties = 0;
     NotPending.forEach([&](std::size_t C) {
-      if (Best && HolderCounts[C] > HolderCounts[*Best])
+      if (Best && View.holderCount(C) > View.holderCount(*Best))
         return;
-      if (Best && HolderCounts[C] < HolderCounts[*Best])
+      if (Best && View.holderCount(C) < View.holderCount(*Best))
         Ties = 0;
       if (Random() % ++Ties == 0)
         Best = C;
@@ -482,8 +456,6 @@
   Index SelfIndex = 0;
   ReaderRanks Ranks;
   OriginBudget Budget;
-  std::vector<ViewPeer> View;
-  std::vector<core::HostId> ViewHosts;
 
   ChunkSet HeldChunks;
   /// Chunks that this host or a peer in the view has held at any time.
@@ -491,8 +463,8 @@
   /// Chunks with a request in progress.
   ChunkSet PendingChunks;
   std::vector<ChunkState> ChunkStates;
-  /// For each chunk, the number of peers in the view that hold it.
-  std::vector<std::uint32_t> HolderCounts;
+  /// The peers of the failure domain whose holdings are tracked.
+  PeerView View;
   /// Missing chunks that this host reads for its failure domain, its region or
   /// the fleet.
   std::vector<std::size_t> ChunksToRead;
