--- a/libs/serving/include/serving/TargetBoard.h
+++ b/libs/serving/include/serving/LoadBalancer.h
@@ -1,5 +1,5 @@
-#ifndef ROSEMARYLANE_SERVING_TARGET_BOARD_H
-#define ROSEMARYLANE_SERVING_TARGET_BOARD_H
+#ifndef ROSEMARYLANE_SERVING_LOAD_BALANCER_H
+#define ROSEMARYLANE_SERVING_LOAD_BALANCER_H
 
 #include "core/BootClock.h"
 #include "core/Ids.h"
@@ -15,8 +15,6 @@
 #include <string>
 #include <vector>
 
-// Declares LoadBalancer, its settings, and the types that it takes and returns.
-
 namespace rosemarylane::serving {
 
 /// Load of a target, as reported by the target or its agent.
@@ -253,14 +251,6 @@
   void recordResult(const TargetId &Id, TargetFeedback Outcome,
                     core::BootTime Now);
 
-  /// @return free slots of \p Service at targets that are not draining,
-  /// ejected, evacuated or loading a version; negative if they have more
-  /// requests than slots.
-  double freeSlots(std::string_view Service, core::BootTime Now) const;
-
-  /// @return slots of \p Service at the same targets.
-  double totalSlots(std::string_view Service, core::BootTime Now) const;
-
   /// @return whether the target is registered, not draining and not ejected.
   /// Evacuations and switches of versions are not considered.
   bool isHealthy(const TargetId &Id, core::BootTime Now) const;
@@ -357,4 +347,4 @@
 
 } // namespace rosemarylane::serving
 
-#endif // ROSEMARYLANE_SERVING_TARGET_BOARD_H
+#endif // ROSEMARYLANE_SERVING_LOAD_BALANCER_H
