--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::size_t ReadBytes = 64 << 10;
 constexpr std::uint32_t MaxHeadBytes = 64 << 10;
+/// Size of all interim answers to one request.
+constexpr std::size_t MaxInterimBytes = 64 << 10;
 constexpr std::uint64_t MaxAnswerBytes = 1 << 30;
 
 bool informational(unsigned Status) { return Status >= 100 && Status < 200; }
@@ -32,6 +34,7 @@
   Written = 0;
   WriteTried = false;
   AnswerBegun = false;
+  InterimBytes = 0;
   OnKeptClosed = nullptr;
   resetParser();
   if (Connected)
@@ -155,6 +158,9 @@
       return fail(Error::Kind::Malformed, Error.message());
     if (Incoming->is_header_done() &&
         informational(Incoming->get().result_int())) {
+      InterimBytes += Used;
+      if (InterimBytes > MaxInterimBytes)
+        return fail(Error::Kind::Malformed, "interim answers without end");
       resetParser();
       continue;
     }
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -95,6 +95,7 @@
   boost::beast::flat_buffer Input;
   std::optional<Parser> Incoming;
   bool HeadPassed = false;
+  std::size_t InterimBytes = 0;
   bool AnswerBegun = false;
   bool Late = false;
 
