--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint32_t MaxHeadBytes = 64 << 10;
 /// Size of all interim answers to one request.
 constexpr std::size_t MaxInterimBytes = 64 << 10;
+/// Size of one chunk's header, or of the last chunk's with the trailer.
+constexpr std::size_t MaxChunkHeaderBytes = 64 << 10;
 constexpr std::uint64_t MaxAnswerBytes = 1 << 30;
 
 bool informational(unsigned Status) { return Status >= 100 && Status < 200; }
@@ -170,8 +172,11 @@
     if (Incoming->is_done())
       return finish();
     if (NeedMore || Used == 0)
-      return;
+      break;
   }
+  // The parser limits heads and bodies, but not what stands between chunks.
+  if (Incoming->is_header_done() && Input.size() > MaxChunkHeaderBytes)
+    fail(Error::Kind::Malformed, "chunk header over the size limit");
 }
 
 void ClientConnection::passOn() {
--- a/libs/http/tests/EndlessAnswerTest.cpp
+++ b/libs/http/tests/EndlessAnswerTest.cpp
@@ -81,6 +81,13 @@
                 {"", "HTTP/1.1 103 Early Hints\r\n" + Field + "\r\n"}});
 }
 
+BOOST_AUTO_TEST_CASE(chunk_framing_without_end_is_malformed) {
+  checkBounded({{ChunkedHead + "5;a=", Filler},
+                {ChunkedHead + "0;a=", Filler},
+                {ChunkedHead + "0\r\n", Field},
+                {ChunkedHead, "0"}});
+}
+
 BOOST_AUTO_TEST_CASE(body_that_drips_hits_the_total_deadline) {
   Deadlines Limits = patient();
   Limits.Total = 200ms;
