--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -17,7 +17,7 @@
 /// Time limits of one exchange.
 struct Deadlines {
   std::chrono::milliseconds Connect{500};
-  /// From the request's last byte to the answer's head.
+  /// From the request's last byte to the end of the answer's head.
   std::chrono::milliseconds FirstByte{30000};
   /// Between two parts of the answer.
   std::chrono::milliseconds Idle{30000};
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -109,7 +109,17 @@
     return arm(Limits.Idle, "the connection broke within the request");
   if (Written < Output.size())
     return write();
-  if (!AnswerBegun)
+  awaitAnswer();
+}
+
+/// Only the head and parts of the body move the deadline on: other bytes may
+/// come without end.
+void ClientConnection::awaitAnswer() {
+  if (Written < Output.size())
+    return;
+  if (HeadPassed)
+    arm(Limits.Idle, "idle deadline passed");
+  else
     arm(Limits.FirstByte, "first-byte deadline passed");
 }
 
@@ -142,8 +152,6 @@
                 AnswerBegun ? "the answer ended early: " + Error.message()
                             : "closed before an answer: " + Error.message());
   AnswerBegun = true;
-  if (Written == Output.size())
-    arm(Limits.Idle, "idle deadline passed");
   Input.commit(Bytes);
   parse();
   if (!Closed)
@@ -186,6 +194,7 @@
   auto Self = shared_from_this();
   if (!HeadPassed) {
     HeadPassed = true;
+    awaitAnswer();
     ResponseHead Head;
     Head.Status = Incoming->get().result_int();
     for (const auto &Field : Incoming->get())
@@ -199,6 +208,7 @@
   std::string Part = std::exchange(Incoming->get().body(), {});
   if (Part.empty())
     return;
+  awaitAnswer();
   if (auto Hook = To.OnPart)
     Hook(std::move(Part));
 }
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -67,6 +67,7 @@
   void connect();
   void write();
   void afterWrite(boost::system::error_code Error, std::size_t Bytes);
+  void awaitAnswer();
   void read();
   void afterRead(boost::system::error_code Error, std::size_t Bytes);
   void parse();
--- a/libs/http/tests/EndlessAnswerTest.cpp
+++ b/libs/http/tests/EndlessAnswerTest.cpp
@@ -88,6 +88,33 @@
                 {ChunkedHead, "0"}});
 }
 
+BOOST_AUTO_TEST_CASE(head_that_drips_hits_the_first_byte_deadline) {
+  Deadlines Limits;
+  Limits.FirstByte = 200ms;
+  Limits.Idle = Never;
+  for (const EndlessAnswer &Answer : std::vector<EndlessAnswer>{
+           {"HTTP/1.1 200 ", "x", 10ms},
+           {"HTTP/1.1 200 OK\r\nA: ", "x", 10ms},
+           {"", "HTTP/1.1 100 Continue\r\n\r\n", 10ms}}) {
+    EndlessServer Server(Answer);
+    BOOST_TEST_CONTEXT(Answer.Begin + Answer.Repeated)
+    checkEndsAs(Error::Kind::Interrupted, Server, Limits);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(framing_that_drips_hits_the_idle_deadline) {
+  Deadlines Limits;
+  Limits.FirstByte = Never;
+  Limits.Idle = 200ms;
+  for (const EndlessAnswer &Answer : std::vector<EndlessAnswer>{
+           {ChunkedHead + "5;a=", "x", 10ms},
+           {ChunkedHead + "5\r\nhello\r\n0\r\nA: ", "x", 10ms}}) {
+    EndlessServer Server(Answer);
+    BOOST_TEST_CONTEXT(Answer.Begin)
+    checkEndsAs(Error::Kind::Interrupted, Server, Limits);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(body_that_drips_hits_the_total_deadline) {
   Deadlines Limits = patient();
   Limits.Total = 200ms;
