--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -7,6 +7,7 @@
 #include "runtime/Duty.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -49,6 +50,8 @@
     /// An error says whether the request may have run; no error means that the
     /// answer came whole.
     std::function<void(std::optional<Error>)> OnDone;
+    /// The longest body that is taken; a longer one is `Malformed`.
+    std::uint64_t MaxBodyBytes = 1 << 30;
   };
 
   /// One exchange in progress; thread-safe.
@@ -71,7 +74,7 @@
 
   using WholeHook = std::function<void(core::Result<Response, Error>)>;
 
-  /// Sends \p Whole and collects the answer. From any thread.
+  /// Sends \p Whole and collects the answer, of up to 64 MiB. From any thread.
   std::shared_ptr<Call> fetch(const std::string &Address, Request Whole,
                               Deadlines Limits, WholeHook OnDone,
                               bool Retryable = false);
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -130,6 +130,7 @@
     ExchangeHooks Hooks;
     Hooks.OnHead = To.OnHead;
     Hooks.OnPart = To.OnPart;
+    Hooks.MaxBodyBytes = To.MaxBodyBytes;
     Hooks.OnEnd = [Self = shared_from_this()](ExchangeEnd End) {
       Self->onEnd(std::move(End));
     };
@@ -253,12 +254,6 @@
   std::weak_ptr<Client::State::Exchange> Running;
 };
 
-/// Collects the parts of one answer.
-struct Collector {
-  Response Answer;
-  bool TooLarge = false;
-};
-
 } // namespace
 
 std::unique_ptr<Client> Client::create(runtime::Duty &On) {
@@ -297,25 +292,21 @@
 std::shared_ptr<Client::Call> Client::fetch(const std::string &Address,
                                             Request Whole, Deadlines Limits,
                                             WholeHook OnDone, bool Retryable) {
-  auto Parts = std::make_shared<Collector>();
+  auto Answer = std::make_shared<Response>();
   Hooks To;
-  To.OnHead = [Parts](const ResponseHead &Head) { Parts->Answer.Head = Head; };
-  To.OnPart = [Parts](std::string Part) {
-    std::string &Body = Parts->Answer.Body;
-    if (Body.empty())
-      Body = std::move(Part);
-    else if (Body.size() + Part.size() <= MaxWholeAnswerBytes)
-      Body += Part;
+  To.MaxBodyBytes = MaxWholeAnswerBytes;
+  To.OnHead = [Answer](const ResponseHead &Head) { Answer->Head = Head; };
+  To.OnPart = [Answer](std::string Part) {
+    if (Answer->Body.empty())
+      Answer->Body = std::move(Part);
     else
-      Parts->TooLarge = true;
+      Answer->Body += Part;
   };
-  To.OnDone = [Parts, OnDone = std::move(OnDone)](std::optional<Error> E) {
-    if (Parts->TooLarge)
-      E = Error{Error::Kind::Malformed, "answer over the size limit"};
+  To.OnDone = [Answer, OnDone = std::move(OnDone)](std::optional<Error> E) {
     if (E)
       OnDone(core::failure(std::move(*E)));
     else
-      OnDone(std::move(Parts->Answer));
+      OnDone(std::move(*Answer));
   };
   return stream(Address, std::move(Whole), Limits, std::move(To), Retryable);
 }
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -17,7 +17,6 @@
 constexpr std::size_t MaxInterimBytes = 64 << 10;
 /// Size of one chunk's header, or of the last chunk's with the trailer.
 constexpr std::size_t MaxChunkHeaderBytes = 64 << 10;
-constexpr std::uint64_t MaxAnswerBytes = 1 << 30;
 
 bool informational(unsigned Status) { return Status >= 100 && Status < 200; }
 
@@ -66,7 +65,7 @@
   Incoming.emplace();
   Incoming->eager(true);
   Incoming->header_limit(MaxHeadBytes);
-  Incoming->body_limit(MaxAnswerBytes);
+  Incoming->body_limit(To.MaxBodyBytes);
   Incoming->skip(HeadOnly);
   HeadPassed = false;
 }
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -33,6 +33,7 @@
   std::function<void(const ResponseHead &)> OnHead;
   std::function<void(std::string)> OnPart;
   std::function<void(ExchangeEnd)> OnEnd;
+  std::uint64_t MaxBodyBytes = 0;
 };
 
 /// One connection to a server, which carries one exchange after another.
--- a/libs/http/tests/EndlessAnswerTest.cpp
+++ b/libs/http/tests/EndlessAnswerTest.cpp
@@ -88,6 +88,20 @@
                 {ChunkedHead, "0"}});
 }
 
+BOOST_AUTO_TEST_CASE(body_without_end_is_cut_at_the_size_limit) {
+  const std::string Large(64 << 10, 'x');
+  for (const EndlessAnswer &Answer : std::vector<EndlessAnswer>{
+           {ChunkedHead, "10000\r\n" + Large + "\r\n"},
+           {"HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n", Large},
+           {"HTTP/1.1 200 OK\r\n\r\n", Large}}) {
+    EndlessServer Server(Answer);
+    BOOST_TEST_CONTEXT(Answer.Begin) {
+      checkEndsAs(Error::Kind::Malformed, Server, patient());
+      BOOST_TEST(Server.sent() < EndlessServer::MaxBytes);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(head_that_drips_hits_the_first_byte_deadline) {
   Deadlines Limits;
   Limits.FirstByte = 200ms;
