--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -38,10 +38,12 @@
   InterimBytes = 0;
   OnKeptClosed = nullptr;
   resetParser();
-  if (Connected)
+  if (Connected) {
+    withdrawOnClose(true);
     write();
-  else
+  } else {
     connect();
+  }
 }
 
 void ClientConnection::keep(std::function<void()> Hook) {
@@ -80,11 +82,19 @@
     Self->Connected = true;
     error_code Ignored;
     Self->Socket.set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
+    Self->withdrawOnClose(true);
     Self->write();
     Self->read();
   });
 }
 
+/// Bytes that still wait in the socket are sent after a plain close, however
+/// late; after this one they are dropped.
+void ClientConnection::withdrawOnClose(bool Withdraw) {
+  error_code Ignored;
+  Socket.set_option(boost::asio::socket_base::linger(Withdraw, 0), Ignored);
+}
+
 void ClientConnection::write() {
   arm(Limits.Idle, "the server takes no more of the request");
   WriteTried = true;
@@ -213,6 +223,8 @@
 }
 
 void ClientConnection::finish() {
+  if (Written == Output.size())
+    withdrawOnClose(false);
   ExchangeEnd End;
   End.Reusable =
       Incoming->keep_alive() && Input.size() == 0 && Written == Output.size();
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -55,7 +55,8 @@
   /// Ends the present exchange because its time is up.
   void expire(const char *What);
 
-  /// Closes without any hook.
+  /// Closes without any hook. A request in progress is withdrawn: what has not
+  /// left yet never reaches the server, also if the process ends.
   void close();
 
   bool open() const { return Connected && !Closed; }
@@ -66,6 +67,7 @@
       boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void connect();
+  void withdrawOnClose(bool Withdraw);
   void write();
   void afterWrite(boost::system::error_code Error, std::size_t Bytes);
   void awaitAnswer();
--- /dev/null
+++ b/libs/http/tests/GivenUpRequestTest.cpp
@@ -0,0 +1,118 @@
+#include "http/Client.h"
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+using namespace rosemarylane;
+using namespace rosemarylane::http;
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr auto Patience = 5s;
+/// More than the smallest receive buffer holds.
+constexpr std::size_t RequestBytes = 8 << 10;
+constexpr char LastBytes[] = "end of the request";
+
+/// A server that accepts connections but reads nothing until it is told to.
+class LateReader {
+public:
+  LateReader() : Acceptor(Context) {
+    tcp::endpoint Any(boost::asio::ip::make_address("127.0.0.1"), 0);
+    Acceptor.open(Any.protocol());
+    // Accepted sockets inherit it; the system rounds it up to its smallest.
+    Acceptor.set_option(boost::asio::socket_base::receive_buffer_size(1));
+    Acceptor.bind(Any);
+    Acceptor.listen();
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  }
+
+  /// @return all that arrives on the first connection until it ends.
+  std::string readAll() {
+    auto Socket = Acceptor.accept();
+    std::string All;
+    boost::system::error_code Error;
+    std::array<char, 4096> Buffer{};
+    while (!Error)
+      All.append(Buffer.data(),
+                 Socket.read_some(boost::asio::buffer(Buffer), Error));
+    return All;
+  }
+
+private:
+  boost::asio::io_context Context;
+  tcp::acceptor Acceptor;
+};
+
+struct Fixture {
+  std::shared_ptr<Client::Call> start(Deadlines Limits) {
+    std::string Body(RequestBytes, 'x');
+    Body += LastBytes;
+    return Caller->fetch(Server.address(), {"POST", "/", {}, Body}, Limits,
+                         [this](auto End) { Done.set_value(std::move(End)); });
+  }
+
+  void checkEnded(Error::Kind Expected) {
+    auto Outcome = Done.get_future();
+    BOOST_REQUIRE(Outcome.wait_for(Patience) == std::future_status::ready);
+    auto Answer = Outcome.get();
+    BOOST_REQUIRE(!Answer);
+    BOOST_TEST((Answer.error().What == Expected));
+  }
+
+  void checkNeverArrivesWhole() {
+    std::string Arrived = Server.readAll();
+    BOOST_TEST(Arrived.size() < RequestBytes);
+    BOOST_TEST((Arrived.find(LastBytes) == std::string::npos));
+  }
+
+  std::promise<core::Result<Response, Error>> Done;
+  LateReader Server;
+  std::unique_ptr<runtime::Duty> ClientDuty =
+      runtime::Duty::start("client", 64, nullptr);
+  std::unique_ptr<Client> Caller = Client::create(*ClientDuty);
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(given_up_request, Fixture)
+
+BOOST_AUTO_TEST_CASE(cancelled_request_is_withdrawn) {
+  auto Call = start({});
+  std::this_thread::sleep_for(100ms);
+  Call->cancel();
+  checkEnded(Error::Kind::Cancelled);
+  checkNeverArrivesWhole();
+}
+
+BOOST_AUTO_TEST_CASE(timed_out_request_is_withdrawn) {
+  Deadlines FirstByte;
+  FirstByte.FirstByte = 100ms;
+  start(FirstByte);
+  checkEnded(Error::Kind::Interrupted);
+  checkNeverArrivesWhole();
+}
+
+BOOST_AUTO_TEST_CASE(request_past_its_total_deadline_is_withdrawn) {
+  Deadlines Total;
+  Total.Total = 100ms;
+  start(Total);
+  checkEnded(Error::Kind::Interrupted);
+  checkNeverArrivesWhole();
+}
+
+BOOST_AUTO_TEST_CASE(request_of_a_destroyed_client_is_withdrawn) {
+  start({});
+  std::this_thread::sleep_for(100ms);
+  Caller.reset();
+  checkNeverArrivesWhole();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
