--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -78,7 +78,10 @@
       : Owner(std::move(Owner)), Address(std::move(Address)),
         Bytes(serialize(Whole, this->Address)),
         HeadOnly(Whole.Method == "HEAD"), Limits(Limits), To(std::move(To)),
-        Retryable(Retryable), TotalTimer(this->Owner->On.context()) {}
+        Retryable(Retryable), TotalTimer(this->Owner->On.context()) {
+    if (Limits.Total)
+      Until = steady_clock::now() + *Limits.Total;
+  }
 
   void start() {
     if (Owner->Closed || Ended)
@@ -87,6 +90,9 @@
     auto Endpoint = parseAddress(Address);
     if (!Endpoint)
       return end(Error{Error::Kind::Address, "not an IP:port: " + Address});
+    if (Until && *Until <= steady_clock::now())
+      return end(
+          Error{Error::Kind::NotSent, "deadline passed before the start"});
     armTotal();
     auto Kept =
         Limits.FreshConnection ? nullptr : Owner->takeIdle(Address, Retryable);
@@ -115,9 +121,9 @@
 
 private:
   void armTotal() {
-    if (!Limits.Total)
+    if (!Until)
       return;
-    TotalTimer.expires_after(*Limits.Total);
+    TotalTimer.expires_at(*Until);
     TotalTimer.async_wait([Weak = weak_from_this()](auto Error) {
       auto Self = Weak.lock();
       if (Self && !Error && Self->Connection)
@@ -134,7 +140,7 @@
     Hooks.OnEnd = [Self = shared_from_this()](ExchangeEnd End) {
       Self->onEnd(std::move(End));
     };
-    Connection->run(Bytes, HeadOnly, Limits, std::move(Hooks));
+    Connection->run(Bytes, HeadOnly, Limits, Until, std::move(Hooks));
   }
 
   void onEnd(ExchangeEnd End) {
@@ -171,6 +177,8 @@
   Deadlines Limits;
   Client::Hooks To;
   bool Retryable;
+  /// When the whole exchange has to end.
+  std::optional<steady_clock::time_point> Until;
   boost::asio::steady_timer TotalTimer;
   bool OnKept = false;
   bool Ended = false;
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -8,6 +8,7 @@
 
 namespace beast = boost::beast;
 using boost::system::error_code;
+using std::chrono::steady_clock;
 
 namespace {
 
@@ -27,9 +28,12 @@
     : Socket(Context), Address(std::move(Address)), Timer(Context) {}
 
 void ClientConnection::run(const std::string &Bytes, bool AnswerHeadOnly,
-                           Deadlines Given, ExchangeHooks Hooks) {
+                           Deadlines Given,
+                           std::optional<steady_clock::time_point> GivenUntil,
+                           ExchangeHooks Hooks) {
   To = std::move(Hooks);
   Limits = Given;
+  Until = GivenUntil;
   HeadOnly = AnswerHeadOnly;
   Output = Bytes;
   Written = 0;
@@ -48,7 +52,7 @@
 
 void ClientConnection::keep(std::function<void()> Hook) {
   OnKeptClosed = std::move(Hook);
-  KeptSince = std::chrono::steady_clock::now();
+  KeptSince = steady_clock::now();
   read();
 }
 
@@ -79,6 +83,8 @@
       return;
     if (Error)
       return Self->fail(Error::Kind::NotSent, "connect: " + Error.message());
+    if (Self->late())
+      return Self->expire("connected after a deadline");
     Self->Connected = true;
     error_code Ignored;
     Self->Socket.set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
@@ -117,7 +123,7 @@
   if (Error)
     return arm(Limits.Idle, "the connection broke within the request");
   if (Written < Output.size())
-    return write();
+    return late() ? expire("written to after a deadline") : write();
   awaitAnswer();
 }
 
@@ -250,6 +256,13 @@
     OnEnd(std::move(End));
 }
 
+/// Whether a deadline has passed that its timer has not told yet, because the
+/// process stood still.
+bool ClientConnection::late() const {
+  auto Now = steady_clock::now();
+  return Timer.expiry() <= Now || (Until && *Until <= Now);
+}
+
 void ClientConnection::expire(const char *What) {
   if (Closed || !To.OnEnd)
     return;
@@ -263,7 +276,7 @@
     auto Self = Weak.lock();
     // A wait whose time was moved may already have been on its way here.
     if (!Self || Error || Self->Closed || !Self->To.OnEnd ||
-        Self->Timer.expiry() > std::chrono::steady_clock::now())
+        Self->Timer.expiry() > steady_clock::now())
       return;
     Self->expire(What);
   });
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -46,7 +47,10 @@
                    boost::asio::ip::tcp::endpoint Address);
 
   /// Starts an exchange; connects first if need be. Ends with one `OnEnd`.
+  /// @param Until when the whole exchange has to end, if ever: no byte of the
+  /// request is written later.
   void run(const std::string &Bytes, bool HeadOnly, Deadlines Limits,
+           std::optional<std::chrono::steady_clock::time_point> Until,
            ExchangeHooks To);
 
   /// Calls \p Hook if the server closes the connection while it is kept.
@@ -79,6 +83,7 @@
   void finish();
   void fail(Error::Kind Kind, std::string Detail);
   void end(ExchangeEnd End);
+  bool late() const;
   void arm(std::chrono::milliseconds Limit, const char *What);
 
   boost::asio::ip::tcp::socket Socket;
@@ -91,6 +96,7 @@
   /// The present exchange; `To.OnEnd` is empty between exchanges.
   ExchangeHooks To;
   Deadlines Limits;
+  std::optional<std::chrono::steady_clock::time_point> Until;
   bool HeadOnly = false;
   std::string Output;
   std::size_t Written = 0;
--- a/libs/http/tests/GivenUpRequestTest.cpp
+++ b/libs/http/tests/GivenUpRequestTest.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <poll.h>
 
 using namespace rosemarylane;
 using namespace rosemarylane::http;
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr auto Patience = 5s;
+constexpr auto Deadline = 100ms;
 /// More than the smallest receive buffer holds.
 constexpr std::size_t RequestBytes = 8 << 10;
 constexpr char LastBytes[] = "end of the request";
@@ -34,6 +36,13 @@
     return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
   }
 
+  /// Whether a connection waits to be accepted.
+  bool connected() {
+    std::this_thread::sleep_for(50ms);
+    pollfd Waiting{Acceptor.native_handle(), POLLIN, 0};
+    return poll(&Waiting, 1, 0) > 0;
+  }
+
   /// @return all that arrives on the first connection until it ends.
   std::string readAll() {
     auto Socket = Acceptor.accept();
@@ -52,13 +61,19 @@
 };
 
 struct Fixture {
-  std::shared_ptr<Client::Call> start(Deadlines Limits) {
-    std::string Body(RequestBytes, 'x');
+  std::shared_ptr<Client::Call> start(Deadlines Limits,
+                                      std::size_t Bytes = RequestBytes) {
+    std::string Body(Bytes, 'x');
     Body += LastBytes;
     return Caller->fetch(Server.address(), {"POST", "/", {}, Body}, Limits,
                          [this](auto End) { Done.set_value(std::move(End)); });
   }
 
+  /// Holds the client's duty up as in a process that is frozen for a while.
+  void freezePastDeadline() {
+    ClientDuty->postAlways([] { std::this_thread::sleep_for(3 * Deadline); });
+  }
+
   void checkEnded(Error::Kind Expected) {
     auto Outcome = Done.get_future();
     BOOST_REQUIRE(Outcome.wait_for(Patience) == std::future_status::ready);
@@ -86,7 +101,7 @@
 
 BOOST_AUTO_TEST_CASE(cancelled_request_is_withdrawn) {
   auto Call = start({});
-  std::this_thread::sleep_for(100ms);
+  std::this_thread::sleep_for(Deadline);
   Call->cancel();
   checkEnded(Error::Kind::Cancelled);
   checkNeverArrivesWhole();
@@ -94,7 +109,7 @@
 
 BOOST_AUTO_TEST_CASE(timed_out_request_is_withdrawn) {
   Deadlines FirstByte;
-  FirstByte.FirstByte = 100ms;
+  FirstByte.FirstByte = Deadline;
   start(FirstByte);
   checkEnded(Error::Kind::Interrupted);
   checkNeverArrivesWhole();
@@ -102,7 +117,7 @@
 
 BOOST_AUTO_TEST_CASE(request_past_its_total_deadline_is_withdrawn) {
   Deadlines Total;
-  Total.Total = 100ms;
+  Total.Total = Deadline;
   start(Total);
   checkEnded(Error::Kind::Interrupted);
   checkNeverArrivesWhole();
@@ -110,9 +125,47 @@
 
 BOOST_AUTO_TEST_CASE(request_of_a_destroyed_client_is_withdrawn) {
   start({});
-  std::this_thread::sleep_for(100ms);
+  std::this_thread::sleep_for(Deadline);
   Caller.reset();
   checkNeverArrivesWhole();
 }
 
+BOOST_AUTO_TEST_CASE(nothing_is_sent_after_a_deadline_that_passed_unseen) {
+  Deadlines OfConnect;
+  OfConnect.Connect = Deadline;
+  Deadlines OfAll;
+  OfAll.Total = Deadline;
+  for (const Deadlines &Limits : {OfConnect, OfAll}) {
+    Done = {};
+    start(Limits);
+    freezePastDeadline();
+    checkEnded(Error::Kind::NotSent);
+    // A connection that was never made cannot be accepted.
+    BOOST_TEST((!Server.connected() || Server.readAll().empty()));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_sent_after_a_wait_for_the_duty) {
+  Deadlines Limits;
+  Limits.Total = Deadline;
+  freezePastDeadline();
+  start(Limits);
+  checkEnded(Error::Kind::NotSent);
+  BOOST_TEST(!Server.connected());
+}
+
+BOOST_AUTO_TEST_CASE(write_does_not_go_on_after_its_deadline_passed_unseen) {
+  Deadlines Limits;
+  Limits.Idle = 4 * Deadline;
+  start(Limits, 64 << 20);
+  // The server has taken no more for a while when the client falls still.
+  std::this_thread::sleep_for(Deadline);
+  ClientDuty->postAlways([] { std::this_thread::sleep_for(8 * Deadline); });
+  std::this_thread::sleep_for(4 * Deadline);
+  auto Arrived =
+      std::async(std::launch::async, [&] { return Server.readAll(); });
+  checkEnded(Error::Kind::Interrupted);
+  BOOST_TEST((Arrived.get().find(LastBytes) == std::string::npos));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
