--- a/libs/store/include/store/Origin.h
+++ b/libs/store/include/store/Origin.h
@@ -6,6 +6,7 @@
 #include "runtime/Duty.h"
 #include "store/KeyValue.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -20,10 +21,14 @@
 public:
   using Hook = std::function<void(core::Result<std::string, StoreError>)>;
 
+  /// Longest time of one call with all of its answer.
+  static constexpr std::chrono::minutes DefaultDeadline{2};
+
   /// @param Io owns the sockets.
   /// @param Deliver runs the hooks. Both outlive the client.
   static std::unique_ptr<Origin>
-  create(runtime::Duty &Io, runtime::Duty &Deliver, std::string Address);
+  create(runtime::Duty &Io, runtime::Duty &Deliver, std::string Address,
+         std::chrono::milliseconds Deadline = DefaultDeadline);
   virtual ~Origin() = default;
 
   virtual void fetchManifest(const core::Digest &Version, Hook OnDone) = 0;
--- a/libs/store/src/Origin.cpp
+++ b/libs/store/src/Origin.cpp
@@ -23,8 +23,9 @@
 
 class HttpOrigin : public Origin {
 public:
-  HttpOrigin(runtime::Duty &Io, runtime::Duty &Deliver, std::string Address)
-      : Deliver(Deliver), Address(std::move(Address)),
+  HttpOrigin(runtime::Duty &Io, runtime::Duty &Deliver, std::string Address,
+             std::chrono::milliseconds Deadline)
+      : Deliver(Deliver), Address(std::move(Address)), Deadline(Deadline),
         Http(http::Client::create(Io)) {}
 
   void fetchManifest(const core::Digest &Version, Hook OnDone) override {
@@ -40,6 +41,7 @@
     http::Deadlines Limits;
     Limits.FirstByte = FirstByteDeadline;
     Limits.Idle = IdleDeadline;
+    Limits.Total = Deadline;
     Http->fetch(
         Address, {"GET", std::move(Path), {}, {}}, Limits,
         [&Deliver = Deliver, OnDone = std::move(OnDone)](auto Answer) {
@@ -50,14 +52,18 @@
 
   runtime::Duty &Deliver;
   std::string Address;
+  std::chrono::milliseconds Deadline;
   std::unique_ptr<http::Client> Http;
 };
 
 } // namespace
 
-std::unique_ptr<Origin>
-Origin::create(runtime::Duty &Io, runtime::Duty &Deliver, std::string Address) {
-  return std::make_unique<HttpOrigin>(Io, Deliver, std::move(Address));
+std::unique_ptr<Origin> Origin::create(runtime::Duty &Io,
+                                       runtime::Duty &Deliver,
+                                       std::string Address,
+                                       std::chrono::milliseconds Deadline) {
+  return std::make_unique<HttpOrigin>(Io, Deliver, std::move(Address),
+                                      Deadline);
 }
 
 } // namespace rosemarylane::store
