--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -74,10 +74,15 @@
 
   using WholeHook = std::function<void(core::Result<Response, Error>)>;
 
-  /// Sends \p Whole and collects the answer, of up to 64 MiB. From any thread.
+  static constexpr std::uint64_t MaxWholeBodyBytes = 64 << 20;
+
+  /// Sends \p Whole and collects the answer. From any thread.
+  /// @param MaxBodyBytes the longest body that is taken; a longer one is
+  /// `Malformed`.
   std::shared_ptr<Call> fetch(const std::string &Address, Request Whole,
                               Deadlines Limits, WholeHook OnDone,
-                              bool Retryable = false);
+                              bool Retryable = false,
+                              std::uint64_t MaxBodyBytes = MaxWholeBodyBytes);
 
   /// Closes the idle connections to \p Address, which may have fallen silent.
   /// From any thread.
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -26,7 +26,6 @@
 /// A request that may not be sent twice uses only a connection that carried an
 /// answer within this time; on an older one it could be lost without a trace.
 constexpr std::chrono::seconds MaxIdleTimeUnrepeatable{2};
-constexpr std::size_t MaxWholeAnswerBytes = 64 << 20;
 constexpr unsigned HttpVersion11 = 11;
 
 std::string serialize(const Request &Whole, const std::string &Address) {
@@ -299,10 +298,11 @@
 
 std::shared_ptr<Client::Call> Client::fetch(const std::string &Address,
                                             Request Whole, Deadlines Limits,
-                                            WholeHook OnDone, bool Retryable) {
+                                            WholeHook OnDone, bool Retryable,
+                                            std::uint64_t MaxBodyBytes) {
   auto Answer = std::make_shared<Response>();
   Hooks To;
-  To.MaxBodyBytes = MaxWholeAnswerBytes;
+  To.MaxBodyBytes = MaxBodyBytes;
   To.OnHead = [Answer](const ResponseHead &Head) { Answer->Head = Head; };
   To.OnPart = [Answer](std::string Part) {
     if (Answer->Body.empty())
--- a/libs/store/src/Origin.cpp
+++ b/libs/store/src/Origin.cpp
@@ -20,6 +20,8 @@
 /// The origin's link is shared, so an answer may wait for its turn.
 constexpr std::chrono::seconds FirstByteDeadline{30};
 constexpr std::chrono::seconds IdleDeadline{10};
+/// More than the largest chunk or manifest.
+constexpr std::uint64_t MaxBodyBytes = 16 << 20;
 
 class HttpOrigin : public Origin {
 public:
@@ -47,7 +49,7 @@
         [&Deliver = Deliver, OnDone = std::move(OnDone)](auto Answer) {
           deliver(Deliver, OnDone, bodyOf(std::move(Answer)));
         },
-        true);
+        /*Retryable=*/true, MaxBodyBytes);
   }
 
   runtime::Duty &Deliver;
--- a/libs/store/tests/EndlessAnswerTest.cpp
+++ b/libs/store/tests/EndlessAnswerTest.cpp
@@ -14,6 +14,8 @@
 
 constexpr auto Patience = 5s;
 constexpr auto CallDeadline = 200ms;
+/// What one answer may hold, and what the sockets on the way may hold besides.
+constexpr std::size_t AnswerAndSocketBytes = 32 << 20;
 
 const std::string ChunkedHead =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -96,4 +98,16 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(flooding_origin_is_cut_at_the_size_of_a_chunk) {
+  EndlessServer Server(
+      {ChunkedHead, "10000\r\n" + std::string(64 << 10, 'x') + "\r\n"});
+  auto Source = originAt(Server.address(), 2 * Patience);
+  auto Chunk = await<std::string>([&](auto Hook) {
+    Source->fetchChunk(core::Digest::of("x"), std::move(Hook));
+  });
+  BOOST_REQUIRE(!Chunk);
+  BOOST_TEST((Chunk.error().What == StoreError::Kind::Unavailable));
+  BOOST_TEST(Server.sent() < AnswerAndSocketBytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
