--- a/libs/store/src/EtcdKeyValue.cpp
+++ b/libs/store/src/EtcdKeyValue.cpp
@@ -20,18 +20,24 @@
       "POST", Path, {{"Content-Type", "application/json"}}, std::move(Body)};
 }
 
-/// One watch. `Line` and `Ended` belong to the sockets' duty, the hooks to the
+/// One watch. What it reads belongs to the sockets' duty, the hooks to the
 /// delivering one; calls no hook once its handle was dropped, although the
 /// sockets' duty may still be reading a part for it.
 class WatchState : public std::enable_shared_from_this<WatchState> {
 public:
-  WatchState(runtime::Duty &Deliver, std::function<void(StoredValue)> OnChange,
+  WatchState(runtime::Duty &Deliver, std::chrono::milliseconds Idle,
+             std::function<void(StoredValue)> OnChange,
              std::function<void(StoreError)> OnLost)
-      : Deliver(Deliver), OnChange(std::move(OnChange)),
+      : Deliver(Deliver), Idle(Idle), OnChange(std::move(OnChange)),
         OnLost(std::move(OnLost)) {}
 
+  /// The answer has begun.
+  void begin() { LastNotice = std::chrono::steady_clock::now(); }
+
   /// Takes one part of the answer, which ends anywhere in a line.
   void take(std::string_view Part) {
+    if (Ended)
+      return;
     Line += Part;
     std::size_t Begin = 0;
     for (auto End = Line.find('\n'); !Ended && End != std::string::npos;
@@ -42,6 +48,9 @@
     Line.erase(0, Begin);
     if (Line.size() > MaxWatchLineBytes)
       lose(malformedAnswer(CallKind::Read, "line too long"));
+    // Bytes that make no notice may come without end.
+    if (std::chrono::steady_clock::now() - LastNotice > Idle)
+      lose({StoreError::Kind::Unavailable, "bytes, but no notice"});
   }
 
   /// The handle is dropped.
@@ -59,6 +68,7 @@
       return;
     try {
       auto Message = etcd_json::parseWatch(Text);
+      LastNotice = std::chrono::steady_clock::now();
       for (StoredValue &Change : Message.Changes)
         deliver([Change = std::move(Change)](WatchState &Self) {
           Self.OnChange(Change);
@@ -79,9 +89,11 @@
   }
 
   runtime::Duty &Deliver;
+  const std::chrono::milliseconds Idle;
   std::function<void(StoredValue)> OnChange;
   std::function<void(StoreError)> OnLost;
   std::atomic<bool> Dropped{false};
+  std::chrono::steady_clock::time_point LastNotice;
   std::string Line;
   bool Ended = false;
 };
@@ -138,13 +150,16 @@
   watch(const std::string &Key, std::int64_t FromRevision,
         std::function<void(StoredValue)> OnChange,
         std::function<void(StoreError)> OnLost) override {
-    auto State = std::make_shared<WatchState>(Deliver, std::move(OnChange),
-                                              std::move(OnLost));
+    auto State = std::make_shared<WatchState>(
+        Deliver, Settings.WatchIdle, std::move(OnChange), std::move(OnLost));
     std::weak_ptr<WatchState> Weak = State;
     http::Client::Hooks Hooks;
     Hooks.OnHead = [Weak](const http::ResponseHead &Head) {
-      auto Error = statusError(CallKind::Read, {Head, {}});
-      if (auto Watch = Weak.lock(); Watch && Error)
+      auto Watch = Weak.lock();
+      if (!Watch)
+        return;
+      Watch->begin();
+      if (auto Error = statusError(CallKind::Read, {Head, {}}))
         Watch->lose(std::move(*Error));
     };
     Hooks.OnPart = [Weak](const std::string &Part) {
--- a/libs/store/tests/EndlessAnswerTest.cpp
+++ b/libs/store/tests/EndlessAnswerTest.cpp
@@ -51,6 +51,18 @@
     return Origin::create(*ClientDuty, *HookDuty, Address, Deadline);
   }
 
+  /// @return whether a watch of \p Answer is told within the patience that it
+  /// is lost.
+  bool watchIsLost(const EndlessAnswer &Answer) {
+    EndlessServer Server(Answer);
+    auto Store = storeAt(Server.address());
+    std::promise<void> Lost;
+    auto Watch = Store->watch(
+        "k", 1, [](const StoredValue &) {},
+        [&](const StoreError &) { Lost.set_value(); });
+    return Lost.get_future().wait_for(Patience) == std::future_status::ready;
+  }
+
   std::unique_ptr<runtime::Duty> ClientDuty =
       runtime::Duty::start("client", 64, nullptr);
   std::unique_ptr<runtime::Duty> HookDuty =
@@ -86,6 +98,13 @@
   BOOST_TEST((List.error().What == StoreError::Kind::Unavailable));
 }
 
+BOOST_AUTO_TEST_CASE(watch_of_a_line_that_never_ends_is_lost) {
+  BOOST_TEST(watchIsLost({ChunkedHead, "1\r\nx\r\n", 10ms}));
+  BOOST_TEST(watchIsLost({ChunkedHead, "1\r\n\n\r\n", 10ms}));
+  BOOST_TEST(watchIsLost(
+      {ChunkedHead, "10000\r\n" + std::string(64 << 10, 'x') + "\r\n"}));
+}
+
 BOOST_AUTO_TEST_CASE(dripping_origin_hits_its_deadline) {
   for (const EndlessAnswer &Answer : dripping()) {
     EndlessServer Server(Answer);
