--- a/rosemarylane/src/agent/EngineControl.cpp
+++ b/rosemarylane/src/agent/EngineControl.cpp
@@ -8,16 +8,19 @@
 
 namespace {
 
-constexpr http::Deadlines QuestionDeadlines{std::chrono::milliseconds(500),
-                                            std::chrono::milliseconds(2000),
-                                            std::chrono::milliseconds(2000)};
-constexpr http::Deadlines ChunkDeadlines{std::chrono::milliseconds(500),
-                                         std::chrono::milliseconds(10000),
-                                         std::chrono::milliseconds(5000)};
+constexpr http::Deadlines QuestionDeadlines{
+    .FirstByte = std::chrono::milliseconds(2000),
+    .Idle = std::chrono::milliseconds(2000),
+    .Total = std::chrono::milliseconds(2500)};
+constexpr http::Deadlines ChunkDeadlines{
+    .FirstByte = std::chrono::milliseconds(10000),
+    .Idle = std::chrono::milliseconds(5000),
+    .Total = std::chrono::milliseconds(30000)};
 /// Loading moves whole weights into place.
-constexpr http::Deadlines LoadDeadlines{std::chrono::milliseconds(500),
-                                        std::chrono::minutes(2),
-                                        std::chrono::milliseconds(5000)};
+constexpr http::Deadlines LoadDeadlines{.FirstByte = std::chrono::minutes(2),
+                                        .Idle = std::chrono::milliseconds(5000),
+                                        .Total =
+                                            std::chrono::milliseconds(130000)};
 
 constexpr char ControlPath[] = "/control/v1";
 
