--- a/rosemarylane/src/agent/TargetCall.cpp
+++ b/rosemarylane/src/agent/TargetCall.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::seconds FirstByteDeadline{60};
 constexpr std::chrono::seconds IdleDeadline{30};
 constexpr std::chrono::milliseconds ConfirmDeadline{500};
+constexpr std::size_t MaxHeldAnswerBytes =
+    ledger::AttemptTableLimits().MaxTotalAnswerBytes;
 constexpr char GenerationField[] = "x-engine-generation";
 
 /// Whether a header field belongs to one connection, or is set by this hop.
@@ -206,11 +208,21 @@
     Out.set_data(Part);
     Offset += Part.size();
     Checksum.add(Part);
-    if (Answer)
-      Answer->Body += Part;
+    collect(Part);
     Send.send(Entry, std::move(Message));
   }
 
+  /// Keeps \p Part for an answer that is to be held. One that is too long to
+  /// be held is only passed on.
+  void collect(const std::string &Part) {
+    if (!Answer)
+      return;
+    if (Answer->Body.size() + Part.size() > MaxHeldAnswerBytes)
+      Answer = nullptr;
+    else
+      Answer->Body += Part;
+  }
+
   void onDone(const std::optional<http::Error> &Error) {
     if (Ended)
       return;
--- a/rosemarylane/tests/TargetEndlessAnswerTest.cpp
+++ b/rosemarylane/tests/TargetEndlessAnswerTest.cpp
@@ -1,6 +1,7 @@
 #include "EndlessServer.h"
 #include "agent/EngineControl.h"
 #include "agent/TargetCall.h"
+#include "http/Server.h"
 
 #include <boost/test/unit_test.hpp>
 #include <future>
@@ -40,6 +41,42 @@
     return Ended && Outcome.get();
   }
 
+  /// Sends a request that may not be repeated to a target that answers with
+  /// \p BodyBytes.
+  /// @return how the call ended; none if it did not within the patience.
+  std::optional<TargetCallEnd> callAtMostOnce(std::size_t BodyBytes) {
+    auto Target = http::Server::listen(
+        *Context->HttpCalling, {.Address = "127.0.0.1:0"},
+        [&](const std::shared_ptr<http::Exchange> &X) {
+          X->respond({{200, {}}, std::string(BodyBytes, 'x')});
+        });
+    BOOST_REQUIRE(Target);
+    Context->Config.Target.Address =
+        "127.0.0.1:" + std::to_string((*Target)->port());
+    std::promise<TargetCallEnd> Done;
+    std::shared_ptr<TargetCall> Call;
+    MessageSender Send(*Context, wire::ROLE_AGENT);
+    Context->Control->postAlways([&] {
+      wire::RunRequest Request;
+      Request.set_method("POST");
+      Request.set_target("/");
+      Call = TargetCall::start(
+          *Context, Send, wire::Peer::at("127.0.0.1:1"), Request, "", {},
+          [&](TargetCallEnd End) { Done.set_value(std::move(End)); });
+    });
+    auto Outcome = Done.get_future();
+    bool Ended = Outcome.wait_for(Patience) == std::future_status::ready;
+    std::promise<void> Dropped;
+    Context->Control->postAlways([&] {
+      Call.reset();
+      Dropped.set_value();
+    });
+    Dropped.get_future().wait();
+    if (!Ended)
+      return std::nullopt;
+    return Outcome.get();
+  }
+
   std::unique_ptr<ProcessContext> Context;
   std::size_t Sent = 0;
 };
@@ -59,4 +96,17 @@
   BOOST_TEST(Sent < AnswerAndSocketBytes);
 }
 
+BOOST_AUTO_TEST_CASE(only_an_answer_that_can_be_held_is_collected) {
+  auto Held = callAtMostOnce(1 << 20);
+  BOOST_REQUIRE(Held);
+  BOOST_TEST((Held->Ran == ledger::Ran::Yes));
+  BOOST_REQUIRE(Held->Answer);
+  BOOST_TEST(Held->Answer->Body.size() == 1 << 20);
+  // Over what the agent holds of all answers together.
+  auto TooLong = callAtMostOnce(49 << 20);
+  BOOST_REQUIRE(TooLong);
+  BOOST_TEST((TooLong->Ran == ledger::Ran::Yes));
+  BOOST_TEST(!TooLong->Answer);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
