--- a/libs/http/include/http/Client.h
+++ b/libs/http/include/http/Client.h
@@ -7,6 +7,7 @@
 #include "runtime/Duty.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -17,7 +18,7 @@
 /// Time limits of one exchange.
 struct Deadlines {
   std::chrono::milliseconds Connect{500};
-  /// From the request's last byte to the answer's head.
+  /// From the request's last byte to the end of the answer's head.
   std::chrono::milliseconds FirstByte{30000};
   /// Between two parts of the answer.
   std::chrono::milliseconds Idle{30000};
@@ -49,6 +50,8 @@
     /// An error says whether the request may have run; no error means that the
     /// answer came whole.
     std::function<void(std::optional<Error>)> OnDone;
+    /// The longest body that is taken; a longer one is `Malformed`.
+    std::uint64_t MaxBodyBytes = 1 << 30;
   };
 
   /// One exchange in progress; thread-safe.
@@ -71,10 +74,15 @@
 
   using WholeHook = std::function<void(core::Result<Response, Error>)>;
 
+  static constexpr std::uint64_t MaxWholeBodyBytes = 64 << 20;
+
   /// Sends \p Whole and collects the answer. From any thread.
+  /// @param MaxBodyBytes the longest body that is taken; a longer one is
+  /// `Malformed`.
   std::shared_ptr<Call> fetch(const std::string &Address, Request Whole,
                               Deadlines Limits, WholeHook OnDone,
-                              bool Retryable = false);
+                              bool Retryable = false,
+                              std::uint64_t MaxBodyBytes = MaxWholeBodyBytes);
 
   /// Closes the idle connections to \p Address, which may have fallen silent.
   /// From any thread.
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -26,7 +26,6 @@
 /// A request that may not be sent twice uses only a connection that carried an
 /// answer within this time; on an older one it could be lost without a trace.
 constexpr std::chrono::seconds MaxIdleTimeUnrepeatable{2};
-constexpr std::size_t MaxWholeAnswerBytes = 64 << 20;
 constexpr unsigned HttpVersion11 = 11;
 
 std::string serialize(const Request &Whole, const std::string &Address) {
@@ -78,7 +77,10 @@
       : Owner(std::move(Owner)), Address(std::move(Address)),
         Bytes(serialize(Whole, this->Address)),
         HeadOnly(Whole.Method == "HEAD"), Limits(Limits), To(std::move(To)),
-        Retryable(Retryable), TotalTimer(this->Owner->On.context()) {}
+        Retryable(Retryable), TotalTimer(this->Owner->On.context()) {
+    if (Limits.Total)
+      Until = steady_clock::now() + *Limits.Total;
+  }
 
   void start() {
     if (Owner->Closed || Ended)
@@ -87,6 +89,9 @@
     auto Endpoint = parseAddress(Address);
     if (!Endpoint)
       return end(Error{Error::Kind::Address, "not an IP:port: " + Address});
+    if (Until && *Until <= steady_clock::now())
+      return end(
+          Error{Error::Kind::NotSent, "deadline passed before the start"});
     armTotal();
     auto Kept =
         Limits.FreshConnection ? nullptr : Owner->takeIdle(Address, Retryable);
@@ -115,9 +120,9 @@
 
 private:
   void armTotal() {
-    if (!Limits.Total)
+    if (!Until)
       return;
-    TotalTimer.expires_after(*Limits.Total);
+    TotalTimer.expires_at(*Until);
     TotalTimer.async_wait([Weak = weak_from_this()](auto Error) {
       auto Self = Weak.lock();
       if (Self && !Error && Self->Connection)
@@ -130,10 +135,11 @@
     ExchangeHooks Hooks;
     Hooks.OnHead = To.OnHead;
     Hooks.OnPart = To.OnPart;
+    Hooks.MaxBodyBytes = To.MaxBodyBytes;
     Hooks.OnEnd = [Self = shared_from_this()](ExchangeEnd End) {
       Self->onEnd(std::move(End));
     };
-    Connection->run(Bytes, HeadOnly, Limits, std::move(Hooks));
+    Connection->run(Bytes, HeadOnly, Limits, Until, std::move(Hooks));
   }
 
   void onEnd(ExchangeEnd End) {
@@ -170,6 +176,8 @@
   Deadlines Limits;
   Client::Hooks To;
   bool Retryable;
+  /// When the whole exchange has to end.
+  std::optional<steady_clock::time_point> Until;
   boost::asio::steady_timer TotalTimer;
   bool OnKept = false;
   bool Ended = false;
@@ -253,12 +261,6 @@
   std::weak_ptr<Client::State::Exchange> Running;
 };
 
-/// Collects the parts of one answer.
-struct Collector {
-  Response Answer;
-  bool TooLarge = false;
-};
-
 } // namespace
 
 std::unique_ptr<Client> Client::create(runtime::Duty &On) {
@@ -296,26 +298,23 @@
 
 std::shared_ptr<Client::Call> Client::fetch(const std::string &Address,
                                             Request Whole, Deadlines Limits,
-                                            WholeHook OnDone, bool Retryable) {
-  auto Parts = std::make_shared<Collector>();
+                                            WholeHook OnDone, bool Retryable,
+                                            std::uint64_t MaxBodyBytes) {
+  auto Answer = std::make_shared<Response>();
   Hooks To;
-  To.OnHead = [Parts](const ResponseHead &Head) { Parts->Answer.Head = Head; };
-  To.OnPart = [Parts](std::string Part) {
-    std::string &Body = Parts->Answer.Body;
-    if (Body.empty())
-      Body = std::move(Part);
-    else if (Body.size() + Part.size() <= MaxWholeAnswerBytes)
-      Body += Part;
+  To.MaxBodyBytes = MaxBodyBytes;
+  To.OnHead = [Answer](const ResponseHead &Head) { Answer->Head = Head; };
+  To.OnPart = [Answer](std::string Part) {
+    if (Answer->Body.empty())
+      Answer->Body = std::move(Part);
     else
-      Parts->TooLarge = true;
+      Answer->Body += Part;
   };
-  To.OnDone = [Parts, OnDone = std::move(OnDone)](std::optional<Error> E) {
-    if (Parts->TooLarge)
-      E = Error{Error::Kind::Malformed, "answer over the size limit"};
+  To.OnDone = [Answer, OnDone = std::move(OnDone)](std::optional<Error> E) {
     if (E)
       OnDone(core::failure(std::move(*E)));
     else
-      OnDone(std::move(Parts->Answer));
+      OnDone(std::move(*Answer));
   };
   return stream(Address, std::move(Whole), Limits, std::move(To), Retryable);
 }
--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -8,12 +8,16 @@
 
 namespace beast = boost::beast;
 using boost::system::error_code;
+using std::chrono::steady_clock;
 
 namespace {
 
 constexpr std::size_t ReadBytes = 64 << 10;
 constexpr std::uint32_t MaxHeadBytes = 64 << 10;
-constexpr std::uint64_t MaxAnswerBytes = 1 << 30;
+/// Size of all interim answers to one request.
+constexpr std::size_t MaxInterimBytes = 64 << 10;
+/// Size of one chunk's header, or of the last chunk's with the trailer.
+constexpr std::size_t MaxChunkHeaderBytes = 64 << 10;
 
 bool informational(unsigned Status) { return Status >= 100 && Status < 200; }
 
@@ -24,25 +28,31 @@
     : Socket(Context), Address(std::move(Address)), Timer(Context) {}
 
 void ClientConnection::run(const std::string &Bytes, bool AnswerHeadOnly,
-                           Deadlines Given, ExchangeHooks Hooks) {
+                           Deadlines Given,
+                           std::optional<steady_clock::time_point> GivenUntil,
+                           ExchangeHooks Hooks) {
   To = std::move(Hooks);
   Limits = Given;
+  Until = GivenUntil;
   HeadOnly = AnswerHeadOnly;
   Output = Bytes;
   Written = 0;
   WriteTried = false;
   AnswerBegun = false;
+  InterimBytes = 0;
   OnKeptClosed = nullptr;
   resetParser();
-  if (Connected)
+  if (Connected) {
+    withdrawOnClose(true);
     write();
-  else
+  } else {
     connect();
+  }
 }
 
 void ClientConnection::keep(std::function<void()> Hook) {
   OnKeptClosed = std::move(Hook);
-  KeptSince = std::chrono::steady_clock::now();
+  KeptSince = steady_clock::now();
   read();
 }
 
@@ -61,7 +71,7 @@
   Incoming.emplace();
   Incoming->eager(true);
   Incoming->header_limit(MaxHeadBytes);
-  Incoming->body_limit(MaxAnswerBytes);
+  Incoming->body_limit(To.MaxBodyBytes);
   Incoming->skip(HeadOnly);
   HeadPassed = false;
 }
@@ -73,14 +83,24 @@
       return;
     if (Error)
       return Self->fail(Error::Kind::NotSent, "connect: " + Error.message());
+    if (Self->late())
+      return Self->expire("connected after a deadline");
     Self->Connected = true;
     error_code Ignored;
     Self->Socket.set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
+    Self->withdrawOnClose(true);
     Self->write();
     Self->read();
   });
 }
 
+/// Bytes that still wait in the socket are sent after a plain close, however
+/// late; after this one they are dropped.
+void ClientConnection::withdrawOnClose(bool Withdraw) {
+  error_code Ignored;
+  Socket.set_option(boost::asio::socket_base::linger(Withdraw, 0), Ignored);
+}
+
 void ClientConnection::write() {
   arm(Limits.Idle, "the server takes no more of the request");
   WriteTried = true;
@@ -103,8 +123,18 @@
   if (Error)
     return arm(Limits.Idle, "the connection broke within the request");
   if (Written < Output.size())
-    return write();
-  if (!AnswerBegun)
+    return late() ? expire("written to after a deadline") : write();
+  awaitAnswer();
+}
+
+/// Only the head and parts of the body move the deadline on: other bytes may
+/// come without end.
+void ClientConnection::awaitAnswer() {
+  if (Written < Output.size())
+    return;
+  if (HeadPassed)
+    arm(Limits.Idle, "idle deadline passed");
+  else
     arm(Limits.FirstByte, "first-byte deadline passed");
 }
 
@@ -137,8 +167,6 @@
                 AnswerBegun ? "the answer ended early: " + Error.message()
                             : "closed before an answer: " + Error.message());
   AnswerBegun = true;
-  if (Written == Output.size())
-    arm(Limits.Idle, "idle deadline passed");
   Input.commit(Bytes);
   parse();
   if (!Closed)
@@ -155,6 +183,9 @@
       return fail(Error::Kind::Malformed, Error.message());
     if (Incoming->is_header_done() &&
         informational(Incoming->get().result_int())) {
+      InterimBytes += Used;
+      if (InterimBytes > MaxInterimBytes)
+        return fail(Error::Kind::Malformed, "interim answers without end");
       resetParser();
       continue;
     }
@@ -164,8 +195,11 @@
     if (Incoming->is_done())
       return finish();
     if (NeedMore || Used == 0)
-      return;
+      break;
   }
+  // The parser limits heads and bodies, but not what stands between chunks.
+  if (Incoming->is_header_done() && Input.size() > MaxChunkHeaderBytes)
+    fail(Error::Kind::Malformed, "chunk header over the size limit");
 }
 
 void ClientConnection::passOn() {
@@ -175,6 +209,7 @@
   auto Self = shared_from_this();
   if (!HeadPassed) {
     HeadPassed = true;
+    awaitAnswer();
     ResponseHead Head;
     Head.Status = Incoming->get().result_int();
     for (const auto &Field : Incoming->get())
@@ -188,11 +223,14 @@
   std::string Part = std::exchange(Incoming->get().body(), {});
   if (Part.empty())
     return;
+  awaitAnswer();
   if (auto Hook = To.OnPart)
     Hook(std::move(Part));
 }
 
 void ClientConnection::finish() {
+  if (Written == Output.size())
+    withdrawOnClose(false);
   ExchangeEnd End;
   End.Reusable =
       Incoming->keep_alive() && Input.size() == 0 && Written == Output.size();
@@ -218,6 +256,13 @@
     OnEnd(std::move(End));
 }
 
+/// Whether a deadline has passed that its timer has not told yet, because the
+/// process stood still.
+bool ClientConnection::late() const {
+  auto Now = steady_clock::now();
+  return Timer.expiry() <= Now || (Until && *Until <= Now);
+}
+
 void ClientConnection::expire(const char *What) {
   if (Closed || !To.OnEnd)
     return;
@@ -231,7 +276,7 @@
     auto Self = Weak.lock();
     // A wait whose time was moved may already have been on its way here.
     if (!Self || Error || Self->Closed || !Self->To.OnEnd ||
-        Self->Timer.expiry() > std::chrono::steady_clock::now())
+        Self->Timer.expiry() > steady_clock::now())
       return;
     Self->expire(What);
   });
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -33,6 +34,7 @@
   std::function<void(const ResponseHead &)> OnHead;
   std::function<void(std::string)> OnPart;
   std::function<void(ExchangeEnd)> OnEnd;
+  std::uint64_t MaxBodyBytes = 0;
 };
 
 /// One connection to a server, which carries one exchange after another.
@@ -45,7 +47,10 @@
                    boost::asio::ip::tcp::endpoint Address);
 
   /// Starts an exchange; connects first if need be. Ends with one `OnEnd`.
+  /// @param Until when the whole exchange has to end, if ever: no byte of the
+  /// request is written later.
   void run(const std::string &Bytes, bool HeadOnly, Deadlines Limits,
+           std::optional<std::chrono::steady_clock::time_point> Until,
            ExchangeHooks To);
 
   /// Calls \p Hook if the server closes the connection while it is kept.
@@ -54,7 +59,8 @@
   /// Ends the present exchange because its time is up.
   void expire(const char *What);
 
-  /// Closes without any hook.
+  /// Closes without any hook. A request in progress is withdrawn: what has not
+  /// left yet never reaches the server, also if the process ends.
   void close();
 
   bool open() const { return Connected && !Closed; }
@@ -65,8 +71,10 @@
       boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void connect();
+  void withdrawOnClose(bool Withdraw);
   void write();
   void afterWrite(boost::system::error_code Error, std::size_t Bytes);
+  void awaitAnswer();
   void read();
   void afterRead(boost::system::error_code Error, std::size_t Bytes);
   void parse();
@@ -75,6 +83,7 @@
   void finish();
   void fail(Error::Kind Kind, std::string Detail);
   void end(ExchangeEnd End);
+  bool late() const;
   void arm(std::chrono::milliseconds Limit, const char *What);
 
   boost::asio::ip::tcp::socket Socket;
@@ -87,6 +96,7 @@
   /// The present exchange; `To.OnEnd` is empty between exchanges.
   ExchangeHooks To;
   Deadlines Limits;
+  std::optional<std::chrono::steady_clock::time_point> Until;
   bool HeadOnly = false;
   std::string Output;
   std::size_t Written = 0;
@@ -95,6 +105,7 @@
   boost::beast::flat_buffer Input;
   std::optional<Parser> Incoming;
   bool HeadPassed = false;
+  std::size_t InterimBytes = 0;
   bool AnswerBegun = false;
   bool Late = false;
 
