--- a/rosemarylane/tests/process/ChildProcess.h
+++ b/rosemarylane/tests/process/ChildProcess.h
@@ -32,6 +32,7 @@
   std::optional<int> wait(std::chrono::milliseconds Limit);
 
   bool running();
+  pid_t pid() const { return Pid; }
   const std::string &logFile() const { return LogFile; }
 
 private:
