--- a/libs/serving/src/EventSplitter.cpp
+++ b/libs/serving/src/EventSplitter.cpp
@@ -1,11 +1,15 @@
 #include "serving/EventSplitter.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace rosemarylane::serving {
 
 namespace {
 
+/// Size of the longest end of an event, "\n\r\n", without its last byte.
+constexpr std::size_t MaxPartialEndBytes = 2;
+
 /// @return the size of all complete events at the start of \p Bytes.
 std::size_t completeEventsSize(std::string_view Bytes) {
   std::size_t LfEnd = Bytes.rfind("\n\n");
@@ -21,10 +25,16 @@
 } // namespace
 
 std::string EventSplitter::feed(std::string_view Bytes) {
+  // The pending bytes were searched before, but an end may begin in the last of
+  // them.
+  std::size_t SearchFrom =
+      Pending.size() - std::min(Pending.size(), MaxPartialEndBytes);
   Pending.append(Bytes);
-  std::size_t End = completeEventsSize(Pending);
+  std::size_t End =
+      completeEventsSize(std::string_view(Pending).substr(SearchFrom));
   if (End == 0)
     return {};
+  End += SearchFrom;
   std::string Events = Pending.substr(0, End);
   Pending.erase(0, End);
   updateLastEventId(Events);
--- a/libs/serving/tests/StreamTest.cpp
+++ b/libs/serving/tests/StreamTest.cpp
@@ -1,6 +1,7 @@
 #include "serving/EventSplitter.h"
 
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <rapidcheck.h>
 
 using rosemarylane::serving::EventSplitter;
@@ -45,4 +46,31 @@
   BOOST_TEST(Splitter.feed("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
 }
 
+BOOST_AUTO_TEST_CASE(passes_events_with_carriage_returns_however_cut) {
+  const std::string Stream = "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\r\n";
+  for (std::size_t Size = 1; Size <= Stream.size(); ++Size) {
+    EventSplitter Splitter;
+    std::string Out;
+    for (std::size_t At = 0; At < Stream.size(); At += Size)
+      Out += Splitter.feed(std::string_view(Stream).substr(At, Size));
+    BOOST_TEST(Out == Stream);
+    BOOST_TEST(Splitter.lastEventId() == "2");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_event_in_small_parts_takes_time_by_its_size) {
+  // The event loop serves nobody else meanwhile.
+  constexpr std::size_t EventBytes = 1 << 20;
+  constexpr std::size_t PartBytes = 64;
+  constexpr std::chrono::milliseconds TimeLimit{200};
+  const std::string Part(PartBytes, 'x');
+  EventSplitter Splitter;
+  auto Start = std::chrono::steady_clock::now();
+  for (std::size_t Fed = 0; Fed < EventBytes; Fed += PartBytes)
+    Splitter.feed(Part);
+  auto Took = std::chrono::steady_clock::now() - Start;
+  BOOST_TEST(Splitter.pendingBytes() == EventBytes);
+  BOOST_TEST((Took < TimeLimit));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
