--- a/rosemarylane/src/gateway/TargetSend.h
+++ b/rosemarylane/src/gateway/TargetSend.h
@@ -107,8 +107,11 @@
   GatewayContext &Context;
   serving::SelectedTarget Target;
   TargetPool::ConnectionPtr TcpStream;
+  /// Limit of the bytes that are kept until they can be parsed. The parser
+  /// itself limits only the head, not the extension of a chunk or the trailer.
+  static constexpr std::size_t MaxUnparsedBytes = 64 << 10;
   /// Bytes received on the connection that are not parsed yet.
-  boost::beast::flat_buffer ConnectionBuffer;
+  boost::beast::flat_buffer ConnectionBuffer{MaxUnparsedBytes};
   std::optional<Parser> Response;
   platform::AnswerMarks HeaderValues;
   std::shared_ptr<PendingWrite> Outgoing;
