--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -29,6 +29,10 @@
 /// buffer of the socket. A larger body is written in the background, because
 /// the target may respond before it has read all of it.
 constexpr std::size_t MaxAwaitedBodyBytes = 8 << 10;
+/// Limit of the bytes that are skipped before the response: interim responses
+/// and late ones to earlier requests. The timeout alone is no limit, as it does
+/// not fire while bytes can be read without a wait.
+constexpr std::size_t MaxSkippedBytes = 1 << 20;
 
 } // namespace
 
@@ -129,6 +133,9 @@
         *TcpStream, ConnectionBuffer, *Response, Await);
     if (ErrorCode)
       co_return resultOf(ErrorCode);
+    SkippedBytes += BytesRead;
+    if (SkippedBytes > MaxSkippedBytes)
+      co_return Result::Broken;
     if (Response->get().result_int() == 100)
       continue;
     HeaderValues = platform::readAnswer(status(), head());
@@ -162,6 +169,9 @@
         *TcpStream, ConnectionBuffer, *Response, Await);
     if (ErrorCode && ErrorCode != http_::error::need_buffer)
       co_return false;
+    SkippedBytes += BytesRead;
+    if (SkippedBytes > MaxSkippedBytes)
+      co_return false;
   }
   co_return true;
 }
--- a/rosemarylane/src/gateway/TargetSend.h
+++ b/rosemarylane/src/gateway/TargetSend.h
@@ -40,8 +40,9 @@
     /// No connection could be opened, so no byte was sent.
     NotSent,
     /// The connection failed; or a late response to an earlier request on the
-    /// same connection came first and could not be skipped; or the response
-    /// reports success without the header field by which the target states that
+    /// same connection came first and could not be skipped; or too many bytes
+    /// came before the response; or the response reports success without the
+    /// header field by which the target states that
     /// it produced the response itself (`AnswerMarks::Signed`).
     Broken,
     /// Nothing was received before the timeout.
@@ -113,6 +114,8 @@
   /// Bytes received on the connection that are not parsed yet.
   boost::beast::flat_buffer ConnectionBuffer{MaxUnparsedBytes};
   std::optional<Parser> Response;
+  /// Bytes read so far for responses that were skipped, and for the head.
+  std::size_t SkippedBytes = 0;
   platform::AnswerMarks HeaderValues;
   std::shared_ptr<PendingWrite> Outgoing;
   /// The last part of the body; its first `BodyDataSize` bytes are valid.
