--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -41,6 +41,9 @@
 /// a part is appended, so the last part may exceed the limit; if yet another
 /// part follows, the response is handled like one whose connection broke.
 constexpr std::size_t MaxBufferedBytes = 1 << 20;
+/// Limit of the size of one event of a stream. A larger one is handled like a
+/// connection that broke.
+constexpr std::size_t MaxEventBytes = 1 << 20;
 /// Range of the random `Retry-After` time of a refusal.
 constexpr milliseconds MinRetryAfter{500};
 constexpr milliseconds MaxRetryAfter{1900};
@@ -454,6 +457,11 @@
     }
     if (AtEnd)
       break;
+    if (Splitter.pendingBytes() > MaxEventBytes) {
+      LastFeedback = TargetFeedback::Broken;
+      Attempt->cancel();
+      co_return SendResult::Unknown;
+    }
   }
   LastFeedback = TargetFeedback::Served;
   Attempt->release();
--- a/rosemarylane/src/gateway/TargetSend.h
+++ b/rosemarylane/src/gateway/TargetSend.h
@@ -42,8 +42,8 @@
     /// The connection failed; or a late response to an earlier request on the
     /// same connection came first and could not be skipped; or too many bytes
     /// came before the response; or the response reports success without the
-    /// header field by which the target states that
-    /// it produced the response itself (`AnswerMarks::Signed`).
+    /// header field by which the target states that it produced the response
+    /// itself (`AnswerMarks::Signed`).
     Broken,
     /// Nothing was received before the timeout.
     TimedOut,
