--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -30,9 +30,8 @@
 /// that of the whole request.
 constexpr milliseconds StreamHeadTimeout{1500};
 constexpr milliseconds BufferedHeadTimeout{700};
-/// Time limit for the next part of the body of a stream that another target may
-/// resume. A part may hold less than one event.
-constexpr milliseconds StreamReadTimeout{1100};
+/// Time limit for the next event of a stream that another target may resume.
+constexpr milliseconds StreamEventTimeout{1100};
 /// Estimated time that an engine takes for one token of a response. Used for
 /// the expected duration of a request, for all models.
 constexpr milliseconds EstimatedTimePerToken{8};
@@ -420,8 +419,12 @@
   bool MayRetry = Admitted.Route->repeatable() &&
                   Outcome.attemptCount() + 1 < Admitted.Route->MaxAttempts;
   Splitter.discardPending();
+  Clock::time_point EventDeadline = Clock::now() + StreamEventTimeout;
   for (;;) {
-    milliseconds Timeout = MayRetry ? StreamReadTimeout : Admitted.TimeLimit;
+    milliseconds Timeout = Admitted.TimeLimit;
+    if (MayRetry)
+      Timeout = std::chrono::duration_cast<milliseconds>(EventDeadline -
+                                                         Clock::now());
     TargetSend::Result Result = co_await Attempt->next(Deadline, Timeout);
     if (Caller->disconnected())
       co_return SendResult::Unknown;
@@ -448,6 +451,7 @@
     if (!Events.empty()) {
       recordStreamPause();
       Delivered = co_await Caller->writeChunk(std::move(Events));
+      EventDeadline = Clock::now() + StreamEventTimeout;
     }
     if (!Delivered) {
       LastFeedback = TargetFeedback::Abandoned;
