--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -187,6 +187,10 @@
     }
     if (Cancelled)
       co_return Result::Broken;
+    // The timeout of the connection does not fire while bytes can be read
+    // without a wait.
+    if (Clock::now() >= Deadline)
+      co_return Result::TimedOut;
     TcpStream->expires_at(std::min(Deadline, Clock::now() + Timeout));
     Response->get().body().data = BodyBuffer.data();
     Response->get().body().size = BodyBuffer.size();
