--- a/rosemarylane/src/node/HttpClient.cpp
+++ b/rosemarylane/src/node/HttpClient.cpp
@@ -22,6 +22,10 @@
 /// Minimum time between two searches for expired idle connections.
 constexpr std::chrono::milliseconds EvictionPeriod{500};
 constexpr std::size_t MaxIdlePerAddress = 4;
+/// Limit of the bytes of a response that are kept until they can be parsed. The
+/// parser itself limits only the head and the body, not the extension of a
+/// chunk or the trailer.
+constexpr std::size_t MaxUnparsedBytes = 64 << 10;
 constexpr std::chrono::milliseconds ConnectTimeout{400};
 /// See `enableDeadPeerDetection`.
 constexpr std::chrono::milliseconds DeadPeerTimeout{1500};
@@ -132,7 +136,7 @@
     auto [WriteFailed, Written] =
         co_await beast::http::async_write(*Stream, Message, Await);
     boost::system::error_code Failed = WriteFailed;
-    beast::flat_buffer Buffer;
+    beast::flat_buffer Buffer(MaxUnparsedBytes);
     beast::http::response_parser<beast::http::string_body> Parser;
     Parser.body_limit(Spec.MaxBodyBytes);
     std::size_t ResponseBytes = 0;
