--- a/rosemarylane/src/node/PeerServer.cpp
+++ b/rosemarylane/src/node/PeerServer.cpp
@@ -32,6 +32,10 @@
 /// pause.
 constexpr std::size_t LargeResponseBytes = 8 << 10;
 constexpr std::chrono::milliseconds LargeWritePollPeriod{4};
+/// Limit of the bytes of a request that are kept until they can be parsed. The
+/// parser itself limits only the head and the body, not the extension of a
+/// chunk or the trailer.
+constexpr std::size_t MaxUnparsedBytes = 64 << 10;
 
 http::Request fromBeast(http_::request<http_::string_body> &&From) {
   http::Request To;
@@ -69,7 +73,7 @@
   static asio::awaitable<void> serve(std::shared_ptr<State> Self,
                                      Tcp::socket Socket) {
     beast::tcp_stream Stream(std::move(Socket));
-    beast::flat_buffer Buffer;
+    beast::flat_buffer Buffer(MaxUnparsedBytes);
     for (;;) {
       http_::request<http_::string_body> Message;
       Stream.expires_after(IdleTimeout);
--- a/rosemarylane/tests/PeerServerTest.cpp
+++ b/rosemarylane/tests/PeerServerTest.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -87,4 +88,63 @@
   BOOST_TEST((*Took < seconds(1)));
 }
 
+BOOST_AUTO_TEST_CASE(bytes_that_are_no_request_end_the_connection) {
+  // What the sockets of both ends and the server's buffer can hold.
+  constexpr std::size_t MostSentBytes = 16 << 20;
+  const std::string Filler(16 << 10, 'a');
+  std::string Fields;
+  std::string Chunks;
+  while (Fields.size() < Filler.size()) {
+    Fields += "X-More: more\r\n";
+    Chunks += "4\r\nmore\r\n";
+  }
+  const std::string Chunked =
+      "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::pair<std::string, std::string> Endless[] = {
+      {"GET /", Filler},
+      {"GET / HTTP/1.1\r\n", Fields},
+      {"GET / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n", Filler},
+      {Chunked, Chunks},
+      {Chunked + "4;", Filler},
+      {Chunked + "0\r\n", Fields},
+  };
+  for (const auto &[Start, More] : Endless) {
+    asio::io_context Loop;
+    std::uint16_t Port = freePort(Loop);
+    auto Server = PeerServer::listen(
+        Loop, "127.0.0.1:" + std::to_string(Port),
+        [](const http::Request &) -> asio::awaitable<http::Response> {
+          co_return http::Response();
+        },
+        BytesPerSecond);
+    BOOST_REQUIRE(Server);
+    bool Closed = false;
+    std::size_t SentBytes = 0;
+    asio::co_spawn(
+        Loop,
+        [&]() -> asio::awaitable<void> {
+          Tcp::socket Socket(Loop);
+          co_await Socket.async_connect(
+              Tcp::endpoint(asio::ip::address_v4::loopback(), Port),
+              asio::use_awaitable);
+          co_await asio::async_write(Socket, asio::buffer(Start),
+                                     asio::use_awaitable);
+          while (!Closed) {
+            boost::system::error_code Failed;
+            SentBytes += co_await asio::async_write(
+                Socket, asio::buffer(More),
+                asio::redirect_error(asio::use_awaitable, Failed));
+            Closed = Failed.failed();
+          }
+          Loop.stop();
+        },
+        asio::detached);
+    Loop.run_for(seconds(2));
+    BOOST_TEST_CONTEXT(Start << More.substr(0, 16)) {
+      BOOST_TEST(Closed);
+      BOOST_TEST(SentBytes < MostSentBytes);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
