--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -30,9 +30,8 @@
 /// that of the whole request.
 constexpr milliseconds StreamHeadTimeout{1500};
 constexpr milliseconds BufferedHeadTimeout{700};
-/// Time limit for the next part of the body of a stream that another target may
-/// resume. A part may hold less than one event.
-constexpr milliseconds StreamReadTimeout{1100};
+/// Time limit for the next event of a stream that another target may resume.
+constexpr milliseconds StreamEventTimeout{1100};
 /// Estimated time that an engine takes for one token of a response. Used for
 /// the expected duration of a request, for all models.
 constexpr milliseconds EstimatedTimePerToken{8};
@@ -41,6 +40,9 @@
 /// a part is appended, so the last part may exceed the limit; if yet another
 /// part follows, the response is handled like one whose connection broke.
 constexpr std::size_t MaxBufferedBytes = 1 << 20;
+/// Limit of the size of one event of a stream. A larger one is handled like a
+/// connection that broke.
+constexpr std::size_t MaxEventBytes = 1 << 20;
 /// Range of the random `Retry-After` time of a refusal.
 constexpr milliseconds MinRetryAfter{500};
 constexpr milliseconds MaxRetryAfter{1900};
@@ -441,8 +443,12 @@
 
 asio::awaitable<SendResult> RequestRun::forwardStream() {
   Splitter.discardPending();
+  Clock::time_point EventDeadline = Clock::now() + StreamEventTimeout;
   for (;;) {
-    milliseconds Timeout = mayRetry() ? StreamReadTimeout : Admitted.TimeLimit;
+    milliseconds Timeout = Admitted.TimeLimit;
+    if (mayRetry())
+      Timeout = std::chrono::duration_cast<milliseconds>(EventDeadline -
+                                                         Clock::now());
     TargetSend::Result Result = co_await Attempt->next(Deadline, Timeout);
     if (Caller->disconnected())
       co_return SendResult::Unknown;
@@ -469,6 +475,7 @@
     if (!Events.empty()) {
       recordStreamPause();
       Delivered = co_await Caller->writeChunk(std::move(Events));
+      EventDeadline = Clock::now() + StreamEventTimeout;
     }
     if (!Delivered) {
       LastFeedback = TargetFeedback::Abandoned;
@@ -478,6 +485,11 @@
     }
     if (AtEnd)
       break;
+    if (Splitter.pendingBytes() > MaxEventBytes) {
+      LastFeedback = TargetFeedback::Broken;
+      Attempt->cancel();
+      co_return SendResult::Unknown;
+    }
   }
   LastFeedback = TargetFeedback::Served;
   Attempt->release();
--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -31,6 +31,10 @@
 /// buffer of the socket. A larger body is written in the background, because
 /// the target may respond before it has read all of it.
 constexpr std::size_t MaxAwaitedBodyBytes = 8 << 10;
+/// Limit of the bytes that are skipped before the response: interim responses
+/// and late ones to earlier requests. The timeout alone is no limit, as it does
+/// not fire while bytes can be read without a wait.
+constexpr std::size_t MaxSkippedBytes = 1 << 20;
 
 } // namespace
 
@@ -128,6 +132,9 @@
         *TcpStream, ConnectionBuffer, *Response, Await);
     if (ErrorCode)
       co_return resultOf(ErrorCode);
+    SkippedBytes += BytesRead;
+    if (SkippedBytes > MaxSkippedBytes)
+      co_return Result::Broken;
     if (Response->get().result_int() == 100)
       continue;
     HeaderValues = platform::readAnswer(status(), head());
@@ -161,6 +168,9 @@
         *TcpStream, ConnectionBuffer, *Response, Await);
     if (ErrorCode && ErrorCode != http_::error::need_buffer)
       co_return false;
+    SkippedBytes += BytesRead;
+    if (SkippedBytes > MaxSkippedBytes)
+      co_return false;
   }
   co_return true;
 }
@@ -176,6 +186,10 @@
     }
     if (Cancelled)
       co_return Result::Broken;
+    // The timeout of the connection does not fire while bytes can be read
+    // without a wait.
+    if (Clock::now() >= Deadline)
+      co_return Result::TimedOut;
     TcpStream->expires_at(std::min(Deadline, Clock::now() + Timeout));
     Response->get().body().data = BodyBuffer.data();
     Response->get().body().size = BodyBuffer.size();
--- a/rosemarylane/src/gateway/TargetSend.h
+++ b/rosemarylane/src/gateway/TargetSend.h
@@ -41,9 +41,10 @@
     /// No byte was sent.
     NotSent,
     /// The connection failed; or a late response to an earlier request on the
-    /// same connection came first and could not be skipped; or the response
-    /// reports success without the header field by which the target states that
-    /// it produced the response itself (`AnswerMarks::Signed`).
+    /// same connection came first and could not be skipped; or too many bytes
+    /// came before the response; or the response reports success without the
+    /// header field by which the target states that it produced the response
+    /// itself (`AnswerMarks::Signed`).
     Broken,
     /// Nothing was received before the timeout.
     TimedOut,
@@ -110,9 +111,14 @@
   GatewayContext &Context;
   serving::SelectedTarget Target;
   TargetPool::ConnectionPtr TcpStream;
+  /// Limit of the bytes that are kept until they can be parsed. The parser
+  /// itself limits only the head, not the extension of a chunk or the trailer.
+  static constexpr std::size_t MaxUnparsedBytes = 64 << 10;
   /// Bytes received on the connection that are not parsed yet.
-  boost::beast::flat_buffer ConnectionBuffer;
+  boost::beast::flat_buffer ConnectionBuffer{MaxUnparsedBytes};
   std::optional<Parser> Response;
+  /// Bytes read so far for responses that were skipped, and for the head.
+  std::size_t SkippedBytes = 0;
   platform::AnswerMarks HeaderValues;
   std::shared_ptr<PendingWrite> Outgoing;
   /// The last part of the body; its first `BodyDataSize` bytes are valid.
