--- a/libs/serving/include/serving/ReadSchedule.h
+++ b/libs/serving/include/serving/ReadSchedule.h
@@ -41,9 +41,10 @@
   /// How long a peer's message that it is reading holds off a takeover: two
   /// periods of the queries that are answered by such messages.
   static constexpr std::chrono::milliseconds PeerReadTtl{700};
-  /// Upper limit of the staleness up to which peers that are reading hold off a
-  /// takeover.
-  static constexpr std::chrono::milliseconds MaxDeferredStaleness{3200};
+  /// Staleness up to which a peer that is reading holds off the takeover of the
+  /// process of rank 1, and the upper limit for all ranks.
+  static constexpr std::chrono::milliseconds DeferredStaleness{3200};
+  static constexpr std::chrono::milliseconds MaxDeferredStaleness{4200};
 
   void readStarted(core::BootTime Now) { LastRead = Now; }
   void readFinished(bool Succeeded) { LastFailed = !Succeeded; }
@@ -64,14 +65,14 @@
     if (Rank == 0 || !Staleness)
       return true;
     bool PeerReading = PeerReadingAt && Now - *PeerReadingAt < PeerReadTtl;
-    if (PeerReading && *Staleness < MaxDeferredStaleness)
-      return false;
-    if (LastFailed && Now - *LastRead >= RetryPeriod)
+    if (!PeerReading && LastFailed && Now - *LastRead >= RetryPeriod)
       return true;
-    auto TakeoverThreshold = std::min(
-        TakeoverStaleness + TakeoverDelayPerRank * static_cast<int>(Rank - 1),
-        MaxTakeoverStaleness);
-    return *Staleness >= TakeoverThreshold;
+    auto RankDelay = TakeoverDelayPerRank * static_cast<int>(Rank - 1);
+    auto Threshold =
+        PeerReading
+            ? std::min(DeferredStaleness + RankDelay, MaxDeferredStaleness)
+            : std::min(TakeoverStaleness + RankDelay, MaxTakeoverStaleness);
+    return *Staleness >= Threshold;
   }
 
   /// @return whether to query peers: periodically if another process reads the
--- a/libs/serving/tests/PeersTest.cpp
+++ b/libs/serving/tests/PeersTest.cpp
@@ -97,6 +97,9 @@
   BOOST_TEST(
       Schedule.readDue(1, milliseconds(2300), Start + milliseconds(800)));
   BOOST_TEST(Schedule.readDue(1, milliseconds(3300), Soon));
+  // Even then not all at once.
+  BOOST_TEST(!Schedule.readDue(5, milliseconds(3300), Soon));
+  BOOST_TEST(Schedule.readDue(50, milliseconds(4200), Soon));
 }
 
 BOOST_AUTO_TEST_CASE(a_failed_read_is_not_repeated_at_once) {
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -379,7 +379,8 @@
   bool Connected =
       co_await Attempt->connect(!Admitted.Route->repeatable(), HeadDeadline);
   if (!Connected) {
-    LastFeedback = TargetFeedback::Broken;
+    LastFeedback = Clock::now() >= HeadDeadline ? TargetFeedback::Abandoned
+                                                : TargetFeedback::Broken;
     co_return SendResult::NotSent;
   }
   auto Fields = platform::targetFields(Request.base(), targetMarks(Target));
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -172,7 +172,8 @@
       Schedule.peerReading(Now);
     if (!Reading && Schedule.readDue(Rank, Staleness, Now))
       startRead(Now);
-    if (Rank == 0 && !Watching && Operators.known())
+    // A watch that starts during a read would report the change being read.
+    if (Rank == 0 && !Watching && !Reading && Operators.known())
       startWatch();
     if (Schedule.peerQueryDue(Rank, Staleness, Now))
       queryPeers(Rank, Staleness, Now);
@@ -254,12 +255,13 @@
 
   asio::awaitable<bool> read() {
     bool Unchanged = co_await confirmOperators();
-    if (!Unchanged) {
-      bool Read = co_await readSection(Section::Operators);
-      if (!Read)
-        co_return false;
-    }
-    co_return co_await readSection(Section::Registry);
+    // First the registry, which is small: a large change of the operators
+    // section must not delay the news that a target is leaving.
+    bool RegistryRead = co_await readSection(Section::Registry);
+    if (!RegistryRead || Unchanged)
+      co_return RegistryRead;
+    bool OperatorsRead = co_await readSection(Section::Operators);
+    co_return OperatorsRead;
   }
 
   asio::awaitable<bool> confirmOperators() {
@@ -479,7 +481,7 @@
     Reply->set_number(Query.number());
     toWire(Operators.summary(Now), *Reply->mutable_operators());
     toWire(Registry.summary(Now), *Reply->mutable_registry());
-    Reply->set_reading(Reading || Fetching.contains(OperatorsPath));
+    Reply->set_reading(Reading);
     Reply->set_compresses(true);
     for (const auto &[Known, Entry] : Peers.entries()) {
       wire::Node *Member = Reply->add_members();
