--- a/rosemarylane/src/sidecar/ChunkFetcher.cpp
+++ b/rosemarylane/src/sidecar/ChunkFetcher.cpp
@@ -143,6 +143,7 @@
     const platform::OriginManifest &Manifest = Chunks->manifest();
     HttpClient::Call Call;
     Call.Timeout = ChunkTimeout; // A duration.
+    Call.MaxBodyBytes = MaxChunkBytes;
     std::string Address = OriginAddress;
     if (Fetch.From == ChunkFetch::Source::Origin) {
       Call.Request =
--- a/rosemarylane/src/sidecar/TargetWatch.cpp
+++ b/rosemarylane/src/sidecar/TargetWatch.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds ReadPeriod{60};
 /// Time limit of one call that reads the target's state.
 constexpr milliseconds ReadTimeout{500};
+/// Limit of the size of the target's state.
+constexpr std::size_t MaxStateBytes = 64 << 10;
 /// Minimum time between reports of changes to gateways of other failure
 /// domains. The start and end of a switch are always reported at once.
 constexpr milliseconds OtherDomainReportPeriod{200};
@@ -58,6 +60,7 @@
     HttpClient::Call Call;
     Call.Request = platform::stateRequest();
     Call.Timeout = ReadTimeout;
+    Call.MaxBodyBytes = MaxStateBytes;
     auto Response =
         co_await Calls.exchange(Settings.TargetAddress, std::move(Call));
     if (!Response) {
--- a/rosemarylane/src/sidecar/VersionChunks.h
+++ b/rosemarylane/src/sidecar/VersionChunks.h
@@ -10,6 +10,9 @@
 
 namespace rosemarylane {
 
+/// Limit of the size of a chunk that is received, from whatever source.
+inline constexpr std::size_t MaxChunkBytes = 1 << 20;
+
 /// In-memory store of the chunks of one version of the weights. Every chunk is
 /// verified against its digest in the manifest.
 ///
--- a/rosemarylane/src/sidecar/WeightKeeper.cpp
+++ b/rosemarylane/src/sidecar/WeightKeeper.cpp
@@ -31,6 +31,8 @@
 
 constexpr milliseconds StepPeriod{50};
 constexpr milliseconds ManifestTimeout{600};
+/// Limit of the size of a manifest, which has 67 bytes for each chunk.
+constexpr std::size_t MaxManifestBytes = 1 << 20;
 /// Requests for the manifest to the first host in the version's rendezvous
 /// ranking of the members, before other hosts and the origin are asked. A
 /// request answered by 404 is followed by `ManifestRetryDelay`.
@@ -40,6 +42,8 @@
 constexpr std::size_t MaxFallbackManifestPeers = 2;
 constexpr milliseconds ManifestRetryDelay{80};
 constexpr milliseconds TargetCallTimeout{700};
+/// Limit of the size of the target's response to a staged chunk or an order.
+constexpr std::size_t MaxTargetResponseBytes = 64 << 10;
 /// Longest time for which this host, asked as the reader of its region or of
 /// the fleet, holds a peer's request until it has the chunk. Shorter than
 /// `ChunkTimeout` of the asking host's `ChunkFetcher`.
@@ -354,6 +358,7 @@
             std::string(ManifestsPath) + Model + "/" + std::to_string(Version);
       }
       Call.Timeout = ManifestTimeout; // A duration.
+      Call.MaxBodyBytes = MaxManifestBytes;
       auto Reply = co_await Calls.exchange(Address, std::move(Call));
       if (!Reply || Reply->Head.Status != 200)
         logManifestFailure(Version, Address,
@@ -440,6 +445,7 @@
       HttpClient::Call Call;
       Call.Request = platform::stagedChunkRequest(Model, I);
       Call.Timeout = TargetCallTimeout;
+      Call.MaxBodyBytes = MaxChunkBytes;
       auto Reply =
           co_await Calls.exchange(Settings.TargetAddress, std::move(Call));
       if (!Reply || Reply->Head.Status == 404)
@@ -502,6 +508,7 @@
       HttpClient::Call Call;
       Call.Request = platform::stageRequest(Model, I, Chunks.bytes(I));
       Call.Timeout = TargetCallTimeout;
+      Call.MaxBodyBytes = MaxTargetResponseBytes;
       auto Reply =
           co_await Calls.exchange(Settings.TargetAddress, std::move(Call));
       if (!Reply || Reply->Head.Status >= 300) {
@@ -530,6 +537,7 @@
     HttpClient::Call Call;
     Call.Request = platform::orderRequest(Order);
     Call.Timeout = TargetCallTimeout;
+    Call.MaxBodyBytes = MaxTargetResponseBytes;
     Call.RetryOnStaleConnection = false;
     Watch.setSwitching(true);
     auto Reply =
