--- a/rosemarylane/tests/PeerServerTest.cpp
+++ b/rosemarylane/tests/PeerServerTest.cpp
@@ -108,7 +108,9 @@
       {Chunked + "4;", Filler},
       {Chunked + "0\r\n", Fields},
   };
-  for (const auto &[Start, More] : Endless) {
+  for (const auto &Bytes : Endless) {
+    const std::string &Start = Bytes.first;
+    const std::string &More = Bytes.second;
     asio::io_context Loop;
     std::uint16_t Port = freePort(Loop);
     auto Server = PeerServer::listen(
