--- a/rosemarylane/src/sidecar/ManifestClient.cpp
+++ b/rosemarylane/src/sidecar/ManifestClient.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr milliseconds ManifestTimeout{600};
+/// Limit of the size of a manifest, which has 67 bytes for each chunk.
+constexpr std::size_t MaxManifestBytes = 1 << 20;
 /// Requests for the manifest to the first host in the version's rendezvous
 /// ranking of the members, before other hosts and the origin are asked. A
 /// request answered by 404 is followed by `ManifestRetryDelay`.
@@ -96,6 +98,7 @@
     Call.Request.Target = manifestPath(Served.model(), Version);
   }
   Call.Timeout = ManifestTimeout; // A duration.
+  Call.MaxBodyBytes = MaxManifestBytes;
   return Call;
 }
 
--- a/rosemarylane/src/sidecar/TargetLoader.cpp
+++ b/rosemarylane/src/sidecar/TargetLoader.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr milliseconds TargetCallTimeout{700};
+/// Limit of the size of the target's response to a staged chunk or an order.
+constexpr std::size_t MaxTargetResponseBytes = 64 << 10;
 constexpr milliseconds StatePollPeriod{50};
 /// Time for which the target's state is polled after a load order before
 /// another order may be sent.
@@ -39,6 +41,7 @@
     HttpClient::Call Call;
     Call.Request = platform::stagedChunkRequest(Served.model(), I);
     Call.Timeout = TargetCallTimeout;
+    Call.MaxBodyBytes = MaxChunkBytes;
     auto Reply =
         co_await Calls.exchange(Settings.TargetAddress, std::move(Call));
     if (!Reply || Reply->Head.Status == 404)
@@ -56,6 +59,7 @@
     HttpClient::Call Call;
     Call.Request = platform::stageRequest(Served.model(), I, Chunks.bytes(I));
     Call.Timeout = TargetCallTimeout;
+    Call.MaxBodyBytes = MaxTargetResponseBytes;
     auto Reply =
         co_await Calls.exchange(Settings.TargetAddress, std::move(Call));
     if (!Reply || Reply->Head.Status >= 300) {
@@ -84,6 +88,7 @@
   HttpClient::Call Call;
   Call.Request = platform::orderRequest(Order);
   Call.Timeout = TargetCallTimeout;
+  Call.MaxBodyBytes = MaxTargetResponseBytes;
   Call.RetryOnStaleConnection = false;
   Watch.setSwitching(true);
   auto Reply = co_await Calls.exchange(Settings.TargetAddress, std::move(Call));
