--- a/rosemarylane/src/node/HttpClient.cpp
+++ b/rosemarylane/src/node/HttpClient.cpp
@@ -189,8 +189,10 @@
     bool TimedOut = Failed == beast::error::timeout;
     if (!Reused || !Spec.RetryOnStaleConnection || ResponseBytes > 0 ||
         TimedOut)
-      co_return core::failure(
-          Error{Error::Kind::Interrupted, Failed.message()});
+      co_return core::failure(Error{Failed == beast::http::error::body_limit
+                                        ? Error::Kind::Malformed
+                                        : Error::Kind::Interrupted,
+                                    Failed.message()});
     Stream = nullptr;
   }
 }
--- a/rosemarylane/src/node/HttpClient.h
+++ b/rosemarylane/src/node/HttpClient.h
@@ -45,6 +45,8 @@
     /// Whether to repeat the request on a new connection if a reused one fails
     /// before any byte of the response.
     bool RetryOnStaleConnection = true;
+    /// A larger body fails the call with `http::Error::Kind::Malformed`, before
+    /// it is received if its size is stated.
     std::size_t MaxBodyBytes = 8 << 20;
     /// Called when reading the body has ended or failed.
     std::function<void(const BodyTransfer &)> OnBodyEnd;
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -35,6 +35,9 @@
 /// keep arriving. Shorter than the time within which a change has to be in
 /// force.
 constexpr milliseconds SectionBodyTimeout{2500};
+/// Limit of the body of a notice that something has changed. The notice holds
+/// the changed items, which are read from the section instead.
+constexpr std::size_t MaxNoticeBytes = 16 << 10;
 /// Limit of one decompressed value.
 constexpr std::size_t MaxValueBytes = 8 << 20;
 /// Values of at least this size are compressed for peers.
@@ -223,10 +226,12 @@
     Call.Request = platform::watchRequest(Section::Operators, Operators.at(),
                                           WatchDuration);
     Call.Timeout = WatchTimeout;
+    Call.MaxBodyBytes = MaxNoticeBytes;
     ++StoreRequests;
     auto Answer =
         co_await Client.exchange(Settings.StoreAddress, std::move(Call));
-    bool Changed = false;
+    bool Changed =
+        !Answer && Answer.error().What == http::Error::Kind::Malformed;
     if (Answer) {
       auto Decoded = platform::decodeWatch(*Answer);
       Changed = Decoded && *Decoded;
@@ -276,6 +281,7 @@
     HttpClient::Call Call;
     Call.Request = platform::confirmRequest(Keys, Operators.items());
     Call.Timeout = StoreTimeout;
+    Call.MaxBodyBytes = MaxNoticeBytes;
     std::uint64_t Digest = Operators.digest();
     BootTime Sent = BootClock::now();
     ++StoreRequests;
--- a/standins/src/Relay.cpp
+++ b/standins/src/Relay.cpp
@@ -130,4 +130,6 @@
 
 Relay::~Relay() { S->Control.reset(); }
 
+std::uint64_t Relay::returnedBytes() const { return S->Shared->ReturnedBytes; }
+
 } // namespace rosemarylane::standins
--- a/standins/src/Relay.h
+++ b/standins/src/Relay.h
@@ -40,6 +40,9 @@
   start(runtime::Duty &On, const RelaySettings &Settings);
   ~Relay();
 
+  /// @return bytes that came back so far from the called side. Any thread.
+  std::uint64_t returnedBytes() const;
+
   struct State;
 
 private:
--- a/standins/src/RelayLink.cpp
+++ b/standins/src/RelayLink.cpp
@@ -68,6 +68,8 @@
 }
 
 void RelayLink::pass(std::size_t Index, std::size_t Bytes) {
+  if (Index == 1)
+    Shared->ReturnedBytes += Bytes;
   auto &Timer = Ways[Index].Timer;
   Timer.expires_at(due(Index, Bytes));
   Timer.async_wait([Self = shared_from_this(), Index, Bytes](error_code Error) {
--- a/standins/src/RelayLink.h
+++ b/standins/src/RelayLink.h
@@ -2,6 +2,7 @@
 #define ROSEMARYLANE_STANDINS_RELAY_LINK_H
 
 #include <array>
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
@@ -15,6 +16,8 @@
   bool Frozen = false;
   std::uint64_t BytesPerSecond = 0;
   std::chrono::milliseconds Delay{0};
+  /// Bytes taken so far from the addresses that the relay leads to.
+  std::atomic<std::uint64_t> ReturnedBytes{0};
   /// When each way is free again.
   std::array<std::chrono::steady_clock::time_point, 2> Free;
 };
