--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -95,6 +95,7 @@
   void recordResponseTime(const serving::SelectedTarget &Target);
   void recordAttemptEnd(const serving::SelectedTarget &Target,
                         SendResult AttemptResult);
+  void logFailedAttempt(const serving::SelectedTarget &Target) const;
 
   // Final responses, logging and metrics.
   // A reason is the outcome in the log and the label of the request metric;
@@ -150,6 +151,9 @@
 
   // State of the response to the caller.
   bool HeadForwarded = false;
+  /// The target of the last attempt has sent at least one whole event, or the
+  /// head of a response that is not a stream.
+  bool AnswerBegun = false;
   /// Splits a streamed response into server-sent events. Only complete events
   /// are forwarded, so that another target can resume the stream after the
   /// last.
@@ -325,6 +329,9 @@
                      AttemptResult == SendResult::Refused ||
                      AttemptResult == SendResult::Failed;
   Context.Targets.recordResult(Target.Id, LastFeedback, Now);
+  if (LastFeedback == TargetFeedback::Broken ||
+      LastFeedback == TargetFeedback::Silent)
+    logFailedAttempt(Target);
   if (HasResponse && HeaderValues.Load)
     Context.Targets.updateLoad(Target.Id, *HeaderValues.Load, Now);
   if (HasResponse && HeaderValues.WarmupLeft)
@@ -335,6 +342,24 @@
   Context.advanceWaitQueues();
 }
 
+void RequestRun::logFailedAttempt(const serving::SelectedTarget &Target) const {
+  std::string Parts;
+  for (const std::string &Part : Admitted.HeaderValues.SharedParts)
+    Parts += (Parts.empty() ? "" : ",") + Part;
+  bool Sent = SentAt != Clock::time_point();
+  auto SinceSent =
+      std::chrono::duration_cast<milliseconds>(Clock::now() - SentAt);
+  telemetry::log(
+      telemetry::Level::Info, "attempt failed",
+      {{"id", Admitted.HeaderValues.Id},
+       {"target", Target.Id.str()},
+       {"how", std::string(LastFeedback == TargetFeedback::Silent ? "silent"
+                                                                  : "broken")},
+       {"sent_ms_ago", Sent ? SinceSent.count() : std::int64_t(-1)},
+       {"answer_begun", AnswerBegun},
+       {"shared_parts", std::move(Parts)}});
+}
+
 bool RequestRun::mayRetry() const {
   // `attemptCount` leaves out attempts that ended with `SendResult::NotSent`.
   return Admitted.Route->repeatable() &&
@@ -375,6 +400,8 @@
 asio::awaitable<SendResult>
 RequestRun::exchange(const serving::SelectedTarget &Target) {
   Attempt = std::make_unique<TargetSend>(Context, Target);
+  SentAt = Clock::time_point();
+  AnswerBegun = false;
   Clock::time_point HeadDeadline = headDeadline(Target);
   bool Connected =
       co_await Attempt->connect(!Admitted.Route->repeatable(), HeadDeadline);
@@ -418,6 +445,7 @@
 }
 
 asio::awaitable<SendResult> RequestRun::bufferResponse() {
+  AnswerBegun = true;
   BufferedBody.clear();
   BufferedStatus = Attempt->status();
   BufferedHead = platform::callerFields(Attempt->head());
@@ -464,6 +492,7 @@
     }
     std::string Events =
         AtEnd ? Splitter.takeRemainder() : Splitter.feed(Attempt->bodyData());
+    AnswerBegun |= !Events.empty();
     if (!HeadForwarded && (AtEnd || !Events.empty())) {
       HeadForwarded = true;
       ResponseVersion = Attempt->headerValues().Version;
