Answers without length or chunks end with their connection; a cut stream never looks complete

Callers saw the beginning of an event as the end of a complete stream, when a target's stream ended inside it: the gateway passed on what was left at the end, and the agent counted any end as whole. Callers of entries were told that a target had failed whose whole answer had neither a length nor chunks.

Cause: the end of the bytes was taken for the end of the answer in one place, and never in the other. Class: framing by the end of the connection. Now libs/http takes the close as the end of such an answer (a reset is none); gateway and agent take a stream that ends inside an event as broken off, so that it is resumed elsewhere or its connection is broken; a stream without length or chunks on which nothing came is broken off too.

--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -162,6 +162,8 @@
       Hook();
     return;
   }
+  if (Error == boost::asio::error::eof && HeadPassed && Incoming->need_eof())
+    return finishAtEnd();
   if (Error)
     return fail(Error::Kind::Interrupted,
                 AnswerBegun ? "the answer ended early: " + Error.message()
@@ -237,6 +239,15 @@
   end(std::move(End));
 }
 
+/// An answer without length or chunks ends with its connection.
+void ClientConnection::finishAtEnd() {
+  error_code Error;
+  Incoming->put_eof(Error);
+  if (Error)
+    return fail(Error::Kind::Malformed, Error.message());
+  finish();
+}
+
 void ClientConnection::fail(Error::Kind Kind, std::string Detail) {
   ExchangeEnd End;
   End.Failure = Error{Kind, std::move(Detail)};
--- a/libs/http/src/ClientConnection.h
+++ b/libs/http/src/ClientConnection.h
@@ -81,6 +81,7 @@
   void resetParser();
   void passOn();
   void finish();
+  void finishAtEnd();
   void fail(Error::Kind Kind, std::string Detail);
   void end(ExchangeEnd End);
   bool late() const;
--- a/libs/http/tests/OneAnswerServer.h
+++ b/libs/http/tests/OneAnswerServer.h
@@ -42,6 +42,8 @@
     // What was written is to arrive before the reset.
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
     Socket.set_option(boost::asio::socket_base::linger(true, 0), Error);
+    // The destructor would turn the option off.
+    Socket.close(Error);
   }
 
   std::string Answer;
--- a/libs/serving/include/serving/EventSplitter.h
+++ b/libs/serving/include/serving/EventSplitter.h
@@ -1,6 +1,8 @@
 #ifndef ROSEMARYLANE_SERVING_EVENT_SPLITTER_H
 #define ROSEMARYLANE_SERVING_EVENT_SPLITTER_H
 
+#include "serving/EventBoundary.h"
+
 #include <string>
 #include <string_view>
 
@@ -29,10 +31,13 @@
   /// target.
   void discardPending() { Pending.clear(); }
 
-  /// Removes the bytes after the last complete event; called when the stream
-  /// has ended normally.
-  /// @return these bytes.
-  std::string takeRemainder();
+  /// @return whether the bytes so far end inside an event. Line ends after the
+  /// last event are none.
+  bool insideEvent() const {
+    EventBoundary Remainder;
+    Remainder.feed(Pending);
+    return Remainder.insideEvent();
+  }
 
 private:
   void updateLastEventId(std::string_view Events);
--- a/libs/serving/src/EventSplitter.cpp
+++ b/libs/serving/src/EventSplitter.cpp
@@ -1,7 +1,6 @@
 #include "serving/EventSplitter.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace rosemarylane::serving {
 
@@ -41,10 +40,6 @@
   return Events;
 }
 
-std::string EventSplitter::takeRemainder() {
-  return std::exchange(Pending, {});
-}
-
 void EventSplitter::updateLastEventId(std::string_view Events) {
   std::size_t At = 0;
   while (At < Events.size()) {
--- a/libs/serving/tests/StreamTest.cpp
+++ b/libs/serving/tests/StreamTest.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <rapidcheck.h>
 
+using rosemarylane::serving::EventBoundary;
 using rosemarylane::serving::EventSplitter;
 
 BOOST_AUTO_TEST_SUITE(event_splitter)
@@ -58,6 +59,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(tells_whether_a_stream_ends_inside_an_event) {
+  const std::string Stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n";
+  const std::size_t FirstEnd = Stream.find("id: 2");
+  for (std::size_t Cut = 0; Cut <= Stream.size(); ++Cut) {
+    bool Whole = Cut == 0 || Cut == FirstEnd || Cut == Stream.size();
+    EventSplitter Splitter;
+    Splitter.feed(std::string_view(Stream).substr(0, Cut));
+    BOOST_TEST(Splitter.insideEvent() == !Whole);
+    EventBoundary Boundary;
+    for (std::size_t At = 0; At < Cut; ++At)
+      Boundary.feed(std::string_view(Stream).substr(At, 1));
+    BOOST_TEST(Boundary.insideEvent() == !Whole);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_event_in_small_parts_takes_time_by_its_size) {
   // The event loop serves nobody else meanwhile.
   constexpr std::size_t EventBytes = 1 << 20;
--- a/rosemarylane/src/agent/TargetCall.cpp
+++ b/rosemarylane/src/agent/TargetCall.cpp
@@ -2,6 +2,7 @@
 
 #include "common/RunMessages.h"
 #include "http/Client.h"
+#include "serving/EventBoundary.h"
 #include "wire/BodyChecksum.h"
 
 #include <algorithm>
@@ -19,6 +20,7 @@
 constexpr std::chrono::milliseconds ConfirmDeadline{500};
 constexpr std::size_t MaxHeldAnswerBytes =
     ledger::AttemptTableLimits().MaxTotalAnswerBytes;
+constexpr char EventStream[] = "text/event-stream";
 constexpr char GenerationField[] = "x-engine-generation";
 
 /// Whether a header field belongs to one connection, or is set by this hop.
@@ -192,6 +194,8 @@
     }
     if (Answer)
       Answer->Status = Head.Status;
+    auto Type = Head.Fields.find("Content-Type");
+    IsEventStream = Type && boost::algorithm::istarts_with(*Type, EventStream);
     Send.send(Entry, std::move(Message));
   }
 
@@ -208,6 +212,8 @@
     Out.set_data(Part);
     Offset += Part.size();
     Checksum.add(Part);
+    if (IsEventStream)
+      Events.feed(Part);
     collect(Part);
     Send.send(Entry, std::move(Message));
   }
@@ -226,17 +232,25 @@
   void onDone(const std::optional<http::Error> &Error) {
     if (Ended)
       return;
+    // Without a length or chunks, the end of the connection looks like that of
+    // the stream.
+    if (!Error && Events.insideEvent())
+      return brokenOff("the stream ended inside an event", /*MayHaveRun=*/true);
     if (!Error)
       return Generation && !HeadAfterBody ? confirmGeneration(/*OnKept=*/true)
                                           : complete();
+    brokenOff(Error->Detail,
+              /*MayHaveRun=*/Error->What != http::Error::Kind::NotSent);
+  }
+
+  void brokenOff(std::string Detail, bool MayHaveRun) {
     TargetCallEnd How;
     How.Reason = wire::REFUSAL_TARGET_FAILED;
-    How.Detail = Error->Detail;
+    How.Detail = std::move(Detail);
     How.TargetInDoubt = true;
-    if (Error->What == http::Error::Kind::NotSent)
+    if (!MayHaveRun)
       How.Ran = ledger::Ran::No;
-    else
-      How.MayHaveDied = true;
+    How.MayHaveDied = MayHaveRun;
     end(std::move(How));
   }
 
@@ -328,6 +342,8 @@
   /// The head already says at which generation the model ended.
   bool HeadAfterBody = false;
   std::shared_ptr<PartBuffer> Parts = std::make_shared<PartBuffer>();
+  bool IsEventStream = false;
+  serving::EventBoundary Events;
   /// Bytes of the body passed on.
   std::uint64_t Offset = 0;
   wire::BodyChecksum Checksum;
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -89,6 +89,8 @@
   targetMarks(const serving::SelectedTarget &Target) const;
   asio::awaitable<SendResult> bufferResponse();
   asio::awaitable<SendResult> forwardStream();
+  /// @return whether a stream whose response has ended was broken off.
+  bool brokeOffAtEnd() const;
   asio::awaitable<void> forwardBuffered();
   /// Records the time from the start of the attempt, connecting included, to
   /// the response head.
@@ -481,6 +483,8 @@
     TargetSend::Result Result = co_await Attempt->next(Deadline, Timeout);
     if (Caller->disconnected())
       co_return SendResult::Unknown;
+    if (Result == TargetSend::Result::End && brokeOffAtEnd())
+      Result = TargetSend::Result::Broken;
     bool AtEnd = Result == TargetSend::Result::End;
     if (!AtEnd && Result != TargetSend::Result::Data) {
       LastFeedback = deadlinePassed() ? TargetFeedback::Abandoned
@@ -490,8 +494,9 @@
       Attempt->cancel();
       co_return SendResult::Unknown;
     }
-    std::string Events =
-        AtEnd ? Splitter.takeRemainder() : Splitter.feed(Attempt->bodyData());
+    std::string Events;
+    if (!AtEnd)
+      Events = Splitter.feed(Attempt->bodyData());
     AnswerBegun |= !Events.empty();
     if (!HeadForwarded && (AtEnd || !Events.empty())) {
       HeadForwarded = true;
@@ -528,6 +533,13 @@
   co_return SendResult::Answered;
 }
 
+bool RequestRun::brokeOffAtEnd() const {
+  // Without a length or chunks, the end of a connection on which nothing came
+  // looks like that of a stream without events.
+  bool NothingCame = !HeadForwarded && Attempt->endsWithConnection();
+  return NothingCame || Splitter.insideEvent();
+}
+
 asio::awaitable<void> RequestRun::forwardBuffered() {
   recordFirstByte();
   bool Completed = co_await Caller->respond(BufferedStatus, BufferedHead,
--- a/rosemarylane/src/gateway/TargetSend.h
+++ b/rosemarylane/src/gateway/TargetSend.h
@@ -79,6 +79,9 @@
                                       std::chrono::milliseconds Timeout);
 
   unsigned status() const;
+  /// @return whether the response has neither a length nor chunks, so that it
+  /// ends with its connection.
+  bool endsWithConnection() const { return Response->need_eof(); }
   const platform::HttpFields &head() const;
   /// @return the values parsed from the header fields of the response.
   const platform::AnswerMarks &headerValues() const { return HeaderValues; }
