--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -352,6 +352,11 @@
     reportBreak(Target);
   if (HasResponse && HeaderValues.Load)
     Context.Targets.updateLoad(Target.Id, *HeaderValues.Load, Now);
+  if (HasResponse && HeaderValues.RateLimit)
+    telemetry::log(telemetry::Level::Info, "limit named",
+                   {{"id", Admitted.HeaderValues.Id},
+                    {"target", Target.Id.str()},
+                    {"per_second", *HeaderValues.RateLimit}});
   if (HasResponse && HeaderValues.WarmupLeft)
     Context.Targets.updateWarmup(Target.Id, *HeaderValues.WarmupLeft, Now);
   if (LastFeedback == TargetFeedback::Silent ||
