Keep to the limits that targets name, all gateways together

Cause: the gateways did not read what an answer named, and chose targets by load alone, by which a target in need looks free. Class: a limit that another party states and that nobody enforces; the warm-up rate of cold targets is of the same kind and was kept already, so its bucket now serves both (ColdLimit is RateShare).

Change: serving::NamedLimit. A limit is shared by at most as many gateways as the target takes requests in a second, picked by rendezvous hashing: with a share for each of hundreds, the one request that each may always send adds up to far more than the limit. What one gateway hears goes to the sidecar beside the target, whose reports reach all gateways anyway; for a target without a sidecar, to all gateways. It ends when the target's answer names none, or after 10 s without a word.

--- a/libs/serving/include/serving/LoadBalancer.h
+++ b/libs/serving/include/serving/LoadBalancer.h
@@ -3,7 +3,8 @@
 
 #include "core/BootClock.h"
 #include "core/Ids.h"
-#include "serving/ColdLimit.h"
+#include "serving/NamedLimit.h"
+#include "serving/RateShare.h"
 #include "serving/RegisteredTarget.h"
 #include "serving/ServingConfig.h"
 
@@ -92,7 +93,8 @@
   Unavailable,
   /// Some target fulfils the requirements, but none can take the request now:
   /// each of these is at capacity, ejected, cold (in another failure domain, or
-  /// with its rate used up), or about to switch versions before the request
+  /// with its rate used up), at the limit that it named, or about to switch
+  /// versions before the request
   /// would end.
   Full,
 };
@@ -224,6 +226,16 @@
   /// Sets the number of gateways in each failure domain, this one included.
   void setGatewayCount(std::map<core::FailureDomainId, std::size_t> InDomain);
 
+  /// Sets the names of the gateways that may be sending, this one included.
+  void setGateways(std::string Self, std::vector<std::string> Names);
+
+  /// Takes what the target at \p Address has said of the requests a second that
+  /// it takes; see `NamedLimit::update`.
+  /// @param StartTimeMs start of the incarnation that said so; 0 for any.
+  /// @return whether the limit has changed.
+  bool updateNamedLimit(const std::string &Address, std::int64_t StartTimeMs,
+                        std::optional<double> PerSecond, core::BootTime SaidAt);
+
   /// Takes an agent's report.
   /// @param Random uniform in [0, 1), rounds this gateway's share of the free
   /// slots.
@@ -289,7 +301,8 @@
     double ExcessMs = 0;
     core::BootTime ExcessUpdatedAt{};
     core::BootTime ColdUntil{};
-    ColdLimit Cold;
+    RateShare Cold;
+    NamedLimit Limit;
     std::uint32_t ConsecutiveFailures = 0;
     core::BootTime EjectedUntil{};
     std::chrono::milliseconds EjectionTime{0};
@@ -345,6 +358,9 @@
   std::map<core::FailureDomainId, std::size_t> GatewayCounts;
   /// Gateways in this process's failure domain.
   std::size_t LocalGatewayCount = 1;
+  /// Name of this gateway, and of all, for the targets that name a limit.
+  std::string Self;
+  std::vector<std::string> GatewayNames;
 };
 
 } // namespace rosemarylane::serving
--- a/libs/serving/include/serving/PeerTable.h
+++ b/libs/serving/include/serving/PeerTable.h
@@ -94,7 +94,14 @@
   std::size_t gatewayCount(const core::FailureDomainId &Domain,
                            core::BootTime Now) const;
 
+  /// @return the IP addresses of the gateways that may be sending, as
+  /// `gatewayCount` counts them, in ascending order.
+  std::vector<std::string> gatewayNames(core::BootTime Now) const;
+
 private:
+  /// @return all processes that may be sending, this one included.
+  std::vector<Peer> members(core::BootTime Now) const;
+
   Peer LocalPeer;
   std::map<std::string, KnownPeer> Known;
 };
--- a/libs/serving/include/serving/ColdLimit.h
+++ b/libs/serving/include/serving/RateShare.h
@@ -1,5 +1,5 @@
-#ifndef ROSEMARYLANE_SERVING_COLD_LIMIT_H
-#define ROSEMARYLANE_SERVING_COLD_LIMIT_H
+#ifndef ROSEMARYLANE_SERVING_RATE_SHARE_H
+#define ROSEMARYLANE_SERVING_RATE_SHARE_H
 
 #include "core/BootClock.h"
 
@@ -7,16 +7,17 @@
 
 namespace rosemarylane::serving {
 
-/// Token bucket that limits the requests of one gateway to one cold target.
+/// Token bucket for one gateway's share of a rate that a target takes from all
+/// gateways together.
 ///
-/// A target is cold for some time after its start and meanwhile takes only a
-/// limited rate of requests (`Service::WarmupRate`). All its slots are free, so
-/// every gateway finds it the least loaded at the same time. Only gateways of
-/// its own failure domain send to it, each with an equal share of its rate, so
-/// that the total holds without a coordinator. The bucket starts empty, so that
-/// a gateway that has just started has no burst. Value type without a clock of
+/// A cold target takes only a limited rate of requests (`Service::WarmupRate`),
+/// and a target in need names a limit of its own (`NamedLimit`). Either looks
+/// free, so every gateway finds it the least loaded at the same time. Each of
+/// the gateways that may send to it has an equal share of the rate, so that the
+/// total holds without a coordinator. The bucket starts empty, so that a
+/// gateway that has just started has no burst. Value type without a clock of
 /// its own; not thread-safe.
-class ColdLimit {
+class RateShare {
 public:
   /// @param Rate requests per second that all gateways together may send.
   /// @param GatewayCount number of gateways that share the rate; at least 1.
@@ -38,9 +39,8 @@
 
 private:
   /// Maximum burst of one gateway. It keeps the combined bursts of all gateways
-  /// far below what a cold target tolerates. The test
-  /// `cold_target_rate_holds_in_any_second` allows 1.5 times the rate plus 5
-  /// requests in any second.
+  /// far below what a target tolerates: for a cold one 1.5 times the rate plus
+  /// 5 requests in any second (`cold_target_rate_holds_in_any_second`).
   static constexpr double MaxTokens = 1.5;
 
   void refill(double PerSecond, core::BootTime Now) {
@@ -57,4 +57,4 @@
 
 } // namespace rosemarylane::serving
 
-#endif // ROSEMARYLANE_SERVING_COLD_LIMIT_H
+#endif // ROSEMARYLANE_SERVING_RATE_SHARE_H
--- a/libs/serving/src/LoadBalancer.cpp
+++ b/libs/serving/src/LoadBalancer.cpp
@@ -78,6 +78,35 @@
       std::max<std::size_t>(GatewayCounts[Settings.OwnDomain], 1);
 }
 
+void LoadBalancer::setGateways(std::string OwnName,
+                               std::vector<std::string> Names) {
+  if (OwnName == Self && Names == GatewayNames)
+    return;
+  Self = std::move(OwnName);
+  GatewayNames = std::move(Names);
+  for (auto &[Id, T] : Targets)
+    if (T.Limit.saidAt() != core::BootTime())
+      T.Limit.setGateways(T.Info.Address, Self, GatewayNames);
+}
+
+bool LoadBalancer::updateNamedLimit(const std::string &Address,
+                                    std::int64_t StartTimeMs,
+                                    std::optional<double> PerSecond,
+                                    core::BootTime SaidAt) {
+  bool Changed = false;
+  for (auto &[Id, T] : Targets) {
+    bool Same = T.Info.Address == Address &&
+                (StartTimeMs == 0 || T.Info.StartTimeMs == 0 ||
+                 T.Info.StartTimeMs == StartTimeMs);
+    if (!Same)
+      continue;
+    Changed |= T.Limit.update(PerSecond, SaidAt);
+    if (Changed)
+      T.Limit.setGateways(Address, Self, GatewayNames);
+  }
+  return Changed;
+}
+
 double LoadBalancer::remoteDomainWeight(const core::FailureDomainId &Domain,
                                         std::string_view Service) const {
   double DomainTargets = 0;
@@ -323,6 +352,8 @@
     if (Cold && (!SameDomain ||
                  !T.Cold.canAcquire(T.WarmupRate, LocalGatewayCount, Now)))
       continue;
+    if (!T.Limit.canAcquire(Now))
+      continue;
     double TargetLoad = estimatedLoad(T, Now);
     if (TargetLoad >= capacity(T) ||
         (hasFreshReport(T, Now) && T.RemainingQuota == 0))
@@ -354,6 +385,7 @@
     return std::nullopt;
   if (Best->WarmupRate > 0 && Now < Best->ColdUntil)
     (void)Best->Cold.tryAcquire(Best->WarmupRate, LocalGatewayCount, Now);
+  Best->Limit.acquire(Now);
   SelectedTarget Chosen;
   Chosen.Id = Best->Info.Id;
   Chosen.Address = Best->Info.Address;
--- a/libs/serving/src/PeerTable.cpp
+++ b/libs/serving/src/PeerTable.cpp
@@ -79,17 +79,31 @@
   return static_cast<std::size_t>(Found - Order.begin());
 }
 
+std::vector<Peer> PeerTable::members(core::BootTime Now) const {
+  std::vector<Peer> Result{LocalPeer};
+  for (const auto &[Ip, E] : Known)
+    if (Now - E.LastHeard <= MembershipTimeout)
+      Result.push_back(E.Details);
+  return Result;
+}
+
 std::size_t PeerTable::gatewayCount(const core::FailureDomainId &Domain,
                                     core::BootTime Now) const {
-  auto Counts = [&](const Peer &P) {
-    return P.Role == PeerRole::Gateway &&
-           (Domain.empty() || P.FailureDomain == Domain);
-  };
-  std::size_t Count = Counts(LocalPeer) ? 1 : 0;
-  for (const auto &[Ip, E] : Known)
-    if (Now - E.LastHeard <= MembershipTimeout && Counts(E.Details))
-      ++Count;
-  return Count;
+  std::vector<Peer> All = members(Now);
+  return static_cast<std::size_t>(
+      std::count_if(All.begin(), All.end(), [&](const Peer &P) {
+        return P.Role == PeerRole::Gateway &&
+               (Domain.empty() || P.FailureDomain == Domain);
+      }));
+}
+
+std::vector<std::string> PeerTable::gatewayNames(core::BootTime Now) const {
+  std::vector<std::string> Names;
+  for (const Peer &P : members(Now))
+    if (P.Role == PeerRole::Gateway)
+      Names.push_back(P.Ip);
+  std::sort(Names.begin(), Names.end());
+  return Names;
 }
 
 } // namespace rosemarylane::serving
--- a/libs/serving/tests/LimitsTest.cpp
+++ b/libs/serving/tests/LimitsTest.cpp
@@ -1,5 +1,5 @@
 #include "serving/AdmissionQueue.h"
-#include "serving/ColdLimit.h"
+#include "serving/RateShare.h"
 #include "serving/RetryShare.h"
 #include "serving/VersionDeadlines.h"
 
@@ -24,13 +24,13 @@
   // Requests that may be sent in any window of one second: 1.5 times the rate,
   // plus 5.
   constexpr double MaxPerSecond = Rate * 1.5 + 5;
-  std::vector<ColdLimit> Gateways(3);
+  std::vector<RateShare> Gateways(3);
   std::deque<core::BootTime> Sent;
   // Requests that would be sent without a limit.
   std::size_t Attempted = 0;
   for (int Ms = 0; Ms < 3000; ++Ms) {
     core::BootTime Now = Start + milliseconds(Ms);
-    for (ColdLimit &G : Gateways) {
+    for (RateShare &G : Gateways) {
       ++Attempted;
       if (G.tryAcquire(Rate, Gateways.size(), Now))
         Sent.push_back(Now);
--- a/rosemarylane/src/gateway/GatewayContext.h
+++ b/rosemarylane/src/gateway/GatewayContext.h
@@ -2,6 +2,7 @@
 #define ROSEMARYLANE_GATEWAY_GATEWAY_CONTEXT_H
 
 #include "gateway/GatewayMetrics.h"
+#include "gateway/LimitExchange.h"
 #include "gateway/TargetPool.h"
 #include "node/NodeSettings.h"
 #include "node/PartQuarantineService.h"
@@ -39,6 +40,8 @@
   /// Requests that are refused because they crash targets; set as `Follower`
   /// is.
   PartQuarantineService *Quarantine = nullptr;
+  /// Limits that targets name; set as `Follower` is.
+  LimitExchange *Limits = nullptr;
   /// Open connections to targets.
   TargetPool TargetConnections;
   /// Known targets and their load; selects the target of each request.
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -117,6 +117,7 @@
   /// the sections to them.
   std::unique_ptr<StoreFollower> Follower;
   std::unique_ptr<PartQuarantineService> Quarantine;
+  std::unique_ptr<LimitExchange> Limits;
   /// Serves other processes of the fleet, and the metrics.
   std::unique_ptr<PeerServer> PeerListener;
   /// Serves the readiness checks of the external load balancer.
@@ -157,6 +158,9 @@
   Quarantine =
       PartQuarantineService::start(Runtime.loop(), *Link, Follower->peers());
   Context.Quarantine = Quarantine.get();
+  Limits = std::make_unique<LimitExchange>(Context.Targets, *Link,
+                                           Follower->peers());
+  Context.Limits = Limits.get();
   PeerListener = PeerServer::listen(
       Runtime.loop(), Settings.Ip + ":" + std::to_string(Settings.PeerPort),
       [this](const http::Request &R) { return handlePeerRequest(R); },
@@ -253,10 +257,12 @@
 
 void GatewayProcess::handleMessage(const wire::NodeMessage &Message) {
   // A message may arrive before these have started.
-  if (!Follower || !Quarantine)
+  if (!Follower || !Quarantine || !Limits)
     return;
   Follower->received(Message);
   Quarantine->received(Message);
+  if (Message.has_named_limit())
+    Limits->received(Message.named_limit());
   if (Message.has_target())
     handleTargetReport(Message.target());
 }
@@ -274,6 +280,8 @@
   for (const wire::HeldModel &Held : Source.models())
     Report.Models.push_back({Held.model(), Held.version()});
   Quarantine->targetAlive(Report.Address, Report.StartTimeMs);
+  if (Source.has_limit())
+    Limits->received(Source.limit());
   Context.Targets.updateFromReport(Report, BootClock::now(), Context.random());
   Context.advanceWaitQueues();
 }
@@ -355,6 +363,9 @@
         Follower ? Follower->peers().gatewayCount(Domain, Now) : 0;
   InDomain[Settings.FailureDomain] = InOwnDomain;
   Context.Targets.setGatewayCount(std::move(InDomain));
+  if (Follower)
+    Context.Targets.setGateways(Settings.Ip,
+                                Follower->peers().gatewayNames(Now));
   for (auto &[Service, Budget] : Context.RetryBudgets)
     Budget.setGatewayCount(InFleet);
 }
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -352,11 +352,6 @@
     reportBreak(Target);
   if (HasResponse && HeaderValues.Load)
     Context.Targets.updateLoad(Target.Id, *HeaderValues.Load, Now);
-  if (HasResponse && HeaderValues.RateLimit)
-    telemetry::log(telemetry::Level::Info, "limit named",
-                   {{"id", Admitted.HeaderValues.Id},
-                    {"target", Target.Id.str()},
-                    {"per_second", *HeaderValues.RateLimit}});
   if (HasResponse && HeaderValues.WarmupLeft)
     Context.Targets.updateWarmup(Target.Id, *HeaderValues.WarmupLeft, Now);
   if (LastFeedback == TargetFeedback::Silent ||
@@ -482,6 +477,7 @@
   case TargetSend::Result::Data:
     break;
   }
+  Context.Limits->heard(Target, Attempt->headerValues().RateLimit);
   if (Attempt->headerValues().NotRun) {
     // 421 (Misdirected Request): the target at this address was restarted or
     // has another version of the weights. Any other refusal is taken as a lack
--- a/rosemarylane/src/sidecar/SidecarProcess.cpp
+++ b/rosemarylane/src/sidecar/SidecarProcess.cpp
@@ -51,6 +51,8 @@
           Follower->received(Message);
         if (Quarantine)
           Quarantine->received(Message);
+        if (Watch && Message.has_named_limit())
+          Watch->limitNamed(Message.named_limit());
         if (Weights)
           Weights->handleMessage(Message);
       });
--- a/rosemarylane/src/sidecar/TargetWatch.cpp
+++ b/rosemarylane/src/sidecar/TargetWatch.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/TargetWatch.h"
 
+#include "serving/NamedLimit.h"
 #include "telemetry/Log.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -28,14 +29,16 @@
 /// An unchanged state is reported again after this time.
 constexpr milliseconds ReportRepeatPeriod{400};
 
-/// Compares two reports, ignoring the time until a planned switch, which
-/// differs in every report.
-bool equalExceptSwitchTime(wire::TargetReport A, wire::TargetReport B) {
+/// Compares two reports, ignoring the times that differ in every report.
+bool equalExceptTimes(wire::TargetReport A, wire::TargetReport B) {
   bool Planned = A.switch_in_ms() > 0;
   if (Planned != (B.switch_in_ms() > 0))
     return false;
-  A.clear_switch_in_ms();
-  B.clear_switch_in_ms();
+  for (wire::TargetReport *Report : {&A, &B}) {
+    Report->clear_switch_in_ms();
+    if (Report->has_limit())
+      Report->mutable_limit()->clear_age_ms();
+  }
   return A.SerializeAsString() == B.SerializeAsString();
 }
 
@@ -111,17 +114,33 @@
       Held->set_model(Loaded.Model);
       Held->set_version(Loaded.Version);
     }
+    if (Limit && Limit->born() == LastState->Born &&
+        BootClock::now() - LimitSaidAt < serving::NamedLimit::Lifetime) {
+      *Report.mutable_limit() = *Limit;
+      auto Age =
+          std::chrono::ceil<milliseconds>(BootClock::now() - LimitSaidAt);
+      Report.mutable_limit()->set_age_ms(
+          static_cast<std::uint32_t>(Age.count()));
+    }
     return Report;
   }
 
+  void limitNamed(const wire::NamedLimit &Said) {
+    BootTime At = BootClock::now() - milliseconds(Said.age_ms());
+    if (Said.address() != Settings.TargetAddress || (Limit && At < LimitSaidAt))
+      return;
+    Limit = Said;
+    LimitSaidAt = At;
+  }
+
   void sendReports() {
     BootTime Now = BootClock::now();
     wire::TargetReport Report = report();
     bool OwnDomainDue = Now - OwnDomainReportedAt >= ReportRepeatPeriod ||
-                        !equalExceptSwitchTime(Report, LastOwnDomainReport);
+                        !equalExceptTimes(Report, LastOwnDomainReport);
     bool RemoteDue = Now - RemoteReportedAt >= ReportRepeatPeriod ||
                      (Now - RemoteReportedAt >= OtherDomainReportPeriod &&
-                      !equalExceptSwitchTime(Report, LastRemoteReport)) ||
+                      !equalExceptTimes(Report, LastRemoteReport)) ||
                      Report.switching() != LastRemoteReport.switching();
     wire::NodeMessage Message;
     *Message.mutable_target() = Report;
@@ -151,6 +170,9 @@
   std::optional<platform::TargetState> LastState;
   bool Switching = false;
   std::optional<BootTime> SwitchAt;
+  /// What the target has last said of its limit.
+  std::optional<wire::NamedLimit> Limit;
+  BootTime LimitSaidAt{};
   wire::TargetReport LastOwnDomainReport;
   wire::TargetReport LastRemoteReport;
   BootTime OwnDomainReportedAt{};
@@ -173,6 +195,9 @@
 TargetWatch::~TargetWatch() = default;
 
 void TargetWatch::onState(StateHook Hook) { S->Hook = std::move(Hook); }
+void TargetWatch::limitNamed(const wire::NamedLimit &Said) {
+  S->limitNamed(Said);
+}
 void TargetWatch::setSwitching(bool Switching) { S->Switching = Switching; }
 void TargetWatch::setSwitchTime(std::optional<BootTime> At) {
   S->SwitchAt = At;
--- a/rosemarylane/src/sidecar/TargetWatch.h
+++ b/rosemarylane/src/sidecar/TargetWatch.h
@@ -39,6 +39,9 @@
 
   /// Sets whether the target is about to load a version. Gateways send it no
   /// new requests while this is set.
+  /// Takes what a gateway has heard the target say of its limit, for the
+  /// reports to all gateways.
+  void limitNamed(const wire::NamedLimit &Said);
   void setSwitching(bool Switching);
 
   /// Sets the time at which the target is planned to load another version;
