A new gateway learns at once which parts crash targets

A new process first asked its peers after a second, and sidecars learned only from asked digests.

Now a process asks three peers every 50 ms in its first 2 s, and incidents go to the sidecars of the gateway's failure domain too.

--- a/rosemarylane/src/node/PartQuarantineService.cpp
+++ b/rosemarylane/src/node/PartQuarantineService.cpp
@@ -16,6 +16,10 @@
 namespace {
 
 constexpr milliseconds AskPeriod{1000};
+/// The same in the first `NewProcessTime` after the start: until it has asked,
+/// a process knows of nothing that it must not send.
+constexpr milliseconds NewProcessAskPeriod{50};
+constexpr milliseconds NewProcessTime{2000};
 /// Peers that are asked in each period.
 constexpr std::size_t PeersAsked = 3;
 /// Incidents in one message, so that it fits a datagram.
@@ -63,8 +67,12 @@
   return core::rendezvousWeight(std::to_string(StartTimeMs), Address);
 }
 
+milliseconds PartQuarantineService::askPeriod(BootTime Now) const {
+  return Now - StartedAt < NewProcessTime ? NewProcessAskPeriod : AskPeriod;
+}
+
 void PartQuarantineService::scheduleTick() {
-  Timer.expires_after(AskPeriod);
+  Timer.expires_after(askPeriod(BootClock::now()));
   Timer.async_wait([this](auto Failed) {
     if (Failed)
       return;
@@ -100,10 +108,11 @@
   }
 }
 
-void PartQuarantineService::sendToGateways(const wire::NodeMessage &Message,
-                                           BootTime Now) {
+void PartQuarantineService::spread(const wire::NodeMessage &Message,
+                                   BootTime Now) {
   for (const serving::Peer &Peer : Peers.live(Now))
-    if (Peer.Role == serving::PeerRole::Gateway)
+    if (Peer.Role == serving::PeerRole::Gateway ||
+        Peer.FailureDomain == Peers.self().FailureDomain)
       Socket.send(Peer.Ip, Message);
 }
 
@@ -132,7 +141,7 @@
   if (!add(std::move(Report)))
     return;
   Body.set_digest(Known.digest());
-  sendToGateways(Message, Now);
+  spread(Message, Now);
 }
 
 void PartQuarantineService::answerBegun(const std::vector<std::string> &Parts) {
@@ -148,7 +157,7 @@
                  {{"shared_parts", joined(Parts)}});
   wire::NodeMessage Message;
   addAnswered(Parts, Now, *Message.mutable_crash_evidence());
-  sendToGateways(Message, Now);
+  spread(Message, Now);
 }
 
 void PartQuarantineService::addAnswered(const std::vector<std::string> &Parts,
--- a/rosemarylane/src/node/PartQuarantineService.h
+++ b/rosemarylane/src/node/PartQuarantineService.h
@@ -19,9 +19,10 @@
 /// Shares with all gateways and sidecars what is known of parts of prompts that
 /// crash targets, see `routing::PartQuarantine`.
 ///
-/// A gateway sends what it learns to all live gateways at once. Besides, each
-/// process compares a digest with a few peers every second, so that one that
-/// missed a message, or has just started, catches up. Sidecars send no requests
+/// A gateway sends what it learns to all live gateways at once, and to the
+/// sidecars of its failure domain. Besides, each process compares a digest with
+/// a few peers every second, and more often while it is new, so that one that
+/// missed a message or has just started catches up. Sidecars send no requests
 /// but remember, so that the knowledge outlives a restart of all gateways.
 /// Created once by the process; used only on the thread of the event loop; the
 /// references passed to `start` have to outlive it.
@@ -60,12 +61,14 @@
   PartQuarantineService(boost::asio::io_context &Loop, PeerSocket &Socket,
                         const serving::PeerTable &Peers)
       : Socket(Socket), Peers(Peers), Timer(Loop),
-        Random(std::random_device{}()) {}
+        StartedAt(core::BootClock::now()), Random(std::random_device{}()) {}
 
   void scheduleTick();
   void askPeers(core::BootTime Now);
+  std::chrono::milliseconds askPeriod(core::BootTime Now) const;
   void tell(const std::string &Ip, core::BootTime Now);
-  void sendToGateways(const wire::NodeMessage &Message, core::BootTime Now);
+  /// Sends to all gateways, and to the sidecars of this failure domain.
+  void spread(const wire::NodeMessage &Message, core::BootTime Now);
   /// Tells all gateways when an answer last began on these parts.
   void spreadAnswered(const std::vector<std::string> &Parts,
                       core::BootTime Now);
@@ -79,6 +82,7 @@
   PeerSocket &Socket;
   const serving::PeerTable &Peers;
   boost::asio::steady_timer Timer;
+  core::BootTime StartedAt;
   std::mt19937_64 Random;
   routing::PartQuarantine Known;
 };
