--- a/libs/routing/src/PartQuarantine.cpp
+++ b/libs/routing/src/PartQuarantine.cpp
@@ -23,6 +23,16 @@
   return std::find(Parts.begin(), Parts.end(), Part) != Parts.end();
 }
 
+/// @return whether a part was seen at all deaths in \p Own and at more.
+bool isExplained(const std::set<std::uint64_t> &Own,
+                 const std::map<std::string, std::set<std::uint64_t>> &ByPart) {
+  return std::any_of(ByPart.begin(), ByPart.end(), [&](const auto &Other) {
+    return Other.second.size() > Own.size() &&
+           std::includes(Other.second.begin(), Other.second.end(), Own.begin(),
+                         Own.end());
+  });
+}
+
 } // namespace
 
 bool PartQuarantine::add(Incident Report) {
@@ -183,16 +193,7 @@
     if (Against.Requests.size() > 1)
       OwnDeaths[Part] = ownDeaths(Part, All);
   for (const auto &[Part, Own] : OwnDeaths) {
-    if (Own.size() < Config.DeathsToQuarantine)
-      continue;
-    // A part that was seen at all these deaths and at more explains them.
-    bool Explained =
-        std::any_of(OwnDeaths.begin(), OwnDeaths.end(), [&](const auto &Other) {
-          return Other.second.size() > Own.size() &&
-                 std::includes(Other.second.begin(), Other.second.end(),
-                               Own.begin(), Own.end());
-        });
-    if (Explained)
+    if (Own.size() < Config.DeathsToQuarantine || isExplained(Own, OwnDeaths))
       continue;
     const Evidence &Against = All.at(Part);
     Convicted.push_back({{Against.Companions.begin(), Against.Companions.end()},
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -279,11 +279,15 @@
 RequestRun::acquireTarget() {
   serving::AdmissionQueue &Queue = Context.waitQueue(Admitted.Service);
   std::optional<serving::SelectedTarget> Chosen;
+  if (isQuarantined())
+    co_return Chosen;
   if (Queue.size() == 0) {
     Chosen = selectAndReserveTarget();
     if (Chosen || NoTargetReason != serving::SelectionFailure::Full)
       co_return Chosen;
   }
+  // Whoever waits behind others is not tried before they are.
+  NoTargetReason = serving::SelectionFailure::Full;
   // Longest time in the queue: a fraction of the route's latency objective.
   auto MaxQueueTime = std::chrono::duration_cast<Clock::duration>(
       Admitted.Route->LatencyObjective *
