Dismissed deaths stay dismissed when a peer tells of them again

Found by reading: a gateway dropped the incidents of a death that was none, its digest then differed from that of the sidecars, and each second they told it again, for 30 minutes. Incidents are kept and marked now (death_of_a_target_that_is_ alive_is_dismissed asks for it).

--- a/libs/routing/include/routing/PartQuarantine.h
+++ b/libs/routing/include/routing/PartQuarantine.h
@@ -63,6 +63,9 @@
     std::uint64_t Death = 0;
     Subject Accused;
     core::BootTime At;
+    /// The target did not die. Kept so that a peer that does not know this yet
+    /// cannot bring the incident back.
+    bool Dismissed = false;
   };
 
   PartQuarantine() : PartQuarantine(Settings()) {}
@@ -83,7 +86,8 @@
   /// @return when an answer last began on \p Part; the epoch if unknown.
   core::BootTime answeredAt(const std::string &Part) const;
 
-  /// Drops what was seen at a death that was none: the incarnation is alive.
+  /// Dismisses what was seen at a death that was none: the incarnation is
+  /// alive.
   void dismiss(std::uint64_t Death, core::BootTime AliveAt);
 
   /// @return whether a request must not be sent to a target.
--- a/libs/routing/src/PartQuarantine.cpp
+++ b/libs/routing/src/PartQuarantine.cpp
@@ -3,6 +3,7 @@
 #include "core/Rendezvous.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace rosemarylane::routing {
@@ -105,11 +106,12 @@
 }
 
 void PartQuarantine::dismiss(std::uint64_t Death, core::BootTime AliveAt) {
-  auto Dropped = std::erase_if(Incidents, [&](const Incident &Report) {
-    return Report.Death == Death && AliveAt - Report.At >= ReportDelay;
-  });
-  if (Dropped > 0)
-    EvidenceChanged = true;
+  for (Incident &Report : Incidents) {
+    if (Report.Death != Death || AliveAt - Report.At < ReportDelay)
+      continue;
+    EvidenceChanged |= !Report.Dismissed;
+    Report.Dismissed = true;
+  }
 }
 
 void PartQuarantine::expire(core::BootTime Now) {
@@ -118,12 +120,12 @@
   });
   if (Dropped > 0)
     EvidenceChanged = true;
+  std::set<std::string_view> Needed;
+  for (const Incident &Report : Incidents)
+    Needed.insert(Report.Accused.Parts.begin(), Report.Accused.Parts.end());
   std::erase_if(LastAnswered, [&](const auto &Entry) {
-    bool Needed = std::any_of(
-        Incidents.begin(), Incidents.end(), [&](const Incident &Report) {
-          return contains(Report.Accused.Parts, Entry.first);
-        });
-    return !Needed && Now - Entry.second > Config.AnsweredBefore;
+    return Now - Entry.second > Config.AnsweredBefore &&
+           !Needed.contains(Entry.first);
   });
 }
 
@@ -153,6 +155,8 @@
 PartQuarantine::EvidenceByPart PartQuarantine::collectEvidence() const {
   EvidenceByPart All;
   for (const Incident &Report : Incidents) {
+    if (Report.Dismissed)
+      continue;
     std::vector<std::string> Accused = accusedParts(Report);
     std::set<std::string> Together(Accused.begin(), Accused.end());
     for (const std::string &Part : Together) {
@@ -214,6 +218,8 @@
   std::map<std::uint64_t, Conviction> ByRequest;
   std::map<std::uint64_t, Deaths> DeathsOf;
   for (const Incident &Report : Incidents) {
+    if (Report.Dismissed)
+      continue;
     Conviction &Against = ByRequest[Report.Accused.Request];
     Against.Request = Report.Accused.Request;
     Against.LastDeath = std::max(Against.LastDeath, Report.At);
--- a/libs/routing/tests/PartQuarantineTest.cpp
+++ b/libs/routing/tests/PartQuarantineTest.cpp
@@ -151,6 +151,9 @@
   BOOST_TEST(Q.refuses({12, {"part"}}, Start));
   Q.dismiss(2, Start + 1s);
   BOOST_TEST(!Q.refuses({12, {"part"}}, Start));
+  // A peer that has not heard of it tells again.
+  BOOST_TEST(!Q.add(incident(2, {11, {"part"}})));
+  BOOST_TEST(!Q.refuses({12, {"part"}}, Start));
 }
 
 BOOST_AUTO_TEST_CASE(two_deaths_are_held_against_a_part_for_a_shorter_time) {
