Log which targets a copy of the registry changes, and what is retained

A trace of requests that reached a leaving target could not tell when a gateway first took the target as leaving or gone, from which source it heard so, and whether an entry was in the store or retained by a peer.

- "targets changed" after each adopted copy of the registry: the targets added, leaving, ready again and gone, with store revision and source.
- "registry entries retained" with the entries that the store did not show.
- "written_after_ms" of "request ended": the first byte to the last target.
"sent_after_ms" is the moment of the choice; connecting lies between.

No decision has changed.

--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -107,6 +107,9 @@
   /// targets.
   bool isQuarantined() const;
   void logFailedAttempt(const serving::SelectedTarget &Target) const;
+  /// @return the time from the request's arrival to the moment at which the
+  /// last attempt began to be written; -1 if it was not written.
+  std::int64_t writtenAfterMs() const;
 
   // Final responses, logging and metrics.
   // A reason is the outcome in the log and the label of the request metric;
@@ -396,6 +399,12 @@
          Context.Quarantine->refuses(subject());
 }
 
+std::int64_t RequestRun::writtenAfterMs() const {
+  if (SentAt == Clock::time_point())
+    return -1;
+  return std::chrono::duration_cast<milliseconds>(SentAt - StartedAt).count();
+}
+
 void RequestRun::reportBreak(const serving::SelectedTarget &Target) {
   bool MayHaveKilled = SentAt != Clock::time_point() && !AnswerBegun &&
                        !Admitted.HeaderValues.PromptParts.empty();
@@ -663,6 +672,7 @@
        {"sends", std::int64_t(AttemptedTargets.size())},
        {"sent_after_ms",
         LastSentAfter ? LastSentAfter->count() : std::int64_t(-1)},
+       {"written_after_ms", writtenAfterMs()},
        {"reused", LastReused},
        {"waited_ms", std::int64_t(QueueTime.count())},
        {"configuration", std::int64_t(Version)},
--- /dev/null
+++ b/rosemarylane/src/node/RegistryChange.h
@@ -0,0 +1,48 @@
+#ifndef ROSEMARYLANE_NODE_REGISTRY_CHANGE_H
+#define ROSEMARYLANE_NODE_REGISTRY_CHANGE_H
+
+#include "serving/RegisteredTarget.h"
+#include "serving/StoreSection.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace rosemarylane {
+
+/// What one read of the registry, or a peer's copy, has changed about which
+/// targets may be used.
+struct RegistryChange {
+  /// Targets that are registered now and were not before.
+  std::vector<serving::TargetId> Added;
+  /// Targets that are leaving now and were not before.
+  std::vector<serving::TargetId> Leaving;
+  /// Targets that were leaving and are not any more.
+  std::vector<serving::TargetId> ReadyAgain;
+  /// Targets that were registered and are not any more.
+  std::vector<serving::TargetId> Gone;
+
+  bool empty() const {
+    return Added.empty() && Leaving.empty() && ReadyAgain.empty() &&
+           Gone.empty();
+  }
+};
+
+/// Decodes only the items that differ.
+RegistryChange compareRegistries(const serving::StoreSection::Items &Old,
+                                 const serving::StoreSection::Items &New);
+
+/// Logs \p Change as one line, which names a limited number of targets.
+/// @param Source `store`, or the IP address of the peer.
+void logRegistryChange(const RegistryChange &Change, std::int64_t StoreRevision,
+                       const std::string &Source);
+
+/// Logs which entries \p Read does not hold and \p Retained does, if any, as
+/// one line that names a limited number of them.
+void logRetainedEntries(const serving::StoreSection::Items &Read,
+                        const serving::StoreSection::Items &Retained,
+                        std::int64_t StoreRevision);
+
+} // namespace rosemarylane
+
+#endif // ROSEMARYLANE_NODE_REGISTRY_CHANGE_H
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -1,5 +1,6 @@
 #include "node/StoreFollower.h"
 
+#include "node/RegistryChange.h"
 #include "platform/StoreCalls.h"
 #include "serving/LapsedEntries.h"
 #include "serving/ReadSchedule.h"
@@ -340,8 +341,10 @@
       // Retains entries whose leases expired during an outage of the store,
       // until their targets have had time to register again.
       BootTime Now = BootClock::now();
+      StoreSection::Items Read = Items;
       Items = Lapsed.apply(std::move(Items), Registry.items(),
                            Registry.staleness(Now), Now);
+      logRetainedEntries(Read, Items, StoreRevision);
     }
     adopt(Which, std::move(Items), StoreRevision, Sent, "store");
     co_return true;
@@ -394,6 +397,9 @@
     std::optional<BootTime> CountdownStart;
     if (OldStaleness)
       CountdownStart = Outage.countdownStart(Now - *OldStaleness);
+    StoreSection::Items Before;
+    if (Which == Section::Registry)
+      Before = Known.items();
     if (!Known.adopt(std::move(Items), StoreRevision, ConfirmedAt,
                      CountdownStart))
       return;
@@ -403,6 +409,9 @@
                     {"source", Source},
                     {"items", std::int64_t(Known.items().size())},
                     {"age_ms", countOf(Known.staleness(Now))}});
+    if (Which == Section::Registry)
+      logRegistryChange(compareRegistries(Before, Known.items()), StoreRevision,
+                        Source);
     if (Which == Section::Operators)
       CompressedItems.clear();
     if (Which == Section::Operators && Callbacks.OnOperatorsChanged)
