What a process assumes of the registry stays in that process

Callers: requests reached targets that had said that they leave, seconds before (DRAIN), from gateways that had been connected all the while and had known so.

Cause: a process that had no confirmation of its copy for 1.5 s took the store to have been away. It retained the entries that its next read did not show, in the state in which it last knew them, as part of its section under the store's revision. Peers that had read better adopted them, since the number was higher or the same. The class: an inference that is stored and passed on as an observation.

Ruled out by the traces: late bytes (written when chosen, after the adoption) and late news (every connected failure domain had the target gone in 0.02 to 0.32 s).

Change: `serving::SectionCopy` keeps what somebody has read (`section`, all that peers get) apart from what this process assumes (`items`, on which it acts). A process that was cut off or frozen believes the store.

--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -94,9 +94,9 @@
   /// versions.
   /// @param UnchangedAt when the store last confirmed the previous content of
   /// the section, or the end of an outage since then; empty if there was none.
-  void operatorSectionChanged(const serving::StoreSection &Section,
-                              std::optional<BootTime> UnchangedAt);
-  void registrySectionChanged(const serving::StoreSection &Section);
+  void operatorsChanged(const serving::StoreSection::Items &Items,
+                        std::optional<BootTime> UnchangedAt);
+  void registryChanged(const serving::StoreSection::Items &Items);
   /// Updates the time from which targets with older weights get no new
   /// requests. A version is named when an operator writes it to the store as
   /// the one to serve.
@@ -143,12 +143,12 @@
   if (!Link)
     return false;
   StoreFollower::Hooks Hooks;
-  Hooks.OnOperatorsChanged = [this](const serving::StoreSection &Section,
+  Hooks.OnOperatorsChanged = [this](const serving::StoreSection::Items &Items,
                                     std::optional<BootTime> UnchangedAt) {
-    operatorSectionChanged(Section, UnchangedAt);
+    operatorsChanged(Items, UnchangedAt);
   };
-  Hooks.OnRegistryChanged = [this](const serving::StoreSection &Section) {
-    registrySectionChanged(Section);
+  Hooks.OnRegistryChanged = [this](const serving::StoreSection::Items &Items) {
+    registryChanged(Items);
   };
   Hooks.OnPeersAdded = [this] { updateGatewayCounts(); };
   Follower =
@@ -286,10 +286,9 @@
   Context.advanceWaitQueues();
 }
 
-void GatewayProcess::operatorSectionChanged(
-    const serving::StoreSection &Section, std::optional<BootTime> UnchangedAt) {
-  platform::OperatorRecords Records =
-      platform::decodeOperators(Section.items());
+void GatewayProcess::operatorsChanged(const serving::StoreSection::Items &Items,
+                                      std::optional<BootTime> UnchangedAt) {
+  platform::OperatorRecords Records = platform::decodeOperators(Items);
   for (const platform::DecodeError &E : Records.Errors)
     telemetry::log(telemetry::Level::Error, "operators' record unreadable",
                    {{"error", E.text()}});
@@ -329,9 +328,9 @@
     }
 }
 
-void GatewayProcess::registrySectionChanged(
-    const serving::StoreSection &Section) {
-  platform::RegistryRecords Records = platform::decodeRegistry(Section.items());
+void GatewayProcess::registryChanged(
+    const serving::StoreSection::Items &Items) {
+  platform::RegistryRecords Records = platform::decodeRegistry(Items);
   for (const platform::DecodeError &E : Records.Errors)
     telemetry::log(telemetry::Level::Warning, "registry record unreadable",
                    {{"error", E.text()}});
--- a/rosemarylane/src/node/RegistryChange.h
+++ b/rosemarylane/src/node/RegistryChange.h
@@ -10,8 +10,8 @@
 
 namespace rosemarylane {
 
-/// What one read of the registry, or a peer's copy, has changed about which
-/// targets may be used.
+/// What a read of the registry, a peer's copy, or the end of a retention has
+/// changed about which targets may be used.
 struct RegistryChange {
   /// Targets that are registered now and were not before.
   std::vector<serving::TargetId> Added;
@@ -33,7 +33,7 @@
                                  const serving::StoreSection::Items &New);
 
 /// Logs \p Change as one line, which names a limited number of targets.
-/// @param Source `store`, or the IP address of the peer.
+/// @param Source `store`, the IP address of the peer, or `retention ended`.
 void logRegistryChange(const RegistryChange &Change, std::int64_t StoreRevision,
                        const std::string &Source);
 
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -2,9 +2,8 @@
 
 #include "node/RegistryChange.h"
 #include "platform/StoreCalls.h"
-#include "serving/LapsedEntries.h"
 #include "serving/ReadSchedule.h"
-#include "serving/StoreOutage.h"
+#include "serving/SectionCopy.h"
 #include "telemetry/Log.h"
 #include "wire/Compression.h"
 
@@ -23,6 +22,7 @@
 using core::BootClock;
 using core::BootTime;
 using platform::Section;
+using serving::SectionCopy;
 using serving::StoreSection;
 using std::chrono::milliseconds;
 
@@ -113,12 +113,11 @@
   serving::PeerTable Peers;
   std::mt19937_64 Random;
 
-  StoreSection Operators;
-  StoreSection Registry;
-  /// Registry entries whose leases expired while the store was down.
-  serving::LapsedEntries Lapsed;
+  SectionCopy Operators{SectionCopy::Missing::Gone};
+  SectionCopy Registry{SectionCopy::Missing::MayHaveLapsed};
+  /// The registry as last passed on to `Hooks::OnRegistryChanged`.
+  StoreSection::Items LastRegistry;
   serving::ReadSchedule Schedule;
-  serving::StoreOutage Outage;
   bool Reading = false;
   bool Watching = false;
   /// A change was reported while a read was in progress.
@@ -138,7 +137,7 @@
   std::uint64_t LastQuery = 0;
   BootTime LastProbe{};
 
-  StoreSection &section(Section Which) {
+  SectionCopy &copyOf(Section Which) {
     return Which == Section::Operators ? Operators : Registry;
   }
 
@@ -154,8 +153,8 @@
   }
 
   std::optional<milliseconds> maxStaleness(BootTime Now) const {
-    auto First = Operators.staleness(Now);
-    auto Second = Registry.staleness(Now);
+    auto First = Operators.section().staleness(Now);
+    auto Second = Registry.section().staleness(Now);
     if (!First || !Second)
       return std::nullopt;
     return std::max(*First, *Second);
@@ -164,8 +163,9 @@
   void tick() {
     BootTime Now = BootClock::now();
     Peers.removeStale(Now);
-    if (!Peers.hasPeerQuorum(Now))
-      Outage.recordPossiblePartition(Now);
+    recordReachability(Now);
+    if (Registry.expire(Now))
+      registryChanged("retention ended");
     // Replies that arrive later than this are not compared any more.
     std::erase_if(QueriesSent, [&](const auto &Entry) {
       return Now - Entry.second > milliseconds(2000);
@@ -177,7 +177,7 @@
     if (!Reading && Schedule.readDue(Rank, Staleness, Now))
       startRead(Now);
     // A watch that starts during a read would report the change being read.
-    if (Rank == 0 && !Watching && !Reading && Operators.known())
+    if (Rank == 0 && !Watching && !Reading && Operators.section().known())
       startWatch();
     if (Schedule.peerQueryDue(Rank, Staleness, Now))
       queryPeers(Rank, Staleness, Now);
@@ -185,6 +185,22 @@
       probeSilentHosts(Now);
   }
 
+  /// Records what tells an outage of the store from a partition of this
+  /// process.
+  void recordReachability(BootTime Now) {
+    bool Partitioned = !Peers.hasPeerQuorum(Now);
+    std::vector<serving::Peer> Live = Peers.live(Now);
+    bool PeerFails =
+        std::any_of(Live.begin(), Live.end(),
+                    [](const serving::Peer &Other) { return Other.StoreLost; });
+    for (SectionCopy *Copy : {&Operators, &Registry}) {
+      if (Partitioned)
+        Copy->outage().recordPossiblePartition(Now);
+      if (PeerFails)
+        Copy->outage().recordPeerFailure(Now);
+    }
+  }
+
   // --- Reading the store
 
   void startRead(BootTime Now) {
@@ -200,7 +216,7 @@
           // although the store is up. The failure is recorded at the read's
           // start, so that the suspension does not count as an outage.
           if (!Succeeded)
-            Self->Outage.recordReadFailure(Now);
+            Self->recordReadFailure(Now);
           Self->setStoreReachable(Succeeded);
           if (std::exchange(Self->ReadAgain, false))
             Self->startRead(BootClock::now());
@@ -208,6 +224,11 @@
         asio::detached);
   }
 
+  void recordReadFailure(BootTime StartedAt) {
+    Operators.outage().recordReadFailure(StartedAt);
+    Registry.outage().recordReadFailure(StartedAt);
+  }
+
   /// Watches the operators section to learn of changes without delay. A
   /// notification is only a hint: it triggers a read and does not confirm the
   /// local copy.
@@ -224,8 +245,8 @@
 
   asio::awaitable<void> watch() {
     HttpClient::Call Call;
-    Call.Request = platform::watchRequest(Section::Operators, Operators.at(),
-                                          WatchDuration);
+    Call.Request = platform::watchRequest(
+        Section::Operators, Operators.section().at(), WatchDuration);
     Call.Timeout = WatchTimeout;
     Call.MaxBodyBytes = MaxNoticeBytes;
     ++StoreRequests;
@@ -256,7 +277,8 @@
     Socket.setStoreLost(!Reachable);
     telemetry::log(
         telemetry::Level::Warning, Reachable ? "store regained" : "store lost",
-        {{"proof_age_ms", countOf(Operators.staleness(BootClock::now()))}});
+        {{"proof_age_ms",
+          countOf(Operators.section().staleness(BootClock::now()))}});
   }
 
   asio::awaitable<bool> read() {
@@ -271,19 +293,19 @@
   }
 
   asio::awaitable<bool> confirmOperators() {
-    if (!Operators.known())
+    if (!Operators.section().known())
       co_return false;
     std::vector<core::FailureDomainId> Domains;
     for (const auto &[Domain, Region] : Settings.RegionOf)
       Domains.push_back(Domain);
-    auto Keys = platform::operatorKeys(Operators.items(), Domains);
+    auto Keys = platform::operatorKeys(Operators.section().items(), Domains);
     if (Keys.empty())
       co_return false;
     HttpClient::Call Call;
-    Call.Request = platform::confirmRequest(Keys, Operators.items());
+    Call.Request = platform::confirmRequest(Keys, Operators.section().items());
     Call.Timeout = StoreTimeout;
     Call.MaxBodyBytes = MaxNoticeBytes;
-    std::uint64_t Digest = Operators.digest();
+    std::uint64_t Digest = Operators.section().digest();
     BootTime Sent = BootClock::now();
     ++StoreRequests;
     auto Answer =
@@ -298,7 +320,7 @@
       co_return false;
     }
     // A peer's copy may have replaced the section during the request.
-    if (!Confirmed->Unchanged || Digest != Operators.digest())
+    if (!Confirmed->Unchanged || Digest != Operators.section().digest())
       co_return false;
     Operators.confirm(Confirmed->At, Sent);
     co_return true;
@@ -337,15 +359,6 @@
       if (!Page->More || After.empty())
         break;
     }
-    if (Which == Section::Registry) {
-      // Retains entries whose leases expired during an outage of the store,
-      // until their targets have had time to register again.
-      BootTime Now = BootClock::now();
-      StoreSection::Items Read = Items;
-      Items = Lapsed.apply(std::move(Items), Registry.items(),
-                           Registry.staleness(Now), Now);
-      logRetainedEntries(Read, Items, StoreRevision);
-    }
     adopt(Which, std::move(Items), StoreRevision, Sent, "store");
     co_return true;
   }
@@ -391,36 +404,42 @@
   void adopt(Section Which, StoreSection::Items Items,
              std::int64_t StoreRevision, BootTime ConfirmedAt,
              const std::string &Source) {
-    StoreSection &Known = section(Which);
+    SectionCopy &Copy = copyOf(Which);
     BootTime Now = BootClock::now();
-    auto OldStaleness = Known.staleness(Now);
-    std::optional<BootTime> CountdownStart;
-    if (OldStaleness)
-      CountdownStart = Outage.countdownStart(Now - *OldStaleness);
-    StoreSection::Items Before;
-    if (Which == Section::Registry)
-      Before = Known.items();
-    if (!Known.adopt(std::move(Items), StoreRevision, ConfirmedAt,
-                     CountdownStart))
+    std::size_t RetainedBefore = Copy.retainedCount();
+    auto Change = Copy.adopt(std::move(Items), StoreRevision, ConfirmedAt, Now);
+    if (!Change)
       return;
+    const StoreSection &Known = Copy.section();
     telemetry::log(telemetry::Level::Info, "section adopted",
                    {{"section", std::string(nameOf(Which))},
                     {"store_revision", StoreRevision},
                     {"source", Source},
                     {"items", std::int64_t(Known.items().size())},
                     {"age_ms", countOf(Known.staleness(Now))}});
-    if (Which == Section::Registry)
-      logRegistryChange(compareRegistries(Before, Known.items()), StoreRevision,
-                        Source);
-    if (Which == Section::Operators)
+    if (Copy.retainedCount() > RetainedBefore)
+      logRetainedEntries(Known.items(), Copy.items(), StoreRevision);
+    if (Which == Section::Registry) {
+      registryChanged(Source);
+    } else {
       CompressedItems.clear();
-    if (Which == Section::Operators && Callbacks.OnOperatorsChanged)
-      Callbacks.OnOperatorsChanged(Known, CountdownStart);
-    if (Which == Section::Registry && Callbacks.OnRegistryChanged)
-      Callbacks.OnRegistryChanged(Known);
+      if (Callbacks.OnOperatorsChanged)
+        Callbacks.OnOperatorsChanged(Copy.items(), Change->CountdownStart);
+    }
     announceChange(Now);
   }
 
+  /// Passes on the registry as this process acts on it.
+  /// @param Source what has changed it; for the log.
+  void registryChanged(const std::string &Source) {
+    StoreSection::Items Items = Registry.items();
+    logRegistryChange(compareRegistries(LastRegistry, Items),
+                      Registry.section().at(), Source);
+    LastRegistry = std::move(Items);
+    if (Callbacks.OnRegistryChanged)
+      Callbacks.OnRegistryChanged(LastRegistry);
+  }
+
   // --- Exchange with peers
 
   /// @param AnnouncesChange whether this process's copy has changed; makes the
@@ -430,8 +449,8 @@
     wire::Ask *Ask = Message.mutable_ask();
     Ask->set_number(++LastQuery);
     Ask->set_changed(AnnouncesChange);
-    toWire(Operators.summary(Now), *Ask->mutable_operators());
-    toWire(Registry.summary(Now), *Ask->mutable_registry());
+    toWire(Operators.section().summary(Now), *Ask->mutable_operators());
+    toWire(Registry.section().summary(Now), *Ask->mutable_registry());
     return Message;
   }
 
@@ -494,8 +513,8 @@
     wire::NodeMessage Message;
     wire::Reply *Reply = Message.mutable_reply();
     Reply->set_number(Query.number());
-    toWire(Operators.summary(Now), *Reply->mutable_operators());
-    toWire(Registry.summary(Now), *Reply->mutable_registry());
+    toWire(Operators.section().summary(Now), *Reply->mutable_operators());
+    toWire(Registry.section().summary(Now), *Reply->mutable_registry());
     Reply->set_reading(Reading);
     Reply->set_compresses(true);
     for (const auto &[Known, Entry] : Peers.entries()) {
@@ -543,7 +562,7 @@
     // A process that has just started does not know when its items last
     // changed, but the peer may know.
     bool KnowsMore = Result == Comparison::Same && Theirs.HasChangeTimes &&
-                     Operators.lacksChangeTimes();
+                     Operators.section().lacksChangeTimes();
     if (Result == Comparison::PeerNewer || KnowsMore)
       fetch(Section::Operators, From.Ip, Reply.compresses());
     if (Registry.compareAndConfirm(fromWire(Reply.registry()), Sent) ==
@@ -623,9 +642,9 @@
       Path.remove_suffix(CompressedSuffix.size());
     const StoreSection *Which = nullptr;
     if (Path == OperatorsPath)
-      Which = &Operators;
+      Which = &Operators.section();
     if (Path == RegistryPath)
-      Which = &Registry;
+      Which = &Registry.section();
     if (!Which)
       return std::nullopt;
     wire::Section Body;
@@ -678,7 +697,7 @@
 }
 
 std::optional<milliseconds> StoreFollower::operatorsStaleness() const {
-  return S->Operators.staleness(BootClock::now());
+  return S->Operators.section().staleness(BootClock::now());
 }
 
 const serving::PeerTable &StoreFollower::peers() const { return S->Peers; }
--- a/rosemarylane/src/node/StoreFollower.h
+++ b/rosemarylane/src/node/StoreFollower.h
@@ -33,17 +33,19 @@
 class StoreFollower {
 public:
   struct Hooks {
-    /// Called when the operators section has changed.
+    /// Called when the operators section has changed, with its items.
     /// @param CountdownStart time from which the activation delay of a version
     /// that the change names is counted: when the previous content of the
     /// section was last confirmed, or the last failed read of the store if the
     /// store was down since (see `serving::StoreOutage`). Absent if there was
     /// no previous content.
-    std::function<void(const serving::StoreSection &,
+    std::function<void(const serving::StoreSection::Items &,
                        std::optional<core::BootTime> CountdownStart)>
         OnOperatorsChanged;
-    /// Called when the registry section has changed.
-    std::function<void(const serving::StoreSection &)> OnRegistryChanged;
+    /// Called when the registry has changed, with its items: those of the
+    /// section, and those that this process retains because their leases may
+    /// have expired with an outage of the store (see `serving::LapsedEntries`).
+    std::function<void(const serving::StoreSection::Items &)> OnRegistryChanged;
     /// Called when a message has added processes to the peer table; not called
     /// when silent ones are removed.
     std::function<void()> OnPeersAdded;
--- a/rosemarylane/src/sidecar/ServedModel.cpp
+++ b/rosemarylane/src/sidecar/ServedModel.cpp
@@ -21,9 +21,8 @@
 
 } // namespace
 
-void ServedModel::operatorSectionChanged(const serving::StoreSection &Section) {
-  platform::OperatorRecords Records =
-      platform::decodeOperators(Section.items());
+void ServedModel::operatorsChanged(const serving::StoreSection::Items &Items) {
+  platform::OperatorRecords Records = platform::decodeOperators(Items);
   if (Records.Config)
     Config = std::move(Records.Config);
   findService();
@@ -43,8 +42,8 @@
   }
 }
 
-void ServedModel::registrySectionChanged(const serving::StoreSection &Section) {
-  Targets = platform::decodeRegistry(Section.items()).Targets;
+void ServedModel::registryChanged(const serving::StoreSection::Items &Items) {
+  Targets = platform::decodeRegistry(Items).Targets;
   findService();
 }
 
--- a/rosemarylane/src/sidecar/ServedModel.h
+++ b/rosemarylane/src/sidecar/ServedModel.h
@@ -36,9 +36,9 @@
 
   /// Applies the operators' section of the store: configuration and named
   /// versions.
-  void operatorSectionChanged(const serving::StoreSection &Section);
+  void operatorsChanged(const serving::StoreSection::Items &Items);
   /// Applies the registry section of the store: the registered targets.
-  void registrySectionChanged(const serving::StoreSection &Section);
+  void registryChanged(const serving::StoreSection::Items &Items);
 
   /// @return whether the model and its origin are known.
   bool known() const { return !Model.empty() && !OriginAddress.empty(); }
--- a/rosemarylane/src/sidecar/SidecarProcess.cpp
+++ b/rosemarylane/src/sidecar/SidecarProcess.cpp
@@ -59,12 +59,12 @@
   if (!Link)
     return false;
   StoreFollower::Hooks Hooks;
-  Hooks.OnOperatorsChanged = [this](const serving::StoreSection &Section,
+  Hooks.OnOperatorsChanged = [this](const serving::StoreSection::Items &Items,
                                     std::optional<core::BootTime>) {
-    Weights->operatorSectionChanged(Section);
+    Weights->operatorsChanged(Items);
   };
-  Hooks.OnRegistryChanged = [this](const serving::StoreSection &Section) {
-    Weights->registrySectionChanged(Section);
+  Hooks.OnRegistryChanged = [this](const serving::StoreSection::Items &Items) {
+    Weights->registryChanged(Items);
   };
   Follower =
       StoreFollower::start(Runtime.loop(), Settings, serving::PeerRole::Sidecar,
--- a/rosemarylane/src/sidecar/WeightKeeper.cpp
+++ b/rosemarylane/src/sidecar/WeightKeeper.cpp
@@ -207,14 +207,12 @@
 WeightKeeper::WeightKeeper(std::shared_ptr<State> S) : S(std::move(S)) {}
 WeightKeeper::~WeightKeeper() = default;
 
-void WeightKeeper::operatorSectionChanged(
-    const serving::StoreSection &Section) {
-  S->Served.operatorSectionChanged(Section);
+void WeightKeeper::operatorsChanged(const serving::StoreSection::Items &Items) {
+  S->Served.operatorsChanged(Items);
 }
 
-void WeightKeeper::registrySectionChanged(
-    const serving::StoreSection &Section) {
-  S->Served.registrySectionChanged(Section);
+void WeightKeeper::registryChanged(const serving::StoreSection::Items &Items) {
+  S->Served.registryChanged(Items);
 }
 
 void WeightKeeper::handleMessage(const wire::NodeMessage &Message) {
