An assumed outage moves a version's countdown in this process only

Found by reading, beside the cause of DRAIN: `ChangedAfter` of an item held what a read had shown or what one process assumed after an outage of the store, the later one won, and peers adopted it. One process that was wrong extended the time for which all gateways use an older version (VERSION).

Change: sections hold and pass on observed times; `SectionCopy::items` adds the end of an outage that this process assumes itself.

section_copy/an_assumed_outage_moves_a_countdown_in_this_process_only: the section had the assumed time before, 4,500 ms after the last confirmation.

--- a/libs/serving/include/serving/SectionCopy.h
+++ b/libs/serving/include/serving/SectionCopy.h
@@ -8,7 +8,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <string>
 
 namespace rosemarylane::serving {
 
@@ -16,8 +18,9 @@
 /// that.
 ///
 /// Only `section` is passed on to peers: what somebody has read from the store.
-/// Assumptions, such as entries that lapsed with an outage, are part of `items`
-/// alone, on which only this process acts. A peer that was connected all the
+/// Assumptions, such as entries that lapsed with an outage, or that an item did
+/// not change during it, are part of `items` alone, on which only this process
+/// acts. A peer that was connected all the
 /// while is therefore never overruled by what a process that was partitioned
 /// assumes. Value type without a clock of its own; not thread-safe.
 class SectionCopy {
@@ -73,17 +76,28 @@
   const StoreSection &section() const { return Read; }
 
   /// @return the items on which this process acts: those of `section` and
-  /// those that it retains.
-  StoreSection::Items items() const { return Lapsed.joinedWith(Read.items()); }
+  /// those that it retains. Where an outage is assumed before a change,
+  /// `ChangedAfter` is when it ended.
+  StoreSection::Items items() const;
 
   /// @return the number of items that are retained.
   std::size_t retainedCount() const { return Lapsed.size(); }
 
 private:
+  /// An item that changed after an assumed outage.
+  struct AssumedChange {
+    StoredItem Item;
+    core::BootTime ChangedAfter;
+  };
+
+  void assumeChangesAfter(core::BootTime OutageEnd,
+                          const StoreSection::Items &Before);
+
   Missing MeaningOfMissing;
   StoreSection Read;
   StoreOutage Outage;
   LapsedEntries Lapsed;
+  std::map<std::string, AssumedChange> AssumedChanges;
 };
 
 } // namespace rosemarylane::serving
--- a/libs/serving/include/serving/StoreSection.h
+++ b/libs/serving/include/serving/StoreSection.h
@@ -57,8 +57,7 @@
   /// @param StoreRevision store revision of the read.
   /// @param ReadSentAt when the read was sent, in local time.
   /// @param UnchangedAt latest local time at which the store was known to hold
-  /// the items that this copy has before the call, or after an outage the later
-  /// time that `StoreOutage::countdownStart` returns; absent if unknown. Each
+  /// the items that this copy has before the call; absent if unknown. Each
   /// item that \p Read shows changed gets it as `ChangedAfter`, unless \p Read
   /// itself has a later one.
   /// @return whether this copy's items changed, or \p Read has a later
--- a/libs/serving/src/SectionCopy.cpp
+++ b/libs/serving/src/SectionCopy.cpp
@@ -15,18 +15,47 @@
   bool MayHaveLapsed = MeaningOfMissing == Missing::MayHaveLapsed &&
                        Result.UnchangedAt &&
                        Outage.mayHaveLapsed(*Result.UnchangedAt, Now);
+  bool OutageAssumed = Result.CountdownStart != Result.UnchangedAt;
   StoreSection::Items Before;
-  if (MayHaveLapsed)
+  if (MayHaveLapsed || OutageAssumed)
     Before = Read.items();
   if (!Read.adopt(std::move(NewItems), StoreRevision, ConfirmedAt,
-                  Result.CountdownStart))
+                  Result.UnchangedAt))
     return std::nullopt;
   if (MayHaveLapsed)
     Lapsed.retainMissing(Before, Read.items(), Now);
+  std::erase_if(AssumedChanges, [&](const auto &Entry) {
+    auto Known = Read.items().find(Entry.first);
+    return Known == Read.items().end() || Known->second != Entry.second.Item;
+  });
+  if (OutageAssumed)
+    assumeChangesAfter(*Result.CountdownStart, Before);
   Lapsed.expire(Read.items(), Now);
   return Result;
 }
 
+void SectionCopy::assumeChangesAfter(core::BootTime OutageEnd,
+                                     const StoreSection::Items &Before) {
+  for (const auto &[Key, Item] : Read.items()) {
+    auto Known = Before.find(Key);
+    if (Known == Before.end() || Known->second != Item)
+      AssumedChanges.insert_or_assign(Key, AssumedChange{Item, OutageEnd});
+  }
+}
+
+StoreSection::Items SectionCopy::items() const {
+  StoreSection::Items Result = Lapsed.joinedWith(Read.items());
+  for (const auto &[Key, Change] : AssumedChanges) {
+    auto Found = Result.find(Key);
+    if (Found == Result.end())
+      continue;
+    std::optional<core::BootTime> &ChangedAfter = Found->second.ChangedAfter;
+    if (!ChangedAfter || *ChangedAfter < Change.ChangedAfter)
+      ChangedAfter = Change.ChangedAfter;
+  }
+  return Result;
+}
+
 StoreSection::Comparison
 SectionCopy::compareAndConfirm(const StoreSection::Summary &PeerSummary,
                                core::BootTime QueriedAt) {
--- a/libs/serving/tests/SectionCopyTest.cpp
+++ b/libs/serving/tests/SectionCopyTest.cpp
@@ -143,6 +143,22 @@
   BOOST_TEST((Change->CountdownStart == at(4500)));
 }
 
+// Guards against VERSION: peers adopted the later of two times after which an
+// item had changed, also if one of them was only assumed.
+BOOST_AUTO_TEST_CASE(an_assumed_outage_moves_a_countdown_in_this_process_only) {
+  SectionCopy Copy(SectionCopy::Missing::Gone);
+  Copy.adopt({{"version", {"1", 3}}}, 5, Start, Start);
+  failReads(Copy, 500, 4500);
+  auto Change = Copy.adopt({{"version", {"2", 8}}}, 9, at(5000), at(5000));
+  BOOST_REQUIRE(Change);
+  BOOST_TEST((Change->CountdownStart == at(4500)));
+  BOOST_TEST((Copy.items().at("version").ChangedAfter == at(4500)));
+  BOOST_TEST((Copy.section().items().at("version").ChangedAfter == Start));
+  // The next change without an outage is counted from its own confirmation.
+  Copy.adopt({{"version", {"3", 11}}}, 12, at(5900), at(5900));
+  BOOST_TEST((Copy.items().at("version").ChangedAfter == at(5000)));
+}
+
 /// A store whose entries come, change and go, and processes that read it, copy
 /// each other, and are cut off from time to time.
 struct Fleet {
