--- a/libs/serving/src/StoreSection.cpp
+++ b/libs/serving/src/StoreSection.cpp
@@ -22,6 +22,12 @@
                          std::optional<core::BootTime> UnchangedAt) {
   if (known() && StoreRevision < ReadRevision)
     return false;
+  // A read of several pages is no snapshot: of two reads that differ at one
+  // revision, the later one is newer.
+  bool ConfirmedLater = !ConfirmedAt || ReadSentAt > *ConfirmedAt;
+  if (known() && StoreRevision == ReadRevision && Read != Current &&
+      !ConfirmedLater)
+    return false;
   bool TimesImproved = mergeChangeTimes(Read, UnchangedAt);
   bool Changed = !known() || Read != Current || TimesImproved;
   if (Changed) {
--- a/libs/serving/tests/StoreSectionTest.cpp
+++ b/libs/serving/tests/StoreSectionTest.cpp
@@ -26,6 +26,17 @@
   BOOST_TEST(Section.items().at("a").Value == "new");
 }
 
+// Guards against DRAIN: a peer's copy that had been asked for before the last
+// read replaced that read, because both had one store revision.
+BOOST_AUTO_TEST_CASE(a_copy_at_the_same_revision_does_not_undo_a_later_read) {
+  StoreSection Section;
+  Section.adopt(items("read", 9), 10, Start + milliseconds(40));
+  BOOST_TEST(!Section.adopt(items("copy", 9), 10, Start));
+  BOOST_TEST(Section.items().at("a").Value == "read");
+  BOOST_TEST(
+      Section.adopt(items("later read", 9), 10, Start + milliseconds(900)));
+}
+
 // Guards against processes that restart while a version is named: they read the
 // item that names it without knowing how old the item is.
 BOOST_AUTO_TEST_CASE(
