Read the registry independently of the operators' section

Callers: requests can reach a leaving target later than 2 s after its report (DRAIN) while a large change of the configuration crosses a slow link: the registry was read first, and again only when the other section had arrived. While a peer said that it was reading, others held off taking over for both sections, up to a staleness of 3.2 to 4.2 s.

Change: each section has reads and a schedule of its own; only the operators' section, which is large, holds off a takeover.

--- /dev/null
+++ b/libs/serving/include/serving/PeerQuerySchedule.h
@@ -0,0 +1,41 @@
+#ifndef ROSEMARYLANE_SERVING_PEER_QUERY_SCHEDULE_H
+#define ROSEMARYLANE_SERVING_PEER_QUERY_SCHEDULE_H
+
+#include "core/BootClock.h"
+#include "serving/ReadSchedule.h"
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+
+namespace rosemarylane::serving {
+
+/// Decides when a process asks peers for newer copies of the store's sections.
+/// Value type without a clock of its own; not thread-safe.
+class PeerQuerySchedule {
+public:
+  static constexpr std::chrono::milliseconds Period{350};
+
+  void queryStarted(core::BootTime Now) { LastQuery = Now; }
+
+  /// @param Rank position of this process in `PeerTable::storeReaderOrder`.
+  /// @param Staleness staleness of the least recently confirmed section; absent
+  /// if a section has never been read.
+  /// @return whether to query peers: periodically if another process reads the
+  /// store, otherwise only if this process's own reads are overdue.
+  bool queryDue(std::size_t Rank,
+                std::optional<std::chrono::milliseconds> Staleness,
+                core::BootTime Now) const {
+    if (LastQuery && Now - *LastQuery < Period)
+      return false;
+    return Rank > 0 || !Staleness ||
+           *Staleness >= ReadSchedule::TakeoverStaleness;
+  }
+
+private:
+  std::optional<core::BootTime> LastQuery;
+};
+
+} // namespace rosemarylane::serving
+
+#endif // ROSEMARYLANE_SERVING_PEER_QUERY_SCHEDULE_H
--- a/libs/serving/include/serving/ReadSchedule.h
+++ b/libs/serving/include/serving/ReadSchedule.h
@@ -10,16 +10,15 @@
 
 namespace rosemarylane::serving {
 
-/// Decides when a process reads the store itself and when it queries a peer
-/// instead.
+/// Decides when a process reads one section of the store itself.
 ///
 /// Each read costs the store, yet processes should learn of changes within 2 s.
 /// The first process in the failure domain's `PeerTable::storeReaderOrder`
 /// reads periodically. Each later one reads only when its data has become
 /// staler than its rank allows, so that it takes over without coordination if
-/// those before it fail. It does not take over while a peer says that it is
-/// reading: a large section takes time on a narrow link, and each further copy
-/// would slow down the others until none of them is completed. Value type
+/// those before it fail. A large section takes time on a narrow link, and each
+/// further copy would slow down the others until none of them is completed;
+/// `peerReading` therefore holds off the takeover of such a section. Value type
 /// without a clock of its own; not thread-safe.
 class ReadSchedule {
 public:
@@ -37,9 +36,9 @@
   /// Interval at which a process whose last read failed tries again, even while
   /// others read.
   static constexpr std::chrono::milliseconds RetryPeriod{3000};
-  static constexpr std::chrono::milliseconds PeerQueryPeriod{350};
   /// How long a peer's message that it is reading holds off a takeover: two
-  /// periods of the queries that are answered by such messages.
+  /// times `PeerQuerySchedule::Period`, as queries are answered by such
+  /// messages.
   static constexpr std::chrono::milliseconds PeerReadTtl{700};
   /// Staleness up to which a peer that is reading holds off the takeover of the
   /// process of rank 1, and the upper limit for all ranks.
@@ -51,10 +50,9 @@
   /// Records that a peer of this failure domain says that it is reading, or
   /// that this process is receiving a copy from a peer.
   void peerReading(core::BootTime Now) { PeerReadingAt = Now; }
-  void peerQueryStarted(core::BootTime Now) { LastPeerQuery = Now; }
 
-  /// @param Staleness staleness of the least recently confirmed section; absent
-  /// if a section has never been read.
+  /// @param Staleness staleness of the section; absent if it has never been
+  /// read.
   bool readDue(std::size_t Rank,
                std::optional<std::chrono::milliseconds> Staleness,
                core::BootTime Now) const {
@@ -75,19 +73,8 @@
     return *Staleness >= Threshold;
   }
 
-  /// @return whether to query peers: periodically if another process reads the
-  /// store, otherwise only if this process's own reads are overdue.
-  bool peerQueryDue(std::size_t Rank,
-                    std::optional<std::chrono::milliseconds> Staleness,
-                    core::BootTime Now) const {
-    if (LastPeerQuery && Now - *LastPeerQuery < PeerQueryPeriod)
-      return false;
-    return Rank > 0 || !Staleness || *Staleness >= TakeoverStaleness;
-  }
-
 private:
   std::optional<core::BootTime> LastRead;
-  std::optional<core::BootTime> LastPeerQuery;
   std::optional<core::BootTime> PeerReadingAt;
   bool LastFailed = false;
 };
--- a/libs/serving/include/serving/StoreSection.h
+++ b/libs/serving/include/serving/StoreSection.h
@@ -53,8 +53,8 @@
   enum class Comparison { Same, PeerNewer, LocalNewer };
 
   /// Adopts a complete read of the store, or a peer's copy of one, unless it is
-  /// older than the current copy: by its store revision, or at the same revision
-  /// by when it was confirmed.
+  /// older than the current copy: by its store revision, or at the same
+  /// revision by when it was confirmed.
   /// @param StoreRevision store revision of the read.
   /// @param ReadSentAt when the read was sent, in local time.
   /// @param UnchangedAt latest local time at which the store was known to hold
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -2,6 +2,7 @@
 
 #include "node/RegistryChange.h"
 #include "platform/StoreCalls.h"
+#include "serving/PeerQuerySchedule.h"
 #include "serving/ReadSchedule.h"
 #include "serving/SectionCopy.h"
 #include "telemetry/Log.h"
@@ -94,6 +95,20 @@
 
 } // namespace
 
+namespace {
+
+/// The reads of one section from the store. The sections are read
+/// independently, so that a large change of the one does not delay the other.
+struct SectionReads {
+  serving::ReadSchedule Schedule;
+  bool InProgress = false;
+  /// A change was reported while a read was in progress.
+  bool ReadAgain = false;
+  bool LastFailed = false;
+};
+
+} // namespace
+
 struct StoreFollower::State
     : std::enable_shared_from_this<StoreFollower::State> {
   State(asio::io_context &Loop, const NodeSettings &Settings,
@@ -117,11 +132,10 @@
   SectionCopy Registry{SectionCopy::Missing::MayHaveLapsed};
   /// The registry as last passed on to `Hooks::OnRegistryChanged`.
   StoreSection::Items LastRegistry;
-  serving::ReadSchedule Schedule;
-  bool Reading = false;
+  SectionReads OperatorsReads;
+  SectionReads RegistryReads;
+  serving::PeerQuerySchedule PeerQueries;
   bool Watching = false;
-  /// A change was reported while a read was in progress.
-  bool ReadAgain = false;
   bool StoreReachable = true;
   std::uint64_t StoreRequests = 0;
   /// Paths of the sections that are being fetched from a peer.
@@ -141,6 +155,10 @@
     return Which == Section::Operators ? Operators : Registry;
   }
 
+  SectionReads &readsOf(Section Which) {
+    return Which == Section::Operators ? OperatorsReads : RegistryReads;
+  }
+
   void scheduleTick() {
     Timer.expires_after(TickPeriod);
     Timer.async_wait([Weak = weak_from_this()](auto Failed) {
@@ -170,16 +188,19 @@
     std::erase_if(QueriesSent, [&](const auto &Entry) {
       return Now - Entry.second > milliseconds(2000);
     });
-    auto Staleness = maxStaleness(Now);
     std::size_t Rank = Peers.storeReaderRank(Now);
+    // Only the operators section is large enough that further copies of it
+    // would slow down each other.
     if (Fetching.contains(OperatorsPath))
-      Schedule.peerReading(Now);
-    if (!Reading && Schedule.readDue(Rank, Staleness, Now))
-      startRead(Now);
+      OperatorsReads.Schedule.peerReading(Now);
+    for (Section Which : {Section::Registry, Section::Operators})
+      startReadIfDue(Which, Rank, Now);
     // A watch that starts during a read would report the change being read.
-    if (Rank == 0 && !Watching && !Reading && Operators.section().known())
+    if (Rank == 0 && !Watching && !OperatorsReads.InProgress &&
+        Operators.section().known())
       startWatch();
-    if (Schedule.peerQueryDue(Rank, Staleness, Now))
+    auto Staleness = maxStaleness(Now);
+    if (PeerQueries.queryDue(Rank, Staleness, Now))
       queryPeers(Rank, Staleness, Now);
     if (Now - LastProbe >= ProbePeriod)
       probeSilentHosts(Now);
@@ -203,30 +224,38 @@
 
   // --- Reading the store
 
-  void startRead(BootTime Now) {
-    Reading = true;
-    Schedule.readStarted(Now);
+  void startReadIfDue(Section Which, std::size_t Rank, BootTime Now) {
+    const SectionReads &Reads = readsOf(Which);
+    auto Staleness = copyOf(Which).section().staleness(Now);
+    if (!Reads.InProgress && Reads.Schedule.readDue(Rank, Staleness, Now))
+      startRead(Which, Now);
+  }
+
+  void startRead(Section Which, BootTime Now) {
+    readsOf(Which).InProgress = true;
+    readsOf(Which).Schedule.readStarted(Now);
     asio::co_spawn(
         Loop,
-        [Self = shared_from_this(), Now]() -> asio::awaitable<void> {
-          bool Succeeded = co_await Self->read();
-          Self->Reading = false;
-          Self->Schedule.readFinished(Succeeded);
-          // If this process was suspended during the read, the read times out
-          // although the store is up. The failure is recorded at the read's
-          // start, so that the suspension does not count as an outage.
-          if (!Succeeded)
-            Self->recordReadFailure(Now);
-          Self->setStoreReachable(Succeeded);
-          if (std::exchange(Self->ReadAgain, false))
-            Self->startRead(BootClock::now());
+        [Self = shared_from_this(), Which, Now]() -> asio::awaitable<void> {
+          bool Succeeded = co_await Self->read(Which);
+          Self->readEnded(Which, Succeeded, Now);
         },
         asio::detached);
   }
 
-  void recordReadFailure(BootTime StartedAt) {
-    Operators.outage().recordReadFailure(StartedAt);
-    Registry.outage().recordReadFailure(StartedAt);
+  void readEnded(Section Which, bool Succeeded, BootTime StartedAt) {
+    SectionReads &Reads = readsOf(Which);
+    Reads.InProgress = false;
+    Reads.LastFailed = !Succeeded;
+    Reads.Schedule.readFinished(Succeeded);
+    // If this process was suspended during the read, the read times out
+    // although the store is up. The failure is recorded at the read's start, so
+    // that the suspension does not count as an outage.
+    if (!Succeeded)
+      copyOf(Which).outage().recordReadFailure(StartedAt);
+    setStoreReachable(!OperatorsReads.LastFailed && !RegistryReads.LastFailed);
+    if (std::exchange(Reads.ReadAgain, false))
+      startRead(Which, BootClock::now());
   }
 
   /// Watches the operators section to learn of changes without delay. A
@@ -259,10 +288,10 @@
       Changed = Decoded && *Decoded;
     }
     if (Changed) {
-      if (Reading)
-        ReadAgain = true;
+      if (OperatorsReads.InProgress)
+        OperatorsReads.ReadAgain = true;
       else
-        startRead(BootClock::now());
+        startRead(Section::Operators, BootClock::now());
       co_return;
     }
     asio::steady_timer Pause(Loop, WatchRetryDelay);
@@ -281,15 +310,14 @@
           countOf(Operators.section().staleness(BootClock::now()))}});
   }
 
-  asio::awaitable<bool> read() {
-    bool Unchanged = co_await confirmOperators();
-    // First the registry, which is small: a large change of the operators
-    // section must not delay the news that a target is leaving.
-    bool RegistryRead = co_await readSection(Section::Registry);
-    if (!RegistryRead || Unchanged)
-      co_return RegistryRead;
-    bool OperatorsRead = co_await readSection(Section::Operators);
-    co_return OperatorsRead;
+  asio::awaitable<bool> read(Section Which) {
+    if (Which == Section::Operators) {
+      bool Unchanged = co_await confirmOperators();
+      if (Unchanged)
+        co_return true;
+    }
+    bool Succeeded = co_await readSection(Which);
+    co_return Succeeded;
   }
 
   asio::awaitable<bool> confirmOperators() {
@@ -462,7 +490,7 @@
 
   void queryPeers(std::size_t Rank, std::optional<milliseconds> Staleness,
                   BootTime Now) {
-    Schedule.peerQueryStarted(Now);
+    PeerQueries.queryStarted(Now);
     std::vector<serving::Peer> Order = Peers.storeReaderOrder(Now);
     if (Rank > 0)
       query(Order.front().Ip, /*AnnouncesChange=*/false, Now);
@@ -515,7 +543,7 @@
     Reply->set_number(Query.number());
     toWire(Operators.section().summary(Now), *Reply->mutable_operators());
     toWire(Registry.section().summary(Now), *Reply->mutable_registry());
-    Reply->set_reading(Reading);
+    Reply->set_reading(OperatorsReads.InProgress);
     Reply->set_compresses(true);
     for (const auto &[Known, Entry] : Peers.entries()) {
       wire::Node *Member = Reply->add_members();
@@ -547,7 +575,7 @@
   void handleReply(const serving::Peer &From, const wire::Reply &Reply,
                    BootTime Now) {
     if (Reply.reading() && From.FailureDomain == Settings.FailureDomain)
-      Schedule.peerReading(Now);
+      OperatorsReads.Schedule.peerReading(Now);
     for (const wire::Node &Member : Reply.members())
       Peers.recordContact(peerFromWire(Member),
                           milliseconds(Member.silent_ms()), Now);
