Heed targets that leave or want no requests for a while

Cause: targets say in their answers that they leave, and in a 503 for how long they want no requests. Nothing read either; that a target leaves was known from the registry alone, and a later copy of the registry, or an entry that vanished and returned, undid it. A target that was selected before it became known to leave still got the request once its connection was there.

LoadBalancer::choose leaves such targets out. LoadBalancer::maySend is asked before connecting and again right before the first byte leaves; a send that is withheld counts neither as a failure of the target nor as an attempt. If all targets that may get a request pause longer than it may wait, it is refused at once, also from within the queue, with a Retry-After after the earliest end. A refusal that names a time no longer counts as a full target beyond it. Idle connections to leaving targets are closed.

The property test of RequestOutcome puts withheld sends between the others, with the same checks.

--- a/libs/serving/include/serving/AdmissionQueue.h
+++ b/libs/serving/include/serving/AdmissionQueue.h
@@ -22,7 +22,8 @@
 class AdmissionQueue {
 public:
   /// Tries to start the request.
-  /// @return whether it took a slot.
+  /// @return whether it no longer waits: it took a slot, or has learnt that it
+  /// would wait in vain.
   using Start = std::function<bool()>;
 
   /// A request's place in the queue; leaves the queue when destroyed.
@@ -53,8 +54,9 @@
     return std::make_unique<Place>(*this, Key);
   }
 
-  /// Starts requests in order until one finds no free slot. A started request
-  /// is removed and not tried again; its `Place` may be destroyed later.
+  /// Starts requests in order until one finds no free slot. A request that no
+  /// longer waits is removed and not tried again; its `Place` may be destroyed
+  /// later.
   void dispatch() {
     while (!Waiting.empty()) {
       auto First = Waiting.begin();
--- a/libs/serving/include/serving/LoadBalancer.h
+++ b/libs/serving/include/serving/LoadBalancer.h
@@ -7,6 +7,7 @@
 #include "serving/RateShare.h"
 #include "serving/RegisteredTarget.h"
 #include "serving/ServingConfig.h"
+#include "serving/TargetStatements.h"
 
 #include <cstdint>
 #include <functional>
@@ -42,6 +43,8 @@
   /// The load of a version is in progress or is being started. The target takes
   /// no new requests.
   bool Switching = false;
+  /// The target is about to end.
+  bool Leaving = false;
   /// Time until the planned load of another version; 0 if none is planned.
   /// Until then the target takes requests that are expected to end in time.
   std::chrono::milliseconds TimeToSwitch{0};
@@ -86,11 +89,14 @@
 
 /// Why no target was selected.
 enum class SelectionFailure {
-  /// No registered target fulfils the requirements: all are draining,
+  /// No registered target fulfils the requirements: all are leaving,
   /// evacuated, loading a version, superseded, tried already, in a region that
   /// is not allowed, or without a version that may still serve. Waiting is not
   /// expected to help soon.
   Unavailable,
+  /// Some target fulfils the requirements, but each of these wants no requests
+  /// for a while; see `LoadBalancer::allPausedUntil`.
+  Paused,
   /// Some target fulfils the requirements, but none can take the request now:
   /// each of these is at capacity, ejected, cold (in another failure domain, or
   /// with its rate used up), at the limit that it named, or about to switch
@@ -117,6 +123,8 @@
   /// Age of the load report.
   std::chrono::milliseconds LoadAge{0};
   bool OwnDomain = false;
+
+  TargetIncarnation incarnation() const { return {Id, StartTimeMs}; }
 };
 
 /// Limits and weights of the load balancer, constant within a process.
@@ -203,11 +211,23 @@
 /// clock of its own: the time is passed with each call. Not thread-safe.
 class LoadBalancer {
 public:
+  /// Called when something new becomes known. They must not call the load
+  /// balancer.
+  struct Hooks {
+    /// A target is first known to be leaving.
+    std::function<void(const TargetIncarnation &, StatementSource)> OnLeaving;
+    /// A target wants no requests for a while, and did not say so before.
+    std::function<void(const TargetIncarnation &, std::chrono::milliseconds)>
+        OnPaused;
+  };
+
   explicit LoadBalancer(LoadBalancerSettings Settings);
 
+  void setHooks(Hooks ToCall) { Observers = std::move(ToCall); }
+
   /// Replaces the registered targets. All state of targets that are no longer
   /// registered, or are registered with another start time or address, is
-  /// dropped.
+  /// dropped, apart from what they have said of themselves.
   void setRegistered(const std::vector<RegisteredTarget> &Registered,
                      const ServingConfig &Config, core::BootTime Now);
 
@@ -261,11 +281,37 @@
                                        core::BootTime Now, double Random,
                                        SelectionFailure &Why);
 
+  /// Records that a target has said that it leaves. It gets no new requests,
+  /// whatever is heard of it later.
+  void recordLeaving(const TargetIncarnation &Target, StatementSource Source,
+                     core::BootTime Now);
+
+  /// Records that a target has said for how long it wants no requests.
+  void recordPause(const TargetIncarnation &Target,
+                   std::chrono::milliseconds Duration, core::BootTime Now);
+
+  bool isLeaving(const TargetIncarnation &Target) const {
+    return Statements.isLeaving(Target);
+  }
+
+  /// Tells whether the request for which \p Chosen was selected may still be
+  /// sent to it. Ask right before the first byte leaves: since the selection,
+  /// the target may have said that it leaves or wants no requests, or may have
+  /// been replaced, evacuated or told to switch versions.
+  /// @param Demand as in `choose`; `Tried` is not considered.
+  bool maySend(const SelectedTarget &Chosen, TargetRequirements Demand,
+               core::BootTime Now) const;
+
+  /// @return when the first of the targets that fulfil the requirements wants
+  /// requests again; empty if one of them wants some now, or there is none.
+  std::optional<core::BootTime> allPausedUntil(const TargetRequirements &Demand,
+                                               core::BootTime Now) const;
+
   /// Records the end of a request that was sent to a selected target.
   void recordResult(const TargetId &Id, TargetFeedback Outcome,
                     core::BootTime Now);
 
-  /// @return whether the target is registered, not draining and not ejected.
+  /// @return whether the target is registered, not leaving and not ejected.
   /// Evacuations and switches of versions are not considered.
   bool isHealthy(const TargetId &Id, core::BootTime Now) const;
 
@@ -351,7 +397,10 @@
   };
 
   LoadBalancerSettings Settings;
+  Hooks Observers;
   std::map<TargetId, Target> Targets;
+  /// Outlives the entries of `Targets`.
+  TargetStatements Statements;
   std::set<core::FailureDomainId> Evacuated;
   std::map<std::string, std::vector<NamedVersion>, std::less<>> Named;
   /// Gateways in each failure domain.
--- a/libs/serving/include/serving/RegisteredTarget.h
+++ b/libs/serving/include/serving/RegisteredTarget.h
@@ -4,15 +4,26 @@
 #include "core/Ids.h"
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 namespace rosemarylane::serving {
 
-/// Identifies one incarnation of a target; a restart begins a new one.
+/// The name of a target. Mostly a restart brings a new one.
 using TargetId = core::Id<struct TargetTag>;
 
+/// Identifies one incarnation of a target, also where it restarts under the
+/// name that it had.
+struct TargetIncarnation {
+  TargetId Id;
+  /// Start in milliseconds since the epoch; 0 if unknown.
+  std::int64_t StartTimeMs = 0;
+
+  auto operator<=>(const TargetIncarnation &) const = default;
+};
+
 /// A model that a target has loaded completely.
 struct LoadedModel {
   std::string Model;
@@ -42,6 +53,8 @@
   /// Start of this incarnation in milliseconds since the epoch; 0 if unknown.
   std::int64_t StartTimeMs = 0;
 
+  TargetIncarnation incarnation() const { return {Id, StartTimeMs}; }
+
   bool operator==(const RegisteredTarget &) const = default;
 };
 
--- a/libs/serving/include/serving/RequestOutcome.h
+++ b/libs/serving/include/serving/RequestOutcome.h
@@ -14,6 +14,9 @@
 enum class SendResult {
   /// No byte of the request was sent, so it did not run.
   NotSent,
+  /// Nothing was sent, because since its selection the target must not get the
+  /// request any more (`LoadBalancer::maySend`).
+  Withheld,
   /// The target refused the request: it has not run it and never will.
   Refused,
   /// A complete response that reports success or an error of the caller.
@@ -41,7 +44,8 @@
 ///
 /// A send counts as an attempt unless it ended with `NotSent`, that is unless
 /// no byte of the request left this process. Attempts and sends that are not
-/// attempts have separate limits.
+/// attempts have separate limits. A send that ended with `Withheld` counts for
+/// neither: another target is selected in its place.
 ///
 /// A request that is not repeatable is sent again only if no earlier send can
 /// have run. A refusal promises the caller that the request did not run, so it
@@ -58,6 +62,8 @@
   /// Records the end of a send.
   void recordResult(SendResult Result) {
     Last = Result;
+    if (Result == SendResult::Withheld)
+      return;
     if (Result != SendResult::NotSent)
       ++AttemptCount;
     if (Result != SendResult::NotSent && Result != SendResult::Refused)
@@ -76,10 +82,12 @@
 
   /// @param TryAcquireRetry tries to take one retry from the retry budget and
   /// returns whether it could. Called at most once, and only if an attempt was
-  /// made before.
+  /// made before. A send in place of one that was withheld needs none.
   /// @return what follows the last send.
   template <typename TryBudget>
   RetryDecision next(TryBudget TryAcquireRetry) const {
+    if (Last == SendResult::Withheld)
+      return RetryDecision::Retry;
     if (Last == SendResult::Answered)
       return RetryDecision::Forward;
     bool RetryAllowed = mayRetry() && (AttemptCount == 0 || TryAcquireRetry());
@@ -94,7 +102,7 @@
   /// @return whether some target may have run the request.
   bool mayHaveRun() const { return MayHaveRun; }
   /// @return the number of sends that may have reached a target: all that did
-  /// not end with `NotSent`.
+  /// not end with `NotSent` or `Withheld`.
   std::uint32_t attemptCount() const { return AttemptCount; }
 
 private:
--- a/libs/serving/src/LoadBalancer.cpp
+++ b/libs/serving/src/LoadBalancer.cpp
@@ -35,8 +35,12 @@
       T.WarmupRate = S->WarmupRate;
     }
     Next.emplace(Info.Id, std::move(T));
+    Statements.mention(Info.incarnation(), Now);
+    if (Info.Draining)
+      recordLeaving(Info.incarnation(), StatementSource::Registry, Now);
   }
   Targets = std::move(Next);
+  Statements.forgetUnmentioned(Now);
   markSuperseded(Config);
 }
 
@@ -112,7 +116,8 @@
   double DomainTargets = 0;
   double TotalTargets = 0;
   for (const auto &[Id, T] : Targets) {
-    bool AcceptsWork = T.Info.Service == Service && !T.Info.Draining &&
+    bool AcceptsWork = T.Info.Service == Service &&
+                       !isLeaving(T.Info.incarnation()) &&
                        !Evacuated.contains(T.Info.FailureDomain);
     if (!AcceptsWork)
       continue;
@@ -162,6 +167,8 @@
       T.Superseded |= T.Info.StartTimeMs < Report.StartTimeMs;
       continue;
     }
+    if (Report.Leaving && Report.StartTimeMs != 0 && T.Info.StartTimeMs != 0)
+      recordLeaving(T.Info.incarnation(), StatementSource::Sidecar, Now);
     T.Load = Report.Load;
     T.LoadReportedAt = Now;
     T.LoadFromAgent = true;
@@ -321,8 +328,8 @@
 
 bool LoadBalancer::isEligible(const Target &T, const TargetRequirements &Demand,
                               core::BootTime Now) const {
-  if (T.Info.Service != Demand.Service || T.Info.Draining || T.Switching ||
-      T.Superseded)
+  if (T.Info.Service != Demand.Service || isLeaving(T.Info.incarnation()) ||
+      T.Switching || T.Superseded)
     return false;
   if (Evacuated.contains(T.Info.FailureDomain))
     return false;
@@ -344,6 +351,11 @@
   for (auto &[Id, T] : Targets) {
     if (!isEligible(T, Demand, Now))
       continue;
+    if (Statements.pausedUntil(T.Info.incarnation(), Now)) {
+      if (Why == SelectionFailure::Unavailable)
+        Why = SelectionFailure::Paused;
+      continue;
+    }
     Why = SelectionFailure::Full;
     if (isEjected(T, Now) || !finishesBeforeSwitch(T, Demand, Now))
       continue;
@@ -407,6 +419,52 @@
   return Chosen;
 }
 
+void LoadBalancer::recordLeaving(const TargetIncarnation &Target,
+                                 StatementSource Source, core::BootTime Now) {
+  bool IsNew = Statements.recordLeaving(Target, Now);
+  if (IsNew && Observers.OnLeaving)
+    Observers.OnLeaving(Target, Source);
+}
+
+void LoadBalancer::recordPause(const TargetIncarnation &Target,
+                               std::chrono::milliseconds Duration,
+                               core::BootTime Now) {
+  bool Begins = Statements.recordPause(Target, Duration, Now);
+  if (Begins && Observers.OnPaused)
+    Observers.OnPaused(Target, Duration);
+}
+
+bool LoadBalancer::maySend(const SelectedTarget &Chosen,
+                           TargetRequirements Demand,
+                           core::BootTime Now) const {
+  auto Found = Targets.find(Chosen.Id);
+  if (Found == Targets.end())
+    return false;
+  const Target &T = Found->second;
+  if (T.Info.incarnation() != Chosen.incarnation() ||
+      T.Info.Address != Chosen.Address)
+    return false;
+  Demand.Tried = nullptr;
+  return isEligible(T, Demand, Now) &&
+         !Statements.pausedUntil(T.Info.incarnation(), Now);
+}
+
+std::optional<core::BootTime>
+LoadBalancer::allPausedUntil(const TargetRequirements &Demand,
+                             core::BootTime Now) const {
+  std::optional<core::BootTime> Earliest;
+  for (const auto &[Id, T] : Targets) {
+    if (!isEligible(T, Demand, Now))
+      continue;
+    auto Until = Statements.pausedUntil(T.Info.incarnation(), Now);
+    if (!Until)
+      return std::nullopt;
+    if (!Earliest || *Until < *Earliest)
+      Earliest = Until;
+  }
+  return Earliest;
+}
+
 void LoadBalancer::eject(Target &T, core::BootTime Now) {
   T.EjectionTime = T.EjectionTime.count() == 0
                        ? Settings.InitialEjectionTime
@@ -431,6 +489,9 @@
   case TargetFeedback::Abandoned:
     break;
   case TargetFeedback::Full:
+    // The target itself has said until when.
+    if (Statements.pausedUntil(T.Info.incarnation(), Now))
+      break;
     // Trust the target over the estimate until the next report.
     T.Load.Running = T.Info.Slots;
     T.Load.Waiting = static_cast<std::uint32_t>(capacity(T)) - T.Info.Slots + 1;
@@ -454,7 +515,8 @@
 
 bool LoadBalancer::isHealthy(const TargetId &Id, core::BootTime Now) const {
   auto Found = Targets.find(Id);
-  return Found != Targets.end() && !Found->second.Info.Draining &&
+  return Found != Targets.end() &&
+         !isLeaving(Found->second.Info.incarnation()) &&
          !isEjected(Found->second, Now);
 }
 
--- a/libs/serving/tests/RequestOutcomeTest.cpp
+++ b/libs/serving/tests/RequestOutcomeTest.cpp
@@ -15,6 +15,11 @@
   unsigned AttemptCount = 0;
   bool MayHaveRun = false;
   for (int Step = 0; Step < 20; ++Step) {
+    // Sends that were withheld change nothing.
+    for (int Withheld = *rc::gen::inRange(0, 9); Withheld > 0; --Withheld) {
+      Outcome.recordResult(SendResult::Withheld);
+      RC_ASSERT(Outcome.next([] { return false; }) == RetryDecision::Retry);
+    }
     auto Result = *rc::gen::element(SendResult::NotSent, SendResult::Refused,
                                     SendResult::Answered, SendResult::Failed,
                                     SendResult::Unknown);
--- a/libs/serving/tests/TargetBoardTest.cpp
+++ b/libs/serving/tests/TargetBoardTest.cpp
@@ -1,6 +1,7 @@
 #include "serving/LoadBalancer.h"
 
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <queue>
 #include <random>
 
@@ -448,4 +449,148 @@
   BOOST_TEST(Sent <= 4);
 }
 
+// What a target has said of itself holds whatever the registry shows later.
+BOOST_AUTO_TEST_CASE(leaving_outlives_copies_of_the_registry) {
+  using Source = StatementSource;
+  for (Source From : {Source::Answer, Source::Registry, Source::Sidecar}) {
+    LoadBalancer Balancer = loadBalancer("a", 1);
+    std::vector<Source> Heard;
+    LoadBalancer::Hooks Hooks;
+    Hooks.OnLeaving = [&](const TargetIncarnation &, Source Where) {
+      Heard.push_back(Where);
+    };
+    Balancer.setHooks(Hooks);
+    RegisteredTarget Info = target(1, "a");
+    Balancer.setRegistered({Info}, engineConfig(), Start);
+    RegisteredTarget Draining = Info;
+    Draining.Draining = true;
+    AgentReport Leaving = report(Info, 0);
+    Leaving.Leaving = true;
+    if (From == Source::Answer)
+      Balancer.recordLeaving(Info.incarnation(), From, Start);
+    else if (From == Source::Registry)
+      Balancer.setRegistered({Draining}, engineConfig(), Start);
+    else
+      Balancer.updateFromReport(Leaving, Start, 0.99);
+    // An older copy, one without the entry, and the entry once more.
+    Balancer.setRegistered({Info}, engineConfig(), Start);
+    Balancer.setRegistered({}, engineConfig(), Start);
+    Balancer.setRegistered({Info}, engineConfig(), Start);
+    Balancer.updateFromReport(report(Info, 0), Start, 0.99);
+    SelectionFailure Why{};
+    BOOST_TEST(!Balancer.choose(demand(), Start, 0.5, Why).has_value());
+    BOOST_TEST((Why == SelectionFailure::Unavailable));
+    BOOST_TEST(!Balancer.isHealthy(Info.Id, Start));
+    BOOST_TEST((Heard == std::vector<Source>{From}));
+    Info.StartTimeMs = 8;
+    Balancer.setRegistered({Info}, engineConfig(), Start);
+    BOOST_TEST(Balancer.choose(demand(), Start, 0.5, Why).has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(report_on_another_incarnation_lets_no_target_leave) {
+  LoadBalancer Balancer = loadBalancer("a", 1);
+  RegisteredTarget Info = target(1, "a");
+  Balancer.setRegistered({Info}, engineConfig(), Start);
+  for (std::int64_t Born : {0, 6}) {
+    AgentReport Leaving = report(Info, 0);
+    Leaving.Leaving = true;
+    Leaving.StartTimeMs = Born;
+    Balancer.updateFromReport(Leaving, Start, 0.99);
+  }
+  SelectionFailure Why{};
+  BOOST_TEST(Balancer.choose(demand(), Start, 0.5, Why).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(paused_target_gets_nothing_until_its_time_is_over) {
+  LoadBalancer Balancer = loadBalancer("a", 1);
+  RegisteredTarget First = target(1, "a");
+  RegisteredTarget Second = target(2, "a");
+  Balancer.setRegistered({First, Second}, engineConfig(), Start);
+  Balancer.recordPause(First.incarnation(), milliseconds(3000), Start);
+  SelectionFailure Why{};
+  for (int I = 0; I < 5; ++I)
+    BOOST_TEST(Balancer.choose(demand(), Start, 0.5, Why)->Id.str() == "t2");
+  BOOST_TEST(!Balancer.allPausedUntil(demand(), Start).has_value());
+  Balancer.recordPause(Second.incarnation(), milliseconds(2000), Start);
+  BOOST_TEST(!Balancer.choose(demand(), Start, 0.5, Why).has_value());
+  BOOST_TEST((Why == SelectionFailure::Paused));
+  auto Until = Balancer.allPausedUntil(demand(), Start);
+  BOOST_TEST((Until == Start + milliseconds(2000)));
+  BOOST_TEST(Balancer.choose(demand(), *Until, 0.5, Why)->Id.str() == "t2");
+  // One that leaves is not waited for.
+  Balancer.recordLeaving(Second.incarnation(), StatementSource::Answer, Start);
+  Until = Balancer.allPausedUntil(demand(), Start);
+  BOOST_TEST((Until == Start + milliseconds(3000)));
+  Balancer.recordLeaving(First.incarnation(), StatementSource::Answer, Start);
+  BOOST_TEST(!Balancer.allPausedUntil(demand(), Start).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(refusal_that_names_a_time_counts_as_full_no_longer) {
+  LoadBalancer Balancer = loadBalancer("a", 1);
+  RegisteredTarget Info = target(1, "a");
+  Balancer.setRegistered({Info}, engineConfig(), Start);
+  SelectionFailure Why{};
+  auto Chosen = Balancer.choose(demand(), Start, 0.5, Why);
+  Balancer.recordPause(Info.incarnation(), milliseconds(300), Start);
+  Balancer.recordResult(Chosen->Id, TargetFeedback::Full, Start);
+  auto Over = Start + milliseconds(300);
+  BOOST_TEST(Balancer.choose(demand(), Over, 0.5, Why).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(send_is_allowed_only_by_all_that_is_known_by_then) {
+  const RegisteredTarget Info = target(1, "a");
+  using Change = std::function<void(LoadBalancer &)>;
+  auto Register = [&](RegisteredTarget Changed) {
+    return [Changed](LoadBalancer &Balancer) {
+      Balancer.setRegistered({Changed}, engineConfig(), Start);
+    };
+  };
+  auto MaySendAfter = [&](const Change &Happens) {
+    LoadBalancer Balancer = loadBalancer("a", 1);
+    Balancer.setRegistered({Info}, engineConfig(), Start);
+    SelectionFailure Why{};
+    auto Chosen = Balancer.choose(demand(), Start, 0.5, Why);
+    BOOST_REQUIRE(Chosen.has_value());
+    Happens(Balancer);
+    // The request counts as tried there by now.
+    std::vector<TargetId> Tried{Chosen->Id};
+    TargetRequirements Demand = demand();
+    Demand.Tried = &Tried;
+    return Balancer.maySend(*Chosen, Demand, Start);
+  };
+  RegisteredTarget Draining = Info;
+  Draining.Draining = true;
+  RegisteredTarget Restarted = Info;
+  Restarted.StartTimeMs = 8;
+  RegisteredTarget Moved = Info;
+  Moved.Address = "10.0.0.9:80";
+  RegisteredTarget Unloaded = Info;
+  Unloaded.Models.clear();
+  AgentReport Switching = report(Info, 0);
+  Switching.Switching = true;
+  AgentReport Later = report(Info, 0);
+  Later.StartTimeMs = 8;
+  BOOST_TEST(MaySendAfter([](LoadBalancer &) {}));
+  BOOST_TEST(MaySendAfter(Register(Info)));
+  BOOST_TEST(!MaySendAfter(Register(Draining)));
+  BOOST_TEST(!MaySendAfter(Register(Restarted)));
+  BOOST_TEST(!MaySendAfter(Register(Moved)));
+  BOOST_TEST(!MaySendAfter(Register(Unloaded)));
+  const std::vector<Change> Changes{
+      [&](LoadBalancer &B) { B.setRegistered({}, engineConfig(), Start); },
+      [&](LoadBalancer &B) {
+        B.recordLeaving(Info.incarnation(), StatementSource::Answer, Start);
+      },
+      [&](LoadBalancer &B) {
+        B.recordPause(Info.incarnation(), milliseconds(1), Start);
+      },
+      [&](LoadBalancer &B) { B.updateFromReport(Later, Start, 0.99); },
+      [&](LoadBalancer &B) { B.updateFromReport(Switching, Start, 0.99); },
+      [&](LoadBalancer &B) { B.setEvacuated({Info.FailureDomain}); },
+      [&](LoadBalancer &B) { B.setNamedVersion("m", 2, Start); }};
+  for (const Change &Happens : Changes)
+    BOOST_TEST(!MaySendAfter(Happens));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -96,6 +96,9 @@
   /// the section, or the end of an outage since then; empty if there was none.
   void operatorSectionChanged(const serving::StoreSection &Section,
                               std::optional<BootTime> UnchangedAt);
+  /// Logs what targets say of themselves, and closes the idle connections to
+  /// those that leave.
+  void watchTargetStatements();
   void registrySectionChanged(const serving::StoreSection &Section);
   /// Updates the time from which targets with older weights get no new
   /// requests. A version is named when an operator writes it to the store as
@@ -135,7 +138,39 @@
   bool WasReady = false;
 };
 
+std::string nameOf(serving::StatementSource Source) {
+  switch (Source) {
+  case serving::StatementSource::Answer:
+    return "answer";
+  case serving::StatementSource::Registry:
+    return "registry";
+  case serving::StatementSource::Sidecar:
+    return "sidecar";
+  }
+  return {};
+}
+
+void GatewayProcess::watchTargetStatements() {
+  serving::LoadBalancer::Hooks Hooks;
+  Hooks.OnLeaving = [this](const serving::TargetIncarnation &Target,
+                           serving::StatementSource Source) {
+    telemetry::log(telemetry::Level::Info, "target leaves",
+                   {{"target", Target.Id.str()},
+                    {"born", Target.StartTimeMs},
+                    {"source", nameOf(Source)}});
+    Context.TargetConnections.closeIdle(Target.Id);
+  };
+  Hooks.OnPaused = [](const serving::TargetIncarnation &Target,
+                      milliseconds Duration) {
+    telemetry::log(
+        telemetry::Level::Info, "target wants no requests",
+        {{"target", Target.Id.str()}, {"ms", std::int64_t(Duration.count())}});
+  };
+  Context.Targets.setHooks(std::move(Hooks));
+}
+
 bool GatewayProcess::start() {
+  watchTargetStatements();
   Link =
       PeerSocket::open(Runtime.loop(), Settings, serving::PeerRole::Gateway,
                        [this](const wire::NodeMessage &Message,
@@ -276,6 +311,7 @@
   Report.Load.Waiting = Source.waiting();
   Report.Load.KvCacheUsedFraction = Source.memory_permille() / 1000.0;
   Report.Switching = Source.switching();
+  Report.Leaving = Source.leaving();
   Report.TimeToSwitch = milliseconds(Source.switch_in_ms());
   for (const wire::HeldModel &Held : Source.models())
     Report.Models.push_back({Held.model(), Held.version()});
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -48,11 +48,15 @@
 constexpr milliseconds MinRetryAfter{500};
 constexpr milliseconds MaxRetryAfter{1900};
 
-std::string retryAfterSeconds(double Random) {
-  double Milliseconds =
-      MinRetryAfter.count() +
-      Random * static_cast<double>((MaxRetryAfter - MinRetryAfter).count());
-  std::string Seconds = std::to_string(Milliseconds / 1000);
+milliseconds randomRetryAfter(double Random) {
+  std::chrono::duration<double, std::milli> Spread =
+      MaxRetryAfter - MinRetryAfter;
+  return MinRetryAfter + std::chrono::ceil<milliseconds>(Random * Spread);
+}
+
+std::string inSeconds(milliseconds Time) {
+  std::string Seconds =
+      std::to_string(std::chrono::duration<double>(Time).count());
   return Seconds.substr(0, Seconds.find('.') + 3);
 }
 
@@ -73,6 +77,11 @@
   // Stages of request handling.
   asio::awaitable<void> sendToTargets();
   asio::awaitable<std::optional<serving::SelectedTarget>> acquireTarget();
+  /// @return what the request requires of a target that is selected now.
+  serving::TargetRequirements requirements() const;
+  /// @return whether all targets that may get the request want none until
+  /// after \p Until.
+  bool allPausedPast(Clock::time_point Until) const;
   /// Selects a target and counts the request as sent to it, until
   /// `LoadBalancer::recordResult` is called.
   std::optional<serving::SelectedTarget> selectAndReserveTarget();
@@ -112,6 +121,11 @@
   // A reason is the outcome in the log and the label of the request metric;
   // `refuse` and `fail` also send it to the caller as the detail text.
   asio::awaitable<void> refuse(unsigned Status, const char *Reason);
+  /// @return why no target was acquired.
+  const char *noTargetReason() const;
+  /// @return when the caller may try again: some time after its targets want
+  /// requests again.
+  milliseconds retryAfter();
   asio::awaitable<void> fail();
   void abortStream(const char *Reason);
   void recordFirstByte();
@@ -213,10 +227,7 @@
       else if (Outcome.mayHaveRun())
         co_await fail();
       else
-        co_await refuse(503, isQuarantined() ? "such requests crash targets"
-                             : NoTargetReason == serving::SelectionFailure::Full
-                                 ? "no free place"
-                                 : "no usable target");
+        co_await refuse(503, noTargetReason());
       co_return;
     }
     SendResult AttemptResult = co_await sendAttempt(*Target);
@@ -258,11 +269,21 @@
   }
 }
 
-std::optional<serving::SelectedTarget> RequestRun::selectAndReserveTarget() {
-  if (isQuarantined()) {
-    NoTargetReason = serving::SelectionFailure::Unavailable;
-    return std::nullopt;
+const char *RequestRun::noTargetReason() const {
+  if (isQuarantined())
+    return "such requests crash targets";
+  switch (NoTargetReason) {
+  case serving::SelectionFailure::Full:
+    return "no free place";
+  case serving::SelectionFailure::Paused:
+    return "targets want no requests";
+  case serving::SelectionFailure::Unavailable:
+    break;
   }
+  return "no usable target";
+}
+
+serving::TargetRequirements RequestRun::requirements() const {
   serving::TargetRequirements Demand;
   Demand.Service = Admitted.Service;
   Demand.AllowedRegions = Admitted.AllowedRegions;
@@ -271,8 +292,22 @@
   Demand.ExpectedDuration =
       EstimatedTimePerToken * Admitted.HeaderValues.ExpectedTokens;
   Demand.ExactVersion = HeadForwarded ? ResponseVersion : 0;
-  return Context.Targets.choose(Demand, BootClock::now(), Context.random(),
-                                NoTargetReason);
+  return Demand;
+}
+
+bool RequestRun::allPausedPast(Clock::time_point Until) const {
+  BootTime Now = BootClock::now();
+  auto PausedUntil = Context.Targets.allPausedUntil(requirements(), Now);
+  return PausedUntil && *PausedUntil - Now > Until - Clock::now();
+}
+
+std::optional<serving::SelectedTarget> RequestRun::selectAndReserveTarget() {
+  if (isQuarantined()) {
+    NoTargetReason = serving::SelectionFailure::Unavailable;
+    return std::nullopt;
+  }
+  return Context.Targets.choose(requirements(), BootClock::now(),
+                                Context.random(), NoTargetReason);
 }
 
 asio::awaitable<std::optional<serving::SelectedTarget>>
@@ -283,11 +318,9 @@
     co_return Chosen;
   if (Queue.size() == 0) {
     Chosen = selectAndReserveTarget();
-    if (Chosen || NoTargetReason != serving::SelectionFailure::Full)
+    if (Chosen || NoTargetReason == serving::SelectionFailure::Unavailable)
       co_return Chosen;
   }
-  // Whoever waits behind others is not tried before they are.
-  NoTargetReason = serving::SelectionFailure::Full;
   // Longest time in the queue: a fraction of the route's latency objective.
   auto MaxQueueTime = std::chrono::duration_cast<Clock::duration>(
       Admitted.Route->LatencyObjective *
@@ -295,12 +328,20 @@
   auto QueueDeadline = std::min(Deadline, StartedAt + MaxQueueTime);
   if (Clock::now() >= QueueDeadline)
     co_return selectAndReserveTarget();
+  if (allPausedPast(QueueDeadline)) {
+    NoTargetReason = serving::SelectionFailure::Paused;
+    co_return std::nullopt;
+  }
+  // Whoever waits behind others is not tried before they are.
+  NoTargetReason = serving::SelectionFailure::Full;
+  bool Waits = true;
   // Destroying the place removes the request from the queue.
   auto QueuePlace = Queue.enqueue(Admitted.Priority, [&] {
     Chosen = selectAndReserveTarget();
-    if (Chosen)
+    Waits = !Chosen && !allPausedPast(QueueDeadline);
+    if (!Waits)
       Timer.cancel();
-    return Chosen.has_value();
+    return !Waits;
   });
   if (!QueuePlace) {
     NoTargetReason = serving::SelectionFailure::Full;
@@ -309,7 +350,7 @@
   auto JoinedAt = Clock::now();
   Timer.expires_at(QueueDeadline);
   Queue.dispatch();
-  if (!Chosen)
+  if (Waits)
     co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
   auto Time = std::chrono::duration_cast<milliseconds>(Clock::now() - JoinedAt);
   QueueTime += Time;
@@ -325,6 +366,8 @@
   LastSentAfter = elapsed();
   AttemptedTargets.push_back(Target.Id);
   SendResult AttemptResult = co_await exchange(Target);
+  if (AttemptResult == SendResult::Withheld)
+    AttemptedTargets.pop_back();
   if (Caller->disconnected()) {
     LastFeedback = TargetFeedback::Abandoned;
     Attempt->cancel();
@@ -453,6 +496,9 @@
   Attempt = std::make_unique<TargetSend>(Context, Target);
   SentAt = Clock::time_point();
   AnswerBegun = false;
+  LastFeedback = TargetFeedback::Abandoned;
+  if (!Context.Targets.maySend(Target, requirements(), BootClock::now()))
+    co_return SendResult::Withheld;
   Clock::time_point HeadDeadline = headDeadline(Target);
   bool Connected =
       co_await Attempt->connect(!Admitted.Route->repeatable(), HeadDeadline);
@@ -461,6 +507,11 @@
                                                 : TargetFeedback::Broken;
     co_return SendResult::NotSent;
   }
+  // Connecting may have taken a while.
+  if (!Context.Targets.maySend(Target, requirements(), BootClock::now())) {
+    Attempt->releaseUnused();
+    co_return SendResult::Withheld;
+  }
   auto Fields = platform::targetFields(Request.base(), targetMarks(Target));
   SentAt = Clock::now();
   TargetSend::Result Result = co_await Attempt->start(
@@ -601,10 +652,21 @@
          BufferedStatus);
 }
 
+milliseconds RequestRun::retryAfter() {
+  milliseconds Time = randomRetryAfter(Context.random());
+  // A caller's next attempt may go to the targets of this one too.
+  serving::TargetRequirements Demand = requirements();
+  Demand.Tried = nullptr;
+  BootTime Now = BootClock::now();
+  if (auto PausedUntil = Context.Targets.allPausedUntil(Demand, Now))
+    Time += std::chrono::ceil<milliseconds>(*PausedUntil - Now);
+  return Time;
+}
+
 asio::awaitable<void> RequestRun::refuse(unsigned Status, const char *Reason) {
   platform::HttpFields Fields;
   if (Status == 503)
-    Fields.set("Retry-After", retryAfterSeconds(Context.random()));
+    Fields.set("Retry-After", inSeconds(retryAfter()));
   http::Response Body = http::problemResponse(
       Status, Status == 503 ? "Unavailable" : "Refused", Reason, "no");
   Fields.set("Content-Type", "application/problem+json");
--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -138,6 +138,7 @@
     if (Response->get().result_int() == 100)
       continue;
     HeaderValues = platform::readAnswer(status(), head());
+    recordStatements();
     bool Success = status() < 300;
     // A success must repeat the id of the request. An error without an id is
     // taken as the response to this request.
@@ -157,6 +158,16 @@
   co_return Result::Data;
 }
 
+void TargetSend::recordStatements() {
+  core::BootTime Now = core::BootClock::now();
+  if (HeaderValues.Leaving)
+    Context.Targets.recordLeaving(Target.incarnation(),
+                                  serving::StatementSource::Answer, Now);
+  if (HeaderValues.RetryAfter)
+    Context.Targets.recordPause(Target.incarnation(), *HeaderValues.RetryAfter,
+                                Now);
+}
+
 asio::awaitable<bool> TargetSend::discardBody() {
   if (Response->need_eof())
     co_return false;
@@ -217,8 +228,21 @@
                   Outgoing && Outgoing->IsWritten;
   if (!Reusable)
     return cancel();
-  TcpStream->expires_never();
   resetOnClose(TcpStream->socket(), false);
+  returnToPool();
+}
+
+void TargetSend::releaseUnused() {
+  // How long a pooled connection was idle is not known here any more.
+  if (Cancelled || ReusedConnection)
+    return cancel();
+  returnToPool();
+}
+
+void TargetSend::returnToPool() {
+  if (Context.Targets.isLeaving(Target.incarnation()))
+    return cancel();
+  TcpStream->expires_never();
   Context.TargetConnections.release(Target.Id, std::move(TcpStream),
                                     core::BootClock::now(),
                                     HeaderValues.KeepFor);
--- a/rosemarylane/src/gateway/TargetSend.h
+++ b/rosemarylane/src/gateway/TargetSend.h
@@ -96,6 +96,9 @@
   /// it. Call this after `Result::End`.
   void release();
 
+  /// The same for a connection on which `start` was not called.
+  void releaseUnused();
+
   /// Resets the connection, which withdraws what the target's host has not
   /// received yet, and makes the target stop working on the request.
   void cancel();
@@ -109,7 +112,10 @@
                                      const platform::HttpFields &Fields);
   boost::asio::awaitable<Result> readHead(const std::string &Id);
   boost::asio::awaitable<bool> discardBody();
+  /// Records what the target says of itself in the head that was just read.
+  void recordStatements();
   void resetParser(bool HasNoBody);
+  void returnToPool();
 
   GatewayContext &Context;
   serving::SelectedTarget Target;
--- a/rosemarylane/src/sidecar/TargetWatch.cpp
+++ b/rosemarylane/src/sidecar/TargetWatch.cpp
@@ -24,7 +24,8 @@
 /// Limit of the size of the target's state.
 constexpr std::size_t MaxStateBytes = 64 << 10;
 /// Minimum time between reports of changes to gateways of other failure
-/// domains. The start and end of a switch are always reported at once.
+/// domains. The start and end of a switch, and that the target leaves, are
+/// always reported at once.
 constexpr milliseconds OtherDomainReportPeriod{200};
 /// An unchanged state is reported again after this time.
 constexpr milliseconds ReportRepeatPeriod{400};
@@ -102,6 +103,7 @@
           LastState->MemoryUsed * 1000 / LastState->MemoryTotal));
     // `Busy`: the target is executing a load order.
     Report.set_switching(Switching || LastState->Busy);
+    Report.set_leaving(LastState->Leaving);
     if (SwitchAt) {
       auto Remaining =
           std::chrono::ceil<milliseconds>(*SwitchAt - BootClock::now());
@@ -141,7 +143,8 @@
     bool RemoteDue = Now - RemoteReportedAt >= ReportRepeatPeriod ||
                      (Now - RemoteReportedAt >= OtherDomainReportPeriod &&
                       !equalExceptTimes(Report, LastRemoteReport)) ||
-                     Report.switching() != LastRemoteReport.switching();
+                     Report.switching() != LastRemoteReport.switching() ||
+                     Report.leaving() != LastRemoteReport.leaving();
     wire::NodeMessage Message;
     *Message.mutable_target() = Report;
     for (const serving::Peer &Peer : Follower.peers().live(Now)) {
