--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -158,16 +158,6 @@
   co_return Result::Data;
 }
 
-void TargetSend::recordStatements() {
-  core::BootTime Now = core::BootClock::now();
-  if (HeaderValues.Leaving)
-    Context.Targets.recordLeaving(Target.incarnation(),
-                                  serving::StatementSource::Answer, Now);
-  if (HeaderValues.RetryAfter)
-    Context.Targets.recordPause(Target.incarnation(), *HeaderValues.RetryAfter,
-                                Now);
-}
-
 asio::awaitable<bool> TargetSend::discardBody() {
   if (Response->need_eof())
     co_return false;
@@ -216,6 +206,16 @@
   co_return Result::Data;
 }
 
+void TargetSend::recordStatements() {
+  core::BootTime Now = core::BootClock::now();
+  if (HeaderValues.Leaving)
+    Context.Targets.recordLeaving(Target.incarnation(),
+                                  serving::StatementSource::Answer, Now);
+  if (HeaderValues.RetryAfter)
+    Context.Targets.recordPause(Target.incarnation(), *HeaderValues.RetryAfter,
+                                Now);
+}
+
 unsigned TargetSend::status() const { return Response->get().result_int(); }
 
 const platform::HttpFields &TargetSend::head() const {
