Test of an engine that wants no requests for a while, behind an agent

The engine's stand-in can be told to answer one request 503 with a Retry-After, and counts the requests that come from half a second later to the end of that time.

--- a/rosemarylane/tests/process/RefusalTest.cpp
+++ b/rosemarylane/tests/process/RefusalTest.cpp
@@ -97,6 +97,30 @@
   BOOST_TEST(Told.Counts["no answer"] == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(engine_that_names_a_time_gets_nothing_until_it_is_over) {
+  // The users' pages: from half a second after the refusal on.
+  constexpr std::uint64_t MostInPause = 2;
+  FleetOptions Options;
+  Options.Services = 0;
+  Options.EnginesPerDomain = 1;
+  Fleet F(Options);
+  Load Chats(F, 8, chatCalls(F, false));
+  std::this_thread::sleep_for(1s);
+  const std::string &Engine = F.engineAgents()[0]->Target;
+  F.setFaults(Engine, R"({"pause_ms":3000})");
+  std::this_thread::sleep_for(3s);
+  BOOST_TEST(F.counter(Engine, "requests_in_pause") <= MostInPause);
+  std::uint64_t Before = F.counter(Engine, "requests");
+  Fleet::await("the engine is used again", 5s,
+               [&] { return F.counter(Engine, "requests") > Before + 10; });
+  LoadReport Report = Chats.stop();
+  BOOST_TEST_MESSAGE(Report);
+  BOOST_TEST(Report.Answered > 0u, Report);
+  // The other engines take its requests.
+  BOOST_TEST(Report.Refused == 0u, Report);
+  BOOST_TEST(Report.Wrong + Report.NotWhole == 0u, Report);
+}
+
 BOOST_AUTO_TEST_CASE(agent_killed_under_load) {
   FleetOptions Options;
   Options.ServiceArguments = {"--latency-ms", "20"};
--- a/standins/src/EngineStandin.cpp
+++ b/standins/src/EngineStandin.cpp
@@ -15,6 +15,8 @@
 constexpr std::string_view ChunkPath = "/chunks/";
 constexpr std::size_t TokensBeforeMarkedCrash = 2;
 constexpr int LowestPriority = 9;
+/// Requests on their way when a pause begins do not count against it.
+constexpr std::chrono::milliseconds PauseSlack{500};
 
 std::string promptOf(const json::object &Body) {
   const json::value *Messages = Body.if_contains("messages");
@@ -195,6 +197,8 @@
   if (!Loaded.contains(Arrived->Source.Model))
     return refuse(Call, 404, "the model is not loaded");
   ++Requests;
+  if (refuseForPause(Call))
+    return;
   std::size_t AtOnce = Running.size() + Waiting.size() + 1;
   MostAtOnce = std::max(MostAtOnce, AtOnce);
   if (!Warm)
@@ -218,6 +222,23 @@
   startWaiting();
 }
 
+bool EngineStandin::refuseForPause(const Exchange &Call) {
+  auto Now = std::chrono::steady_clock::now();
+  if (Now > PausedAt + PauseSlack && Now < PausedUntil)
+    ++RequestsInPause;
+  if (!OrderedPause)
+    return false;
+  PausedAt = Now;
+  PausedUntil = Now + *OrderedPause;
+  http::Response Refusal = http::jsonResponse(503, "{}");
+  Refusal.Head.Fields.set(
+      "Retry-After",
+      std::to_string(std::chrono::duration<double>(*OrderedPause).count()));
+  OrderedPause.reset();
+  Call->respond(std::move(Refusal));
+  return true;
+}
+
 void EngineStandin::startWaiting() {
   while (!Waiting.empty() && Running.size() < Settings.Concurrency) {
     JobPointer Next = Waiting.front();
@@ -324,6 +345,8 @@
     Loaded[std::string(To.at("name").as_string())] = {
         std::string(To.at("version").as_string()), ++Generation};
   }
+  if (const json::value *Pause = Given.if_contains("pause_ms"))
+    OrderedPause = std::chrono::milliseconds(Pause->to_number<std::int64_t>());
   if (Given.contains("turn_cold")) {
     Warm = false;
     AnswersWhileCold = 0;
@@ -337,6 +360,7 @@
           {"completed", Completed},
           {"cancelled", Cancelled},
           {"crashes", Crashes},
+          {"requests_in_pause", RequestsInPause},
           {"most_at_once", MostAtOnce},
           {"most_at_once_while_cold", MostAtOnceWhileCold}};
 }
--- a/standins/src/EngineStandin.h
+++ b/standins/src/EngineStandin.h
@@ -5,8 +5,10 @@
 #include "EngineMemory.h"
 #include "Standin.h"
 
+#include <chrono>
 #include <list>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -75,6 +77,9 @@
   boost::json::object state() const;
 
   void accept(const Exchange &Call);
+  /// Answers 503 with `Retry-After` if a pause was ordered.
+  /// @return whether it did.
+  bool refuseForPause(const Exchange &Call);
   JobPointer makeJob(const Exchange &Call) const;
   void startWaiting();
   void makeToken(const JobPointer &Running);
@@ -92,12 +97,18 @@
   bool Warm;
   std::size_t AnswersWhileCold = 0;
   bool Restarting = false;
+  /// The next request is turned away for so long.
+  std::optional<std::chrono::milliseconds> OrderedPause;
+  std::chrono::steady_clock::time_point PausedAt{};
+  std::chrono::steady_clock::time_point PausedUntil{};
   std::set<JobPointer> Running;
   std::list<JobPointer> Waiting;
   std::uint64_t Requests = 0;
   std::uint64_t Completed = 0;
   std::uint64_t Crashes = 0;
   std::uint64_t Cancelled = 0;
+  /// From half a second after a 503 with `Retry-After` to the end of its time.
+  std::uint64_t RequestsInPause = 0;
   std::size_t MostAtOnce = 0;
   std::size_t MostAtOnceWhileCold = 0;
 };
--- a/standins/src/Faults.h
+++ b/standins/src/Faults.h
@@ -43,6 +43,8 @@
 /// now | | `turn_cold` | engine: cold again now | | `ignore_fence` | engine:
 /// takes orders with a lower fence | | `fail_load` | engine: loads are refused
 /// |
+/// | `pause_ms` | engine: the next request is answered 503, with this time as
+/// `Retry-After` |
 struct Faults {
   std::string Only;
   std::chrono::milliseconds Latency{0};
