Agents send an engine nothing for the time that it names

Cause: an engine that is full answers 503, and may name in Retry-After for how long it wants no requests. The agent refused that request as busy, to be tried again after 0.2 s, and went on to send the engine whatever came.

Change: TargetCall reads the field; Gate keeps the pause in serving::TargetStatements, the class that gateways use.

--- a/rosemarylane/src/agent/Gate.cpp
+++ b/rosemarylane/src/agent/Gate.cpp
@@ -7,9 +7,11 @@
 #include "common/RunMessages.h"
 #include "routing/Admission.h"
 #include "routing/WaitQueue.h"
+#include "serving/TargetStatements.h"
 #include "telemetry/Log.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <set>
 
@@ -22,6 +24,7 @@
 /// long.
 constexpr std::chrono::milliseconds FailedServiceRest{1000};
 constexpr std::uint32_t BusyRetryAfterMs = 200;
+constexpr char PauseDetail[] = "the target wants no requests for a while";
 /// Requests that may wait at the agent: enough to keep the target busy between
 /// two answers, too few to wait long.
 constexpr std::size_t WaitingCapacity = 16;
@@ -114,6 +117,8 @@
       return;
     if (auto Reason = refusalOf(*R))
       return finishRefused(R, *Reason, wire::RAN_NO, "");
+    if (pauseLeft().count() > 0)
+      return finishRefused(R, wire::REFUSAL_BUSY, wire::RAN_NO, PauseDetail);
     if (isSuspect(*R) && suspectRunning())
       return finishRefused(R, wire::REFUSAL_BUSY, wire::RAN_NO,
                            "another request that may kill targets is running");
@@ -141,7 +146,8 @@
   }
 
   bool admitted(core::TrafficClass Class) {
-    return Admit.tryAdmit(Class) == routing::Admission::Decision::Admitted;
+    return pauseLeft().count() == 0 &&
+           Admit.tryAdmit(Class) == routing::Admission::Decision::Admitted;
   }
 
   static core::TrafficClass classOf(const TargetRun &R) {
@@ -265,12 +271,35 @@
       doubtTarget();
     if (How.MayHaveDied)
       suspectDeath();
+    if (How.RetryAfter && How.RetryAfter->count() > 0)
+      beginPause(*How.RetryAfter);
     R->End = std::move(How);
     if (R->End.Reason != wire::REFUSAL_UNSPECIFIED)
       refuse(*R, R->End.Reason, toWire(R->End.Ran), R->End.Detail);
     end(R, R->End.Ran, R->End.Answer);
   }
 
+  /// Hands waiting requests back, so that their entries can send them
+  /// elsewhere.
+  void beginPause(std::chrono::milliseconds Duration) {
+    bool Begins = Said.recordPause(Own, Duration, core::BootClock::now());
+    if (Begins)
+      telemetry::log(telemetry::Level::Info, "target wants no requests",
+                     {{"target", Context.Config.Target.Address},
+                      {"ms", std::int64_t(Duration.count())}});
+    auto Any = [](core::TrafficClass) { return true; };
+    while (auto Next = Waiting.pop(Any))
+      finishRefused(*Next, wire::REFUSAL_BUSY, wire::RAN_NO, PauseDetail);
+  }
+
+  /// @return how long the target still wants no requests; 0 if it takes some.
+  std::chrono::milliseconds pauseLeft() const {
+    core::BootTime Now = core::BootClock::now();
+    auto Until = Said.pausedUntil(Own, Now);
+    return std::chrono::ceil<std::chrono::milliseconds>(Until.value_or(Now) -
+                                                        Now);
+  }
+
   void doubtTarget() {
     ServiceFailedAt = now();
     if (Weights)
@@ -308,10 +337,17 @@
     Out.set_ran(Ran);
     Out.set_detail(Detail);
     if (Reason == wire::REFUSAL_BUSY)
-      Out.set_retry_after_ms(BusyRetryAfterMs);
+      Out.set_retry_after_ms(busyRetryAfterMs());
     Send.send(R.From, std::move(Message));
   }
 
+  std::uint32_t busyRetryAfterMs() const {
+    constexpr std::chrono::milliseconds::rep Most =
+        std::numeric_limits<std::uint32_t>::max();
+    auto Pause = std::min(pauseLeft().count(), Most);
+    return std::max(BusyRetryAfterMs, static_cast<std::uint32_t>(Pause));
+  }
+
   void finishRefused(const Run &R, wire::RefusalReason Reason, wire::Ran Ran,
                      const std::string &Detail) {
     refuse(*R, Reason, Ran, Detail);
@@ -432,6 +468,8 @@
 
   routing::Load load() const {
     routing::Load Now;
+    if (pauseLeft().count() > 0)
+      return pausedLoad();
     Now.Credits = Admit.credits(core::TrafficClass::Interactive);
     Now.InProgress = Admit.inProgress();
     Now.Waiting = Waiting.size();
@@ -444,6 +482,15 @@
     return Now;
   }
 
+  /// @return the load while the target wants no requests: no entry sends any.
+  routing::Load pausedLoad() const {
+    routing::Load Now;
+    Now.InProgress = Admit.inProgress();
+    Now.Latency =
+        std::chrono::duration_cast<std::chrono::microseconds>(Admit.latency());
+    return Now;
+  }
+
   /// Tells the entry of an ended attempt the load, so that its next choice does
   /// not wait for a heartbeat.
   void reportLoad(const wire::Peer &To) {
@@ -468,6 +515,10 @@
   /// Entries whose version is about to be replaced: they take no new work.
   std::map<core::EntryName, std::function<void()>> Replacing;
   core::TimePoint ServiceFailedAt;
+  /// What the target has said of itself. A restart is not told apart.
+  serving::TargetStatements Said;
+  const serving::TargetIncarnation Own{
+      serving::TargetId(Context.Config.Target.Address), 0};
   bool Draining = false;
   std::function<void()> OnIdle;
 };
--- a/rosemarylane/src/agent/TargetCall.cpp
+++ b/rosemarylane/src/agent/TargetCall.cpp
@@ -2,6 +2,7 @@
 
 #include "common/RunMessages.h"
 #include "http/Client.h"
+#include "http/RetryAfter.h"
 #include "serving/EventBoundary.h"
 #include "wire/BodyChecksum.h"
 
@@ -175,7 +176,7 @@
         Head.Status == TooManyRequests || Head.Status == ServiceUnavailable;
     // An engine that is full says so before it runs anything.
     if (Generation && Full)
-      return refuse(ledger::Ran::No, wire::REFUSAL_BUSY, "the engine is full");
+      return refuseFull(Head);
     if (Generation && generationOf(Head.Fields) != Generation)
       return weightsChanged();
     // A length is known only once the body is, so this head was written after
@@ -314,11 +315,13 @@
     end(std::move(How));
   }
 
-  void refuse(ledger::Ran Ran, wire::RefusalReason Reason, const char *Detail) {
+  void refuseFull(const http::ResponseHead &Head) {
     TargetCallEnd How;
-    How.Ran = Ran;
-    How.Reason = Reason;
-    How.Detail = Detail;
+    How.Ran = ledger::Ran::No;
+    How.Reason = wire::REFUSAL_BUSY;
+    How.Detail = "the engine is full";
+    How.RetryAfter =
+        http::readRetryAfter(Head.Fields.find("Retry-After").value_or(""));
     end(std::move(How));
   }
 
--- a/rosemarylane/src/agent/TargetCall.h
+++ b/rosemarylane/src/agent/TargetCall.h
@@ -23,6 +23,8 @@
   /// Unspecified if the answer came whole.
   wire::RefusalReason Reason = wire::REFUSAL_UNSPECIFIED;
   std::string Detail;
+  /// How long the target wants no requests; empty if it did not say so.
+  std::optional<std::chrono::milliseconds> RetryAfter;
   /// Time to the first part of the answer; 0 if none came.
   std::chrono::nanoseconds FirstPartAfter{0};
   /// The target closed or refused the connection, or its weights changed.
