Gateway: an error without an id answers only the first request of a connection

Cause: an error that does not repeat an id was taken as the response to the request in progress, also on a connection that had carried other requests or on which another request's response had just come. It may be an earlier refusal written once more; the caller was told that the request had not run while the target ran it.

Change: only the first response on a connection may lack the id. Any other one without it is skipped, like a response with another id.

--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -138,14 +138,10 @@
     if (Response->get().result_int() == 100)
       continue;
     HeaderValues = platform::readAnswer(status(), head());
-    bool Success = status() < 300;
-    // A success must repeat the id of the request. An error without an id is
-    // taken as the response to this request.
-    bool IsOtherResponse =
-        HeaderValues.Id.empty() ? Success : HeaderValues.Id != Id;
-    if (!IsOtherResponse)
+    if (answers(Id))
       break;
-    // A late response to an earlier request on this connection.
+    // A response to an earlier request on this connection, late or repeated.
+    HasSkippedResponse = true;
     bool Discarded = co_await discardBody();
     if (!Discarded)
       co_return Result::Broken;
@@ -157,6 +153,14 @@
   co_return Result::Data;
 }
 
+bool TargetSend::answers(const std::string &Id) const {
+  if (!HeaderValues.Id.empty())
+    return HeaderValues.Id == Id;
+  bool IsError = status() >= 300;
+  bool IsFirstResponse = !ReusedConnection && !HasSkippedResponse;
+  return IsError && IsFirstResponse;
+}
+
 asio::awaitable<bool> TargetSend::discardBody() {
   if (Response->need_eof())
     co_return false;
--- a/rosemarylane/src/gateway/TargetSend.h
+++ b/rosemarylane/src/gateway/TargetSend.h
@@ -63,8 +63,9 @@
 
   /// Sends the request and reads the head of its response.
   /// @param Fields header fields to send, in place of those of \p Request.
-  /// @param Id id of the request. A successful response must repeat it; an
-  /// error response may lack it, but must not have another one.
+  /// @param Id id of the request. The response must repeat it. An error
+  /// response may lack it if it is the first response on its connection: any
+  /// other one may be that of an earlier request, written late or once more.
   /// @param HeadDeadline when to give up without the head of the response. If
   /// it has passed, nothing is sent.
   /// @return `Data` once the head is read; otherwise why there is none.
@@ -108,6 +109,9 @@
   boost::asio::awaitable<void> write(const CallerConnection::Request &Request,
                                      const platform::HttpFields &Fields);
   boost::asio::awaitable<Result> readHead(const std::string &Id);
+  /// @return whether the response whose head was read is that of the request
+  /// \p Id.
+  bool answers(const std::string &Id) const;
   boost::asio::awaitable<bool> discardBody();
   void resetParser(bool HasNoBody);
 
@@ -128,6 +132,8 @@
   std::string BodyBuffer;
   std::size_t BodyDataSize = 0;
   bool ReusedConnection = false;
+  /// A response to another request came before the one to this request.
+  bool HasSkippedResponse = false;
   bool IsHeadRequest = false;
   bool IsComplete = false;
   bool Cancelled = false;
