Gateway: a connection that carried another request's response is not reused

Cause: after a response with another id was skipped, the connection went back to the pool. A target that writes responses late or twice on a connection may do so again, and each such response meets the next request.

Change: such a connection is closed after the response to the request.

Evidence: earlier_answer/connection_with_a_skipped_answer_is_not_used_again failed and passes; the other cases of earlier_answer pass.

--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -216,7 +216,7 @@
 }
 
 void TargetSend::release() {
-  bool Reusable = IsComplete && Response->keep_alive() &&
+  bool Reusable = IsComplete && !HasSkippedResponse && Response->keep_alive() &&
                   !Response->need_eof() && ConnectionBuffer.size() == 0 &&
                   Outgoing && Outgoing->IsWritten;
   if (!Reusable)
--- a/rosemarylane/src/gateway/TargetSend.h
+++ b/rosemarylane/src/gateway/TargetSend.h
@@ -94,7 +94,8 @@
   }
 
   /// Returns the connection to the pool if it can be reused, otherwise closes
-  /// it. Call this after `Result::End`.
+  /// it. One that carried a response to another request is not reused. Call
+  /// this after `Result::End`.
   void release();
 
   /// Resets the connection, which withdraws what the target's host has not
