Gateway: a resumed stream that ends with its connection and has no event is broken off

Cause: the end of a connection on which no event came was taken as a broken connection only before the first event had gone to the caller. Where the stream had begun, the caller's stream ended as if it were complete.

Change: it is asked of the target in progress whether an event came from it.

Evidence: resumed_stream/only_what_continues_the_stream_is_passed_on/_13 (empty_until_close) failed and passes.

--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -587,7 +587,7 @@
 bool RequestRun::brokeOffAtEnd() const {
   // Without a length or chunks, the end of a connection on which nothing came
   // looks like that of a stream without events.
-  bool NothingCame = !HeadForwarded && Attempt->endsWithConnection();
+  bool NothingCame = !AnswerBegun && Attempt->endsWithConnection();
   return NothingCame || Splitter.insideEvent();
 }
 
