Gateway: a stream whose events have no ids is not begun again

Cause: a stream that broke off was sent to the next target also when no event had had an id. That target cannot be told where to go on and begins anew; the caller got the first events twice.

Change: such a stream is aborted. A target that is silent in it is given the whole time limit, because no other one can go on.

Evidence: resumed_stream/stream_without_ids_is_not_begun_again failed and passes.

--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -83,6 +83,11 @@
   asio::awaitable<SendResult> exchange(const serving::SelectedTarget &Target);
   /// @return whether another attempt may follow the one in progress.
   bool mayRetry() const;
+  /// @return whether the next target can be told where to go on: nothing was
+  /// sent to the caller, or events with ids.
+  bool canResume() const {
+    return !HeadForwarded || !Splitter.lastEventId().empty();
+  }
   /// @return when an attempt that begins now gives up without a response head.
   Clock::time_point headDeadline(const serving::SelectedTarget &Target) const;
   /// @return what the target is told about the request.
@@ -223,6 +228,10 @@
     if (Caller->disconnected() || IsFinished)
       co_return;
     Outcome.recordResult(AttemptResult);
+    if (!canResume()) {
+      abortStream("stream without ids broke off");
+      co_return;
+    }
     RetryDecision Next = Outcome.next([&] {
       return !deadlinePassed() && Context.retryBudget(Admitted.Service)
                                       .tryAcquireRetry(BootClock::now());
@@ -413,7 +422,7 @@
 
 bool RequestRun::mayRetry() const {
   // `attemptCount` leaves out attempts that ended with `SendResult::NotSent`.
-  return Admitted.Route->repeatable() &&
+  return Admitted.Route->repeatable() && canResume() &&
          Outcome.attemptCount() + 1 < Admitted.Route->MaxAttempts;
 }
 
