Gateway: only events that continue a stream are passed on after it was resumed

Cause: whatever a second target answered with 200 on a streaming route went into the stream that the caller had begun to get: an error's text or head as the body, the stream from its first event on, an event again, a later one after a hole; and the stream ended as complete.

Change: EventSequence keeps the ids of a stream's events. After the stream is resumed, each event needs an id that comes after the last: the next number if ids have counted by one so far, otherwise a greater one. A response of another content type, or whose events do not follow, is dropped, and the request goes to another target or the stream is aborted.

Not told apart: a hole where ids had not counted by one before, and a wrong event whose id fits.

--- /dev/null
+++ b/libs/serving/include/serving/EventSequence.h
@@ -0,0 +1,34 @@
+#ifndef ROSEMARYLANE_SERVING_EVENT_SEQUENCE_H
+#define ROSEMARYLANE_SERVING_EVENT_SEQUENCE_H
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace rosemarylane::serving {
+
+/// The ids of the server-sent events of one stream, in their order. Tells
+/// whether further events continue the stream. Value type; not thread-safe.
+class EventSequence {
+public:
+  /// Takes the next events of the stream, all of them complete.
+  /// @return whether each has an id that comes after the one before: a greater
+  /// one if ids are numbers, the next one if they have counted by one so far.
+  /// Comments are no events.
+  bool append(std::string_view Events);
+
+  /// @return the id of the last event that had one, empty if there was none.
+  const std::string &lastId() const { return LastId; }
+
+private:
+  bool appendId(std::string_view Id);
+
+  std::string LastId;
+  /// Number of ids, and whether each was the one before plus one.
+  std::size_t Count = 0;
+  bool CountsByOne = true;
+};
+
+} // namespace rosemarylane::serving
+
+#endif // ROSEMARYLANE_SERVING_EVENT_SEQUENCE_H
--- a/libs/serving/include/serving/EventSplitter.h
+++ b/libs/serving/include/serving/EventSplitter.h
@@ -2,6 +2,7 @@
 #define ROSEMARYLANE_SERVING_EVENT_SPLITTER_H
 
 #include "serving/EventBoundary.h"
+#include "serving/EventSequence.h"
 
 #include <string>
 #include <string_view>
@@ -17,19 +18,28 @@
 class EventSplitter {
 public:
   /// Takes the next bytes of the stream.
-  /// @return the events that are now complete, possibly none.
+  /// @return the events that are now complete, possibly none. Events that do
+  /// not continue a resumed stream are discarded.
   std::string feed(std::string_view Bytes);
 
   /// @return the id of the last complete event that had one, empty if there was
   /// none.
-  const std::string &lastEventId() const { return LastId; }
+  const std::string &lastEventId() const { return Sequence.lastId(); }
 
   /// @return the size of the incomplete event.
   std::size_t pendingBytes() const { return Pending.size(); }
 
-  /// Discards the incomplete event before the stream is resumed at another
-  /// target.
-  void discardPending() { Pending.clear(); }
+  /// Discards the incomplete event before another target begins the stream or
+  /// resumes it after `lastEventId`.
+  void beginResponse() {
+    Pending.clear();
+    Resumed = !lastEventId().empty();
+    Diverged = false;
+  }
+
+  /// @return whether the response resumes a stream and has events that do not
+  /// continue it: without an id, or with one that does not come after the last.
+  bool diverged() const { return Diverged; }
 
   /// @return whether the bytes so far end inside an event. Line ends after the
   /// last event are none.
@@ -40,10 +50,10 @@
   }
 
 private:
-  void updateLastEventId(std::string_view Events);
-
   std::string Pending;
-  std::string LastId;
+  EventSequence Sequence;
+  bool Resumed = false;
+  bool Diverged = false;
 };
 
 } // namespace rosemarylane::serving
--- a/libs/serving/src/EventSplitter.cpp
+++ b/libs/serving/src/EventSplitter.cpp
@@ -1,6 +1,7 @@
 #include "serving/EventSplitter.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rosemarylane::serving {
 
@@ -36,27 +37,13 @@
   End += SearchFrom;
   std::string Events = Pending.substr(0, End);
   Pending.erase(0, End);
-  updateLastEventId(Events);
+  EventSequence Extended = Sequence;
+  bool Follows = Extended.append(Events);
+  Diverged = Diverged || (Resumed && !Follows);
+  if (Diverged)
+    return {};
+  Sequence = std::move(Extended);
   return Events;
 }
 
-void EventSplitter::updateLastEventId(std::string_view Events) {
-  std::size_t At = 0;
-  while (At < Events.size()) {
-    std::size_t End = Events.find('\n', At);
-    if (End == std::string_view::npos)
-      End = Events.size();
-    std::string_view Line = Events.substr(At, End - At);
-    At = End + 1;
-    if (!Line.starts_with("id:"))
-      continue;
-    Line.remove_prefix(3);
-    while (!Line.empty() && Line.front() == ' ')
-      Line.remove_prefix(1);
-    while (!Line.empty() && (Line.back() == '\r' || Line.back() == ' '))
-      Line.remove_suffix(1);
-    LastId = Line;
-  }
-}
-
 } // namespace rosemarylane::serving
--- a/libs/serving/tests/StreamTest.cpp
+++ b/libs/serving/tests/StreamTest.cpp
@@ -42,11 +42,54 @@
     an_incomplete_event_is_discarded_before_the_stream_is_resumed) {
   EventSplitter Splitter;
   Splitter.feed("id: 1\ndata: a\n\nid: 2\nda");
-  Splitter.discardPending();
+  Splitter.beginResponse();
   BOOST_TEST(Splitter.lastEventId() == "1");
   BOOST_TEST(Splitter.feed("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
 }
 
+BOOST_AUTO_TEST_CASE(only_events_that_continue_a_resumed_stream_pass) {
+  auto Resumed = [](std::string_view Before, std::string_view Events) {
+    EventSplitter Splitter;
+    Splitter.feed(Before);
+    Splitter.beginResponse();
+    std::string LastId = Splitter.lastEventId();
+    std::string Out = Splitter.feed(Events);
+    BOOST_TEST(Splitter.diverged() == Out.empty());
+    BOOST_TEST(
+        (Out.empty() ? Splitter.lastEventId() == LastId : Out == Events));
+    return !Out.empty();
+  };
+  const std::string ByOne = "id: 1\n\nid: 2\n\n";
+  BOOST_TEST(Resumed(ByOne, "id: 3\ndata: a\n\n"));
+  BOOST_TEST(Resumed(ByOne, ": comment\r\n\r\nid: 3\r\n\r\n"));
+  BOOST_TEST(!Resumed(ByOne, "id: 1\n\n"));
+  BOOST_TEST(!Resumed(ByOne, "id: 2\n\n"));
+  BOOST_TEST(!Resumed(ByOne, "id: 4\n\n"));
+  BOOST_TEST(!Resumed(ByOne, "id: 3\n\nid: 3\n\n"));
+  BOOST_TEST(!Resumed(ByOne, "data: a\n\nid: 3\n\n"));
+  BOOST_TEST(!Resumed(ByOne, "id: x\n\nid: x\n\n"));
+  const std::string ByMore = "id: 3\n\nid: 9\n\n";
+  BOOST_TEST(Resumed(ByMore, "id: 10\n\nid: 14\n\n"));
+  BOOST_TEST(!Resumed(ByMore, "id: 8\n\n"));
+  BOOST_TEST(Resumed("id: 1\n\n", "id: 3\n\n"));
+  BOOST_TEST(Resumed("id: a\n\n", "id: b\n\n"));
+  BOOST_TEST(!Resumed("id: a\n\n", "id: a\n\n"));
+  // Without ids nothing tells.
+  BOOST_TEST(Resumed("data: a\n\n", "data: a\n\n"));
+}
+
+BOOST_AUTO_TEST_CASE(events_that_do_not_continue_a_stream_end_it) {
+  EventSplitter Splitter;
+  Splitter.feed("id: 1\n\n");
+  Splitter.beginResponse();
+  Splitter.feed("id: 1\n\n");
+  BOOST_TEST(Splitter.diverged());
+  BOOST_TEST(Splitter.feed("id: 2\n\n").empty());
+  Splitter.beginResponse();
+  BOOST_TEST(!Splitter.diverged());
+  BOOST_TEST(Splitter.feed("id: 2\n\n") == "id: 2\n\n");
+}
+
 BOOST_AUTO_TEST_CASE(passes_events_with_carriage_returns_however_cut) {
   const std::string Stream = "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\r\n";
   for (std::size_t Size = 1; Size <= Stream.size(); ++Size) {
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -7,6 +7,7 @@
 #include "serving/RequestOutcome.h"
 #include "telemetry/Log.h"
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -44,6 +45,7 @@
 /// Limit of the size of one event of a stream. A larger one is handled like a
 /// connection that broke.
 constexpr std::size_t MaxEventBytes = 1 << 20;
+constexpr char EventStreamType[] = "text/event-stream";
 /// Range of the random `Retry-After` time of a refusal.
 constexpr milliseconds MinRetryAfter{500};
 constexpr milliseconds MaxRetryAfter{1900};
@@ -97,6 +99,9 @@
   asio::awaitable<SendResult> forwardStream();
   /// @return whether a stream whose response has ended was broken off.
   bool brokeOffAtEnd() const;
+  /// @return whether the stream that the caller is getting cannot go on with
+  /// what the target has sent so far.
+  bool isNoContinuation() const;
   asio::awaitable<void> forwardBuffered();
   /// Records the time from the start of the attempt, connecting included, to
   /// the response head.
@@ -532,7 +537,8 @@
 }
 
 asio::awaitable<SendResult> RequestRun::forwardStream() {
-  Splitter.discardPending();
+  Splitter.beginResponse();
+  bool Resumes = HeadForwarded;
   Clock::time_point EventDeadline = Clock::now() + StreamEventTimeout;
   for (;;) {
     milliseconds Timeout = Admitted.TimeLimit;
@@ -556,6 +562,11 @@
     std::string Events;
     if (!AtEnd)
       Events = Splitter.feed(Attempt->bodyData());
+    if (Resumes && isNoContinuation()) {
+      LastFeedback = TargetFeedback::Failed;
+      Attempt->cancel();
+      co_return SendResult::Unknown;
+    }
     if (!Events.empty())
       recordAnswerBegun();
     if (!HeadForwarded && (AtEnd || !Events.empty())) {
@@ -600,6 +611,14 @@
   return NothingCame || Splitter.insideEvent();
 }
 
+bool RequestRun::isNoContinuation() const {
+  namespace http_ = boost::beast::http;
+  auto Type = Attempt->head()[http_::field::content_type];
+  bool IsOtherType =
+      !Type.empty() && !boost::algorithm::istarts_with(Type, EventStreamType);
+  return IsOtherType || Splitter.diverged();
+}
+
 asio::awaitable<void> RequestRun::forwardBuffered() {
   recordFirstByte();
   bool Completed = co_await Caller->respond(BufferedStatus, BufferedHead,
