Agent: each request goes to its target on a connection of its own

Cause: requests that may be repeated went out on kept connections. The answers of engines and plain services do not name their request, so an earlier answer that a faulty target wrote once more was taken for this one's: a 503 or 429 became busy, ran no, while the engine ran the request; a success was another request's.

Change: every request gets a new connection, as those that must not run twice did before. Targets are on the agent's own host.

Evidence: target_earlier_answer/ earlier_refusal_does_not_prove_that_a_request_did_not_run and request_goes_out_on_a_connection_that_carried_no_other failed and pass. What it adds to an answer's time was not measured.

--- a/rosemarylane/src/agent/TargetCall.cpp
+++ b/rosemarylane/src/agent/TargetCall.cpp
@@ -131,7 +131,9 @@
     http::Deadlines Limits;
     Limits.FirstByte = FirstByteDeadline;
     Limits.Idle = IdleDeadline;
-    Limits.FreshConnection = !Request.idempotent();
+    // Answers do not name their request: on a kept connection, an earlier one
+    // that is written once more would be taken for this one's.
+    Limits.FreshConnection = true;
     Call = Context.Http->stream(Context.Config.Target.Address, std::move(Out),
                                 Limits, hooks());
   }
