Agent: the generation is confirmed on a connection of its own

Cause: the engine's state, read to see whether the weights changed while an answer came, was read on a kept connection first. An earlier state that a faulty engine wrote once more confirmed the generation, and an answer of two versions counted as whole.

Change: both tries use a new connection.

Evidence: target_earlier_answer/earlier_state_does_not_confirm_a_generation failed and passes; target_unframed_answer and target_endless_answer pass.

--- a/rosemarylane/src/agent/TargetCall.cpp
+++ b/rosemarylane/src/agent/TargetCall.cpp
@@ -239,8 +239,9 @@
     if (!Error && Events.insideEvent())
       return brokenOff("the stream ended inside an event", /*MayHaveRun=*/true);
     if (!Error)
-      return Generation && !HeadAfterBody ? confirmGeneration(/*OnKept=*/true)
-                                          : complete();
+      return Generation && !HeadAfterBody
+                 ? confirmGeneration(/*MayTryAgain=*/true)
+                 : complete();
     brokenOff(Error->Detail,
               /*MayHaveRun=*/Error->What != http::Error::Kind::NotSent);
   }
@@ -257,27 +258,27 @@
   }
 
   /// Reads the generation once more: it may have changed while the answer came.
-  /// @param OnKept on a kept connection, which may have fallen silent, so that
-  /// another try follows.
-  void confirmGeneration(bool OnKept) {
+  /// On a kept connection, an earlier state could be written once more.
+  /// @param MayTryAgain another try follows one without an answer.
+  void confirmGeneration(bool MayTryAgain) {
     LastHeard = now();
     http::Request Read;
     Read.Method = "GET";
     Read.Target = "/control/v1/state";
     http::Deadlines Limits;
     Limits.Total = ConfirmDeadline;
-    Limits.FreshConnection = !OnKept;
+    Limits.FreshConnection = true;
     std::weak_ptr<HttpTargetCall> Weak = weak_from_this();
     runtime::Duty &Control = *Context.Control;
     Confirming = Context.Http->fetch(
         Context.Config.Target.Address, std::move(Read), Limits,
         [Weak, &Control,
-         OnKept](core::Result<http::Response, http::Error> State) {
+         MayTryAgain](core::Result<http::Response, http::Error> State) {
           std::string Body = State ? std::move(State->Body) : "";
-          Control.postAlways([Weak, OnKept, Body = std::move(Body)] {
+          Control.postAlways([Weak, MayTryAgain, Body = std::move(Body)] {
             auto Self = Weak.lock();
-            if (Self && Body.empty() && OnKept)
-              Self->confirmGeneration(/*OnKept=*/false);
+            if (Self && Body.empty() && MayTryAgain)
+              Self->confirmGeneration(/*MayTryAgain=*/false);
             else if (Self)
               Self->onConfirmed(Body);
           });
