Agent: load orders go to the engine on a connection of their own

Cause: an order went out on a kept connection; an earlier state that a faulty engine wrote once more was taken for the order's answer, although the engine refused the order.

Change: orders use a new connection each.

--- a/rosemarylane/src/agent/EngineControl.cpp
+++ b/rosemarylane/src/agent/EngineControl.cpp
@@ -16,9 +16,11 @@
     .FirstByte = std::chrono::milliseconds(10000),
     .Idle = std::chrono::milliseconds(5000),
     .Total = std::chrono::milliseconds(30000)};
-/// Loading moves whole weights into place.
+/// Loading moves whole weights into place. On a kept connection, an earlier
+/// state that is written once more would look like an order carried out.
 constexpr http::Deadlines LoadDeadlines{.FirstByte = std::chrono::minutes(2),
                                         .Idle = std::chrono::milliseconds(5000),
+                                        .FreshConnection = true,
                                         .Total =
                                             std::chrono::milliseconds(130000)};
 
