--- a/libs/http/tests/ExchangeTest.cpp
+++ b/libs/http/tests/ExchangeTest.cpp
@@ -1,3 +1,4 @@
+#include "KeptConnectionServer.h"
 #include "http/Client.h"
 #include "http/Server.h"
 
@@ -375,4 +376,18 @@
   BOOST_TEST((Late.error().What == Error::Kind::NotSent));
 }
 
+BOOST_AUTO_TEST_CASE(connection_of_one_exchange_alone_is_not_kept) {
+  KeptConnectionServer Server([](const std::string &, int OnConnection) {
+    std::string Body = std::to_string(OnConnection);
+    return "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + Body;
+  });
+  Address = Server.address();
+  Deadlines OnItsOwn;
+  OnItsOwn.FreshConnection = true;
+  BOOST_TEST(fetch({"GET", "/", {}, {}}, OnItsOwn)->Body == "1");
+  BOOST_TEST(fetch({"GET", "/", {}, {}})->Body == "1");
+  BOOST_TEST(fetch({"GET", "/", {}, {}})->Body == "2");
+  BOOST_TEST(waitFor([&] { return Server.open() == 1; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/http/tests/KeptConnectionServer.h
+++ b/libs/http/tests/KeptConnectionServer.h
@@ -1,6 +1,7 @@
 #ifndef ROSEMARYLANE_HTTP_TESTS_KEPT_CONNECTION_SERVER_H
 #define ROSEMARYLANE_HTTP_TESTS_KEPT_CONNECTION_SERVER_H
 
+#include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -44,6 +45,9 @@
     return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
   }
 
+  /// @return the number of connections that are open.
+  int open() const { return Open; }
+
 private:
   using Socket = boost::asio::ip::tcp::socket;
 
@@ -56,7 +60,9 @@
         return;
       Connections.push_back(Connection);
       Threads.emplace_back([this, Connection] {
+        ++Open;
         serve(*Connection);
+        --Open;
         ::shutdown(Connection->native_handle(), SHUT_RDWR);
       });
     }
@@ -84,6 +90,7 @@
   }
 
   Behaviour Serve;
+  std::atomic<int> Open{0};
   boost::asio::io_context Context;
   boost::asio::ip::tcp::acceptor Acceptor;
   std::mutex Mutex;
