HTTP client: a connection that was opened for one exchange alone is closed

Cause: it went to the kept connections of its address like any other. Since every request of an agent opens one, up to 64 would pile up there.

Change: it is closed after its exchange.

Evidence: exchange/connection_of_one_exchange_alone_is_not_kept failed and passes; http_tests (33 cases) and program_tests pass.

--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -147,8 +147,10 @@
       return;
     if (End.Late)
       Owner->dropIdle(Address);
-    if (End.Reusable)
+    if (End.Reusable && !Limits.FreshConnection)
       Owner->giveBack(Address, Connection);
+    else
+      Connection->close();
     Connection.reset();
     bool Again =
         OnKept && (End.NothingSent || (End.ClosedUnanswered && Retryable));
