Sidecar: chunks are staged and loads ordered on connections of their own

Cause: chunks were staged on a kept connection. An earlier answer that a faulty target wrote once more confirmed a chunk that the target had refused, and the load was ordered with the piece missing.

Change: a call may ask for a new connection, which is closed after it; chunks and orders do. No call asks any more not to be repeated on a stale connection, so that option goes.

Evidence: earlier_answer/ earlier_answer_does_not_confirm_that_a_chunk_is_staged failed and passes; program_tests pass. A version of N chunks takes N + 1 more connections to the target on the same host.

--- a/rosemarylane/src/node/HttpClient.cpp
+++ b/rosemarylane/src/node/HttpClient.cpp
@@ -141,7 +141,8 @@
   S->evictExpired();
   auto Deadline = std::chrono::steady_clock::now() + Spec.Timeout;
   auto Message = toBeast(Address, std::move(Spec.Request));
-  std::unique_ptr<beast::tcp_stream> Stream = S->takeIdle(Address);
+  std::unique_ptr<beast::tcp_stream> Stream =
+      Spec.NewConnection ? nullptr : S->takeIdle(Address);
   for (;;) {
     bool Reused = Stream != nullptr;
     if (!Reused) {
@@ -179,7 +180,8 @@
                         Parser.get().body().size(), !Failed});
     }
     if (!Failed) {
-      bool KeepOpen = Parser.keep_alive() && Buffer.size() == 0;
+      bool KeepOpen =
+          !Spec.NewConnection && Parser.keep_alive() && Buffer.size() == 0;
       http::Response Answer = fromBeast(Parser.release());
       if (KeepOpen)
         S->release(Address, std::move(Stream));
@@ -187,8 +189,7 @@
     }
     S->Idle.erase(Address);
     bool TimedOut = Failed == beast::error::timeout;
-    if (!Reused || !Spec.RetryOnStaleConnection || ResponseBytes > 0 ||
-        TimedOut)
+    if (!Reused || ResponseBytes > 0 || TimedOut)
       co_return core::failure(Error{Failed == beast::http::error::body_limit
                                         ? Error::Kind::Malformed
                                         : Error::Kind::Interrupted,
--- a/rosemarylane/src/node/HttpClient.h
+++ b/rosemarylane/src/node/HttpClient.h
@@ -42,9 +42,12 @@
     /// `BodyStallTimeout`: a large body on a narrow link is given the time that
     /// it takes, instead of being started again.
     std::chrono::milliseconds BodyTimeout{0};
-    /// Whether to repeat the request on a new connection if a reused one fails
-    /// before any byte of the response.
-    bool RetryOnStaleConnection = true;
+    /// Whether to open a connection for this call alone. Otherwise, the request
+    /// is sent once more on a new connection if a reused one fails before any
+    /// byte of the response; and on a reused one, the answer to an earlier call
+    /// that a faulty server writes once more is taken for the answer to this
+    /// one.
+    bool NewConnection = false;
     /// A larger body fails the call with `http::Error::Kind::Malformed`, before
     /// it is received if its size is stated.
     std::size_t MaxBodyBytes = 8 << 20;
--- a/rosemarylane/src/sidecar/TargetLoader.cpp
+++ b/rosemarylane/src/sidecar/TargetLoader.cpp
@@ -58,6 +58,8 @@
   for (std::size_t I = 0; I < Chunks.size(); ++I) {
     HttpClient::Call Call;
     Call.Request = platform::stageRequest(Served.model(), I, Chunks.bytes(I));
+    // An order must not follow a chunk that another chunk's answer confirmed.
+    Call.NewConnection = true;
     Call.Timeout = TargetCallTimeout;
     Call.MaxBodyBytes = MaxTargetResponseBytes;
     auto Reply =
@@ -89,7 +91,7 @@
   Call.Request = platform::orderRequest(Order);
   Call.Timeout = TargetCallTimeout;
   Call.MaxBodyBytes = MaxTargetResponseBytes;
-  Call.RetryOnStaleConnection = false;
+  Call.NewConnection = true;
   Watch.setSwitching(true);
   auto Reply = co_await Calls.exchange(Settings.TargetAddress, std::move(Call));
   std::string Outcome = "no answer";
