Gateway: every interim response is skipped

Cause: only status 100 was skipped as interim. Any other one was looked at as a final response; one with the request's id was passed on as the answer.

Change: all statuses from 100 to 199 are skipped.

Evidence: earlier_answer/interim_answer_is_skipped failed and passes; earlier_answer, endless_bytes and broken_head pass.

--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -45,6 +45,9 @@
                                             : TargetSend::Result::Broken;
 }
 
+/// @return whether a response of this status is followed by the final one.
+bool isInterim(unsigned Status) { return Status >= 100 && Status < 200; }
+
 } // namespace
 
 /// A request that is being written. The completion handler of the write keeps
@@ -135,7 +138,7 @@
     SkippedBytes += BytesRead;
     if (SkippedBytes > MaxSkippedBytes)
       co_return Result::Broken;
-    if (Response->get().result_int() == 100)
+    if (isInterim(status()))
       continue;
     HeaderValues = platform::readAnswer(status(), head());
     if (answers(Id))
