--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -7,6 +7,7 @@
 #include "serving/RequestOutcome.h"
 #include "telemetry/Log.h"
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -44,6 +45,7 @@
 /// Limit of the size of one event of a stream. A larger one is handled like a
 /// connection that broke.
 constexpr std::size_t MaxEventBytes = 1 << 20;
+constexpr char EventStreamType[] = "text/event-stream";
 /// Range of the random `Retry-After` time of a refusal.
 constexpr milliseconds MinRetryAfter{500};
 constexpr milliseconds MaxRetryAfter{1900};
@@ -92,6 +94,11 @@
   asio::awaitable<SendResult> exchange(const serving::SelectedTarget &Target);
   /// @return whether another attempt may follow the one in progress.
   bool mayRetry() const;
+  /// @return whether the next target can be told where to go on: nothing was
+  /// sent to the caller, or events with ids.
+  bool canResume() const {
+    return !HeadForwarded || !Splitter.lastEventId().empty();
+  }
   /// @return when an attempt that begins now gives up without a response head.
   Clock::time_point headDeadline(const serving::SelectedTarget &Target) const;
   /// @return what the target is told about the request.
@@ -101,6 +108,9 @@
   asio::awaitable<SendResult> forwardStream();
   /// @return whether a stream whose response has ended was broken off.
   bool brokeOffAtEnd() const;
+  /// @return whether the stream that the caller is getting cannot go on with
+  /// what the target has sent so far.
+  bool isNoContinuation() const;
   asio::awaitable<void> forwardBuffered();
   /// Records the time from the start of the attempt, connecting included, to
   /// the response head.
@@ -237,6 +247,10 @@
     if (Caller->disconnected() || IsFinished)
       co_return;
     Outcome.recordResult(AttemptResult);
+    if (!canResume()) {
+      abortStream("stream without ids broke off");
+      co_return;
+    }
     RetryDecision Next = Outcome.next([&] {
       return !deadlinePassed() && Context.retryBudget(Admitted.Service)
                                       .tryAcquireRetry(BootClock::now());
@@ -465,7 +479,7 @@
 
 bool RequestRun::mayRetry() const {
   // `attemptCount` leaves out attempts that ended with `SendResult::NotSent`.
-  return Admitted.Route->repeatable() &&
+  return Admitted.Route->repeatable() && canResume() &&
          Outcome.attemptCount() + 1 < Admitted.Route->MaxAttempts;
 }
 
@@ -583,7 +597,8 @@
 }
 
 asio::awaitable<SendResult> RequestRun::forwardStream() {
-  Splitter.discardPending();
+  Splitter.beginResponse();
+  bool Resumes = HeadForwarded;
   Clock::time_point EventDeadline = Clock::now() + StreamEventTimeout;
   for (;;) {
     milliseconds Timeout = Admitted.TimeLimit;
@@ -607,6 +622,11 @@
     std::string Events;
     if (!AtEnd)
       Events = Splitter.feed(Attempt->bodyData());
+    if (Resumes && isNoContinuation()) {
+      LastFeedback = TargetFeedback::Failed;
+      Attempt->cancel();
+      co_return SendResult::Unknown;
+    }
     if (!Events.empty())
       recordAnswerBegun();
     if (!HeadForwarded && (AtEnd || !Events.empty())) {
@@ -647,10 +667,18 @@
 bool RequestRun::brokeOffAtEnd() const {
   // Without a length or chunks, the end of a connection on which nothing came
   // looks like that of a stream without events.
-  bool NothingCame = !HeadForwarded && Attempt->endsWithConnection();
+  bool NothingCame = !AnswerBegun && Attempt->endsWithConnection();
   return NothingCame || Splitter.insideEvent();
 }
 
+bool RequestRun::isNoContinuation() const {
+  namespace http_ = boost::beast::http;
+  auto Type = Attempt->head()[http_::field::content_type];
+  bool IsOtherType =
+      !Type.empty() && !boost::algorithm::istarts_with(Type, EventStreamType);
+  return IsOtherType || Splitter.diverged();
+}
+
 asio::awaitable<void> RequestRun::forwardBuffered() {
   recordFirstByte();
   bool Completed = co_await Caller->respond(BufferedStatus, BufferedHead,
--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -45,6 +45,9 @@
                                             : TargetSend::Result::Broken;
 }
 
+/// @return whether a response of this status is followed by the final one.
+bool isInterim(unsigned Status) { return Status >= 100 && Status < 200; }
+
 } // namespace
 
 /// A request that is being written. The completion handler of the write keeps
@@ -135,18 +138,14 @@
     SkippedBytes += BytesRead;
     if (SkippedBytes > MaxSkippedBytes)
       co_return Result::Broken;
-    if (Response->get().result_int() == 100)
+    if (isInterim(status()))
       continue;
     HeaderValues = platform::readAnswer(status(), head());
     recordStatements();
-    bool Success = status() < 300;
-    // A success must repeat the id of the request. An error without an id is
-    // taken as the response to this request.
-    bool IsOtherResponse =
-        HeaderValues.Id.empty() ? Success : HeaderValues.Id != Id;
-    if (!IsOtherResponse)
+    if (answers(Id))
       break;
-    // A late response to an earlier request on this connection.
+    // A response to an earlier request on this connection, late or repeated.
+    HasSkippedResponse = true;
     bool Discarded = co_await discardBody();
     if (!Discarded)
       co_return Result::Broken;
@@ -158,6 +157,14 @@
   co_return Result::Data;
 }
 
+bool TargetSend::answers(const std::string &Id) const {
+  if (!HeaderValues.Id.empty())
+    return HeaderValues.Id == Id;
+  bool IsError = status() >= 300;
+  bool IsFirstResponse = !ReusedConnection && !HasSkippedResponse;
+  return IsError && IsFirstResponse;
+}
+
 asio::awaitable<bool> TargetSend::discardBody() {
   if (Response->need_eof())
     co_return false;
@@ -223,7 +230,7 @@
 }
 
 void TargetSend::release() {
-  bool Reusable = IsComplete && Response->keep_alive() &&
+  bool Reusable = IsComplete && !HasSkippedResponse && Response->keep_alive() &&
                   !Response->need_eof() && ConnectionBuffer.size() == 0 &&
                   Outgoing && Outgoing->IsWritten;
   if (!Reusable)
