A waiting request that finds no target holds up nobody behind it

Cause: the queue of a gateway stopped at the first request that found no target, for whatever reason. One that no target could serve any more (quarantined, tried all, another model or region), or whose own targets were full, kept everyone behind it waiting while slots were free, until the first one's time in the queue was over.

Change: requests are queued by demand class (regions, model, version, targets tried, expected duration), the first of each class is tried in the order of priority and arrival, and a class without a usable slot is left out until the next dispatch. A dispatch still makes one attempt if no target of the service has room. A request that no target can serve is refused when it joins, when it is tried, and by a check of each class at every tick; it waits no longer.

The two tests of the queue in LimitsTest.cpp name a class and return the new result, with the same checks.

--- a/libs/serving/include/serving/LoadBalancer.h
+++ b/libs/serving/include/serving/LoadBalancer.h
@@ -261,6 +261,14 @@
                                        core::BootTime Now, double Random,
                                        SelectionFailure &Why);
 
+  /// @return whether some target fulfils the requirements; if not, `choose`
+  /// fails with `SelectionFailure::Unavailable`.
+  bool mayServe(const TargetRequirements &Demand, core::BootTime Now) const;
+
+  /// @return whether some target of \p Service has room for a request, though
+  /// not for every one; if not, `choose` fails.
+  bool hasRoom(std::string_view Service, core::BootTime Now);
+
   /// Records the end of a request that was sent to a selected target.
   void recordResult(const TargetId &Id, TargetFeedback Outcome,
                     core::BootTime Now);
@@ -331,6 +339,12 @@
   double excessResponseMs(const Target &T, core::BootTime Now) const;
   bool finishesBeforeSwitch(const Target &T, const TargetRequirements &Demand,
                             core::BootTime Now) const;
+  /// @return whether \p T is one of the service's targets that get requests,
+  /// whatever its load and health.
+  bool acceptsWork(const Target &T, std::string_view Service) const;
+  /// @return whether \p T can take a request now, going by its load and health
+  /// alone.
+  bool hasRoom(Target &T, core::BootTime Now);
   /// @return whether \p T fulfils the requirements, whatever its load and
   /// health.
   bool isEligible(const Target &T, const TargetRequirements &Demand,
--- a/libs/serving/src/LoadBalancer.cpp
+++ b/libs/serving/src/LoadBalancer.cpp
@@ -319,12 +319,46 @@
                    Found->second) != Demand.AllowedRegions.end();
 }
 
-bool LoadBalancer::isEligible(const Target &T, const TargetRequirements &Demand,
-                              core::BootTime Now) const {
-  if (T.Info.Service != Demand.Service || T.Info.Draining || T.Switching ||
+bool LoadBalancer::acceptsWork(const Target &T,
+                               std::string_view Service) const {
+  if (T.Info.Service != Service || T.Info.Draining || T.Switching ||
       T.Superseded)
     return false;
-  if (Evacuated.contains(T.Info.FailureDomain))
+  return !Evacuated.contains(T.Info.FailureDomain);
+}
+
+bool LoadBalancer::hasRoom(Target &T, core::BootTime Now) {
+  if (isEjected(T, Now))
+    return false;
+  bool SameDomain = T.Info.FailureDomain == Settings.OwnDomain;
+  bool Cold = T.WarmupRate > 0 && Now < T.ColdUntil;
+  if (Cold &&
+      (!SameDomain || !T.Cold.canAcquire(T.WarmupRate, LocalGatewayCount, Now)))
+    return false;
+  if (!T.Limit.canAcquire(Now))
+    return false;
+  if (estimatedLoad(T, Now) >= capacity(T) ||
+      (hasFreshReport(T, Now) && T.RemainingQuota == 0))
+    return false;
+  return estimatedWaiting(T, Now) < Settings.EngineWaiting;
+}
+
+bool LoadBalancer::mayServe(const TargetRequirements &Demand,
+                            core::BootTime Now) const {
+  return std::any_of(Targets.begin(), Targets.end(), [&](const auto &Entry) {
+    return isEligible(Entry.second, Demand, Now);
+  });
+}
+
+bool LoadBalancer::hasRoom(std::string_view Service, core::BootTime Now) {
+  return std::any_of(Targets.begin(), Targets.end(), [&](auto &Entry) {
+    return acceptsWork(Entry.second, Service) && hasRoom(Entry.second, Now);
+  });
+}
+
+bool LoadBalancer::isEligible(const Target &T, const TargetRequirements &Demand,
+                              core::BootTime Now) const {
+  if (!acceptsWork(T, Demand.Service))
     return false;
   if (!regionAllowed(T, Demand) || !versionUsable(T, Demand, Now))
     return false;
@@ -345,22 +379,11 @@
     if (!isEligible(T, Demand, Now))
       continue;
     Why = SelectionFailure::Full;
-    if (isEjected(T, Now) || !finishesBeforeSwitch(T, Demand, Now))
+    if (!hasRoom(T, Now) || !finishesBeforeSwitch(T, Demand, Now))
       continue;
     bool SameDomain = T.Info.FailureDomain == Settings.OwnDomain;
-    bool Cold = T.WarmupRate > 0 && Now < T.ColdUntil;
-    if (Cold && (!SameDomain ||
-                 !T.Cold.canAcquire(T.WarmupRate, LocalGatewayCount, Now)))
-      continue;
-    if (!T.Limit.canAcquire(Now))
-      continue;
     double TargetLoad = estimatedLoad(T, Now);
-    if (TargetLoad >= capacity(T) ||
-        (hasFreshReport(T, Now) && T.RemainingQuota == 0))
-      continue;
     double Waiting = estimatedWaiting(T, Now);
-    if (Waiting >= Settings.EngineWaiting)
-      continue;
     // In points; 16 if all slots are in use (see LoadBalancerSettings).
     double Score =
         TargetLoad / T.Info.Slots * 16 + Settings.WaitingPenalty * Waiting +
--- a/libs/serving/tests/AdmissionQueueTest.cpp
+++ b/libs/serving/tests/AdmissionQueueTest.cpp
@@ -55,7 +55,8 @@
     Request &R = Requests.emplace_back();
     R.Name = Name;
     R.Demand = std::move(Demand);
-    R.Place = Queue.enqueue(Priority, [this, &R] { return tryStart(R); });
+    R.Place = Queue.enqueue(Priority, DemandClass(R.Demand),
+                            [this, &R] { return tryStart(R); });
     BOOST_REQUIRE(R.Place != nullptr);
     return R;
   }
@@ -86,7 +87,7 @@
     Balancer.setRegistered(Engines, engineConfig(), Start);
   }
   void dispatch() { Queue.dispatch(); }
-  void tick() { Queue.dispatch(); }
+  void tick() { Queue.recheck(); }
 
   /// Names of the requests that were started, in order.
   const std::vector<std::string> &started() const { return Started; }
@@ -125,13 +126,18 @@
     return T;
   }
 
-  bool tryStart(Request &R) {
+  StartResult tryStart(Request &R) {
     ++Attempts;
     SelectionFailure Why{};
     R.Chosen = Balancer.choose(R.Demand, Start, 0.5, Why);
     if (R.Chosen)
       Started.push_back(R.Name);
-    return R.Chosen.has_value();
+    else if (Why == SelectionFailure::Unavailable)
+      Refused.push_back(R.Name);
+    else
+      return Balancer.hasRoom("engine", Start) ? StartResult::NoUsableSlot
+                                               : StartResult::NoSlot;
+    return StartResult::Ended;
   }
 
   LoadBalancer Balancer;
@@ -262,4 +268,26 @@
   BOOST_TEST(G.attempts() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(dispatch_tries_each_class_that_cannot_start_once) {
+  Gateway G;
+  std::vector<TargetId> A{TargetId("ta")};
+  for (int I = 0; I < 100; ++I) {
+    TargetRequirements InB = Gateway::demand();
+    InB.AllowedRegions = {core::RegionId("region-b")};
+    // Ten times as long as the shortest, at most.
+    InB.ExpectedDuration = milliseconds(300 + 27 * I);
+    TargetRequirements TriedA = InB;
+    TriedA.Tried = &A;
+    G.enqueue("in b", InB);
+    G.enqueue("tried a", TriedA);
+  }
+  G.free("ta", 1);
+  G.resetAttempts();
+  G.dispatch();
+  // Four classes of durations, once for each of the two demands.
+  BOOST_TEST(G.attempts() <= 2U * 4);
+  BOOST_TEST(G.started().empty());
+  BOOST_TEST(G.waiting() == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/serving/tests/LimitsTest.cpp
+++ b/libs/serving/tests/LimitsTest.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 const core::BootTime Start = core::BootTime(std::chrono::hours(1));
+const DemandClass Anything{TargetRequirements()};
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(limits)
@@ -150,12 +151,12 @@
   std::vector<int> Started;
   int Free = 0;
   auto Enqueue = [&](std::uint32_t Priority, int Name) {
-    return Queue.enqueue(Priority, [&Started, &Free, Name] {
+    return Queue.enqueue(Priority, Anything, [&Started, &Free, Name] {
       if (Free == 0)
-        return false;
+        return StartResult::NoSlot;
       --Free;
       Started.push_back(Name);
-      return true;
+      return StartResult::Ended;
     });
   };
   auto A = Enqueue(2, 1);
@@ -170,11 +171,12 @@
 
 BOOST_AUTO_TEST_CASE(full_queue_rejects_a_request) {
   AdmissionQueue Queue(1);
-  auto First = Queue.enqueue(0, [] { return false; });
+  auto Wait = [] { return StartResult::NoSlot; };
+  auto First = Queue.enqueue(0, Anything, Wait);
   BOOST_TEST(First != nullptr);
-  BOOST_TEST(Queue.enqueue(0, [] { return false; }) == nullptr);
+  BOOST_TEST(Queue.enqueue(0, Anything, Wait) == nullptr);
   First.reset();
-  BOOST_TEST(Queue.enqueue(0, [] { return false; }) != nullptr);
+  BOOST_TEST(Queue.enqueue(0, Anything, Wait) != nullptr);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/rosemarylane/src/gateway/GatewayContext.h
+++ b/rosemarylane/src/gateway/GatewayContext.h
@@ -90,6 +90,13 @@
     for (auto &[Service, Queue] : WaitQueues)
       Queue->dispatch();
   }
+
+  /// Does the same, and refuses waiting requests that no target can serve any
+  /// more.
+  void recheckWaitQueues() {
+    for (auto &[Service, Queue] : WaitQueues)
+      Queue->recheck();
+  }
 };
 
 } // namespace rosemarylane
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -383,7 +383,7 @@
 void GatewayProcess::tick() {
   BootTime Now = BootClock::now();
   Context.TargetConnections.closeExpired(Now);
-  Context.advanceWaitQueues();
+  Context.recheckWaitQueues();
   updateGatewayCounts();
   milliseconds IdleLimit = Context.Config ? Context.Config->Limits.IdleTimeout
                                           : serving::CallerLimits().IdleTimeout;
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -73,6 +73,8 @@
   // Stages of request handling.
   asio::awaitable<void> sendToTargets();
   asio::awaitable<std::optional<serving::SelectedTarget>> acquireTarget();
+  /// @return what the request requires of a target that is selected now.
+  serving::TargetRequirements requirements() const;
   /// Selects a target and counts the request as sent to it, until
   /// `LoadBalancer::recordResult` is called.
   std::optional<serving::SelectedTarget> selectAndReserveTarget();
@@ -258,11 +260,7 @@
   }
 }
 
-std::optional<serving::SelectedTarget> RequestRun::selectAndReserveTarget() {
-  if (isQuarantined()) {
-    NoTargetReason = serving::SelectionFailure::Unavailable;
-    return std::nullopt;
-  }
+serving::TargetRequirements RequestRun::requirements() const {
   serving::TargetRequirements Demand;
   Demand.Service = Admitted.Service;
   Demand.AllowedRegions = Admitted.AllowedRegions;
@@ -271,8 +269,16 @@
   Demand.ExpectedDuration =
       EstimatedTimePerToken * Admitted.HeaderValues.ExpectedTokens;
   Demand.ExactVersion = HeadForwarded ? ResponseVersion : 0;
-  return Context.Targets.choose(Demand, BootClock::now(), Context.random(),
-                                NoTargetReason);
+  return Demand;
+}
+
+std::optional<serving::SelectedTarget> RequestRun::selectAndReserveTarget() {
+  if (isQuarantined()) {
+    NoTargetReason = serving::SelectionFailure::Unavailable;
+    return std::nullopt;
+  }
+  return Context.Targets.choose(requirements(), BootClock::now(),
+                                Context.random(), NoTargetReason);
 }
 
 asio::awaitable<std::optional<serving::SelectedTarget>>
@@ -285,6 +291,9 @@
     Chosen = selectAndReserveTarget();
     if (Chosen || NoTargetReason != serving::SelectionFailure::Full)
       co_return Chosen;
+  } else if (!Context.Targets.mayServe(requirements(), BootClock::now())) {
+    NoTargetReason = serving::SelectionFailure::Unavailable;
+    co_return Chosen;
   }
   // Whoever waits behind others is not tried before they are.
   NoTargetReason = serving::SelectionFailure::Full;
@@ -295,13 +304,21 @@
   auto QueueDeadline = std::min(Deadline, StartedAt + MaxQueueTime);
   if (Clock::now() >= QueueDeadline)
     co_return selectAndReserveTarget();
-  // Destroying the place removes the request from the queue.
-  auto QueuePlace = Queue.enqueue(Admitted.Priority, [&] {
+  bool Waits = true;
+  auto TryStart = [&] {
     Chosen = selectAndReserveTarget();
-    if (Chosen)
+    Waits = !Chosen && NoTargetReason == serving::SelectionFailure::Full;
+    if (!Waits) {
       Timer.cancel();
-    return Chosen.has_value();
-  });
+      return serving::StartResult::Ended;
+    }
+    return Context.Targets.hasRoom(Admitted.Service, BootClock::now())
+               ? serving::StartResult::NoUsableSlot
+               : serving::StartResult::NoSlot;
+  };
+  // Destroying the place removes the request from the queue.
+  auto QueuePlace = Queue.enqueue(
+      Admitted.Priority, serving::DemandClass(requirements()), TryStart);
   if (!QueuePlace) {
     NoTargetReason = serving::SelectionFailure::Full;
     co_return std::nullopt;
@@ -309,7 +326,7 @@
   auto JoinedAt = Clock::now();
   Timer.expires_at(QueueDeadline);
   Queue.dispatch();
-  if (!Chosen)
+  if (Waits)
     co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
   auto Time = std::chrono::duration_cast<milliseconds>(Clock::now() - JoinedAt);
   QueueTime += Time;
