--- a/libs/serving/tests/LimitsTest.cpp
+++ b/libs/serving/tests/LimitsTest.cpp
@@ -1,6 +1,6 @@
 #include "serving/AdmissionQueue.h"
 #include "serving/RateShare.h"
-#include "serving/RetryShare.h"
+#include "serving/RetryBudgets.h"
 #include "serving/VersionDeadlines.h"
 
 #include <boost/test/unit_test.hpp>
@@ -146,6 +146,22 @@
   BOOST_TEST(Known.recordVersion("m", 1, Later, Later, Later).empty());
 }
 
+BOOST_AUTO_TEST_CASE(
+    first_retries_for_a_service_stay_within_the_fleets_budget) {
+  // The count of gateways is known before the first request for the service.
+  constexpr std::size_t Gateways = 9;
+  constexpr double ExtraRetries = 106;
+  std::size_t Retries = 0;
+  for (std::size_t G = 0; G < Gateways; ++G) {
+    RetryBudgets Budgets({0.2, ExtraRetries, milliseconds(10000)});
+    Budgets.setGatewayCount(Gateways);
+    while (Budgets.share("engine").tryAcquireRetry(Start))
+      ++Retries;
+  }
+  BOOST_TEST(Retries > 0U);
+  BOOST_TEST(static_cast<double>(Retries) <= ExtraRetries);
+}
+
 BOOST_AUTO_TEST_CASE(queue_starts_the_most_urgent_request_first) {
   AdmissionQueue Queue(4);
   std::vector<int> Started;
--- a/rosemarylane/src/gateway/GatewayContext.h
+++ b/rosemarylane/src/gateway/GatewayContext.h
@@ -9,7 +9,7 @@
 #include "node/StoreFollower.h"
 #include "serving/AdmissionQueue.h"
 #include "serving/LoadBalancer.h"
-#include "serving/RetryShare.h"
+#include "serving/RetryBudgets.h"
 #include "serving/ServingConfig.h"
 
 #include <boost/asio/io_context.hpp>
@@ -23,15 +23,17 @@
 /// State shared by all requests of a gateway: configuration, targets,
 /// connections, wait queues, retry budgets and metrics.
 ///
-/// `serving/RetryShare.h` declares the retry budget.
-///
 /// Owned by `GatewayProcess` and valid for as long as the process runs. Not
 /// thread-safe: used only on the thread of the event loop.
 struct GatewayContext {
   GatewayContext(boost::asio::io_context &Loop, const NodeSettings &Settings,
                  serving::LoadBalancerSettings TargetSettings)
       : Loop(Loop), Settings(Settings), TargetConnections(Loop),
-        Targets(std::move(TargetSettings)), Random(std::random_device{}()) {}
+        Targets(std::move(TargetSettings)),
+        RetryBudgets({Settings.Objectives.RetryRatio,
+                      Settings.Objectives.RetryExtra,
+                      Settings.Objectives.RetryWindow}),
+        Random(std::random_device{}()) {}
 
   boost::asio::io_context &Loop;
   const NodeSettings &Settings;
@@ -49,8 +51,7 @@
   /// Configuration in force; null until the first one is known. A new
   /// configuration replaces the object, it is never modified.
   std::shared_ptr<const serving::ServingConfig> Config;
-  /// By service: this gateway's share of the retry budget of the fleet.
-  std::map<std::string, serving::RetryShare> RetryBudgets;
+  serving::RetryBudgets RetryBudgets;
   /// By service: admitted requests that wait for a target with a free slot.
   std::map<std::string, std::unique_ptr<serving::AdmissionQueue>> WaitQueues;
   GatewayMetrics Metrics;
@@ -74,16 +75,6 @@
     return *Queue;
   }
 
-  /// @return this gateway's share of the retry budget for \p Service.
-  serving::RetryShare &retryBudget(const std::string &Service) {
-    const ServiceObjectives &Objectives = Settings.Objectives;
-    auto [Entry, Inserted] = RetryBudgets.try_emplace(
-        Service, serving::RetryShare::Settings{Objectives.RetryRatio,
-                                               Objectives.RetryExtra,
-                                               Objectives.RetryWindow});
-    return Entry->second;
-  }
-
   /// Lets waiting requests try to acquire a target again. Call this after
   /// capacity may have become free.
   void advanceWaitQueues() {
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -366,8 +366,7 @@
   if (Follower)
     Context.Targets.setGateways(Settings.Ip,
                                 Follower->peers().gatewayNames(Now));
-  for (auto &[Service, Budget] : Context.RetryBudgets)
-    Budget.setGatewayCount(InFleet);
+  Context.RetryBudgets.setGatewayCount(InFleet);
 }
 
 void GatewayProcess::scheduleTick() {
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -188,7 +188,7 @@
   Deadline = StartedAt + Admitted.TimeLimit;
   Outcome = serving::RequestOutcome(Admitted.Route->repeatable(),
                                     Admitted.Route->MaxAttempts);
-  Context.retryBudget(Admitted.Service).recordFirstAttempt();
+  Context.RetryBudgets.share(Admitted.Service).recordFirstAttempt();
   Caller->onDisconnect([this] {
     Timer.cancel();
     if (Attempt)
@@ -226,7 +226,7 @@
       co_return;
     Outcome.recordResult(AttemptResult);
     RetryDecision Next = Outcome.next([&] {
-      return !deadlinePassed() && Context.retryBudget(Admitted.Service)
+      return !deadlinePassed() && Context.RetryBudgets.share(Admitted.Service)
                                       .tryAcquireRetry(BootClock::now());
     });
     if (Next == RetryDecision::Retry && deadlinePassed())
