A new share of a retry budget knows the number of gateways

Cause: the share for a service is made with its first request, and counted one gateway until the next tick, so each gateway could spend the whole fleet's burst in that time (at most 0.2 s). Change: RetryBudgets keeps the count and gives it to a new share.

--- a/libs/serving/include/serving/RetryBudgets.h
+++ b/libs/serving/include/serving/RetryBudgets.h
@@ -20,19 +20,25 @@
   explicit RetryBudgets(RetryShare::Settings FleetBudget)
       : FleetBudget(FleetBudget) {}
 
-  /// As `RetryShare::setGatewayCount`, for all services.
+  /// As `RetryShare::setGatewayCount`, for all services, also those whose first
+  /// request is still to come.
   void setGatewayCount(std::size_t Gateways) {
+    GatewayCount = Gateways;
     for (auto &[Service, Share] : Shares)
       Share.setGatewayCount(Gateways);
   }
 
   /// @return this gateway's share of the retry budget for \p Service.
   RetryShare &share(const std::string &Service) {
-    return Shares.try_emplace(Service, FleetBudget).first->second;
+    auto [Entry, Inserted] = Shares.try_emplace(Service, FleetBudget);
+    if (Inserted)
+      Entry->second.setGatewayCount(GatewayCount);
+    return Entry->second;
   }
 
 private:
   RetryShare::Settings FleetBudget;
+  std::size_t GatewayCount = 1;
   std::map<std::string, RetryShare> Shares;
 };
 
