Test: a target restarted with an earlier clock is lost for good

A new case of target_board fails: after a restart with the clock set back, the new incarnation is superseded by the entry of the one before, and stays so when that entry has ended. Another, which passes, keeps a restart that an agent has reported in mind across registrations.

--- a/libs/serving/tests/TargetBoardTest.cpp
+++ b/libs/serving/tests/TargetBoardTest.cpp
@@ -432,6 +432,34 @@
                "t0-again");
 }
 
+BOOST_AUTO_TEST_CASE(
+    a_target_restarted_with_an_earlier_clock_is_selected_in_the_end) {
+  LoadBalancer Balancer = loadBalancer("a", 1);
+  RegisteredTarget Before = target(1, "a");
+  RegisteredTarget Restarted = Before;
+  Restarted.Id = TargetId("t1-again");
+  Before.StartTimeMs = Restarted.StartTimeMs + 60000;
+  Balancer.setRegistered({Before, Restarted}, engineConfig(), Start);
+  // The entry of the incarnation before has ended.
+  Balancer.setRegistered({Restarted}, engineConfig(), Start);
+  SelectionFailure Why{};
+  auto Chosen = Balancer.choose(demand(), Start, 0.5, Why);
+  BOOST_REQUIRE(Chosen.has_value());
+  BOOST_TEST(Chosen->Id.str() == "t1-again");
+}
+
+BOOST_AUTO_TEST_CASE(a_reported_restart_is_remembered_across_registrations) {
+  LoadBalancer Balancer = loadBalancer("a", 1);
+  RegisteredTarget Earlier = target(1, "a");
+  RegisteredTarget Later = Earlier;
+  Later.StartTimeMs = Earlier.StartTimeMs + 60000;
+  Balancer.setRegistered({Earlier}, engineConfig(), Start);
+  Balancer.updateFromReport(report(Later, 0), Start, 0.99);
+  Balancer.setRegistered({Earlier}, engineConfig(), Start);
+  SelectionFailure Why{};
+  BOOST_TEST(!Balancer.choose(demand(), Start, 0.5, Why).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_mismatching_target_is_retried_with_backoff) {
   LoadBalancer Balancer = loadBalancer("a", 1);
   Balancer.setRegistered({target(1, "a")}, engineConfig(), Start);
