A target is superseded by a registered one only while that is registered

Cause: a target with a later incarnation registered at its address was marked for good. One that restarted while the clock of its host was set back has the earlier start time and was lost once the entry of its predecessor had ended. Change: the mark follows the registry with each registration; what an agent has reported keeps its own mark.

--- a/libs/serving/include/serving/LoadBalancer.h
+++ b/libs/serving/include/serving/LoadBalancer.h
@@ -301,8 +301,10 @@
     /// report.
     std::uint32_t RemainingQuota = 0;
     bool Switching = false;
-    /// A later incarnation runs at the same address.
+    /// An agent has reported a later incarnation at the same address.
     bool Superseded = false;
+    /// A later incarnation is registered at the same address.
+    bool LaterRegistered = false;
     std::optional<core::BootTime> SwitchAt;
     /// Time to the start of a response in excess of `BaselineResponseTime`, as
     /// of `ExcessUpdatedAt`.
--- a/libs/serving/src/LoadBalancer.cpp
+++ b/libs/serving/src/LoadBalancer.cpp
@@ -52,9 +52,11 @@
     std::int64_t &StartTimeMs = Newest[T.Info.Address];
     StartTimeMs = std::max(StartTimeMs, T.Info.StartTimeMs);
   }
+  // A target that restarted while its clock was set back appears to be the
+  // earlier one, until the other entry ends.
   for (auto &[Id, T] : Targets)
-    if (T.Info.StartTimeMs != 0 && T.Info.StartTimeMs < Newest[T.Info.Address])
-      T.Superseded = true;
+    T.LaterRegistered =
+        T.Info.StartTimeMs != 0 && T.Info.StartTimeMs < Newest[T.Info.Address];
 }
 
 void LoadBalancer::setEvacuated(std::set<core::FailureDomainId> Domains) {
@@ -322,7 +324,7 @@
 bool LoadBalancer::acceptsWork(const Target &T,
                                std::string_view Service) const {
   if (T.Info.Service != Service || T.Info.Draining || T.Switching ||
-      T.Superseded)
+      T.Superseded || T.LaterRegistered)
     return false;
   return !Evacuated.contains(T.Info.FailureDomain);
 }
