--- a/libs/serving/tests/AdmissionQueueTest.cpp
+++ b/libs/serving/tests/AdmissionQueueTest.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 #include <list>
+#include <map>
+#include <rapidcheck.h>
 
 using namespace rosemarylane;
 using namespace rosemarylane::serving;
@@ -151,6 +153,51 @@
 
 using Names = std::vector<std::string>;
 
+/// Free slots by region; requests name one region, or none for any.
+struct FreeSlots {
+  static constexpr int Regions = 3;
+  /// A region without targets.
+  static constexpr int NoTargets = Regions;
+  static constexpr int AnyRegion = Regions + 1;
+
+  /// Takes a slot for a request of \p Region.
+  bool take(int Region) {
+    for (int R = 0; R < Regions; ++R)
+      if ((Region == R || Region == AnyRegion) && Free[R] > 0) {
+        --Free[R];
+        return true;
+      }
+    return false;
+  }
+  bool anyFree() const { return Free[0] + Free[1] + Free[2] > 0; }
+
+  int Free[Regions] = {0, 0, 0};
+};
+
+/// The same queue, which tries each request in turn.
+struct ReferenceQueue {
+  void recheck(FreeSlots &Available) {
+    std::erase_if(Waiting, [&](const auto &Entry) {
+      auto [Number, Region] = Entry.second;
+      bool Ends = Region == FreeSlots::NoTargets || Available.take(Region);
+      if (Ends)
+        Ended.push_back(Number);
+      return Ends;
+    });
+  }
+
+  /// Number and region, by priority and number.
+  std::map<std::pair<std::uint32_t, int>, std::pair<int, int>> Waiting;
+  std::vector<int> Ended;
+};
+
+TargetRequirements demandFor(int Region) {
+  TargetRequirements Demand;
+  if (Region != FreeSlots::AnyRegion)
+    Demand.AllowedRegions = {core::RegionId(std::to_string(Region))};
+  return Demand;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(admission_queue)
@@ -290,4 +337,52 @@
   BOOST_TEST(G.waiting() == 200U);
 }
 
+BOOST_AUTO_TEST_CASE(queue_ends_the_waits_that_a_full_scan_would) {
+  BOOST_TEST(rc::check([] {
+    AdmissionQueue Queue(1000);
+    ReferenceQueue Reference;
+    FreeSlots Actual;
+    FreeSlots Expected;
+    std::vector<int> Ended;
+    std::map<int, std::unique_ptr<AdmissionQueue::Place>> Places;
+    int Steps = *rc::gen::inRange(1, 120);
+    // A dispatch refuses those without a target only once it gets to them.
+    bool WithRefusals = *rc::gen::arbitrary<bool>();
+    for (int Number = 0; Number < Steps; ++Number) {
+      auto Priority = *rc::gen::inRange<std::uint32_t>(0, 3);
+      int Region = *rc::gen::inRange(0, FreeSlots::AnyRegion + 1);
+      if (Region == FreeSlots::NoTargets && !WithRefusals)
+        Region = FreeSlots::AnyRegion;
+      Reference.Waiting[{Priority, Number}] = {Number, Region};
+      Places[Number] = Queue.enqueue(
+          Priority, DemandClass(demandFor(Region)), [&, Number, Region] {
+            if (Region != FreeSlots::NoTargets && !Actual.take(Region))
+              return Actual.anyFree() ? StartResult::NoUsableSlot
+                                      : StartResult::NoSlot;
+            Ended.push_back(Number);
+            return StartResult::Ended;
+          });
+      // Some leave while they wait.
+      int Leaving = *rc::gen::inRange(0, 4 * Steps);
+      Places.erase(Leaving);
+      std::erase_if(Reference.Waiting, [&](const auto &Entry) {
+        return Entry.second.first == Leaving;
+      });
+      if (*rc::gen::inRange(0, 4) != 0)
+        continue;
+      int FreeRegion = *rc::gen::inRange(0, FreeSlots::Regions);
+      int Count = *rc::gen::inRange(0, 6);
+      Actual.Free[FreeRegion] += Count;
+      Expected.Free[FreeRegion] += Count;
+      if (WithRefusals)
+        Queue.recheck();
+      else
+        Queue.dispatch();
+      Reference.recheck(Expected);
+      RC_ASSERT(Ended == Reference.Ended);
+      RC_ASSERT(Queue.size() == Reference.Waiting.size());
+    }
+  }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
