--- a/libs/serving/include/serving/LoadBalancer.h
+++ b/libs/serving/include/serving/LoadBalancer.h
@@ -307,6 +307,14 @@
   std::optional<core::BootTime> allPausedUntil(const TargetRequirements &Demand,
                                                core::BootTime Now) const;
 
+  /// @return whether some target fulfils the requirements; if not, `choose`
+  /// fails with `SelectionFailure::Unavailable`.
+  bool mayServe(const TargetRequirements &Demand, core::BootTime Now) const;
+
+  /// @return whether some target of \p Service has room for a request, though
+  /// not for every one; if not, `choose` fails.
+  bool hasRoom(std::string_view Service, core::BootTime Now);
+
   /// Records the end of a request that was sent to a selected target.
   void recordResult(const TargetId &Id, TargetFeedback Outcome,
                     core::BootTime Now);
@@ -339,8 +347,10 @@
     /// report.
     std::uint32_t RemainingQuota = 0;
     bool Switching = false;
-    /// A later incarnation runs at the same address.
+    /// An agent has reported a later incarnation at the same address.
     bool Superseded = false;
+    /// A later incarnation is registered at the same address.
+    bool LaterRegistered = false;
     std::optional<core::BootTime> SwitchAt;
     /// Time to the start of a response in excess of `BaselineResponseTime`, as
     /// of `ExcessUpdatedAt`.
@@ -377,6 +387,12 @@
   double excessResponseMs(const Target &T, core::BootTime Now) const;
   bool finishesBeforeSwitch(const Target &T, const TargetRequirements &Demand,
                             core::BootTime Now) const;
+  /// @return whether \p T is one of the service's targets that get requests,
+  /// whatever its load and health.
+  bool acceptsWork(const Target &T, std::string_view Service) const;
+  /// @return whether \p T can take a request now, going by its load and health
+  /// alone.
+  bool hasRoom(Target &T, core::BootTime Now);
   /// @return whether \p T fulfils the requirements, whatever its load and
   /// health.
   bool isEligible(const Target &T, const TargetRequirements &Demand,
--- a/libs/serving/src/LoadBalancer.cpp
+++ b/libs/serving/src/LoadBalancer.cpp
@@ -56,9 +56,11 @@
     std::int64_t &StartTimeMs = Newest[T.Info.Address];
     StartTimeMs = std::max(StartTimeMs, T.Info.StartTimeMs);
   }
+  // A target that restarted while its clock was set back appears to be the
+  // earlier one, until the other entry ends.
   for (auto &[Id, T] : Targets)
-    if (T.Info.StartTimeMs != 0 && T.Info.StartTimeMs < Newest[T.Info.Address])
-      T.Superseded = true;
+    T.LaterRegistered =
+        T.Info.StartTimeMs != 0 && T.Info.StartTimeMs < Newest[T.Info.Address];
 }
 
 void LoadBalancer::setEvacuated(std::set<core::FailureDomainId> Domains) {
@@ -326,12 +328,49 @@
                    Found->second) != Demand.AllowedRegions.end();
 }
 
+bool LoadBalancer::acceptsWork(const Target &T,
+                               std::string_view Service) const {
+  if (T.Info.Service != Service || isLeaving(T.Info.incarnation()) ||
+      T.Switching || T.Superseded || T.LaterRegistered)
+    return false;
+  return !Evacuated.contains(T.Info.FailureDomain);
+}
+
+bool LoadBalancer::hasRoom(Target &T, core::BootTime Now) {
+  if (isEjected(T, Now))
+    return false;
+  bool SameDomain = T.Info.FailureDomain == Settings.OwnDomain;
+  bool Cold = T.WarmupRate > 0 && Now < T.ColdUntil;
+  if (Cold &&
+      (!SameDomain || !T.Cold.canAcquire(T.WarmupRate, LocalGatewayCount, Now)))
+    return false;
+  if (!T.Limit.canAcquire(Now))
+    return false;
+  if (estimatedLoad(T, Now) >= capacity(T) ||
+      (hasFreshReport(T, Now) && T.RemainingQuota == 0))
+    return false;
+  return estimatedWaiting(T, Now) < Settings.EngineWaiting;
+}
+
+bool LoadBalancer::mayServe(const TargetRequirements &Demand,
+                            core::BootTime Now) const {
+  return std::any_of(Targets.begin(), Targets.end(), [&](const auto &Entry) {
+    return isEligible(Entry.second, Demand, Now);
+  });
+}
+
+bool LoadBalancer::hasRoom(std::string_view Service, core::BootTime Now) {
+  return std::any_of(Targets.begin(), Targets.end(), [&](auto &Entry) {
+    Target &T = Entry.second;
+    return acceptsWork(T, Service) &&
+           !Statements.pausedUntil(T.Info.incarnation(), Now) &&
+           hasRoom(T, Now);
+  });
+}
+
 bool LoadBalancer::isEligible(const Target &T, const TargetRequirements &Demand,
                               core::BootTime Now) const {
-  if (T.Info.Service != Demand.Service || isLeaving(T.Info.incarnation()) ||
-      T.Switching || T.Superseded)
-    return false;
-  if (Evacuated.contains(T.Info.FailureDomain))
+  if (!acceptsWork(T, Demand.Service))
     return false;
   if (!regionAllowed(T, Demand) || !versionUsable(T, Demand, Now))
     return false;
@@ -357,22 +396,11 @@
       continue;
     }
     Why = SelectionFailure::Full;
-    if (isEjected(T, Now) || !finishesBeforeSwitch(T, Demand, Now))
+    if (!hasRoom(T, Now) || !finishesBeforeSwitch(T, Demand, Now))
       continue;
     bool SameDomain = T.Info.FailureDomain == Settings.OwnDomain;
-    bool Cold = T.WarmupRate > 0 && Now < T.ColdUntil;
-    if (Cold && (!SameDomain ||
-                 !T.Cold.canAcquire(T.WarmupRate, LocalGatewayCount, Now)))
-      continue;
-    if (!T.Limit.canAcquire(Now))
-      continue;
     double TargetLoad = estimatedLoad(T, Now);
-    if (TargetLoad >= capacity(T) ||
-        (hasFreshReport(T, Now) && T.RemainingQuota == 0))
-      continue;
     double Waiting = estimatedWaiting(T, Now);
-    if (Waiting >= Settings.EngineWaiting)
-      continue;
     // In points; 16 if all slots are in use (see LoadBalancerSettings).
     double Score =
         TargetLoad / T.Info.Slots * 16 + Settings.WaitingPenalty * Waiting +
--- a/libs/serving/tests/LimitsTest.cpp
+++ b/libs/serving/tests/LimitsTest.cpp
@@ -1,6 +1,6 @@
 #include "serving/AdmissionQueue.h"
 #include "serving/RateShare.h"
-#include "serving/RetryShare.h"
+#include "serving/RetryBudgets.h"
 #include "serving/VersionDeadlines.h"
 
 #include <boost/test/unit_test.hpp>
@@ -13,6 +13,7 @@
 
 namespace {
 const core::BootTime Start = core::BootTime(std::chrono::hours(1));
+const DemandClass Anything{TargetRequirements()};
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(limits)
@@ -145,17 +146,33 @@
   BOOST_TEST(Known.recordVersion("m", 1, Later, Later, Later).empty());
 }
 
+BOOST_AUTO_TEST_CASE(
+    first_retries_for_a_service_stay_within_the_fleets_budget) {
+  // The count of gateways is known before the first request for the service.
+  constexpr std::size_t Gateways = 9;
+  constexpr double ExtraRetries = 106;
+  std::size_t Retries = 0;
+  for (std::size_t G = 0; G < Gateways; ++G) {
+    RetryBudgets Budgets({0.2, ExtraRetries, milliseconds(10000)});
+    Budgets.setGatewayCount(Gateways);
+    while (Budgets.share("engine").tryAcquireRetry(Start))
+      ++Retries;
+  }
+  BOOST_TEST(Retries > 0U);
+  BOOST_TEST(static_cast<double>(Retries) <= ExtraRetries);
+}
+
 BOOST_AUTO_TEST_CASE(queue_starts_the_most_urgent_request_first) {
   AdmissionQueue Queue(4);
   std::vector<int> Started;
   int Free = 0;
   auto Enqueue = [&](std::uint32_t Priority, int Name) {
-    return Queue.enqueue(Priority, [&Started, &Free, Name] {
+    return Queue.enqueue(Priority, Anything, [&Started, &Free, Name] {
       if (Free == 0)
-        return false;
+        return StartResult::NoSlot;
       --Free;
       Started.push_back(Name);
-      return true;
+      return StartResult::Ended;
     });
   };
   auto A = Enqueue(2, 1);
@@ -170,11 +187,12 @@
 
 BOOST_AUTO_TEST_CASE(full_queue_rejects_a_request) {
   AdmissionQueue Queue(1);
-  auto First = Queue.enqueue(0, [] { return false; });
+  auto Wait = [] { return StartResult::NoSlot; };
+  auto First = Queue.enqueue(0, Anything, Wait);
   BOOST_TEST(First != nullptr);
-  BOOST_TEST(Queue.enqueue(0, [] { return false; }) == nullptr);
+  BOOST_TEST(Queue.enqueue(0, Anything, Wait) == nullptr);
   First.reset();
-  BOOST_TEST(Queue.enqueue(0, [] { return false; }) != nullptr);
+  BOOST_TEST(Queue.enqueue(0, Anything, Wait) != nullptr);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -401,8 +401,7 @@
   if (Follower)
     Context.Targets.setGateways(Settings.Ip,
                                 Follower->peers().gatewayNames(Now));
-  for (auto &[Service, Budget] : Context.RetryBudgets)
-    Budget.setGatewayCount(InFleet);
+  Context.RetryBudgets.setGatewayCount(InFleet);
 }
 
 void GatewayProcess::scheduleTick() {
@@ -418,7 +417,7 @@
 void GatewayProcess::tick() {
   BootTime Now = BootClock::now();
   Context.TargetConnections.closeExpired(Now);
-  Context.advanceWaitQueues();
+  Context.recheckWaitQueues();
   updateGatewayCounts();
   milliseconds IdleLimit = Context.Config ? Context.Config->Limits.IdleTimeout
                                           : serving::CallerLimits().IdleTimeout;
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -213,7 +213,7 @@
   Deadline = StartedAt + Admitted.TimeLimit;
   Outcome = serving::RequestOutcome(Admitted.Route->repeatable(),
                                     Admitted.Route->MaxAttempts);
-  Context.retryBudget(Admitted.Service).recordFirstAttempt();
+  Context.RetryBudgets.share(Admitted.Service).recordFirstAttempt();
   Caller->onDisconnect([this] {
     Timer.cancel();
     if (Attempt)
@@ -252,7 +252,7 @@
       co_return;
     }
     RetryDecision Next = Outcome.next([&] {
-      return !deadlinePassed() && Context.retryBudget(Admitted.Service)
+      return !deadlinePassed() && Context.RetryBudgets.share(Admitted.Service)
                                       .tryAcquireRetry(BootClock::now());
     });
     if (Next == RetryDecision::Retry && deadlinePassed())
@@ -337,6 +337,9 @@
     Chosen = selectAndReserveTarget();
     if (Chosen || NoTargetReason == serving::SelectionFailure::Unavailable)
       co_return Chosen;
+  } else if (!Context.Targets.mayServe(requirements(), BootClock::now())) {
+    NoTargetReason = serving::SelectionFailure::Unavailable;
+    co_return Chosen;
   }
   // Longest time in the queue: a fraction of the route's latency objective.
   auto MaxQueueTime = std::chrono::duration_cast<Clock::duration>(
@@ -352,14 +355,22 @@
   // Whoever waits behind others is not tried before they are.
   NoTargetReason = serving::SelectionFailure::Full;
   bool Waits = true;
-  // Destroying the place removes the request from the queue.
-  auto QueuePlace = Queue.enqueue(Admitted.Priority, [&] {
+  auto TryStart = [&] {
     Chosen = selectAndReserveTarget();
-    Waits = !Chosen && !allPausedPast(QueueDeadline);
-    if (!Waits)
+    bool InVain = NoTargetReason == serving::SelectionFailure::Unavailable ||
+                  allPausedPast(QueueDeadline);
+    Waits = !Chosen && !InVain;
+    if (!Waits) {
       Timer.cancel();
-    return !Waits;
-  });
+      return serving::StartResult::Ended;
+    }
+    return Context.Targets.hasRoom(Admitted.Service, BootClock::now())
+               ? serving::StartResult::NoUsableSlot
+               : serving::StartResult::NoSlot;
+  };
+  // Destroying the place removes the request from the queue.
+  auto QueuePlace = Queue.enqueue(
+      Admitted.Priority, serving::DemandClass(requirements()), TryStart);
   if (!QueuePlace) {
     NoTargetReason = serving::SelectionFailure::Full;
     co_return std::nullopt;
