http tests: freeze at a known point of the exchange

Cause: both tests posted their freeze from the test's own thread, a guessed time after the start. On a busy machine it came too late or too early. `nothing_is_sent_after_a_deadline_that_passed_unseen` needs it between the start of the connect and the sight of its end; when it came later, the request was rightly written and the outcome was `Interrupted`, or none within five seconds. `write_does_not_go_on_after_its_deadline_passed_unseen` needs it after the first write; when it came before (the request is 64 MiB and copied first), the connect deadline passed and the outcome was `NotSent`.

Change: the first test starts and freezes in one task on the client's duty, which runs tasks that it posts before it looks at its sockets. The second waits until the server has bytes to read, and reads on only once the freeze has begun. What is checked stays the same.

--- a/libs/http/tests/GivenUpRequestTest.cpp
+++ b/libs/http/tests/GivenUpRequestTest.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <optional>
 #include <poll.h>
 
 using namespace rosemarylane;
@@ -37,15 +38,20 @@
   }
 
   /// Whether a connection waits to be accepted.
-  bool connected() {
-    std::this_thread::sleep_for(50ms);
-    pollfd Waiting{Acceptor.native_handle(), POLLIN, 0};
-    return poll(&Waiting, 1, 0) > 0;
+  bool connected() { return readable(Acceptor.native_handle(), 50ms); }
+
+  /// Accepts a connection and waits until bytes wait on it to be read.
+  void awaitFirstBytes() {
+    BOOST_REQUIRE(readable(Acceptor.native_handle(), Patience));
+    Accepted = Acceptor.accept();
+    BOOST_REQUIRE(readable(Accepted->native_handle(), Patience));
   }
 
-  /// @return all that arrives on the first connection until it ends.
+  /// @return all that arrives on the accepted or else the next connection until
+  /// it ends.
   std::string readAll() {
-    auto Socket = Acceptor.accept();
+    tcp::socket Socket = Accepted ? std::move(*Accepted) : Acceptor.accept();
+    Accepted.reset();
     std::string All;
     boost::system::error_code Error;
     std::array<char, 4096> Buffer{};
@@ -56,8 +62,14 @@
   }
 
 private:
+  static bool readable(int Socket, std::chrono::milliseconds Within) {
+    pollfd Waiting{Socket, POLLIN, 0};
+    return poll(&Waiting, 1, static_cast<int>(Within.count())) > 0;
+  }
+
   boost::asio::io_context Context;
   tcp::acceptor Acceptor;
+  std::optional<tcp::socket> Accepted;
 };
 
 struct Fixture {
@@ -74,6 +86,25 @@
     ClientDuty->postAlways([] { std::this_thread::sleep_for(3 * Deadline); });
   }
 
+  /// Starts a request and freezes before the duty can see its connection made:
+  /// tasks posted on the duty itself run before it looks at its sockets.
+  void startAndFreezePastDeadline(const Deadlines &Limits) {
+    ClientDuty->postAlways([this, Limits] {
+      start(Limits);
+      freezePastDeadline();
+    });
+  }
+
+  /// Returns once the freeze has begun.
+  void freezeFor(std::chrono::milliseconds Time) {
+    std::promise<void> Begun;
+    ClientDuty->postAlways([&Begun, Time] {
+      Begun.set_value();
+      std::this_thread::sleep_for(Time);
+    });
+    Begun.get_future().wait();
+  }
+
   void checkEnded(Error::Kind Expected) {
     auto Outcome = Done.get_future();
     BOOST_REQUIRE(Outcome.wait_for(Patience) == std::future_status::ready);
@@ -137,8 +168,7 @@
   OfAll.Total = Deadline;
   for (const Deadlines &Limits : {OfConnect, OfAll}) {
     Done = {};
-    start(Limits);
-    freezePastDeadline();
+    startAndFreezePastDeadline(Limits);
     checkEnded(Error::Kind::NotSent);
     // A connection that was never made cannot be accepted.
     BOOST_TEST((!Server.connected() || Server.readAll().empty()));
@@ -158,10 +188,9 @@
   Deadlines Limits;
   Limits.Idle = 4 * Deadline;
   start(Limits, 64 << 20);
-  // The server has taken no more for a while when the client falls still.
-  std::this_thread::sleep_for(Deadline);
-  ClientDuty->postAlways([] { std::this_thread::sleep_for(8 * Deadline); });
-  std::this_thread::sleep_for(4 * Deadline);
+  // The client falls still in the middle of its write.
+  Server.awaitFirstBytes();
+  freezeFor(8 * Deadline);
   auto Arrived =
       std::async(std::launch::async, [&] { return Server.readAll(); });
   checkEnded(Error::Kind::Interrupted);
