agent: hand waiting requests back when out of service or draining

Cause: an agent that is taken out of service, or that drains, starts none of the requests that wait in its queue. They were kept there all the same until their deadline, one second after they had come to the entry, or until a running request ended. The entry then had no time left to send them elsewhere and refused them with `no-target`, although other failure domains had room.

Change: both are the moment at which the agent refuses what waits, as out of service and not run, so that the entry chooses another target at once.

--- a/rosemarylane/src/agent/Gate.cpp
+++ b/rosemarylane/src/agent/Gate.cpp
@@ -82,6 +82,7 @@
   void drain(std::function<void()> Idle) override {
     Draining = true;
     OnIdle = std::move(Idle);
+    handBackWaiting();
     checkIdle();
   }
 
@@ -154,6 +155,8 @@
     Admit.setCeiling(ceiling(Config));
     Admit.setOutOfService(Config.isOutOfService(Context.Config.Host,
                                                 Context.Config.FailureDomain));
+    if (Admit.outOfService())
+      handBackWaiting();
   }
 
   /// Registers the attempt.
@@ -230,6 +233,14 @@
     }
   }
 
+  /// Refuses all waiting requests, none of which can start here any more, while
+  /// their entries still have time to send them elsewhere.
+  void handBackWaiting() {
+    auto Any = [](core::TrafficClass) { return true; };
+    while (auto Next = Waiting.pop(Any))
+      finishRefused(*Next, wire::REFUSAL_OUT_OF_SERVICE, wire::RAN_NO, "");
+  }
+
   void onTick() {
     Silent->check();
     expireWaiting();
