quarantine: incidents travel with their age

Cause: notices named a request and a death, but not when the death was, and a process counted the retention from the moment at which it heard of it.

Change: an incident holds the time of its death; notices carry its age in milliseconds (`QuarantineNotice.ages_ms`; one without an age, from an older process, is taken as new). The retention counts from the last death by any way of hearing of it, and an incident that would be forgotten at once is not taken. Incidents are told with the latest first, so that a process that starts late also takes the earlier deaths of a request that is still kept.

--- a/libs/routing/include/routing/Quarantine.h
+++ b/libs/routing/include/routing/Quarantine.h
@@ -5,9 +5,8 @@
 #include "core/Time.h"
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
-#include <set>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -22,7 +21,9 @@
 /// A request seen at two deaths is quarantined: every process refuses it,
 /// without running it. Processes exchange this state as pairs of a request and
 /// a death; each pair counts once, however often and by whichever path it
-/// arrives. Copyable, reads no clock, and not thread-safe.
+/// arrives, and as old as the death is: what one process has forgotten because
+/// of its age, no other brings back. Copyable, reads no clock, and not
+/// thread-safe.
 class Quarantine {
 public:
   enum class Status { Clear, Suspect, Quarantined };
@@ -44,14 +45,14 @@
     core::Digest Request;
     /// Identifies the death across the fleet.
     std::uint64_t Death = 0;
-
-    auto operator<=>(const Incident &) const = default;
+    /// Time of the death, by the clock of this process.
+    core::TimePoint At;
   };
 
   Quarantine() : Quarantine(Settings()) {}
   explicit Quarantine(Settings Config) : Config(Config) {}
 
-  /// Adds an incident.
+  /// Adds an incident, unless its request would be forgotten at once.
   /// @return whether it was unknown and must be forwarded to other processes.
   bool add(const Incident &Report, core::TimePoint Now);
 
@@ -64,7 +65,8 @@
   /// Removes requests whose last death is older than the retention.
   void expire(core::TimePoint Now);
 
-  /// @return all known incidents, to bring a newly started process up to date.
+  /// @return all known incidents, to bring a newly started process up to date;
+  /// those of one request stand with the latest first, which keeps the others.
   std::vector<Incident> incidents() const;
 
   /// @return a digest of `incidents` that does not depend on their order.
@@ -74,13 +76,18 @@
 
 private:
   struct Record {
-    /// Identifiers of the deaths at which the request was in progress.
-    std::set<std::uint64_t> Deaths;
+    /// Times of the deaths at which the request was in progress, by their
+    /// identifiers.
+    std::map<std::uint64_t, core::TimePoint> Deaths;
+    /// Time of the last of them.
     core::TimePoint LastSeen;
     bool Cleared = false;
   };
   using Records = std::unordered_map<core::Digest, Record>;
 
+  bool isForgettable(core::TimePoint LastDeath, core::TimePoint Now) const {
+    return Now - LastDeath >= Config.Retention;
+  }
   void forget(Records::iterator Position);
   /// Evicts the request with the fewest deaths, see `Settings::Capacity`.
   void evictFewestDeaths();
--- a/libs/routing/src/Quarantine.cpp
+++ b/libs/routing/src/Quarantine.cpp
@@ -20,17 +20,19 @@
 bool Quarantine::add(const Incident &Report, core::TimePoint Now) {
   auto Found = Requests.find(Report.Request);
   if (Found == Requests.end()) {
+    if (isForgettable(Report.At, Now))
+      return false;
     if (Requests.size() >= Config.Capacity)
       evictFewestDeaths();
-    Found = Requests.try_emplace(Report.Request).first;
+    Found = Requests.try_emplace(Report.Request, Record{{}, Report.At}).first;
   }
   Record &Known = Found->second;
   // Further deaths at which a quarantined request was in progress are not
   // recorded and do not extend its retention.
   if (Known.Deaths.size() >= Config.DeathsToQuarantine ||
-      !Known.Deaths.insert(Report.Death).second)
+      !Known.Deaths.emplace(Report.Death, Report.At).second)
     return false;
-  Known.LastSeen = Now;
+  Known.LastSeen = std::max(Known.LastSeen, Report.At);
   Known.Cleared = false;
   CombinedHash += hashOf(Report);
   return true;
@@ -55,7 +57,7 @@
 void Quarantine::expire(core::TimePoint Now) {
   for (auto It = Requests.begin(); It != Requests.end();) {
     auto Next = std::next(It);
-    if (Now - It->second.LastSeen >= Config.Retention)
+    if (isForgettable(It->second.LastSeen, Now))
       forget(It);
     It = Next;
   }
@@ -64,14 +66,17 @@
 std::vector<Quarantine::Incident> Quarantine::incidents() const {
   std::vector<Incident> All;
   for (const auto &[Request, Known] : Requests)
-    for (std::uint64_t Death : Known.Deaths)
-      All.push_back({Request, Death});
+    for (const auto &[Death, At] : Known.Deaths)
+      All.push_back({Request, Death, At});
+  std::stable_sort(
+      All.begin(), All.end(),
+      [](const Incident &A, const Incident &B) { return A.At > B.At; });
   return All;
 }
 
 void Quarantine::forget(Records::iterator Position) {
-  for (std::uint64_t Death : Position->second.Deaths)
-    CombinedHash -= hashOf({Position->first, Death});
+  for (const auto &[Death, At] : Position->second.Deaths)
+    CombinedHash -= hashOf({Position->first, Death, At});
   Requests.erase(Position);
 }
 
--- a/libs/routing/tests/ServingModel.cpp
+++ b/libs/routing/tests/ServingModel.cpp
@@ -450,7 +450,7 @@
       T.Controller.finished(Admission::Outcome::Abandoned, {});
       Loop.after(Config.HopDelay, [this, D = R->Sender->Digest, Death] {
         for (Entry &E : Entries)
-          E.Suspects.add({D, Death}, Loop.now());
+          E.Suspects.add({D, Death, Loop.now()}, Loop.now());
       });
       reply(R, Router::Outcome::Failed, {},
             [this, R] { onRefusedOrFailed(R); });
--- a/rosemarylane/src/agent/HeartbeatService.cpp
+++ b/rosemarylane/src/agent/HeartbeatService.cpp
@@ -48,8 +48,7 @@
       takeMembers(Message);
       break;
     case wire::Envelope::kQuarantineNotice:
-      for (const auto &What : incidentsFromWire(Message.quarantine_notice()))
-        Known.add(What, std::chrono::steady_clock::now());
+      takeNotice(Message.quarantine_notice());
       break;
     default:
       break;
@@ -82,15 +81,15 @@
                                            Context.Incarnation, Deaths);
     std::vector<routing::Quarantine::Incident> Incidents;
     for (const core::Digest &Request : Requests) {
-      Incidents.push_back({Request, Death});
+      Incidents.push_back({Request, Death, Now});
       Known.add(Incidents.back(), Now);
     }
     wire::Envelope Message;
-    *Message.mutable_quarantine_notice() = incidentsToWire(Incidents);
+    *Message.mutable_quarantine_notice() = incidentsToWire(Incidents, Now);
     for (const auto &[Address, Link] : Entries)
       Send.send(wire::Peer::at(Address), Message);
     sendNow();
-    return incidentsToWire(Incidents);
+    return Message.quarantine_notice();
   }
 
   bool quarantined(const core::Digest &Request) const override {
@@ -218,9 +217,16 @@
       requestMembers();
   }
 
+  void takeNotice(const wire::QuarantineNotice &Notice) {
+    core::TimePoint Now = std::chrono::steady_clock::now();
+    for (const auto &Incident : incidentsFromWire(Notice, Now))
+      Known.add(Incident, Now);
+  }
+
   void sendNotice(const std::string &Address) {
     wire::Envelope Message;
-    *Message.mutable_quarantine_notice() = incidentsToWire(Known.incidents());
+    *Message.mutable_quarantine_notice() =
+        incidentsToWire(Known.incidents(), std::chrono::steady_clock::now());
     Send.send(wire::Peer::at(Address), std::move(Message));
   }
 
--- a/rosemarylane/src/common/MemberMessages.cpp
+++ b/rosemarylane/src/common/MemberMessages.cpp
@@ -148,21 +148,29 @@
 }
 
 std::vector<routing::Quarantine::Incident>
-incidentsFromWire(const wire::QuarantineNotice &Notice) {
+incidentsFromWire(const wire::QuarantineNotice &Notice, core::TimePoint Now) {
   std::vector<routing::Quarantine::Incident> Incidents;
   int Count = std::min(Notice.digests_size(), Notice.deaths_size());
-  for (int I = 0; I < Count; ++I)
+  for (int I = 0; I < Count; ++I) {
+    std::chrono::milliseconds Age(I < Notice.ages_ms_size() ? Notice.ages_ms(I)
+                                                            : 0);
     if (auto Request = core::Digest::fromBytes(Notice.digests(I)))
-      Incidents.push_back({*Request, Notice.deaths(I)});
+      Incidents.push_back({*Request, Notice.deaths(I), Now - Age});
+  }
   return Incidents;
 }
 
 wire::QuarantineNotice
-incidentsToWire(const std::vector<routing::Quarantine::Incident> &Incidents) {
+incidentsToWire(const std::vector<routing::Quarantine::Incident> &Incidents,
+                core::TimePoint Now) {
+  using std::chrono::milliseconds;
   wire::QuarantineNotice Notice;
   for (const auto &Incident : Incidents) {
+    auto Age = std::chrono::duration_cast<milliseconds>(Now - Incident.At);
     Notice.add_digests(std::string(Incident.Request.bytes()));
     Notice.add_deaths(Incident.Death);
+    Notice.add_ages_ms(static_cast<std::uint32_t>(
+        std::max(Age, milliseconds::zero()).count()));
   }
   return Notice;
 }
--- a/rosemarylane/src/common/MemberMessages.h
+++ b/rosemarylane/src/common/MemberMessages.h
@@ -1,6 +1,7 @@
 #ifndef ROSEMARYLANE_COMMON_MEMBER_MESSAGES_H
 #define ROSEMARYLANE_COMMON_MEMBER_MESSAGES_H
 
+#include "core/Time.h"
 #include "routing/Member.h"
 #include "routing/Quarantine.h"
 #include "wire/wire.pb.h"
@@ -30,12 +31,14 @@
 void setLoad(const routing::Load &Current, wire::Holding &Into);
 
 /// Conversions between notices and incidents: requests that were in progress at
-/// a target when it died, each with the request's digest and the id of the
-/// death. Incidents with a malformed digest are left out.
+/// a target when it died, each with the request's digest, the id of the death
+/// and its age. Incidents with a malformed digest are left out; one without an
+/// age is taken as new.
 std::vector<routing::Quarantine::Incident>
-incidentsFromWire(const wire::QuarantineNotice &Notice);
+incidentsFromWire(const wire::QuarantineNotice &Notice, core::TimePoint Now);
 wire::QuarantineNotice
-incidentsToWire(const std::vector<routing::Quarantine::Incident> &Incidents);
+incidentsToWire(const std::vector<routing::Quarantine::Incident> &Incidents,
+                core::TimePoint Now);
 
 } // namespace rosemarylane
 
--- a/rosemarylane/src/entry/MembershipService.cpp
+++ b/rosemarylane/src/entry/MembershipService.cpp
@@ -171,9 +171,10 @@
   /// Adds the incidents, and forwards those that were unknown to all other
   /// entries of the fleet at once.
   void handleQuarantineNotice(const wire::QuarantineNotice &Notice) {
+    core::TimePoint Now = now();
     std::vector<routing::Quarantine::Incident> NewIncidents;
-    for (const auto &Incident : incidentsFromWire(Notice))
-      if (SuspectRequests.add(Incident, now()))
+    for (const auto &Incident : incidentsFromWire(Notice, Now))
+      if (SuspectRequests.add(Incident, Now))
         NewIncidents.push_back(Incident);
     if (NewIncidents.empty())
       return;
@@ -181,7 +182,7 @@
         telemetry::Level::Warning, "requests seen at a death",
         {{"requests", static_cast<std::int64_t>(NewIncidents.size())}});
     wire::Envelope Message;
-    *Message.mutable_quarantine_notice() = incidentsToWire(NewIncidents);
+    *Message.mutable_quarantine_notice() = incidentsToWire(NewIncidents, Now);
     for (const std::string &Address :
          entryAddresses([](const core::FailureDomainId &) { return true; }))
       Send.send(wire::Peer::at(Address), Message);
@@ -190,7 +191,7 @@
   void sendIncidents(const wire::Peer &To) {
     wire::Envelope Message;
     *Message.mutable_quarantine_notice() =
-        incidentsToWire(SuspectRequests.incidents());
+        incidentsToWire(SuspectRequests.incidents(), now());
     Send.send(To, std::move(Message));
   }
 
--- a/rosemarylane/tests/MemberMessagesTest.cpp
+++ b/rosemarylane/tests/MemberMessagesTest.cpp
@@ -45,6 +45,23 @@
       (memberFromWire(summaryToWire(M, std::chrono::milliseconds(0))) == M));
 }
 
+/// The receiver's clock differs from the sender's.
+BOOST_AUTO_TEST_CASE(incidents_keep_their_age) {
+  using namespace std::chrono_literals;
+  core::TimePoint Sent(50min);
+  core::TimePoint Received(7min);
+  std::vector<routing::Quarantine::Incident> Happened{
+      {core::Digest::of("first"), 1, Sent - 29min},
+      {core::Digest::of("second"), 2, Sent}};
+  auto Known = incidentsFromWire(incidentsToWire(Happened, Sent), Received);
+  BOOST_REQUIRE(Known.size() == Happened.size());
+  for (std::size_t I = 0; I < Known.size(); ++I) {
+    BOOST_TEST((Known[I].Request == Happened[I].Request));
+    BOOST_TEST(Known[I].Death == Happened[I].Death);
+    BOOST_TEST((Received - Known[I].At == Sent - Happened[I].At));
+  }
+}
+
 /// Agents learn of one another's state only when the digest changes.
 BOOST_AUTO_TEST_CASE(digest_changes_with_all_that_a_rollout_waits_for) {
   routing::Member M = agent();
