--- a/rosemarylane/src/agent/Gate.cpp
+++ b/rosemarylane/src/agent/Gate.cpp
@@ -25,9 +25,6 @@
 constexpr std::chrono::milliseconds FailedServiceRest{1000};
 constexpr std::uint32_t BusyRetryAfterMs = 200;
 constexpr char PauseDetail[] = "the target wants no requests for a while";
-/// Requests that may wait at the agent: enough to keep the target busy between
-/// two answers, too few to wait long.
-constexpr std::size_t WaitingCapacity = 16;
 
 core::TimePoint now() { return std::chrono::steady_clock::now(); }
 
@@ -85,6 +82,7 @@
   void drain(std::function<void()> Idle) override {
     Draining = true;
     OnIdle = std::move(Idle);
+    handBackWaiting();
     checkIdle();
   }
 
@@ -160,6 +158,8 @@
     Admit.setCeiling(ceiling(Config));
     Admit.setOutOfService(Config.isOutOfService(Context.Config.Host,
                                                 Context.Config.FailureDomain));
+    if (Admit.outOfService())
+      handBackWaiting();
   }
 
   /// Registers the attempt.
@@ -236,6 +236,14 @@
     }
   }
 
+  /// Refuses all waiting requests, none of which can start here any more, while
+  /// their entries still have time to send them elsewhere.
+  void handBackWaiting() {
+    auto Any = [](core::TrafficClass) { return true; };
+    while (auto Next = Waiting.pop(Any))
+      finishRefused(*Next, wire::REFUSAL_OUT_OF_SERVICE, wire::RAN_NO, "");
+  }
+
   void onTick() {
     Silent->check();
     expireWaiting();
@@ -511,7 +519,7 @@
   /// Attempts that wait or run, by request id.
   std::map<std::string, Run> Runs;
   routing::Admission Admit{1};
-  routing::WaitQueue<Run> Waiting{WaitingCapacity};
+  routing::WaitQueue<Run> Waiting{routing::AgentQueueCapacity};
   /// Entries whose version is about to be replaced: they take no new work.
   std::map<core::EntryName, std::function<void()>> Replacing;
   core::TimePoint ServiceFailedAt;
