Tests that fail: late and ignorant summaries kill live processes

Hypotheses of a review by reading, now shown:

`gone` in a summary names no incarnation, so one that arrives late kills the record of the process that was started since. An entry that has just started knows only itself, takes itself for the sender of every link, and sends a whole view; receivers take everybody whom it leaves out for dead. Shown if it hears nobody for 1, 2 or 3 rounds; not if it hears all from the first round on.

--- a/rosemarylane/tests/SummaryExchangeTest.cpp
+++ b/rosemarylane/tests/SummaryExchangeTest.cpp
@@ -20,7 +20,8 @@
 constexpr int PerDomain = 2;
 
 /// Entries of three failure domains, with agents; messages between entries may
-/// be lost, and a domain may be cut off. Inside a domain all heartbeats arrive.
+/// be lost or delayed, and a domain may be cut off. Inside a domain all
+/// heartbeats arrive, except at entries that `restart` made deaf.
 class Fleet {
 public:
   Fleet() {
@@ -39,8 +40,10 @@
     Now += 1s;
     for (auto &[Who, M] : Truth) {
       ++M.Sequence;
+      M.Uptime += 1s;
       for (auto &N : Nodes)
-        if (M.FailureDomain == N->Own.FailureDomain && !Dead.contains(Who))
+        if (M.FailureDomain == N->Own.FailureDomain && !Dead.contains(Who) &&
+            (Now >= N->DeafUntil || M.PeerAddress == N->Self.PeerAddress))
           N->Members.observe(M, 0ms, Now);
     }
     for (auto &N : Nodes)
@@ -49,6 +52,38 @@
       deliver();
   }
 
+  /// The process of an entry is replaced by a new one, which knows nobody and
+  /// hears only itself for \p DeafFor.
+  void restart(const Membership::Key &Entry, core::Duration DeafFor) {
+    startIncarnation(Truth.at(Entry));
+    for (auto &N : Nodes)
+      if (N->Self.Host == Entry.Host) {
+        N = std::make_unique<Node>(*this, Truth.at(Entry));
+        N->DeafUntil = Now + DeafFor;
+      }
+  }
+
+  /// Turns \p M into a process that has just started.
+  static void startIncarnation(Member &M) {
+    ++M.Incarnation;
+    M.Sequence = 0;
+    M.Uptime = 0ms;
+  }
+
+  /// @return whether an entry takes a live process, of which it knows the
+  /// present incarnation, for dead.
+  bool anyTakenForDead() const {
+    for (const auto &N : Nodes)
+      for (const auto &[Who, M] : Truth) {
+        const Membership::Record *Known = N->Members.find(Who);
+        if (Known && !Dead.contains(Who) &&
+            Known->What.Incarnation == M.Incarnation &&
+            N->Members.state(*Known, Now) == Membership::State::Dead)
+          return true;
+      }
+    return false;
+  }
+
   /// @return whether every entry knows the truth of every failure domain.
   bool allAgree() const {
     for (const auto &N : Nodes)
@@ -86,6 +121,10 @@
   std::set<core::FailureDomainId> CutOff;
   /// Whether the next message is lost.
   std::function<bool()> Lost = [] { return false; };
+  /// Steps by which the next message is delayed.
+  std::function<int()> Delay = [] { return 0; };
+  /// Called after each message that arrives.
+  std::function<void()> Received = [] {};
 
 private:
   struct Node {
@@ -97,7 +136,8 @@
       SummaryExchange::Hooks Hooks;
       Hooks.Send = [this, &Of](const wire::Peer &To, wire::Envelope Message) {
         *Message.mutable_sender() = senderToWire(this->Self);
-        Of.InFlight.push_back({To.Key, std::move(Message)});
+        Of.InFlight.push_back(
+            {To.Key, std::move(Message), Of.Now + Of.Delay() * 1s});
       };
       Hooks.OnLoad = [](const core::HostId &) {};
       Exchange = std::make_unique<SummaryExchange>(Own, Members, Hooks);
@@ -106,6 +146,14 @@
     Settings Own;
     Membership Members;
     std::unique_ptr<SummaryExchange> Exchange;
+    core::TimePoint DeafUntil;
+  };
+
+  /// A message between entries.
+  struct Transit {
+    std::string Address;
+    wire::Envelope Message;
+    core::TimePoint ArrivesAt;
   };
 
   void add(MemberRole Role, int Domain, int Index) {
@@ -123,9 +171,13 @@
   }
 
   void deliver() {
-    std::deque<std::pair<std::string, wire::Envelope>> Batch;
+    std::deque<Transit> Batch;
     Batch.swap(InFlight);
-    for (auto &[Address, Message] : Batch)
+    for (auto &[Address, Message, ArrivesAt] : Batch) {
+      if (ArrivesAt > Now) {
+        InFlight.push_back({Address, Message, ArrivesAt});
+        continue;
+      }
       for (auto &N : Nodes) {
         core::FailureDomainId From(Message.sender().failure_domain());
         bool Crosses = From != N->Own.FailureDomain;
@@ -136,13 +188,15 @@
         // Answers go back to the sender's address.
         N->Exchange->receive(wire::Peer::at(Message.sender().peer_address()),
                              Message, Now);
+        Received();
       }
+    }
   }
 
   core::TimePoint Now{1h};
   std::vector<SummaryExchange::Listed> Listed;
   std::vector<std::unique_ptr<Node>> Nodes;
-  std::deque<std::pair<std::string, wire::Envelope>> InFlight;
+  std::deque<Transit> InFlight;
 };
 
 /// A member dies, comes back as a new process, or changes what it says.
@@ -157,8 +211,7 @@
     break;
   case 1:
     Of.Dead.erase(Which->first);
-    ++Which->second.Incarnation;
-    Which->second.Sequence = 0;
+    Fleet::startIncarnation(Which->second);
     break;
   default:
     if (Which->first.Role == MemberRole::Agent)
@@ -166,6 +219,70 @@
   }
 }
 
+/// An entry of its own failure domain that keeps what it sends.
+struct Speaker {
+  explicit Speaker(const std::string &Domain) {
+    Own.Host = core::HostId("entry-of-" + Domain);
+    Own.Region = core::RegionId("region");
+    Own.FailureDomain = core::FailureDomainId(Domain);
+    Own.PeerAddress = Own.Host.str();
+    SummaryExchange::Hooks Hooks;
+    Hooks.Send = [this](const wire::Peer &, wire::Envelope Message) {
+      *Message.mutable_sender() =
+          senderToWire(member(MemberRole::Entry, Own.Host.str(), 1));
+      Sent.push_back(std::move(Message));
+    };
+    Hooks.OnLoad = [](const core::HostId &) {};
+    Exchange = std::make_unique<SummaryExchange>(Own, Members, Hooks);
+  }
+
+  /// @return a member of this failure domain that has run for an hour.
+  Member member(MemberRole Role, const std::string &Host,
+                std::uint64_t Incarnation) const {
+    Member M;
+    M.Role = Role;
+    M.Host = core::HostId(Host);
+    M.Region = Own.Region;
+    M.FailureDomain = Own.FailureDomain;
+    M.PeerAddress = Host;
+    M.Incarnation = Incarnation;
+    M.Uptime = 1h;
+    return M;
+  }
+
+  /// Hears \p Heard and itself.
+  /// @return what is sent to the failure domain "there".
+  wire::Envelope summaryAt(core::TimePoint Now,
+                           const std::vector<Member> &Heard) {
+    ++Sequence;
+    Member Self = member(MemberRole::Entry, Own.Host.str(), 1);
+    Self.Sequence = Sequence;
+    if (FirstSummaryAt == core::TimePoint())
+      FirstSummaryAt = Now;
+    Self.Uptime =
+        UptimeAtStart + std::chrono::duration_cast<std::chrono::milliseconds>(
+                            Now - FirstSummaryAt);
+    Members.observe(Self, 0ms, Now);
+    for (Member M : Heard) {
+      M.Sequence = Sequence;
+      Members.observe(M, 0ms, Now);
+    }
+    Sent.clear();
+    Exchange->tick({{core::FailureDomainId("there"), "entry-of-there"}}, Now);
+    BOOST_REQUIRE(Sent.size() == 1u);
+    return Sent.front();
+  }
+
+  Settings Own;
+  Membership Members{{}, core::FailureDomainId("here")};
+  std::unique_ptr<SummaryExchange> Exchange;
+  std::vector<wire::Envelope> Sent;
+  std::uint64_t Sequence = 0;
+  core::TimePoint FirstSummaryAt;
+  /// Uptime of this entry at its first summary.
+  std::chrono::milliseconds UptimeAtStart = 1h;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(summary_exchange)
@@ -208,4 +325,92 @@
   BOOST_TEST(All.allAgree());
 }
 
+BOOST_AUTO_TEST_CASE(a_late_notice_of_a_death_spares_the_next_incarnation) {
+  Speaker Here("here");
+  Membership There({}, core::FailureDomainId("there"));
+  Settings Own;
+  Own.Host = core::HostId("entry-of-there");
+  Own.FailureDomain = core::FailureDomainId("there");
+  SummaryExchange Listener(Own, There,
+                           {[](const wire::Peer &, const wire::Envelope &) {},
+                            [](const core::HostId &) {}});
+  wire::Peer From = wire::Peer::at(Here.Own.PeerAddress);
+  core::TimePoint Now{1h};
+  auto First = Here.member(MemberRole::Agent, "agent", 1);
+  auto Second = Here.member(MemberRole::Agent, "agent", 2);
+  Listener.receive(From, Here.summaryAt(Now, {First}), Now);
+  Now += 2s;
+  wire::Envelope Death = Here.summaryAt(Now, {});
+  BOOST_REQUIRE(Death.membership_summary().gone_size() == 1);
+  Now += 1s;
+  Listener.receive(From, Here.summaryAt(Now, {Second}), Now);
+  Listener.receive(From, Death, Now);
+  const Membership::Record *Known =
+      There.find({MemberRole::Agent, core::HostId("agent")});
+  BOOST_REQUIRE(Known);
+  BOOST_TEST(Known->What.Incarnation == 2u);
+  BOOST_TEST((There.state(*Known, Now) == Membership::State::Alive));
+}
+
+BOOST_AUTO_TEST_CASE(late_messages_kill_no_live_process) {
+  BOOST_TEST(rc::check("delayed and reordered messages, restarts", [] {
+    Fleet All;
+    for (int I = 0; I < 5; ++I)
+      All.step();
+    All.Delay = [] { return *rc::gen::inRange(0, 4); };
+    bool Killed = false;
+    All.Received = [&] { Killed = Killed || All.anyTakenForDead(); };
+    int Steps = *rc::gen::inRange(0, 20);
+    for (int I = 0; I < Steps; ++I) {
+      disturb(All);
+      All.step();
+    }
+    RC_ASSERT(!Killed);
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_has_just_started_kills_nobody) {
+  for (int Deaf = 0; Deaf < 4; ++Deaf)
+    for (int Restarted = 0; Restarted < PerDomain; ++Restarted) {
+      Fleet All;
+      for (int I = 0; I < 30; ++I)
+        All.step();
+      BOOST_TEST(All.allAgree());
+      bool Killed = false;
+      All.Received = [&] { Killed = Killed || All.anyTakenForDead(); };
+      All.restart(
+          {MemberRole::Entry, core::HostId("0-" + std::to_string(Restarted))},
+          Deaf * 1s + 500ms);
+      for (int I = 0; I < 15; ++I)
+        All.step();
+      BOOST_TEST(!Killed,
+                 "entry " << Restarted << ", deaf for " << Deaf << " rounds");
+      BOOST_TEST(All.allAgree());
+    }
+}
+
+/// Receivers of the version before take everybody whom a whole view leaves out
+/// for dead.
+BOOST_AUTO_TEST_CASE(an_entry_that_has_just_started_sends_no_whole_view) {
+  Speaker Here("here");
+  Here.UptimeAtStart = 0ms;
+  core::TimePoint Now{1h};
+  wire::Envelope ViewRequest;
+  ViewRequest.mutable_membership_summary()->set_failure_domain("here");
+  ViewRequest.mutable_membership_summary()->set_want_all(true);
+  for (int Second = 0; Second < 4; ++Second, Now += 1s) {
+    BOOST_TEST(Here.summaryAt(Now, {}).membership_summary().partial());
+    Here.Sent.clear();
+    Here.Exchange->receive(wire::Peer::at("entry-of-there"), ViewRequest, Now);
+    BOOST_TEST(Here.Sent.empty());
+  }
+  // Before others suspect the members for its silence, it speaks as the only
+  // entry of its failure domain.
+  Now += 1s;
+  BOOST_TEST(!Here.summaryAt(Now, {}).membership_summary().partial());
+  Here.Sent.clear();
+  Here.Exchange->receive(wire::Peer::at("entry-of-there"), ViewRequest, Now);
+  BOOST_TEST(Here.Sent.size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
