A death told by a summary counts for the incarnation that it names

Cause: `gone` named host and role only. One that arrived late, for instance by way of a relay, killed the record of the process that had been started since; only a whole view brought it back.

Change: `gone` carries the incarnation, in a field that its message type has already; `Membership::markDead` leaves later incarnations alone.

--- a/libs/routing/include/routing/Membership.h
+++ b/libs/routing/include/routing/Membership.h
@@ -71,8 +71,10 @@
   /// of entry processes, see `HeartbeatSchedule::membershipSettings`.
   void updateSettings(MembershipSettings Limits) { Settings = Limits; }
 
-  /// Marks a member as dead without waiting for its time limit.
-  void markDead(const Key &MemberKey, core::TimePoint Now);
+  /// Marks a member as dead without waiting for its time limit, unless a later
+  /// incarnation than \p Incarnation is known.
+  void markDead(const Key &MemberKey, std::uint64_t Incarnation,
+                core::TimePoint Now);
 
   /// Records that all members of \p Domain that are not dead were alive \p Age
   /// ago. Call it only if a summary from that domain, sent \p Age ago, has the
--- a/libs/routing/src/Membership.cpp
+++ b/libs/routing/src/Membership.cpp
@@ -35,9 +35,10 @@
   return true;
 }
 
-void Membership::markDead(const Key &MemberKey, core::TimePoint Now) {
+void Membership::markDead(const Key &MemberKey, std::uint64_t Incarnation,
+                          core::TimePoint Now) {
   auto Found = Records.find(MemberKey);
-  if (Found == Records.end())
+  if (Found == Records.end() || Found->second.What.Incarnation > Incarnation)
     return;
   auto Silence = std::max(Settings.DeadAfter, Settings.RemoteDeadAfter);
   Found->second.LastHeardAt =
--- a/libs/routing/tests/MembershipTest.cpp
+++ b/libs/routing/tests/MembershipTest.cpp
@@ -129,6 +129,23 @@
               Membership::State::Alive));
 }
 
+BOOST_AUTO_TEST_CASE(a_death_counts_for_its_incarnation_and_earlier_ones) {
+  Membership Members({}, OwnDomain);
+  TimePoint Now{1h};
+  Members.observe(member(1, 2, 1), 0ms, Now);
+  const Membership::Record &Known = *Members.find(key(1));
+  for (std::uint64_t Earlier : {0, 1}) {
+    Members.markDead(key(1), Earlier, Now);
+    BOOST_TEST((Members.state(Known, Now) == Membership::State::Alive));
+  }
+  Members.markDead(key(1), 2, Now);
+  BOOST_TEST((Members.state(Known, Now) == Membership::State::Dead));
+  Members.observe(member(2, 2, 1), 0ms, Now);
+  Members.markDead(key(2), 3, Now);
+  BOOST_TEST(
+      (Members.state(*Members.find(key(2)), Now) == Membership::State::Dead));
+}
+
 BOOST_AUTO_TEST_CASE(own_pause_does_not_age_members) {
   Membership Members({}, OwnDomain);
   TimePoint Start{1h};
--- a/rosemarylane/src/entry/SummaryExchange.cpp
+++ b/rosemarylane/src/entry/SummaryExchange.cpp
@@ -130,12 +130,8 @@
   Summary.set_view_digest(routing::viewDigest(ownView(Now)));
   for (const Membership::Key &MemberKey : Changes.Changed)
     addMember(Summary, MemberKey, Now);
-  for (const Membership::Key &MemberKey : Changes.Removed) {
-    wire::Sender &Removed = *Summary.add_gone();
-    Removed.set_host(MemberKey.Host.str());
-    Removed.set_role(MemberKey.Role == MemberRole::Entry ? wire::ROLE_ENTRY
-                                                         : wire::ROLE_AGENT);
-  }
+  for (const Membership::Key &MemberKey : Changes.Removed)
+    addGone(Summary, MemberKey);
   if (Now - ToDomain.LoadsSentAt >= loadPeriod(To)) {
     addLoads(*Summary.mutable_loads(), Now);
     ToDomain.LoadsSentAt = Now;
@@ -167,6 +163,18 @@
     *Summary.add_members() = summaryToWire(Known->What, ageOf(*Known, Now));
 }
 
+void SummaryExchange::addGone(wire::MembershipSummary &Summary,
+                              const Membership::Key &MemberKey) const {
+  const Membership::Record *Known = Members.find(MemberKey);
+  if (!Known)
+    return;
+  wire::Sender &Removed = *Summary.add_gone();
+  Removed.set_host(MemberKey.Host.str());
+  Removed.set_role(MemberKey.Role == MemberRole::Entry ? wire::ROLE_ENTRY
+                                                       : wire::ROLE_AGENT);
+  Removed.set_incarnation(Known->What.Incarnation);
+}
+
 void SummaryExchange::addLoads(wire::LoadTable &Table,
                                core::TimePoint Now) const {
   std::uint64_t Newest = 0;
@@ -210,11 +218,12 @@
     Members.markDead({Removed.role() == wire::ROLE_ENTRY ? MemberRole::Entry
                                                          : MemberRole::Agent,
                       core::HostId(Removed.host())},
-                     Now);
+                     Removed.incarnation(), Now);
   if (!Summary.partial())
     for (const auto &[MemberKey, Digest] : remoteView(Domain, Now))
       if (!Reported.contains(MemberKey))
-        Members.markDead(MemberKey, Now);
+        Members.markDead(MemberKey, Members.find(MemberKey)->What.Incarnation,
+                         Now);
   updateLoads(Summary.loads(), Domain, milliseconds(Summary.age_ms()), Now);
   if (routing::viewDigest(remoteView(Domain, Now)) == Summary.view_digest())
     Members.confirmAlive(Domain, milliseconds(Summary.age_ms()), Now);
--- a/rosemarylane/src/entry/SummaryExchange.h
+++ b/rosemarylane/src/entry/SummaryExchange.h
@@ -85,6 +85,8 @@
   void addMember(wire::MembershipSummary &Summary,
                  const routing::Membership::Key &MemberKey,
                  core::TimePoint Now) const;
+  void addGone(wire::MembershipSummary &Summary,
+               const routing::Membership::Key &MemberKey) const;
   void addLoads(wire::LoadTable &Table, core::TimePoint Now) const;
   void updateLoads(const wire::LoadTable &Table,
                    const core::FailureDomainId &Domain,
