Members that a whole view leaves out are not taken for dead

Cause: a receiver took everybody whom a whole view left out for dead, at once and in any incarnation. An entry that has just started sends a view that holds only itself, and a late view leaves out who was started since. What its sender did not know was acted on, and relayed, as if somebody had observed a death.

Change: a whole view names the members that its sender has lost, with their incarnations; only those are dead. Others that it leaves out keep their state until their own time limits (6 s, 12 s) unless somebody reports them: they are not part of the view whose digest is compared, so the view is not requested again each second, and matching digests don't confirm them. Views of other failure domains name no deaths: those come from their own entries alone.

--- a/libs/routing/include/routing/Membership.h
+++ b/libs/routing/include/routing/Membership.h
@@ -56,6 +56,8 @@
     /// Last time at which the member is known to have been alive, by the clock
     /// of this process.
     core::TimePoint LastHeardAt;
+    /// Whether the last whole view of its failure domain left the member out.
+    bool LeftOut = false;
   };
 
   Membership(MembershipSettings Settings, core::FailureDomainId OwnDomain)
@@ -76,14 +78,21 @@
   void markDead(const Key &MemberKey, std::uint64_t Incarnation,
                 core::TimePoint Now);
 
-  /// Records that all members of \p Domain that are not dead were alive \p Age
-  /// ago. Call it only if a summary from that domain, sent \p Age ago, has the
-  /// same `viewDigest` as the view of the domain in this process.
+  /// Records that a whole view of the member's failure domain left it out. The
+  /// sender of the view may just not know the member, so its state doesn't
+  /// change. Until it is observed again, it is not part of `view`, and
+  /// `confirmAlive` doesn't apply to it.
+  void leaveOut(const Key &MemberKey);
+
+  /// Records that all members of \p Domain that are neither dead nor left out
+  /// were alive \p Age ago. Call it only if a summary from that domain, sent \p
+  /// Age ago, has the same `viewDigest` as the view of the domain in this
+  /// process.
   void confirmAlive(const core::FailureDomainId &Domain,
                     std::chrono::milliseconds Age, core::TimePoint Now);
 
-  /// @return the members of \p Domain whose state is \p Worst or better, each
-  /// with its `stateDigest`.
+  /// @return the members of \p Domain whose state is \p Worst or better and
+  /// that are not left out, each with its `stateDigest`.
   std::map<Key, std::uint64_t> view(const core::FailureDomainId &Domain,
                                     State Worst, core::TimePoint Now) const;
 
--- a/libs/routing/src/Membership.cpp
+++ b/libs/routing/src/Membership.cpp
@@ -28,6 +28,7 @@
     Known = {Update, AliveAt};
     return true;
   }
+  Known.LeftOut = false;
   Known.LastHeardAt = std::max(Known.LastHeardAt, AliveAt);
   if (Update.Sequence <= Known.What.Sequence)
     return false;
@@ -45,11 +46,18 @@
       std::min(Found->second.LastHeardAt, Now - Silence);
 }
 
+void Membership::leaveOut(const Key &MemberKey) {
+  auto Found = Records.find(MemberKey);
+  if (Found != Records.end())
+    Found->second.LeftOut = true;
+}
+
 void Membership::confirmAlive(const core::FailureDomainId &Domain,
                               std::chrono::milliseconds Age,
                               core::TimePoint Now) {
   for (auto &[MemberKey, Known] : Records)
-    if (Known.What.FailureDomain == Domain && state(Known, Now) != State::Dead)
+    if (Known.What.FailureDomain == Domain && !Known.LeftOut &&
+        state(Known, Now) != State::Dead)
       Known.LastHeardAt = std::max(Known.LastHeardAt, Now - Age);
 }
 
@@ -58,7 +66,8 @@
                  core::TimePoint Now) const {
   std::map<Key, std::uint64_t> View;
   for (const auto &[MemberKey, Known] : Records)
-    if (Known.What.FailureDomain == Domain && state(Known, Now) <= Worst)
+    if (Known.What.FailureDomain == Domain && !Known.LeftOut &&
+        state(Known, Now) <= Worst)
       View.emplace(MemberKey, stateDigest(Known.What));
   return View;
 }
--- a/libs/routing/tests/MembershipTest.cpp
+++ b/libs/routing/tests/MembershipTest.cpp
@@ -146,6 +146,29 @@
       (Members.state(*Members.find(key(2)), Now) == Membership::State::Dead));
 }
 
+BOOST_AUTO_TEST_CASE(a_member_left_out_of_a_view_lives_until_its_time_limit) {
+  FailureDomainId There("there");
+  Membership Members({}, OwnDomain);
+  TimePoint Start{1h};
+  Member M = member(1, 1, 1);
+  M.FailureDomain = There;
+  Members.observe(M, 0ms, Start);
+  Members.leaveOut(key(1));
+  const Membership::Record &Known = *Members.find(key(1));
+  BOOST_TEST(Members.view(There, Membership::State::Suspect, Start).empty());
+  // What confirms the others does not confirm this one.
+  Members.confirmAlive(There, 0ms, Start + 5s);
+  BOOST_TEST(
+      (Members.state(Known, Start + 5999ms) == Membership::State::Alive));
+  BOOST_TEST((Members.state(Known, Start + 6s) == Membership::State::Suspect));
+  BOOST_TEST((Members.state(Known, Start + 12s) == Membership::State::Dead));
+  // It may be reported again without any change.
+  Members.observe(M, 0ms, Start + 12s);
+  BOOST_TEST((Members.state(Known, Start + 12s) == Membership::State::Alive));
+  BOOST_TEST(Members.view(There, Membership::State::Suspect, Start + 12s)
+                 .contains(key(1)));
+}
+
 BOOST_AUTO_TEST_CASE(own_pause_does_not_age_members) {
   Membership Members({}, OwnDomain);
   TimePoint Start{1h};
--- a/rosemarylane/src/entry/SummaryExchange.cpp
+++ b/rosemarylane/src/entry/SummaryExchange.cpp
@@ -132,6 +132,8 @@
     addMember(Summary, MemberKey, Now);
   for (const Membership::Key &MemberKey : Changes.Removed)
     addGone(Summary, MemberKey);
+  if (Changes.All)
+    addAllGone(Summary, Now);
   if (Now - ToDomain.LoadsSentAt >= loadPeriod(To)) {
     addLoads(*Summary.mutable_loads(), Now);
     ToDomain.LoadsSentAt = Now;
@@ -153,6 +155,9 @@
   Summary.set_view_digest(routing::viewDigest(View));
   for (const auto &[MemberKey, Digest] : View)
     addMember(Summary, MemberKey, Now);
+  // Of other failure domains, only what their own entries tell is passed on.
+  if (Domain == OwnSettings.FailureDomain)
+    addAllGone(Summary, Now);
   Callbacks.Send(To, std::move(Message));
 }
 
@@ -175,6 +180,14 @@
   Removed.set_incarnation(Known->What.Incarnation);
 }
 
+void SummaryExchange::addAllGone(wire::MembershipSummary &Summary,
+                                 core::TimePoint Now) const {
+  for (const auto &[MemberKey, Known] : Members.records())
+    if (Known.What.FailureDomain == OwnSettings.FailureDomain &&
+        Members.state(Known, Now) != Membership::State::Alive)
+      addGone(Summary, MemberKey);
+}
+
 void SummaryExchange::addLoads(wire::LoadTable &Table,
                                core::TimePoint Now) const {
   std::uint64_t Newest = 0;
@@ -222,8 +235,7 @@
   if (!Summary.partial())
     for (const auto &[MemberKey, Digest] : remoteView(Domain, Now))
       if (!Reported.contains(MemberKey))
-        Members.markDead(MemberKey, Members.find(MemberKey)->What.Incarnation,
-                         Now);
+        Members.leaveOut(MemberKey);
   updateLoads(Summary.loads(), Domain, milliseconds(Summary.age_ms()), Now);
   if (routing::viewDigest(remoteView(Domain, Now)) == Summary.view_digest())
     Members.confirmAlive(Domain, milliseconds(Summary.age_ms()), Now);
--- a/rosemarylane/src/entry/SummaryExchange.h
+++ b/rosemarylane/src/entry/SummaryExchange.h
@@ -22,8 +22,9 @@
 /// the entries of its own failure domain. A summary contains the members that
 /// changed since the last one, at intervals the load of all members, and a
 /// digest of the whole view. A receiver whose view differs requests the whole
-/// view. The settings and the membership must outlive the exchange. Use it on
-/// the control duty only.
+/// view. Members that a whole view leaves out are not taken for dead: only
+/// those that it names as gone are. The settings and the membership must
+/// outlive the exchange. Use it on the control duty only.
 class SummaryExchange {
 public:
   /// Callbacks of the exchange.
@@ -87,6 +88,8 @@
                  core::TimePoint Now) const;
   void addGone(wire::MembershipSummary &Summary,
                const routing::Membership::Key &MemberKey) const;
+  /// Adds all members of the own failure domain that are known and not alive.
+  void addAllGone(wire::MembershipSummary &Summary, core::TimePoint Now) const;
   void addLoads(wire::LoadTable &Table, core::TimePoint Now) const;
   void updateLoads(const wire::LoadTable &Table,
                    const core::FailureDomainId &Domain,
--- a/rosemarylane/tests/SummaryExchangeTest.cpp
+++ b/rosemarylane/tests/SummaryExchangeTest.cpp
@@ -352,6 +352,19 @@
   BOOST_TEST((There.state(*Known, Now) == Membership::State::Alive));
 }
 
+BOOST_AUTO_TEST_CASE(a_death_is_known_soon_though_its_notice_is_lost) {
+  Fleet All;
+  for (int I = 0; I < 5; ++I)
+    All.step();
+  All.Dead.insert({MemberRole::Agent, core::HostId("0-0")});
+  All.Lost = [] { return true; };
+  All.step();
+  BOOST_TEST(!All.allAgree());
+  All.Lost = [] { return false; };
+  All.step();
+  BOOST_TEST(All.allAgree());
+}
+
 BOOST_AUTO_TEST_CASE(late_messages_kill_no_live_process) {
   BOOST_TEST(rc::check("delayed and reordered messages, restarts", [] {
     Fleet All;
