An entry that has just started doesn't speak for its failure domain

Cause: an entry that has just started knows only itself and therefore took itself for the owner of the links to all other failure domains. It sent them whole views that held only itself, and answered requests for the whole view of the domain likewise.

Change: for the first 4 s of its uptime an entry sends no whole view. It owns a link only if it knows no entry of its failure domain that has run for longer, and the others hand it none; as the only one it tells whom it has heard. After that it sends each receiver the whole view. The limit is below the 6 s of silence after which other domains suspect the members of a domain whose only entry restarts.

--- a/rosemarylane/src/entry/MembershipService.cpp
+++ b/rosemarylane/src/entry/MembershipService.cpp
@@ -204,6 +204,8 @@
     Self.PeerAddress = Config.PeerAddress;
     Self.Incarnation = Context.Incarnation;
     Self.Sequence = ++Sequence;
+    Self.Uptime =
+        std::chrono::duration_cast<milliseconds>(now() - Context.StartedAt);
     Self.Revision = Configuration.current()->Revision;
     Self.Draining = Draining;
     Members.observe(Self, milliseconds(0), now());
--- a/rosemarylane/src/entry/SummaryExchange.cpp
+++ b/rosemarylane/src/entry/SummaryExchange.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace rosemarylane {
 
@@ -23,8 +24,15 @@
 /// is known.
 constexpr std::size_t MaxListedHostsTried = 2;
 
+/// Uptime below which an entry may not have heard from all members of its
+/// failure domain. With the time of a restart it is shorter than the silence
+/// after which other failure domains suspect a member.
+constexpr milliseconds LearningTime{4000};
+
 using Deciseconds = std::chrono::duration<std::int64_t, std::deci>;
 
+bool isLearning(const Member &Entry) { return Entry.Uptime < LearningTime; }
+
 milliseconds ageOf(const Membership::Record &Known, core::TimePoint Now) {
   return std::chrono::duration_cast<milliseconds>(Now - Known.LastHeardAt);
 }
@@ -39,6 +47,11 @@
 void SummaryExchange::tick(const std::vector<Listed> &Hosts,
                            core::TimePoint Now) {
   Log.update(ownView(Now));
+  if (Learning && !isLearningItself()) {
+    // Now each receiver gets the whole view.
+    Learning = false;
+    Links.clear();
+  }
   std::set<core::FailureDomainId> Domains;
   for (const Listed &H : Hosts)
     Domains.insert(H.FailureDomain);
@@ -56,6 +69,12 @@
   }
 }
 
+bool SummaryExchange::isLearningItself() const {
+  const Membership::Record *Self =
+      Members.find({MemberRole::Entry, OwnSettings.Host});
+  return !Self || isLearning(Self->What);
+}
+
 SummaryExchange::View SummaryExchange::ownView(core::TimePoint Now) const {
   return Members.view(OwnSettings.FailureDomain, Membership::State::Alive, Now);
 }
@@ -91,17 +110,20 @@
 SummaryExchange::preferredEntry(const std::string &Key,
                                 const core::FailureDomainId &Domain,
                                 core::TimePoint Now) const {
+  bool Own = Domain == OwnSettings.FailureDomain;
   const Member *Best = nullptr;
-  std::uint64_t BestWeight = 0;
+  std::pair<bool, std::uint64_t> BestRank;
   for (const auto &[MemberKey, Known] : Members.records()) {
     if (MemberKey.Role != MemberRole::Entry ||
         Known.What.FailureDomain != Domain || Known.What.Draining ||
         Members.state(Known, Now) != Membership::State::Alive)
       continue;
-    std::uint64_t Weight = core::rendezvousWeight(Key, MemberKey.Host.str());
-    if (!Best || Weight > BestWeight) {
+    // The uptime of other domains' members is not updated by each summary.
+    std::pair Rank(!Own || !isLearning(Known.What),
+                   core::rendezvousWeight(Key, MemberKey.Host.str()));
+    if (!Best || Rank > BestRank) {
       Best = &Known.What;
-      BestWeight = Weight;
+      BestRank = Rank;
     }
   }
   return Best;
@@ -126,13 +148,14 @@
   wire::Envelope Message;
   wire::MembershipSummary &Summary = *Message.mutable_membership_summary();
   Summary.set_failure_domain(OwnSettings.FailureDomain.str());
-  Summary.set_partial(!Changes.All);
+  bool Whole = Changes.All && !Learning;
+  Summary.set_partial(!Whole);
   Summary.set_view_digest(routing::viewDigest(ownView(Now)));
   for (const Membership::Key &MemberKey : Changes.Changed)
     addMember(Summary, MemberKey, Now);
   for (const Membership::Key &MemberKey : Changes.Removed)
     addGone(Summary, MemberKey);
-  if (Changes.All)
+  if (Whole)
     addAllGone(Summary, Now);
   if (Now - ToDomain.LoadsSentAt >= loadPeriod(To)) {
     addLoads(*Summary.mutable_loads(), Now);
@@ -145,6 +168,8 @@
 void SummaryExchange::sendView(const wire::Peer &To,
                                const core::FailureDomainId &Domain,
                                core::TimePoint Now) {
+  if (Learning)
+    return;
   auto View = Domain == OwnSettings.FailureDomain ? ownView(Now)
                                                   : remoteView(Domain, Now);
   if (View.empty())
--- a/rosemarylane/src/entry/SummaryExchange.h
+++ b/rosemarylane/src/entry/SummaryExchange.h
@@ -23,7 +23,9 @@
 /// changed since the last one, at intervals the load of all members, and a
 /// digest of the whole view. A receiver whose view differs requests the whole
 /// view. Members that a whole view leaves out are not taken for dead: only
-/// those that it names as gone are. The settings and the membership must
+/// those that it names as gone are. An entry that has just started knows less
+/// than its failure domain: it sends no whole view, and summaries only if it
+/// knows no entry that has run for longer. The settings and the membership must
 /// outlive the exchange. Use it on the control duty only.
 class SummaryExchange {
 public:
@@ -66,6 +68,7 @@
 
   using View = std::map<routing::Membership::Key, std::uint64_t>;
 
+  bool isLearningItself() const;
   /// @return the alive members of the own failure domain, as sent to others.
   View ownView(core::TimePoint Now) const;
   /// @return the members of \p Domain, as received from its entries.
@@ -75,6 +78,9 @@
                                      const std::vector<Listed> &Hosts,
                                      core::TimePoint Now) const;
   bool ownsLink(const core::FailureDomainId &To, core::TimePoint Now) const;
+  /// @return the live entry of \p Domain with the highest weight for \p Key. In
+  /// the own failure domain, one that has just started is taken only if there
+  /// is no other.
   const routing::Member *preferredEntry(const std::string &Key,
                                         const core::FailureDomainId &Domain,
                                         core::TimePoint Now) const;
@@ -101,6 +107,8 @@
   Hooks Callbacks;
   routing::ChangeLog Log;
   std::map<core::FailureDomainId, Link> Links;
+  /// Whether this entry has just started, so that it may not know all members.
+  bool Learning = true;
 };
 
 } // namespace rosemarylane
--- a/rosemarylane/tests/SummaryExchangeTest.cpp
+++ b/rosemarylane/tests/SummaryExchangeTest.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <rapidcheck.h>
 #include <set>
+#include <tuple>
 
 using namespace rosemarylane;
 using namespace std::chrono_literals;
@@ -252,8 +253,8 @@
 
   /// Hears \p Heard and itself.
   /// @return what is sent to the failure domain "there".
-  wire::Envelope summaryAt(core::TimePoint Now,
-                           const std::vector<Member> &Heard) {
+  std::vector<wire::Envelope> summariesAt(core::TimePoint Now,
+                                          const std::vector<Member> &Heard) {
     ++Sequence;
     Member Self = member(MemberRole::Entry, Own.Host.str(), 1);
     Self.Sequence = Sequence;
@@ -269,7 +270,13 @@
     }
     Sent.clear();
     Exchange->tick({{core::FailureDomainId("there"), "entry-of-there"}}, Now);
-    BOOST_REQUIRE(Sent.size() == 1u);
+    return Sent;
+  }
+
+  /// As `summariesAt`, of an entry that owns the link.
+  wire::Envelope summaryAt(core::TimePoint Now,
+                           const std::vector<Member> &Heard) {
+    BOOST_REQUIRE(summariesAt(Now, Heard).size() == 1u);
     return Sent.front();
   }
 
@@ -426,4 +433,18 @@
   BOOST_TEST(Here.Sent.size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_that_has_just_started_leaves_links_to_others) {
+  // Of several others, some come before this entry in the order of the link.
+  for (int I = 0; I < 8; ++I)
+    for (auto [OwnUptime, Uptime, Expected] :
+         {std::tuple(0ms, 3600000ms, 0u), {3600000ms, 0ms, 1u}}) {
+      Speaker Here("here");
+      Here.UptimeAtStart = OwnUptime;
+      core::TimePoint Now{1h};
+      Member Other = Here.member(MemberRole::Entry, std::to_string(I), 1);
+      Other.Uptime = Uptime;
+      BOOST_TEST(Here.summariesAt(Now, {Other}).size() == Expected);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
