Gateway: a stream goes on elsewhere only where its last event has an id

Cause: what decided was whether any event had had an id. After a comment alone the stream was aborted, though nothing of it had come; after a further event without an id it was sent to another target, which cannot know of that event.

Change: it is asked of the last event; comments count for nothing.

--- a/libs/serving/include/serving/EventSequence.h
+++ b/libs/serving/include/serving/EventSequence.h
@@ -20,10 +20,15 @@
   /// @return the id of the last event that had one, empty if there was none.
   const std::string &lastId() const { return LastId; }
 
+  /// @return whether `lastId` names where the stream has got to: no event came
+  /// after it.
+  bool endsWithId() const { return EndsWithId; }
+
 private:
   bool appendId(std::string_view Id);
 
   std::string LastId;
+  bool EndsWithId = true;
   /// Number of ids, and whether each was the one before plus one.
   std::size_t Count = 0;
   bool CountsByOne = true;
--- a/libs/serving/include/serving/EventSplitter.h
+++ b/libs/serving/include/serving/EventSplitter.h
@@ -26,6 +26,10 @@
   /// none.
   const std::string &lastEventId() const { return Sequence.lastId(); }
 
+  /// @return whether another target can be told by `lastEventId` where to go
+  /// on: the last complete event had an id, or there was none.
+  bool resumable() const { return Sequence.endsWithId(); }
+
   /// @return the size of the incomplete event.
   std::size_t pendingBytes() const { return Pending.size(); }
 
--- a/libs/serving/src/EventSequence.cpp
+++ b/libs/serving/src/EventSequence.cpp
@@ -48,6 +48,7 @@
     std::string_view Line = takeLine(Events);
     if (Line.empty()) {
       Follows &= !InEvent || HasId;
+      EndsWithId = InEvent ? HasId : EndsWithId;
       InEvent = false;
       HasId = false;
     } else if (Line.starts_with(IdField)) {
--- a/libs/serving/tests/StreamTest.cpp
+++ b/libs/serving/tests/StreamTest.cpp
@@ -78,6 +78,21 @@
   BOOST_TEST(Resumed("data: a\n\n", "data: a\n\n"));
 }
 
+BOOST_AUTO_TEST_CASE(stream_is_resumable_where_its_last_event_has_an_id) {
+  EventSplitter Splitter;
+  BOOST_TEST(Splitter.resumable());
+  Splitter.feed(": comment\n\n");
+  BOOST_TEST(Splitter.resumable());
+  Splitter.feed("data: a\n\n");
+  BOOST_TEST(!Splitter.resumable());
+  Splitter.feed(": comment\n\n");
+  BOOST_TEST(!Splitter.resumable());
+  Splitter.feed("id: 1\n\n: comment\n\ndata: b");
+  BOOST_TEST(Splitter.resumable());
+  Splitter.feed("\n\n");
+  BOOST_TEST(!Splitter.resumable());
+}
+
 BOOST_AUTO_TEST_CASE(events_that_do_not_continue_a_stream_end_it) {
   EventSplitter Splitter;
   Splitter.feed("id: 1\n\n");
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -85,11 +85,9 @@
   asio::awaitable<SendResult> exchange(const serving::SelectedTarget &Target);
   /// @return whether another attempt may follow the one in progress.
   bool mayRetry() const;
-  /// @return whether the next target can be told where to go on: nothing was
-  /// sent to the caller, or events with ids.
-  bool canResume() const {
-    return !HeadForwarded || !Splitter.lastEventId().empty();
-  }
+  /// @return whether the next target can be told where to go on, if the caller
+  /// has got anything.
+  bool canResume() const { return !HeadForwarded || Splitter.resumable(); }
   /// @return when an attempt that begins now gives up without a response head.
   Clock::time_point headDeadline(const serving::SelectedTarget &Target) const;
   /// @return what the target is told about the request.
@@ -234,7 +232,7 @@
       co_return;
     Outcome.recordResult(AttemptResult);
     if (!canResume()) {
-      abortStream("stream without ids broke off");
+      abortStream("stream broke off after an event without an id");
       co_return;
     }
     RetryDecision Next = Outcome.next([&] {
