--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -96,9 +96,6 @@
   /// the section, or the end of an outage since then; empty if there was none.
   void operatorSectionChanged(const serving::StoreSection &Section,
                               std::optional<BootTime> UnchangedAt);
-  /// Logs what targets say of themselves, and closes the idle connections to
-  /// those that leave.
-  void watchTargetStatements();
   void registrySectionChanged(const serving::StoreSection &Section);
   /// Updates the time from which targets with older weights get no new
   /// requests. A version is named when an operator writes it to the store as
@@ -108,6 +105,9 @@
   void tick();
   void scheduleTick();
   void updateGatewayCounts();
+  /// Logs what targets say of themselves, and closes the idle connections to
+  /// those that leave.
+  void watchTargetStatements();
   bool ready() const;
   void exitIfDrained();
 
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -251,7 +251,8 @@
         abortStream("target failed while going on with the stream");
       co_return;
     case RetryDecision::Retry:
-      Context.Metrics.requestSent(true);
+      if (AttemptResult != SendResult::Withheld)
+        Context.Metrics.requestSent(true);
       continue;
     case RetryDecision::Refuse:
       if (HeadForwarded)
