A death told by a summary spares a member that was heard since

Cause: the incarnation in `gone` doesn't order what is told of one process. A notice of a silence that arrived after the member had been heard again, and after the receiver had been told so, killed its record.

Change: `gone` carries the sequence number that was heard last, in a new column `gone_sequences`, since its message type has no field for it; the version before skips the column. `Membership::markDead` takes incarnation and sequence number as one position and leaves later reports alone.

--- a/libs/routing/include/routing/Membership.h
+++ b/libs/routing/include/routing/Membership.h
@@ -49,6 +49,14 @@
     auto operator<=>(const Key &) const = default;
   };
 
+  /// Place of a report among all reports of a member, by which they are
+  /// ordered.
+  struct ReportId {
+    std::uint64_t Incarnation = 0;
+    std::uint64_t Sequence = 0;
+    auto operator<=>(const ReportId &) const = default;
+  };
+
   struct Record {
     /// The member as it last reported itself, with the newer revision and load
     /// from `updateRevision` and `updateLoad`.
@@ -74,9 +82,9 @@
   void updateSettings(MembershipSettings Limits) { Settings = Limits; }
 
   /// Marks a member as dead without waiting for its time limit, unless a later
-  /// incarnation than \p Incarnation is known.
-  void markDead(const Key &MemberKey, std::uint64_t Incarnation,
-                core::TimePoint Now);
+  /// report than \p Last is known.
+  /// @param Last the report after which the member fell silent.
+  void markDead(const Key &MemberKey, ReportId Last, core::TimePoint Now);
 
   /// Records that a whole view of the member's failure domain left it out. The
   /// sender of the view may just not know the member, so its state doesn't
--- a/libs/routing/src/Membership.cpp
+++ b/libs/routing/src/Membership.cpp
@@ -36,10 +36,13 @@
   return true;
 }
 
-void Membership::markDead(const Key &MemberKey, std::uint64_t Incarnation,
+void Membership::markDead(const Key &MemberKey, ReportId Last,
                           core::TimePoint Now) {
   auto Found = Records.find(MemberKey);
-  if (Found == Records.end() || Found->second.What.Incarnation > Incarnation)
+  if (Found == Records.end())
+    return;
+  const Member &Known = Found->second.What;
+  if (ReportId{Known.Incarnation, Known.Sequence} > Last)
     return;
   auto Silence = std::max(Settings.DeadAfter, Settings.RemoteDeadAfter);
   Found->second.LastHeardAt =
--- a/rosemarylane/src/entry/SummaryExchange.cpp
+++ b/rosemarylane/src/entry/SummaryExchange.cpp
@@ -203,6 +203,7 @@
   Removed.set_role(MemberKey.Role == MemberRole::Entry ? wire::ROLE_ENTRY
                                                        : wire::ROLE_AGENT);
   Removed.set_incarnation(Known->What.Incarnation);
+  Summary.add_gone_sequences(Known->What.Sequence);
 }
 
 void SummaryExchange::addAllGone(wire::MembershipSummary &Summary,
@@ -252,11 +253,7 @@
     Reported.insert({M.Role, M.Host});
     Members.observe(M, milliseconds(S.age_ms()), Now);
   }
-  for (const wire::Sender &Removed : Summary.gone())
-    Members.markDead({Removed.role() == wire::ROLE_ENTRY ? MemberRole::Entry
-                                                         : MemberRole::Agent,
-                      core::HostId(Removed.host())},
-                     Removed.incarnation(), Now);
+  receiveGone(Summary, Now);
   if (!Summary.partial())
     for (const auto &[MemberKey, Digest] : remoteView(Domain, Now))
       if (!Reported.contains(MemberKey))
@@ -274,6 +271,18 @@
     relay(Summary, Now);
 }
 
+void SummaryExchange::receiveGone(const wire::MembershipSummary &Summary,
+                                  core::TimePoint Now) {
+  int Count = std::min(Summary.gone_size(), Summary.gone_sequences_size());
+  for (int I = 0; I < Count; ++I) {
+    const wire::Sender &Removed = Summary.gone(I);
+    Members.markDead({Removed.role() == wire::ROLE_ENTRY ? MemberRole::Entry
+                                                         : MemberRole::Agent,
+                      core::HostId(Removed.host())},
+                     {Removed.incarnation(), Summary.gone_sequences(I)}, Now);
+  }
+}
+
 void SummaryExchange::updateLoads(const wire::LoadTable &Table,
                                   const core::FailureDomainId &Domain,
                                   milliseconds Age, core::TimePoint Now) {
--- a/rosemarylane/src/entry/SummaryExchange.h
+++ b/rosemarylane/src/entry/SummaryExchange.h
@@ -97,6 +97,7 @@
   /// Adds all members of the own failure domain that are known and not alive.
   void addAllGone(wire::MembershipSummary &Summary, core::TimePoint Now) const;
   void addLoads(wire::LoadTable &Table, core::TimePoint Now) const;
+  void receiveGone(const wire::MembershipSummary &Summary, core::TimePoint Now);
   void updateLoads(const wire::LoadTable &Table,
                    const core::FailureDomainId &Domain,
                    std::chrono::milliseconds Age, core::TimePoint Now);
