Test that fails: a view told by a third party makes its members younger

An entry that answers a peer of its own failure domain with its view of another one says that the view has no age, so that the peer takes members that were heard of 5 s ago for alive now.

--- a/rosemarylane/tests/SummaryExchangeTest.cpp
+++ b/rosemarylane/tests/SummaryExchangeTest.cpp
@@ -410,6 +410,32 @@
   }));
 }
 
+BOOST_AUTO_TEST_CASE(a_view_told_by_a_third_party_makes_nobody_younger) {
+  Speaker Relay("here");
+  Relay.summaryAt(core::TimePoint{1h}, {});
+  // Another failure domain, last heard at different times.
+  Speaker There("there");
+  core::TimePoint Now{2h};
+  for (auto Age : {1000ms, 5000ms})
+    Relay.Members.observe(
+        There.member(MemberRole::Agent, std::to_string(Age.count()), 1), Age,
+        Now);
+  wire::Envelope ViewRequest;
+  ViewRequest.mutable_membership_summary()->set_failure_domain("there");
+  ViewRequest.mutable_membership_summary()->set_want_all(true);
+  Relay.Sent.clear();
+  Relay.Exchange->receive(wire::Peer::at("asker"), ViewRequest, Now);
+  BOOST_REQUIRE(Relay.Sent.size() == 1u);
+  Speaker Asker("here");
+  Asker.Exchange->receive(wire::Peer::at("relay"), Relay.Sent.front(), Now);
+  for (auto Age : {1000ms, 5000ms}) {
+    const Membership::Record *Known = Asker.Members.find(
+        {MemberRole::Agent, core::HostId(std::to_string(Age.count()))});
+    BOOST_REQUIRE(Known);
+    BOOST_TEST((Now - Known->LastHeardAt == Age));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_that_has_just_started_kills_nobody) {
   for (int Deaf = 0; Deaf < 4; ++Deaf)
     for (int Restarted = 0; Restarted < PerDomain; ++Restarted) {
