A view told by a third party keeps the ages of its members

Cause: an entry that answers a peer of its own failure domain with its view of another one named no age for it. If the digests then agreed, the peer took all of these members for heard of at that moment.

Change: such a view is as old as its oldest member.

--- a/rosemarylane/src/entry/SummaryExchange.cpp
+++ b/rosemarylane/src/entry/SummaryExchange.cpp
@@ -37,6 +37,13 @@
   return std::chrono::duration_cast<milliseconds>(Now - Known.LastHeardAt);
 }
 
+std::uint64_t oldestAge(const wire::MembershipSummary &Summary) {
+  std::uint64_t Oldest = 0;
+  for (const wire::MemberSummary &Member : Summary.members())
+    Oldest = std::max<std::uint64_t>(Oldest, Member.age_ms());
+  return Oldest;
+}
+
 } // namespace
 
 SummaryExchange::SummaryExchange(const Settings &OwnSettings,
@@ -180,9 +187,12 @@
   Summary.set_view_digest(routing::viewDigest(View));
   for (const auto &[MemberKey, Digest] : View)
     addMember(Summary, MemberKey, Now);
-  // Of other failure domains, only what their own entries tell is passed on.
+  // Of other failure domains, only what their own entries tell is passed on,
+  // and the whole view is as old as its oldest member.
   if (Domain == OwnSettings.FailureDomain)
     addAllGone(Summary, Now);
+  else
+    Summary.set_age_ms(oldestAge(Summary));
   Callbacks.Send(To, std::move(Message));
 }
 
