Random histories of summaries contain entries that really restart

The new no_message_kills_a_live_process_while_entries_restart tells silence from death by a message and has lost messages too.

--- a/rosemarylane/tests/SummaryExchangeTest.cpp
+++ b/rosemarylane/tests/SummaryExchangeTest.cpp
@@ -1,6 +1,7 @@
 #include "entry/SummaryExchange.h"
 #include "common/MemberMessages.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <map>
@@ -74,15 +75,9 @@
   /// @return whether an entry takes a live process, of which it knows the
   /// present incarnation, for dead.
   bool anyTakenForDead() const {
-    for (const auto &N : Nodes)
-      for (const auto &[Who, M] : Truth) {
-        const Membership::Record *Known = N->Members.find(Who);
-        if (Known && !Dead.contains(Who) &&
-            Known->What.Incarnation == M.Incarnation &&
-            N->Members.state(*Known, Now) == Membership::State::Dead)
-          return true;
-      }
-    return false;
+    return std::any_of(Nodes.begin(), Nodes.end(), [this](const auto &N) {
+      return !takenForDead(*N).empty();
+    });
   }
 
   /// @return whether every entry knows the truth of every failure domain.
@@ -124,6 +119,9 @@
   std::function<bool()> Lost = [] { return false; };
   /// Steps by which the next message is delayed.
   std::function<int()> Delay = [] { return 0; };
+  /// Whether a message, not silence, had a live process of which the present
+  /// incarnation was known taken for dead.
+  bool KilledByMessage = false;
   /// Called after each message that arrives.
   std::function<void()> Received = [] {};
 
@@ -157,6 +155,20 @@
     core::TimePoint ArrivesAt;
   };
 
+  /// @return the live processes, known in their present incarnation, that \p N
+  /// takes for dead.
+  std::set<Membership::Key> takenForDead(const Node &N) const {
+    std::set<Membership::Key> Found;
+    for (const auto &[Who, M] : Truth) {
+      const Membership::Record *Known = N.Members.find(Who);
+      if (Known && !Dead.contains(Who) &&
+          Known->What.Incarnation == M.Incarnation &&
+          N.Members.state(*Known, Now) == Membership::State::Dead)
+        Found.insert(Who);
+    }
+    return Found;
+  }
+
   void add(MemberRole Role, int Domain, int Index) {
     Member M;
     M.Role = Role;
@@ -186,9 +198,14 @@
             (Crosses &&
              (CutOff.contains(From) || CutOff.contains(N->Own.FailureDomain))))
           continue;
+        auto DeadBefore = takenForDead(*N);
         // Answers go back to the sender's address.
         N->Exchange->receive(wire::Peer::at(Message.sender().peer_address()),
                              Message, Now);
+        auto DeadAfter = takenForDead(*N);
+        if (!std::includes(DeadBefore.begin(), DeadBefore.end(),
+                           DeadAfter.begin(), DeadAfter.end()))
+          KilledByMessage = true;
         Received();
       }
     }
@@ -220,6 +237,15 @@
   }
 }
 
+/// An entry is replaced by a new process in one of four steps.
+void restartAnEntry(Fleet &Of) {
+  if (*rc::gen::inRange(0, 4) > 0)
+    return;
+  core::HostId Host(std::to_string(*rc::gen::inRange(0, Domains)) + "-" +
+                    std::to_string(*rc::gen::inRange(0, PerDomain)));
+  Of.restart({MemberRole::Entry, Host}, *rc::gen::inRange(0, 4) * 1s + 500ms);
+}
+
 /// An entry of its own failure domain that keeps what it sends.
 struct Speaker {
   explicit Speaker(const std::string &Domain) {
@@ -336,6 +362,7 @@
     int Steps = *rc::gen::inRange(0, 20);
     for (int I = 0; I < Steps; ++I) {
       disturb(All);
+      restartAnEntry(All);
       All.step();
     }
     All.Lost = [] { return false; };
@@ -410,6 +437,23 @@
   }));
 }
 
+/// With entries that know nobody, silence may last for longer than the time
+/// limits, but no message may kill.
+BOOST_AUTO_TEST_CASE(no_message_kills_a_live_process_while_entries_restart) {
+  BOOST_TEST(rc::check("delayed and lost messages, entries restart", [] {
+    Fleet All;
+    All.Delay = [] { return *rc::gen::inRange(0, 4); };
+    All.Lost = [] { return *rc::gen::inRange(0, 8) == 0; };
+    int Steps = *rc::gen::inRange(0, 30);
+    for (int I = 0; I < Steps; ++I) {
+      disturb(All);
+      restartAnEntry(All);
+      All.step();
+    }
+    RC_ASSERT(!All.KilledByMessage);
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(a_view_told_by_a_third_party_makes_nobody_younger) {
   Speaker Relay("here");
   Relay.summaryAt(core::TimePoint{1h}, {});
