--- a/libs/serving/tests/AdmissionQueueTest.cpp
+++ b/libs/serving/tests/AdmissionQueueTest.cpp
@@ -83,6 +83,12 @@
             milliseconds TimeToSwitch = milliseconds(0)) {
     report(Id, Slots + 1 - Count, TimeToSwitch);
   }
+  /// The engine says that it wants no requests for a while.
+  void pause(const std::string &Id) {
+    for (const RegisteredTarget &T : Engines)
+      if (T.Id.str() == Id)
+        Balancer.recordPause(T.incarnation(), milliseconds(1000), Start);
+  }
   /// Takes the engine out of the registry.
   void remove(const std::string &Id) {
     std::erase_if(Engines, [&](const auto &T) { return T.Id.str() == Id; });
@@ -289,6 +295,25 @@
              boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(request_whose_targets_want_none_holds_up_nobody) {
+  Gateway G;
+  TargetRequirements InB = Gateway::demand();
+  InB.AllowedRegions = {core::RegionId("region-b")};
+  G.enqueue("in b", InB);
+  G.enqueue("sound 1", Gateway::demand());
+  G.enqueue("sound 2", Gateway::demand());
+  G.free("ta", 1);
+  G.free("tb", 2);
+  G.pause("tb");
+  G.dispatch();
+  BOOST_TEST(G.started() == (Names{"sound 1"}),
+             boost::test_tools::per_element());
+  // The slots of a target that wants none are not free.
+  G.resetAttempts();
+  G.dispatch();
+  BOOST_TEST(G.attempts() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(those_that_can_start_do_so_in_order) {
   Gateway G;
   G.enqueue("late 1", Gateway::demand(), 2);
--- a/libs/serving/tests/StoreSectionTest.cpp
+++ b/libs/serving/tests/StoreSectionTest.cpp
@@ -1,5 +1,4 @@
 #include "serving/StoreSection.h"
-#include "serving/LapsedEntries.h"
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
@@ -27,6 +26,17 @@
   BOOST_TEST(Section.items().at("a").Value == "new");
 }
 
+// Guards against DRAIN: a peer's copy that had been asked for before the last
+// read replaced that read, because both had one store revision.
+BOOST_AUTO_TEST_CASE(a_copy_at_the_same_revision_does_not_undo_a_later_read) {
+  StoreSection Section;
+  Section.adopt(items("read", 9), 10, Start + milliseconds(40));
+  BOOST_TEST(!Section.adopt(items("copy", 9), 10, Start));
+  BOOST_TEST(Section.items().at("a").Value == "read");
+  BOOST_TEST(
+      Section.adopt(items("later read", 9), 10, Start + milliseconds(900)));
+}
+
 // Guards against processes that restart while a version is named: they read the
 // item that names it without knowing how old the item is.
 BOOST_AUTO_TEST_CASE(
@@ -113,19 +123,4 @@
   }));
 }
 
-BOOST_AUTO_TEST_CASE(entries_that_lapsed_with_the_store_are_kept_for_a_while) {
-  LapsedEntries Lapsed;
-  StoreSection::Items Held = items("x", 0);
-  auto First = Lapsed.apply({}, Held, milliseconds(5000), Start);
-  BOOST_TEST(First.size() == 1);
-  auto Later =
-      Lapsed.apply({}, First, milliseconds(900), Start + milliseconds(2300));
-  BOOST_TEST(Later.empty());
-}
-
-BOOST_AUTO_TEST_CASE(an_entry_missing_while_the_store_answers_is_dropped) {
-  LapsedEntries Lapsed;
-  BOOST_TEST(Lapsed.apply({}, items("x", 0), milliseconds(900), Start).empty());
-}
-
 BOOST_AUTO_TEST_SUITE_END()
--- a/rosemarylane/src/agent/TargetCall.cpp
+++ b/rosemarylane/src/agent/TargetCall.cpp
@@ -2,6 +2,7 @@
 
 #include "common/RunMessages.h"
 #include "http/Client.h"
+#include "http/RetryAfter.h"
 #include "serving/EventBoundary.h"
 #include "wire/BodyChecksum.h"
 
@@ -131,7 +132,9 @@
     http::Deadlines Limits;
     Limits.FirstByte = FirstByteDeadline;
     Limits.Idle = IdleDeadline;
-    Limits.FreshConnection = !Request.idempotent();
+    // Answers do not name their request: on a kept connection, an earlier one
+    // that is written once more would be taken for this one's.
+    Limits.FreshConnection = true;
     Call = Context.Http->stream(Context.Config.Target.Address, std::move(Out),
                                 Limits, hooks());
   }
@@ -175,7 +178,7 @@
         Head.Status == TooManyRequests || Head.Status == ServiceUnavailable;
     // An engine that is full says so before it runs anything.
     if (Generation && Full)
-      return refuse(ledger::Ran::No, wire::REFUSAL_BUSY, "the engine is full");
+      return refuseFull(Head);
     if (Generation && generationOf(Head.Fields) != Generation)
       return weightsChanged();
     // A length is known only once the body is, so this head was written after
@@ -237,8 +240,9 @@
     if (!Error && Events.insideEvent())
       return brokenOff("the stream ended inside an event", /*MayHaveRun=*/true);
     if (!Error)
-      return Generation && !HeadAfterBody ? confirmGeneration(/*OnKept=*/true)
-                                          : complete();
+      return Generation && !HeadAfterBody
+                 ? confirmGeneration(/*MayTryAgain=*/true)
+                 : complete();
     brokenOff(Error->Detail,
               /*MayHaveRun=*/Error->What != http::Error::Kind::NotSent);
   }
@@ -255,27 +259,27 @@
   }
 
   /// Reads the generation once more: it may have changed while the answer came.
-  /// @param OnKept on a kept connection, which may have fallen silent, so that
-  /// another try follows.
-  void confirmGeneration(bool OnKept) {
+  /// On a kept connection, an earlier state could be written once more.
+  /// @param MayTryAgain another try follows one without an answer.
+  void confirmGeneration(bool MayTryAgain) {
     LastHeard = now();
     http::Request Read;
     Read.Method = "GET";
     Read.Target = "/control/v1/state";
     http::Deadlines Limits;
     Limits.Total = ConfirmDeadline;
-    Limits.FreshConnection = !OnKept;
+    Limits.FreshConnection = true;
     std::weak_ptr<HttpTargetCall> Weak = weak_from_this();
     runtime::Duty &Control = *Context.Control;
     Confirming = Context.Http->fetch(
         Context.Config.Target.Address, std::move(Read), Limits,
         [Weak, &Control,
-         OnKept](core::Result<http::Response, http::Error> State) {
+         MayTryAgain](core::Result<http::Response, http::Error> State) {
           std::string Body = State ? std::move(State->Body) : "";
-          Control.postAlways([Weak, OnKept, Body = std::move(Body)] {
+          Control.postAlways([Weak, MayTryAgain, Body = std::move(Body)] {
             auto Self = Weak.lock();
-            if (Self && Body.empty() && OnKept)
-              Self->confirmGeneration(/*OnKept=*/false);
+            if (Self && Body.empty() && MayTryAgain)
+              Self->confirmGeneration(/*MayTryAgain=*/false);
             else if (Self)
               Self->onConfirmed(Body);
           });
@@ -314,11 +318,13 @@
     end(std::move(How));
   }
 
-  void refuse(ledger::Ran Ran, wire::RefusalReason Reason, const char *Detail) {
+  void refuseFull(const http::ResponseHead &Head) {
     TargetCallEnd How;
-    How.Ran = Ran;
-    How.Reason = Reason;
-    How.Detail = Detail;
+    How.Ran = ledger::Ran::No;
+    How.Reason = wire::REFUSAL_BUSY;
+    How.Detail = "the engine is full";
+    How.RetryAfter =
+        http::readRetryAfter(Head.Fields.find("Retry-After").value_or(""));
     end(std::move(How));
   }
 
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -94,9 +94,12 @@
   /// versions.
   /// @param UnchangedAt when the store last confirmed the previous content of
   /// the section, or the end of an outage since then; empty if there was none.
-  void operatorSectionChanged(const serving::StoreSection &Section,
-                              std::optional<BootTime> UnchangedAt);
-  void registrySectionChanged(const serving::StoreSection &Section);
+  void operatorsChanged(const serving::StoreSection::Items &Items,
+                        std::optional<BootTime> UnchangedAt);
+  /// Logs what targets say of themselves, and closes the idle connections to
+  /// those that leave.
+  void watchTargetStatements();
+  void registryChanged(const serving::StoreSection::Items &Items);
   /// Updates the time from which targets with older weights get no new
   /// requests. A version is named when an operator writes it to the store as
   /// the one to serve.
@@ -135,7 +138,39 @@
   bool WasReady = false;
 };
 
+std::string nameOf(serving::StatementSource Source) {
+  switch (Source) {
+  case serving::StatementSource::Answer:
+    return "answer";
+  case serving::StatementSource::Registry:
+    return "registry";
+  case serving::StatementSource::Sidecar:
+    return "sidecar";
+  }
+  return {};
+}
+
+void GatewayProcess::watchTargetStatements() {
+  serving::LoadBalancer::Hooks Hooks;
+  Hooks.OnLeaving = [this](const serving::TargetIncarnation &Target,
+                           serving::StatementSource Source) {
+    telemetry::log(telemetry::Level::Info, "target leaves",
+                   {{"target", Target.Id.str()},
+                    {"born", Target.StartTimeMs},
+                    {"source", nameOf(Source)}});
+    Context.TargetConnections.closeIdle(Target.Id);
+  };
+  Hooks.OnPaused = [](const serving::TargetIncarnation &Target,
+                      milliseconds Duration) {
+    telemetry::log(
+        telemetry::Level::Info, "target wants no requests",
+        {{"target", Target.Id.str()}, {"ms", std::int64_t(Duration.count())}});
+  };
+  Context.Targets.setHooks(std::move(Hooks));
+}
+
 bool GatewayProcess::start() {
+  watchTargetStatements();
   Link =
       PeerSocket::open(Runtime.loop(), Settings, serving::PeerRole::Gateway,
                        [this](const wire::NodeMessage &Message,
@@ -143,12 +178,12 @@
   if (!Link)
     return false;
   StoreFollower::Hooks Hooks;
-  Hooks.OnOperatorsChanged = [this](const serving::StoreSection &Section,
+  Hooks.OnOperatorsChanged = [this](const serving::StoreSection::Items &Items,
                                     std::optional<BootTime> UnchangedAt) {
-    operatorSectionChanged(Section, UnchangedAt);
+    operatorsChanged(Items, UnchangedAt);
   };
-  Hooks.OnRegistryChanged = [this](const serving::StoreSection &Section) {
-    registrySectionChanged(Section);
+  Hooks.OnRegistryChanged = [this](const serving::StoreSection::Items &Items) {
+    registryChanged(Items);
   };
   Hooks.OnPeersAdded = [this] { updateGatewayCounts(); };
   Follower =
@@ -276,6 +311,7 @@
   Report.Load.Waiting = Source.waiting();
   Report.Load.KvCacheUsedFraction = Source.memory_permille() / 1000.0;
   Report.Switching = Source.switching();
+  Report.Leaving = Source.leaving();
   Report.TimeToSwitch = milliseconds(Source.switch_in_ms());
   for (const wire::HeldModel &Held : Source.models())
     Report.Models.push_back({Held.model(), Held.version()});
@@ -286,10 +322,9 @@
   Context.advanceWaitQueues();
 }
 
-void GatewayProcess::operatorSectionChanged(
-    const serving::StoreSection &Section, std::optional<BootTime> UnchangedAt) {
-  platform::OperatorRecords Records =
-      platform::decodeOperators(Section.items());
+void GatewayProcess::operatorsChanged(const serving::StoreSection::Items &Items,
+                                      std::optional<BootTime> UnchangedAt) {
+  platform::OperatorRecords Records = platform::decodeOperators(Items);
   for (const platform::DecodeError &E : Records.Errors)
     telemetry::log(telemetry::Level::Error, "operators' record unreadable",
                    {{"error", E.text()}});
@@ -329,9 +364,9 @@
     }
 }
 
-void GatewayProcess::registrySectionChanged(
-    const serving::StoreSection &Section) {
-  platform::RegistryRecords Records = platform::decodeRegistry(Section.items());
+void GatewayProcess::registryChanged(
+    const serving::StoreSection::Items &Items) {
+  platform::RegistryRecords Records = platform::decodeRegistry(Items);
   for (const platform::DecodeError &E : Records.Errors)
     telemetry::log(telemetry::Level::Warning, "registry record unreadable",
                    {{"error", E.text()}});
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -7,6 +7,7 @@
 #include "serving/RequestOutcome.h"
 #include "telemetry/Log.h"
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -44,15 +45,20 @@
 /// Limit of the size of one event of a stream. A larger one is handled like a
 /// connection that broke.
 constexpr std::size_t MaxEventBytes = 1 << 20;
+constexpr char EventStreamType[] = "text/event-stream";
 /// Range of the random `Retry-After` time of a refusal.
 constexpr milliseconds MinRetryAfter{500};
 constexpr milliseconds MaxRetryAfter{1900};
 
-std::string retryAfterSeconds(double Random) {
-  double Milliseconds =
-      MinRetryAfter.count() +
-      Random * static_cast<double>((MaxRetryAfter - MinRetryAfter).count());
-  std::string Seconds = std::to_string(Milliseconds / 1000);
+milliseconds randomRetryAfter(double Random) {
+  std::chrono::duration<double, std::milli> Spread =
+      MaxRetryAfter - MinRetryAfter;
+  return MinRetryAfter + std::chrono::ceil<milliseconds>(Random * Spread);
+}
+
+std::string inSeconds(milliseconds Time) {
+  std::string Seconds =
+      std::to_string(std::chrono::duration<double>(Time).count());
   return Seconds.substr(0, Seconds.find('.') + 3);
 }
 
@@ -75,6 +81,9 @@
   asio::awaitable<std::optional<serving::SelectedTarget>> acquireTarget();
   /// @return what the request requires of a target that is selected now.
   serving::TargetRequirements requirements() const;
+  /// @return whether all targets that may get the request want none until
+  /// after \p Until.
+  bool allPausedPast(Clock::time_point Until) const;
   /// Selects a target and counts the request as sent to it, until
   /// `LoadBalancer::recordResult` is called.
   std::optional<serving::SelectedTarget> selectAndReserveTarget();
@@ -85,6 +94,11 @@
   asio::awaitable<SendResult> exchange(const serving::SelectedTarget &Target);
   /// @return whether another attempt may follow the one in progress.
   bool mayRetry() const;
+  /// @return whether the next target can be told where to go on: nothing was
+  /// sent to the caller, or events with ids.
+  bool canResume() const {
+    return !HeadForwarded || !Splitter.lastEventId().empty();
+  }
   /// @return when an attempt that begins now gives up without a response head.
   Clock::time_point headDeadline(const serving::SelectedTarget &Target) const;
   /// @return what the target is told about the request.
@@ -94,6 +108,9 @@
   asio::awaitable<SendResult> forwardStream();
   /// @return whether a stream whose response has ended was broken off.
   bool brokeOffAtEnd() const;
+  /// @return whether the stream that the caller is getting cannot go on with
+  /// what the target has sent so far.
+  bool isNoContinuation() const;
   asio::awaitable<void> forwardBuffered();
   /// Records the time from the start of the attempt, connecting included, to
   /// the response head.
@@ -109,11 +126,19 @@
   /// targets.
   bool isQuarantined() const;
   void logFailedAttempt(const serving::SelectedTarget &Target) const;
+  /// @return the time from the request's arrival to the moment at which the
+  /// last attempt began to be written; -1 if it was not written.
+  std::int64_t writtenAfterMs() const;
 
   // Final responses, logging and metrics.
   // A reason is the outcome in the log and the label of the request metric;
   // `refuse` and `fail` also send it to the caller as the detail text.
   asio::awaitable<void> refuse(unsigned Status, const char *Reason);
+  /// @return why no target was acquired.
+  const char *noTargetReason() const;
+  /// @return when the caller may try again: some time after its targets want
+  /// requests again.
+  milliseconds retryAfter();
   asio::awaitable<void> fail();
   void abortStream(const char *Reason);
   void recordFirstByte();
@@ -215,16 +240,17 @@
       else if (Outcome.mayHaveRun())
         co_await fail();
       else
-        co_await refuse(503, isQuarantined() ? "such requests crash targets"
-                             : NoTargetReason == serving::SelectionFailure::Full
-                                 ? "no free place"
-                                 : "no usable target");
+        co_await refuse(503, noTargetReason());
       co_return;
     }
     SendResult AttemptResult = co_await sendAttempt(*Target);
     if (Caller->disconnected() || IsFinished)
       co_return;
     Outcome.recordResult(AttemptResult);
+    if (!canResume()) {
+      abortStream("stream without ids broke off");
+      co_return;
+    }
     RetryDecision Next = Outcome.next([&] {
       return !deadlinePassed() && Context.RetryBudgets.share(Admitted.Service)
                                       .tryAcquireRetry(BootClock::now());
@@ -260,6 +286,20 @@
   }
 }
 
+const char *RequestRun::noTargetReason() const {
+  if (isQuarantined())
+    return "such requests crash targets";
+  switch (NoTargetReason) {
+  case serving::SelectionFailure::Full:
+    return "no free place";
+  case serving::SelectionFailure::Paused:
+    return "targets want no requests";
+  case serving::SelectionFailure::Unavailable:
+    break;
+  }
+  return "no usable target";
+}
+
 serving::TargetRequirements RequestRun::requirements() const {
   serving::TargetRequirements Demand;
   Demand.Service = Admitted.Service;
@@ -272,6 +312,12 @@
   return Demand;
 }
 
+bool RequestRun::allPausedPast(Clock::time_point Until) const {
+  BootTime Now = BootClock::now();
+  auto PausedUntil = Context.Targets.allPausedUntil(requirements(), Now);
+  return PausedUntil && *PausedUntil - Now > Until - Clock::now();
+}
+
 std::optional<serving::SelectedTarget> RequestRun::selectAndReserveTarget() {
   if (isQuarantined()) {
     NoTargetReason = serving::SelectionFailure::Unavailable;
@@ -289,14 +335,12 @@
     co_return Chosen;
   if (Queue.size() == 0) {
     Chosen = selectAndReserveTarget();
-    if (Chosen || NoTargetReason != serving::SelectionFailure::Full)
+    if (Chosen || NoTargetReason == serving::SelectionFailure::Unavailable)
       co_return Chosen;
   } else if (!Context.Targets.mayServe(requirements(), BootClock::now())) {
     NoTargetReason = serving::SelectionFailure::Unavailable;
     co_return Chosen;
   }
-  // Whoever waits behind others is not tried before they are.
-  NoTargetReason = serving::SelectionFailure::Full;
   // Longest time in the queue: a fraction of the route's latency objective.
   auto MaxQueueTime = std::chrono::duration_cast<Clock::duration>(
       Admitted.Route->LatencyObjective *
@@ -304,10 +348,18 @@
   auto QueueDeadline = std::min(Deadline, StartedAt + MaxQueueTime);
   if (Clock::now() >= QueueDeadline)
     co_return selectAndReserveTarget();
+  if (allPausedPast(QueueDeadline)) {
+    NoTargetReason = serving::SelectionFailure::Paused;
+    co_return std::nullopt;
+  }
+  // Whoever waits behind others is not tried before they are.
+  NoTargetReason = serving::SelectionFailure::Full;
   bool Waits = true;
   auto TryStart = [&] {
     Chosen = selectAndReserveTarget();
-    Waits = !Chosen && NoTargetReason == serving::SelectionFailure::Full;
+    Waits = !Chosen &&
+            NoTargetReason != serving::SelectionFailure::Unavailable &&
+            !allPausedPast(QueueDeadline);
     if (!Waits) {
       Timer.cancel();
       return serving::StartResult::Ended;
@@ -342,6 +394,8 @@
   LastSentAfter = elapsed();
   AttemptedTargets.push_back(Target.Id);
   SendResult AttemptResult = co_await exchange(Target);
+  if (AttemptResult == SendResult::Withheld)
+    AttemptedTargets.pop_back();
   if (Caller->disconnected()) {
     LastFeedback = TargetFeedback::Abandoned;
     Attempt->cancel();
@@ -413,6 +467,12 @@
          Context.Quarantine->refuses(subject());
 }
 
+std::int64_t RequestRun::writtenAfterMs() const {
+  if (SentAt == Clock::time_point())
+    return -1;
+  return std::chrono::duration_cast<milliseconds>(SentAt - StartedAt).count();
+}
+
 void RequestRun::reportBreak(const serving::SelectedTarget &Target) {
   bool MayHaveKilled = SentAt != Clock::time_point() && !AnswerBegun &&
                        !Admitted.HeaderValues.PromptParts.empty();
@@ -430,7 +490,7 @@
 
 bool RequestRun::mayRetry() const {
   // `attemptCount` leaves out attempts that ended with `SendResult::NotSent`.
-  return Admitted.Route->repeatable() &&
+  return Admitted.Route->repeatable() && canResume() &&
          Outcome.attemptCount() + 1 < Admitted.Route->MaxAttempts;
 }
 
@@ -470,6 +530,9 @@
   Attempt = std::make_unique<TargetSend>(Context, Target);
   SentAt = Clock::time_point();
   AnswerBegun = false;
+  LastFeedback = TargetFeedback::Abandoned;
+  if (!Context.Targets.maySend(Target, requirements(), BootClock::now()))
+    co_return SendResult::Withheld;
   Clock::time_point HeadDeadline = headDeadline(Target);
   bool Connected =
       co_await Attempt->connect(!Admitted.Route->repeatable(), HeadDeadline);
@@ -478,6 +541,11 @@
                                                 : TargetFeedback::Broken;
     co_return SendResult::NotSent;
   }
+  // Connecting may have taken a while.
+  if (!Context.Targets.maySend(Target, requirements(), BootClock::now())) {
+    Attempt->releaseUnused();
+    co_return SendResult::Withheld;
+  }
   auto Fields = platform::targetFields(Request.base(), targetMarks(Target));
   SentAt = Clock::now();
   TargetSend::Result Result = co_await Attempt->start(
@@ -540,7 +608,8 @@
 }
 
 asio::awaitable<SendResult> RequestRun::forwardStream() {
-  Splitter.discardPending();
+  Splitter.beginResponse();
+  bool Resumes = HeadForwarded;
   Clock::time_point EventDeadline = Clock::now() + StreamEventTimeout;
   for (;;) {
     milliseconds Timeout = Admitted.TimeLimit;
@@ -564,6 +633,11 @@
     std::string Events;
     if (!AtEnd)
       Events = Splitter.feed(Attempt->bodyData());
+    if (Resumes && isNoContinuation()) {
+      LastFeedback = TargetFeedback::Failed;
+      Attempt->cancel();
+      co_return SendResult::Unknown;
+    }
     if (!Events.empty())
       recordAnswerBegun();
     if (!HeadForwarded && (AtEnd || !Events.empty())) {
@@ -604,10 +678,18 @@
 bool RequestRun::brokeOffAtEnd() const {
   // Without a length or chunks, the end of a connection on which nothing came
   // looks like that of a stream without events.
-  bool NothingCame = !HeadForwarded && Attempt->endsWithConnection();
+  bool NothingCame = !AnswerBegun && Attempt->endsWithConnection();
   return NothingCame || Splitter.insideEvent();
 }
 
+bool RequestRun::isNoContinuation() const {
+  namespace http_ = boost::beast::http;
+  auto Type = Attempt->head()[http_::field::content_type];
+  bool IsOtherType =
+      !Type.empty() && !boost::algorithm::istarts_with(Type, EventStreamType);
+  return IsOtherType || Splitter.diverged();
+}
+
 asio::awaitable<void> RequestRun::forwardBuffered() {
   recordFirstByte();
   bool Completed = co_await Caller->respond(BufferedStatus, BufferedHead,
@@ -618,10 +700,21 @@
          BufferedStatus);
 }
 
+milliseconds RequestRun::retryAfter() {
+  milliseconds Time = randomRetryAfter(Context.random());
+  // A caller's next attempt may go to the targets of this one too.
+  serving::TargetRequirements Demand = requirements();
+  Demand.Tried = nullptr;
+  BootTime Now = BootClock::now();
+  if (auto PausedUntil = Context.Targets.allPausedUntil(Demand, Now))
+    Time += std::chrono::ceil<milliseconds>(*PausedUntil - Now);
+  return Time;
+}
+
 asio::awaitable<void> RequestRun::refuse(unsigned Status, const char *Reason) {
   platform::HttpFields Fields;
   if (Status == 503)
-    Fields.set("Retry-After", retryAfterSeconds(Context.random()));
+    Fields.set("Retry-After", inSeconds(retryAfter()));
   http::Response Body = http::problemResponse(
       Status, Status == 503 ? "Unavailable" : "Refused", Reason, "no");
   Fields.set("Content-Type", "application/problem+json");
@@ -680,6 +773,7 @@
        {"sends", std::int64_t(AttemptedTargets.size())},
        {"sent_after_ms",
         LastSentAfter ? LastSentAfter->count() : std::int64_t(-1)},
+       {"written_after_ms", writtenAfterMs()},
        {"reused", LastReused},
        {"waited_ms", std::int64_t(QueueTime.count())},
        {"configuration", std::int64_t(Version)},
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -1,9 +1,10 @@
 #include "node/StoreFollower.h"
 
+#include "node/RegistryChange.h"
 #include "platform/StoreCalls.h"
-#include "serving/LapsedEntries.h"
+#include "serving/PeerQuerySchedule.h"
 #include "serving/ReadSchedule.h"
-#include "serving/StoreOutage.h"
+#include "serving/SectionCopy.h"
 #include "telemetry/Log.h"
 #include "wire/Compression.h"
 
@@ -22,6 +23,7 @@
 using core::BootClock;
 using core::BootTime;
 using platform::Section;
+using serving::SectionCopy;
 using serving::StoreSection;
 using std::chrono::milliseconds;
 
@@ -93,6 +95,20 @@
 
 } // namespace
 
+namespace {
+
+/// The reads of one section from the store. The sections are read
+/// independently, so that a large change of the one does not delay the other.
+struct SectionReads {
+  serving::ReadSchedule Schedule;
+  bool InProgress = false;
+  /// A change was reported while a read was in progress.
+  bool ReadAgain = false;
+  bool LastFailed = false;
+};
+
+} // namespace
+
 struct StoreFollower::State
     : std::enable_shared_from_this<StoreFollower::State> {
   State(asio::io_context &Loop, const NodeSettings &Settings,
@@ -112,16 +128,14 @@
   serving::PeerTable Peers;
   std::mt19937_64 Random;
 
-  StoreSection Operators;
-  StoreSection Registry;
-  /// Registry entries whose leases expired while the store was down.
-  serving::LapsedEntries Lapsed;
-  serving::ReadSchedule Schedule;
-  serving::StoreOutage Outage;
-  bool Reading = false;
+  SectionCopy Operators{SectionCopy::Missing::Gone};
+  SectionCopy Registry{SectionCopy::Missing::MayHaveLapsed};
+  /// The registry as last passed on to `Hooks::OnRegistryChanged`.
+  StoreSection::Items LastRegistry;
+  SectionReads OperatorsReads;
+  SectionReads RegistryReads;
+  serving::PeerQuerySchedule PeerQueries;
   bool Watching = false;
-  /// A change was reported while a read was in progress.
-  bool ReadAgain = false;
   bool StoreReachable = true;
   std::uint64_t StoreRequests = 0;
   /// Paths of the sections that are being fetched from a peer.
@@ -137,10 +151,14 @@
   std::uint64_t LastQuery = 0;
   BootTime LastProbe{};
 
-  StoreSection &section(Section Which) {
+  SectionCopy &copyOf(Section Which) {
     return Which == Section::Operators ? Operators : Registry;
   }
 
+  SectionReads &readsOf(Section Which) {
+    return Which == Section::Operators ? OperatorsReads : RegistryReads;
+  }
+
   void scheduleTick() {
     Timer.expires_after(TickPeriod);
     Timer.async_wait([Weak = weak_from_this()](auto Failed) {
@@ -153,8 +171,8 @@
   }
 
   std::optional<milliseconds> maxStaleness(BootTime Now) const {
-    auto First = Operators.staleness(Now);
-    auto Second = Registry.staleness(Now);
+    auto First = Operators.section().staleness(Now);
+    auto Second = Registry.section().staleness(Now);
     if (!First || !Second)
       return std::nullopt;
     return std::max(*First, *Second);
@@ -163,50 +181,83 @@
   void tick() {
     BootTime Now = BootClock::now();
     Peers.removeStale(Now);
-    if (!Peers.hasPeerQuorum(Now))
-      Outage.recordPossiblePartition(Now);
+    recordReachability(Now);
+    if (Registry.expire(Now))
+      registryChanged("retention ended");
     // Replies that arrive later than this are not compared any more.
     std::erase_if(QueriesSent, [&](const auto &Entry) {
       return Now - Entry.second > milliseconds(2000);
     });
-    auto Staleness = maxStaleness(Now);
     std::size_t Rank = Peers.storeReaderRank(Now);
+    // Only the operators section is large enough that further copies of it
+    // would slow down each other.
     if (Fetching.contains(OperatorsPath))
-      Schedule.peerReading(Now);
-    if (!Reading && Schedule.readDue(Rank, Staleness, Now))
-      startRead(Now);
+      OperatorsReads.Schedule.peerReading(Now);
+    for (Section Which : {Section::Registry, Section::Operators})
+      startReadIfDue(Which, Rank, Now);
     // A watch that starts during a read would report the change being read.
-    if (Rank == 0 && !Watching && !Reading && Operators.known())
+    if (Rank == 0 && !Watching && !OperatorsReads.InProgress &&
+        Operators.section().known())
       startWatch();
-    if (Schedule.peerQueryDue(Rank, Staleness, Now))
+    auto Staleness = maxStaleness(Now);
+    if (PeerQueries.queryDue(Rank, Staleness, Now))
       queryPeers(Rank, Staleness, Now);
     if (Now - LastProbe >= ProbePeriod)
       probeSilentHosts(Now);
   }
 
+  /// Records what tells an outage of the store from a partition of this
+  /// process.
+  void recordReachability(BootTime Now) {
+    bool Partitioned = !Peers.hasPeerQuorum(Now);
+    std::vector<serving::Peer> Live = Peers.live(Now);
+    bool PeerFails =
+        std::any_of(Live.begin(), Live.end(),
+                    [](const serving::Peer &Other) { return Other.StoreLost; });
+    for (SectionCopy *Copy : {&Operators, &Registry}) {
+      if (Partitioned)
+        Copy->outage().recordPossiblePartition(Now);
+      if (PeerFails)
+        Copy->outage().recordPeerFailure(Now);
+    }
+  }
+
   // --- Reading the store
 
-  void startRead(BootTime Now) {
-    Reading = true;
-    Schedule.readStarted(Now);
+  void startReadIfDue(Section Which, std::size_t Rank, BootTime Now) {
+    const SectionReads &Reads = readsOf(Which);
+    auto Staleness = copyOf(Which).section().staleness(Now);
+    if (!Reads.InProgress && Reads.Schedule.readDue(Rank, Staleness, Now))
+      startRead(Which, Now);
+  }
+
+  void startRead(Section Which, BootTime Now) {
+    readsOf(Which).InProgress = true;
+    readsOf(Which).Schedule.readStarted(Now);
     asio::co_spawn(
         Loop,
-        [Self = shared_from_this(), Now]() -> asio::awaitable<void> {
-          bool Succeeded = co_await Self->read();
-          Self->Reading = false;
-          Self->Schedule.readFinished(Succeeded);
-          // If this process was suspended during the read, the read times out
-          // although the store is up. The failure is recorded at the read's
-          // start, so that the suspension does not count as an outage.
-          if (!Succeeded)
-            Self->Outage.recordReadFailure(Now);
-          Self->setStoreReachable(Succeeded);
-          if (std::exchange(Self->ReadAgain, false))
-            Self->startRead(BootClock::now());
+        [Self = shared_from_this(), Which, Now]() -> asio::awaitable<void> {
+          bool Succeeded = co_await Self->read(Which);
+          Self->readEnded(Which, Succeeded, Now);
         },
         asio::detached);
   }
 
+  void readEnded(Section Which, bool Succeeded, BootTime StartedAt) {
+    SectionReads &Reads = readsOf(Which);
+    Reads.InProgress = false;
+    Reads.LastFailed = !Succeeded;
+    Reads.Schedule.readFinished(Succeeded);
+    // If this process was suspended during the read, the read times out
+    // although the store is up. The failure is recorded at the read's start, so
+    // that the suspension does not count as an outage.
+    if (!Succeeded)
+      copyOf(Which).outage().recordReadFailure(StartedAt);
+    setStoreReachable(!OperatorsReads.LastFailed && !RegistryReads.LastFailed);
+    if (std::exchange(Reads.ReadAgain, false))
+      startRead(Which, BootClock::now());
+  }
+
   /// Watches the operators section to learn of changes without delay. A
   /// notification is only a hint: it triggers a read and does not confirm the
   /// local copy.
@@ -223,8 +274,8 @@
 
   asio::awaitable<void> watch() {
     HttpClient::Call Call;
-    Call.Request = platform::watchRequest(Section::Operators, Operators.at(),
-                                          WatchDuration);
+    Call.Request = platform::watchRequest(
+        Section::Operators, Operators.section().at(), WatchDuration);
     Call.Timeout = WatchTimeout;
     Call.MaxBodyBytes = MaxNoticeBytes;
     ++StoreRequests;
@@ -237,10 +288,10 @@
       Changed = Decoded && *Decoded;
     }
     if (Changed) {
-      if (Reading)
-        ReadAgain = true;
+      if (OperatorsReads.InProgress)
+        OperatorsReads.ReadAgain = true;
       else
-        startRead(BootClock::now());
+        startRead(Section::Operators, BootClock::now());
       co_return;
     }
     asio::steady_timer Pause(Loop, WatchRetryDelay);
@@ -255,34 +306,34 @@
     Socket.setStoreLost(!Reachable);
     telemetry::log(
         telemetry::Level::Warning, Reachable ? "store regained" : "store lost",
-        {{"proof_age_ms", countOf(Operators.staleness(BootClock::now()))}});
+        {{"proof_age_ms",
+          countOf(Operators.section().staleness(BootClock::now()))}});
   }
 
-  asio::awaitable<bool> read() {
-    bool Unchanged = co_await confirmOperators();
-    // First the registry, which is small: a large change of the operators
-    // section must not delay the news that a target is leaving.
-    bool RegistryRead = co_await readSection(Section::Registry);
-    if (!RegistryRead || Unchanged)
-      co_return RegistryRead;
-    bool OperatorsRead = co_await readSection(Section::Operators);
-    co_return OperatorsRead;
+  asio::awaitable<bool> read(Section Which) {
+    if (Which == Section::Operators) {
+      bool Unchanged = co_await confirmOperators();
+      if (Unchanged)
+        co_return true;
+    }
+    bool Succeeded = co_await readSection(Which);
+    co_return Succeeded;
   }
 
   asio::awaitable<bool> confirmOperators() {
-    if (!Operators.known())
+    if (!Operators.section().known())
       co_return false;
     std::vector<core::FailureDomainId> Domains;
     for (const auto &[Domain, Region] : Settings.RegionOf)
       Domains.push_back(Domain);
-    auto Keys = platform::operatorKeys(Operators.items(), Domains);
+    auto Keys = platform::operatorKeys(Operators.section().items(), Domains);
     if (Keys.empty())
       co_return false;
     HttpClient::Call Call;
-    Call.Request = platform::confirmRequest(Keys, Operators.items());
+    Call.Request = platform::confirmRequest(Keys, Operators.section().items());
     Call.Timeout = StoreTimeout;
     Call.MaxBodyBytes = MaxNoticeBytes;
-    std::uint64_t Digest = Operators.digest();
+    std::uint64_t Digest = Operators.section().digest();
     BootTime Sent = BootClock::now();
     ++StoreRequests;
     auto Answer =
@@ -297,7 +348,7 @@
       co_return false;
     }
     // A peer's copy may have replaced the section during the request.
-    if (!Confirmed->Unchanged || Digest != Operators.digest())
+    if (!Confirmed->Unchanged || Digest != Operators.section().digest())
       co_return false;
     Operators.confirm(Confirmed->At, Sent);
     co_return true;
@@ -336,13 +387,6 @@
       if (!Page->More || After.empty())
         break;
     }
-    if (Which == Section::Registry) {
-      // Retains entries whose leases expired during an outage of the store,
-      // until their targets have had time to register again.
-      BootTime Now = BootClock::now();
-      Items = Lapsed.apply(std::move(Items), Registry.items(),
-                           Registry.staleness(Now), Now);
-    }
     adopt(Which, std::move(Items), StoreRevision, Sent, "store");
     co_return true;
   }
@@ -388,30 +432,42 @@
   void adopt(Section Which, StoreSection::Items Items,
              std::int64_t StoreRevision, BootTime ConfirmedAt,
              const std::string &Source) {
-    StoreSection &Known = section(Which);
+    SectionCopy &Copy = copyOf(Which);
     BootTime Now = BootClock::now();
-    auto OldStaleness = Known.staleness(Now);
-    std::optional<BootTime> CountdownStart;
-    if (OldStaleness)
-      CountdownStart = Outage.countdownStart(Now - *OldStaleness);
-    if (!Known.adopt(std::move(Items), StoreRevision, ConfirmedAt,
-                     CountdownStart))
+    std::size_t RetainedBefore = Copy.retainedCount();
+    auto Change = Copy.adopt(std::move(Items), StoreRevision, ConfirmedAt, Now);
+    if (!Change)
       return;
+    const StoreSection &Known = Copy.section();
     telemetry::log(telemetry::Level::Info, "section adopted",
                    {{"section", std::string(nameOf(Which))},
                     {"store_revision", StoreRevision},
                     {"source", Source},
                     {"items", std::int64_t(Known.items().size())},
                     {"age_ms", countOf(Known.staleness(Now))}});
-    if (Which == Section::Operators)
+    if (Copy.retainedCount() > RetainedBefore)
+      logRetainedEntries(Known.items(), Copy.items(), StoreRevision);
+    if (Which == Section::Registry) {
+      registryChanged(Source);
+    } else {
       CompressedItems.clear();
-    if (Which == Section::Operators && Callbacks.OnOperatorsChanged)
-      Callbacks.OnOperatorsChanged(Known, CountdownStart);
-    if (Which == Section::Registry && Callbacks.OnRegistryChanged)
-      Callbacks.OnRegistryChanged(Known);
+      if (Callbacks.OnOperatorsChanged)
+        Callbacks.OnOperatorsChanged(Copy.items(), Change->CountdownStart);
+    }
     announceChange(Now);
   }
 
+  /// Passes on the registry as this process acts on it.
+  /// @param Source what has changed it; for the log.
+  void registryChanged(const std::string &Source) {
+    StoreSection::Items Items = Registry.items();
+    logRegistryChange(compareRegistries(LastRegistry, Items),
+                      Registry.section().at(), Source);
+    LastRegistry = std::move(Items);
+    if (Callbacks.OnRegistryChanged)
+      Callbacks.OnRegistryChanged(LastRegistry);
+  }
+
   // --- Exchange with peers
 
   /// @param AnnouncesChange whether this process's copy has changed; makes the
@@ -421,8 +477,8 @@
     wire::Ask *Ask = Message.mutable_ask();
     Ask->set_number(++LastQuery);
     Ask->set_changed(AnnouncesChange);
-    toWire(Operators.summary(Now), *Ask->mutable_operators());
-    toWire(Registry.summary(Now), *Ask->mutable_registry());
+    toWire(Operators.section().summary(Now), *Ask->mutable_operators());
+    toWire(Registry.section().summary(Now), *Ask->mutable_registry());
     return Message;
   }
 
@@ -434,7 +490,7 @@
 
   void queryPeers(std::size_t Rank, std::optional<milliseconds> Staleness,
                   BootTime Now) {
-    Schedule.peerQueryStarted(Now);
+    PeerQueries.queryStarted(Now);
     std::vector<serving::Peer> Order = Peers.storeReaderOrder(Now);
     if (Rank > 0)
       query(Order.front().Ip, /*AnnouncesChange=*/false, Now);
@@ -485,9 +541,9 @@
     wire::NodeMessage Message;
     wire::Reply *Reply = Message.mutable_reply();
     Reply->set_number(Query.number());
-    toWire(Operators.summary(Now), *Reply->mutable_operators());
-    toWire(Registry.summary(Now), *Reply->mutable_registry());
-    Reply->set_reading(Reading);
+    toWire(Operators.section().summary(Now), *Reply->mutable_operators());
+    toWire(Registry.section().summary(Now), *Reply->mutable_registry());
+    Reply->set_reading(OperatorsReads.InProgress);
     Reply->set_compresses(true);
     for (const auto &[Known, Entry] : Peers.entries()) {
       wire::Node *Member = Reply->add_members();
@@ -519,7 +575,7 @@
   void handleReply(const serving::Peer &From, const wire::Reply &Reply,
                    BootTime Now) {
     if (Reply.reading() && From.FailureDomain == Settings.FailureDomain)
-      Schedule.peerReading(Now);
+      OperatorsReads.Schedule.peerReading(Now);
     for (const wire::Node &Member : Reply.members())
       Peers.recordContact(peerFromWire(Member),
                           milliseconds(Member.silent_ms()), Now);
@@ -534,7 +590,7 @@
     // A process that has just started does not know when its items last
     // changed, but the peer may know.
     bool KnowsMore = Result == Comparison::Same && Theirs.HasChangeTimes &&
-                     Operators.lacksChangeTimes();
+                     Operators.section().lacksChangeTimes();
     if (Result == Comparison::PeerNewer || KnowsMore)
       fetch(Section::Operators, From.Ip, Reply.compresses());
     if (Registry.compareAndConfirm(fromWire(Reply.registry()), Sent) ==
@@ -614,9 +670,9 @@
       Path.remove_suffix(CompressedSuffix.size());
     const StoreSection *Which = nullptr;
     if (Path == OperatorsPath)
-      Which = &Operators;
+      Which = &Operators.section();
     if (Path == RegistryPath)
-      Which = &Registry;
+      Which = &Registry.section();
     if (!Which)
       return std::nullopt;
     wire::Section Body;
@@ -669,7 +725,7 @@
 }
 
 std::optional<milliseconds> StoreFollower::operatorsStaleness() const {
-  return S->Operators.staleness(BootClock::now());
+  return S->Operators.section().staleness(BootClock::now());
 }
 
 const serving::PeerTable &StoreFollower::peers() const { return S->Peers; }
