--- a/libs/serving/include/serving/LoadBalancer.h
+++ b/libs/serving/include/serving/LoadBalancer.h
@@ -281,14 +281,6 @@
                                        core::BootTime Now, double Random,
                                        SelectionFailure &Why);
 
-  /// @return whether some target fulfils the requirements; if not, `choose`
-  /// fails with `SelectionFailure::Unavailable`.
-  bool mayServe(const TargetRequirements &Demand, core::BootTime Now) const;
-
-  /// @return whether some target of \p Service has room for a request, though
-  /// not for every one; if not, `choose` fails.
-  bool hasRoom(std::string_view Service, core::BootTime Now);
-
   /// Records that a target has said that it leaves. It gets no new requests,
   /// whatever is heard of it later.
   void recordLeaving(const TargetIncarnation &Target, StatementSource Source,
@@ -315,6 +307,14 @@
   std::optional<core::BootTime> allPausedUntil(const TargetRequirements &Demand,
                                                core::BootTime Now) const;
 
+  /// @return whether some target fulfils the requirements; if not, `choose`
+  /// fails with `SelectionFailure::Unavailable`.
+  bool mayServe(const TargetRequirements &Demand, core::BootTime Now) const;
+
+  /// @return whether some target of \p Service has room for a request, though
+  /// not for every one; if not, `choose` fails.
+  bool hasRoom(std::string_view Service, core::BootTime Now);
+
   /// Records the end of a request that was sent to a selected target.
   void recordResult(const TargetId &Id, TargetFeedback Outcome,
                     core::BootTime Now);
--- a/libs/serving/src/LoadBalancer.cpp
+++ b/libs/serving/src/LoadBalancer.cpp
@@ -361,7 +361,10 @@
 
 bool LoadBalancer::hasRoom(std::string_view Service, core::BootTime Now) {
   return std::any_of(Targets.begin(), Targets.end(), [&](auto &Entry) {
-    return acceptsWork(Entry.second, Service) && hasRoom(Entry.second, Now);
+    Target &T = Entry.second;
+    return acceptsWork(T, Service) &&
+           !Statements.pausedUntil(T.Info.incarnation(), Now) &&
+           hasRoom(T, Now);
   });
 }
 
--- a/rosemarylane/src/entry/SummaryExchange.cpp
+++ b/rosemarylane/src/entry/SummaryExchange.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace rosemarylane {
 
@@ -23,8 +24,23 @@
 /// is known.
 constexpr std::size_t MaxListedHostsTried = 2;
 
+/// Uptime below which an entry may not have heard from all members of its
+/// failure domain. With the time of a restart it is shorter than the silence
+/// after which other failure domains suspect a member.
+constexpr milliseconds LearningTime{4000};
+
 using Deciseconds = std::chrono::duration<std::int64_t, std::deci>;
 
+/// @return the number of requests that an agent with \p Reported would take, to
+/// run or to wait. Tables leave it out because it follows from the rest.
+std::uint32_t capacityOf(const routing::Load &Reported) {
+  std::uint32_t Occupied =
+      std::min(Reported.Waiting, routing::AgentQueueCapacity);
+  return Reported.Credits + routing::AgentQueueCapacity - Occupied;
+}
+
+bool isLearning(const Member &Entry) { return Entry.Uptime < LearningTime; }
+
 milliseconds ageOf(const Membership::Record &Known, core::TimePoint Now) {
   return std::chrono::duration_cast<milliseconds>(Now - Known.LastHeardAt);
 }
@@ -39,6 +55,11 @@
 void SummaryExchange::tick(const std::vector<Listed> &Hosts,
                            core::TimePoint Now) {
   Log.update(ownView(Now));
+  if (Learning && !isLearningItself()) {
+    // Now each receiver gets the whole view.
+    Learning = false;
+    Links.clear();
+  }
   std::set<core::FailureDomainId> Domains;
   for (const Listed &H : Hosts)
     Domains.insert(H.FailureDomain);
@@ -56,6 +77,12 @@
   }
 }
 
+bool SummaryExchange::isLearningItself() const {
+  const Membership::Record *Self =
+      Members.find({MemberRole::Entry, OwnSettings.Host});
+  return !Self || isLearning(Self->What);
+}
+
 SummaryExchange::View SummaryExchange::ownView(core::TimePoint Now) const {
   return Members.view(OwnSettings.FailureDomain, Membership::State::Alive, Now);
 }
@@ -91,17 +118,20 @@
 SummaryExchange::preferredEntry(const std::string &Key,
                                 const core::FailureDomainId &Domain,
                                 core::TimePoint Now) const {
+  bool Own = Domain == OwnSettings.FailureDomain;
   const Member *Best = nullptr;
-  std::uint64_t BestWeight = 0;
+  std::pair<bool, std::uint64_t> BestRank;
   for (const auto &[MemberKey, Known] : Members.records()) {
     if (MemberKey.Role != MemberRole::Entry ||
         Known.What.FailureDomain != Domain || Known.What.Draining ||
         Members.state(Known, Now) != Membership::State::Alive)
       continue;
-    std::uint64_t Weight = core::rendezvousWeight(Key, MemberKey.Host.str());
-    if (!Best || Weight > BestWeight) {
+    // The uptime of other domains' members is not updated by each summary.
+    std::pair Rank(!Own || !isLearning(Known.What),
+                   core::rendezvousWeight(Key, MemberKey.Host.str()));
+    if (!Best || Rank > BestRank) {
       Best = &Known.What;
-      BestWeight = Weight;
+      BestRank = Rank;
     }
   }
   return Best;
@@ -126,16 +156,15 @@
   wire::Envelope Message;
   wire::MembershipSummary &Summary = *Message.mutable_membership_summary();
   Summary.set_failure_domain(OwnSettings.FailureDomain.str());
-  Summary.set_partial(!Changes.All);
+  bool Whole = Changes.All && !Learning;
+  Summary.set_partial(!Whole);
   Summary.set_view_digest(routing::viewDigest(ownView(Now)));
   for (const Membership::Key &MemberKey : Changes.Changed)
     addMember(Summary, MemberKey, Now);
-  for (const Membership::Key &MemberKey : Changes.Removed) {
-    wire::Sender &Removed = *Summary.add_gone();
-    Removed.set_host(MemberKey.Host.str());
-    Removed.set_role(MemberKey.Role == MemberRole::Entry ? wire::ROLE_ENTRY
-                                                         : wire::ROLE_AGENT);
-  }
+  for (const Membership::Key &MemberKey : Changes.Removed)
+    addGone(Summary, MemberKey);
+  if (Whole)
+    addAllGone(Summary, Now);
   if (Now - ToDomain.LoadsSentAt >= loadPeriod(To)) {
     addLoads(*Summary.mutable_loads(), Now);
     ToDomain.LoadsSentAt = Now;
@@ -147,6 +176,8 @@
 void SummaryExchange::sendView(const wire::Peer &To,
                                const core::FailureDomainId &Domain,
                                core::TimePoint Now) {
+  if (Learning)
+    return;
   auto View = Domain == OwnSettings.FailureDomain ? ownView(Now)
                                                   : remoteView(Domain, Now);
   if (View.empty())
@@ -157,6 +188,9 @@
   Summary.set_view_digest(routing::viewDigest(View));
   for (const auto &[MemberKey, Digest] : View)
     addMember(Summary, MemberKey, Now);
+  // Of other failure domains, only what their own entries tell is passed on.
+  if (Domain == OwnSettings.FailureDomain)
+    addAllGone(Summary, Now);
   Callbacks.Send(To, std::move(Message));
 }
 
@@ -167,6 +201,26 @@
     *Summary.add_members() = summaryToWire(Known->What, ageOf(*Known, Now));
 }
 
+void SummaryExchange::addGone(wire::MembershipSummary &Summary,
+                              const Membership::Key &MemberKey) const {
+  const Membership::Record *Known = Members.find(MemberKey);
+  if (!Known)
+    return;
+  wire::Sender &Removed = *Summary.add_gone();
+  Removed.set_host(MemberKey.Host.str());
+  Removed.set_role(MemberKey.Role == MemberRole::Entry ? wire::ROLE_ENTRY
+                                                       : wire::ROLE_AGENT);
+  Removed.set_incarnation(Known->What.Incarnation);
+}
+
+void SummaryExchange::addAllGone(wire::MembershipSummary &Summary,
+                                 core::TimePoint Now) const {
+  for (const auto &[MemberKey, Known] : Members.records())
+    if (Known.What.FailureDomain == OwnSettings.FailureDomain &&
+        Members.state(Known, Now) != Membership::State::Alive)
+      addGone(Summary, MemberKey);
+}
+
 void SummaryExchange::addLoads(wire::LoadTable &Table,
                                core::TimePoint Now) const {
   std::uint64_t Newest = 0;
@@ -210,11 +264,11 @@
     Members.markDead({Removed.role() == wire::ROLE_ENTRY ? MemberRole::Entry
                                                          : MemberRole::Agent,
                       core::HostId(Removed.host())},
-                     Now);
+                     Removed.incarnation(), Now);
   if (!Summary.partial())
     for (const auto &[MemberKey, Digest] : remoteView(Domain, Now))
       if (!Reported.contains(MemberKey))
-        Members.markDead(MemberKey, Now);
+        Members.leaveOut(MemberKey);
   updateLoads(Summary.loads(), Domain, milliseconds(Summary.age_ms()), Now);
   if (routing::viewDigest(remoteView(Domain, Now)) == Summary.view_digest())
     Members.confirmAlive(Domain, milliseconds(Summary.age_ms()), Now);
@@ -255,6 +309,7 @@
     AgentLoad.InProgress = Table.in_progress(I);
     AgentLoad.Waiting = Table.waiting(I);
     AgentLoad.Latency = milliseconds(Table.latency_ms(I));
+    AgentLoad.ClassCapacity.fill(capacityOf(AgentLoad));
     Members.updateLoad(MemberKey, Members.find(MemberKey)->What.Incarnation,
                        AgentLoad, Deciseconds(Table.time_ds(I)), Now - Age);
     Callbacks.OnLoad(MemberKey.Host);
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -96,9 +96,6 @@
   /// the section, or the end of an outage since then; empty if there was none.
   void operatorsChanged(const serving::StoreSection::Items &Items,
                         std::optional<BootTime> UnchangedAt);
-  /// Logs what targets say of themselves, and closes the idle connections to
-  /// those that leave.
-  void watchTargetStatements();
   void registryChanged(const serving::StoreSection::Items &Items);
   /// Updates the time from which targets with older weights get no new
   /// requests. A version is named when an operator writes it to the store as
@@ -108,6 +105,9 @@
   void tick();
   void scheduleTick();
   void updateGatewayCounts();
+  /// Logs what targets say of themselves, and closes the idle connections to
+  /// those that leave.
+  void watchTargetStatements();
   bool ready() const;
   void exitIfDrained();
 
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -94,11 +94,9 @@
   asio::awaitable<SendResult> exchange(const serving::SelectedTarget &Target);
   /// @return whether another attempt may follow the one in progress.
   bool mayRetry() const;
-  /// @return whether the next target can be told where to go on: nothing was
-  /// sent to the caller, or events with ids.
-  bool canResume() const {
-    return !HeadForwarded || !Splitter.lastEventId().empty();
-  }
+  /// @return whether the next target can be told where to go on, if the caller
+  /// has got anything.
+  bool canResume() const { return !HeadForwarded || Splitter.resumable(); }
   /// @return when an attempt that begins now gives up without a response head.
   Clock::time_point headDeadline(const serving::SelectedTarget &Target) const;
   /// @return what the target is told about the request.
@@ -248,7 +246,7 @@
       co_return;
     Outcome.recordResult(AttemptResult);
     if (!canResume()) {
-      abortStream("stream without ids broke off");
+      abortStream("stream broke off after an event without an id");
       co_return;
     }
     RetryDecision Next = Outcome.next([&] {
@@ -268,7 +266,8 @@
         abortStream("target failed while going on with the stream");
       co_return;
     case RetryDecision::Retry:
-      Context.Metrics.requestSent(true);
+      if (AttemptResult != SendResult::Withheld)
+        Context.Metrics.requestSent(true);
       continue;
     case RetryDecision::Refuse:
       if (HeadForwarded)
@@ -357,9 +356,9 @@
   bool Waits = true;
   auto TryStart = [&] {
     Chosen = selectAndReserveTarget();
-    Waits = !Chosen &&
-            NoTargetReason != serving::SelectionFailure::Unavailable &&
-            !allPausedPast(QueueDeadline);
+    bool InVain = NoTargetReason == serving::SelectionFailure::Unavailable ||
+                  allPausedPast(QueueDeadline);
+    Waits = !Chosen && !InVain;
     if (!Waits) {
       Timer.cancel();
       return serving::StartResult::Ended;
