--- a/libs/serving/include/serving/LoadBalancer.h
+++ b/libs/serving/include/serving/LoadBalancer.h
@@ -390,8 +390,8 @@
   /// @return whether \p T is one of the service's targets that get requests,
   /// whatever its load and health.
   bool acceptsWork(const Target &T, std::string_view Service) const;
-  /// @return whether \p T can take a request now, going by its load, its health
-  /// and what it has said.
+  /// @return whether \p T can take a request now, going by its load and health
+  /// alone.
   bool hasRoom(Target &T, core::BootTime Now);
   /// @return whether \p T fulfils the requirements, whatever its load and
   /// health.
--- a/libs/serving/src/LoadBalancer.cpp
+++ b/libs/serving/src/LoadBalancer.cpp
@@ -337,7 +337,7 @@
 }
 
 bool LoadBalancer::hasRoom(Target &T, core::BootTime Now) {
-  if (isEjected(T, Now) || Statements.pausedUntil(T.Info.incarnation(), Now))
+  if (isEjected(T, Now))
     return false;
   bool SameDomain = T.Info.FailureDomain == Settings.OwnDomain;
   bool Cold = T.WarmupRate > 0 && Now < T.ColdUntil;
