--- a/libs/serving/include/serving/AdmissionQueue.h
+++ b/libs/serving/include/serving/AdmissionQueue.h
@@ -13,8 +13,8 @@
 
 /// What came of an attempt to start a waiting request.
 enum class StartResult {
-  /// It took a slot, or was refused because no target can serve it. It no
-  /// longer waits.
+  /// It took a slot, or has learnt that it would wait in vain. It no longer
+  /// waits.
   Ended,
   /// Slots are free, but none that requests of its class may use.
   NoUsableSlot,
