Revert "entry: know the room to wait at agents of other failure domains"

The change made requests go at once into the queue of an agent that was busy in its domain's last table of loads, up to 2 s old, instead of waiting at the entry for the first free target. Where the running answer lasts longer than the second that a request may wait, it is refused there, although another engine is idle.

What it was meant for stays: an entry counts an agent of another domain as full until the next table, so that requests are refused although it would have taken them.

--- a/libs/routing/include/routing/Member.h
+++ b/libs/routing/include/routing/Member.h
@@ -18,10 +18,6 @@
 /// Number of values of `core::TrafficClass`.
 constexpr std::size_t TrafficClassCount = 3;
 
-/// Requests that may wait at an agent: enough to keep the target busy between
-/// two answers, too few to wait long.
-constexpr std::uint32_t AgentQueueCapacity = 16;
-
 /// How busy a target is, as reported by its agent.
 struct Load {
   /// Number of requests of the highest traffic class that would start at once.
--- a/rosemarylane/src/agent/Gate.cpp
+++ b/rosemarylane/src/agent/Gate.cpp
@@ -22,6 +22,9 @@
 /// long.
 constexpr std::chrono::milliseconds FailedServiceRest{1000};
 constexpr std::uint32_t BusyRetryAfterMs = 200;
+/// Requests that may wait at the agent: enough to keep the target busy between
+/// two answers, too few to wait long.
+constexpr std::size_t WaitingCapacity = 16;
 
 core::TimePoint now() { return std::chrono::steady_clock::now(); }
 
@@ -472,7 +475,7 @@
   /// Attempts that wait or run, by request id.
   std::map<std::string, Run> Runs;
   routing::Admission Admit{1};
-  routing::WaitQueue<Run> Waiting{routing::AgentQueueCapacity};
+  routing::WaitQueue<Run> Waiting{WaitingCapacity};
   /// Entries whose version is about to be replaced: they take no new work.
   std::map<core::EntryName, std::function<void()>> Replacing;
   core::TimePoint ServiceFailedAt;
--- a/rosemarylane/src/entry/SummaryExchange.cpp
+++ b/rosemarylane/src/entry/SummaryExchange.cpp
@@ -25,14 +25,6 @@
 
 using Deciseconds = std::chrono::duration<std::int64_t, std::deci>;
 
-/// @return the number of requests that an agent with \p Reported would take, to
-/// run or to wait. Tables leave it out because it follows from the rest.
-std::uint32_t capacityOf(const routing::Load &Reported) {
-  std::uint32_t Occupied =
-      std::min(Reported.Waiting, routing::AgentQueueCapacity);
-  return Reported.Credits + routing::AgentQueueCapacity - Occupied;
-}
-
 milliseconds ageOf(const Membership::Record &Known, core::TimePoint Now) {
   return std::chrono::duration_cast<milliseconds>(Now - Known.LastHeardAt);
 }
@@ -263,7 +255,6 @@
     AgentLoad.InProgress = Table.in_progress(I);
     AgentLoad.Waiting = Table.waiting(I);
     AgentLoad.Latency = milliseconds(Table.latency_ms(I));
-    AgentLoad.ClassCapacity.fill(capacityOf(AgentLoad));
     Members.updateLoad(MemberKey, Members.find(MemberKey)->What.Incarnation,
                        AgentLoad, Deciseconds(Table.time_ds(I)), Now - Age);
     Callbacks.OnLoad(MemberKey.Host);
