Test: callers of a domain that is out wait at busy engines

A failing test for a fault that is not mended yet: the table of loads that failure domains send one another every 2 s holds an agent's credits, but not its room to wait. An entry whose own domain has no engine left takes an engine that is busy at the moment of the table for full until the next, and refuses after one second what the engine would have started within 0.2 s. This is what stopping_agent_gets_no_new_work met at times.

--- a/rosemarylane/tests/process/FailureDomainTest.cpp
+++ b/rosemarylane/tests/process/FailureDomainTest.cpp
@@ -133,6 +133,30 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(callers_of_a_domain_that_is_out_wait_at_busy_engines) {
+  FleetOptions Options = engines();
+  Options.FailureDomains = {"a", "b"};
+  // Runs one request at a time, for about 80 ms.
+  Options.EngineArguments = {
+      "--tokens",     "16",      "--token-interval-us", "5000",
+      "--warm-after", "1000000", "--cold-concurrency",  "1"};
+  Fleet F(Options);
+  auto Accepted = F.orderDomain(*F.entriesOf("b")[0], "a", true);
+  BOOST_TEST(Accepted.status() < 300u, Accepted.body());
+  std::this_thread::sleep_for(Bound);
+  Load Near(F, 2, chatCalls(F, true));
+  for (Fleet::Host *Entry : F.entriesOf("a"))
+    Near.avoid(*Entry);
+  // Each call comes after an entry has heard of the engine's load from afar.
+  for (int I = 0; I < 4; ++I) {
+    std::this_thread::sleep_for(2500ms);
+    auto Answer = F.caller().call(F.entriesOf("a")[0]->Http,
+                                  F.chat("far " + std::to_string(I), true));
+    BOOST_TEST(Answer.ok(), Answer.Error << Answer.body());
+  }
+  BOOST_TEST(Near.stop().Wrong == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(operators_race) {
   Fleet F(engines());
   for (int Round = 0; Round < 5; ++Round) {
