Sidecar: chunks are staged on kept connections again

Change: only orders have connections of their own. On a reused connection, a response that other bytes follow at once fails the call: an earlier answer that is written once more stands before the true one. One that comes alone, some time before the true answer, is still taken for it (open).

--- a/rosemarylane/src/node/HttpClient.cpp
+++ b/rosemarylane/src/node/HttpClient.cpp
@@ -179,9 +179,16 @@
         Spec.OnBodyEnd({std::chrono::steady_clock::now() - HeaderReceivedAt,
                         Parser.get().body().size(), !Failed});
     }
+    bool BytesFollow = Buffer.size() > 0;
+    if (!Failed && Reused && BytesFollow) {
+      S->Idle.erase(Address);
+      co_return core::failure(
+          Error{Error::Kind::Malformed,
+                "bytes follow the response on a reused connection"});
+    }
     if (!Failed) {
       bool KeepOpen =
-          !Spec.NewConnection && Parser.keep_alive() && Buffer.size() == 0;
+          !Spec.NewConnection && Parser.keep_alive() && !BytesFollow;
       http::Response Answer = fromBeast(Parser.release());
       if (KeepOpen)
         S->release(Address, std::move(Stream));
--- a/rosemarylane/src/node/HttpClient.h
+++ b/rosemarylane/src/node/HttpClient.h
@@ -44,9 +44,10 @@
     std::chrono::milliseconds BodyTimeout{0};
     /// Whether to open a connection for this call alone. Otherwise, the request
     /// is sent once more on a new connection if a reused one fails before any
-    /// byte of the response; and on a reused one, the answer to an earlier call
-    /// that a faulty server writes once more is taken for the answer to this
-    /// one.
+    /// byte of the response. On a reused connection, a response that other
+    /// bytes follow at once fails the call, since it may be the answer to an
+    /// earlier one, written once more; a repeated answer that comes alone is
+    /// not recognized.
     bool NewConnection = false;
     /// A larger body fails the call with `http::Error::Kind::Malformed`, before
     /// it is received if its size is stated.
--- a/rosemarylane/src/sidecar/TargetLoader.cpp
+++ b/rosemarylane/src/sidecar/TargetLoader.cpp
@@ -58,8 +58,6 @@
   for (std::size_t I = 0; I < Chunks.size(); ++I) {
     HttpClient::Call Call;
     Call.Request = platform::stageRequest(Served.model(), I, Chunks.bytes(I));
-    // An order must not follow a chunk that another chunk's answer confirmed.
-    Call.NewConnection = true;
     Call.Timeout = TargetCallTimeout;
     Call.MaxBodyBytes = MaxTargetResponseBytes;
     auto Reply =
--- a/rosemarylane/tests/SummaryExchangeTest.cpp
+++ b/rosemarylane/tests/SummaryExchangeTest.cpp
@@ -414,7 +414,7 @@
   Fleet All;
   for (int I = 0; I < 5; ++I)
     All.step();
-  All.Dead.insert({MemberRole::Agent, core::HostId("agent-0-0")});
+  All.Dead.insert({MemberRole::Agent, core::HostId("0-0")});
   All.Lost = [] { return true; };
   All.step();
   BOOST_TEST(!All.allAgree());
@@ -492,9 +492,9 @@
       BOOST_TEST(All.allAgree());
       bool Killed = false;
       All.Received = [&] { Killed = Killed || All.anyTakenForDead(); };
-      All.restart({MemberRole::Entry,
-                   core::HostId("entry-0-" + std::to_string(Restarted))},
-                  Deaf * 1s + 500ms);
+      All.restart(
+          {MemberRole::Entry, core::HostId("0-" + std::to_string(Restarted))},
+          Deaf * 1s + 500ms);
       for (int I = 0; I < 15; ++I)
         All.step();
       BOOST_TEST(!Killed,
