The registry's outage is told by the peers that were live before it

Found by the review: for 30 s after a failure domain was lost or cut off, and always without peers, a process took itself to be partitioned, so that a real outage of the store emptied its registry for up to 2 s. And one peer anywhere that could not read was taken as a sign of an outage.

Change: the quorum is that of the peers that were live at the last confirmation of the registry; only peers of the own failure domain tell of failed reads. The countdown of versions keeps the stricter quorum.

peers/quorum_of_the_peers_that_were_live_before is new with the change.

--- a/libs/serving/include/serving/PeerTable.h
+++ b/libs/serving/include/serving/PeerTable.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -75,6 +76,13 @@
   /// may be partitioned.
   bool hasPeerQuorum(core::BootTime Now) const;
 
+  /// @return the IP addresses of the live peers.
+  std::set<std::string> liveIps(core::BootTime Now) const;
+
+  /// @return whether more than half of the peers \p Ips are live, at least one
+  /// of them in each of their failure domains; true if there are none.
+  bool hasQuorumOf(const std::set<std::string> &Ips, core::BootTime Now) const;
+
   /// Sets whether this process's last attempt to reach the store failed, as
   /// `Peer::StoreLost`.
   void setStoreLost(bool Lost) { LocalPeer.StoreLost = Lost; }
--- a/libs/serving/src/PeerTable.cpp
+++ b/libs/serving/src/PeerTable.cpp
@@ -43,18 +43,36 @@
 }
 
 bool PeerTable::hasPeerQuorum(core::BootTime Now) const {
+  std::set<std::string> All;
+  for (const auto &[Ip, E] : Known)
+    All.insert(Ip);
+  return !All.empty() && hasQuorumOf(All, Now);
+}
+
+std::set<std::string> PeerTable::liveIps(core::BootTime Now) const {
+  std::set<std::string> Ips;
+  for (const Peer &Other : live(Now))
+    Ips.insert(Other.Ip);
+  return Ips;
+}
+
+bool PeerTable::hasQuorumOf(const std::set<std::string> &Ips,
+                            core::BootTime Now) const {
   std::map<core::FailureDomainId, std::size_t> LiveIn;
   std::size_t LiveCount = 0;
-  for (const auto &[Ip, E] : Known) {
-    std::size_t &InDomain = LiveIn[E.Details.FailureDomain];
-    if (Now - E.LastHeard > LivenessTimeout)
+  for (const std::string &Ip : Ips) {
+    auto Found = Known.find(Ip);
+    if (Found == Known.end())
+      continue;
+    std::size_t &InDomain = LiveIn[Found->second.Details.FailureDomain];
+    if (Now - Found->second.LastHeard > LivenessTimeout)
       continue;
     ++InDomain;
     ++LiveCount;
   }
   bool AllDomainsLive = std::all_of(LiveIn.begin(), LiveIn.end(),
                                     [](const auto &D) { return D.second > 0; });
-  return AllDomainsLive && LiveCount * 2 > Known.size();
+  return Ips.empty() || (AllDomainsLive && LiveCount * 2 > Ips.size());
 }
 
 std::vector<Peer> PeerTable::storeReaderOrder(core::BootTime Now) const {
--- a/libs/serving/tests/PeersTest.cpp
+++ b/libs/serving/tests/PeersTest.cpp
@@ -168,4 +168,38 @@
   BOOST_TEST(Table.hasPeerQuorum(Later));
 }
 
+// Guards against taking an outage of the store for a partition because another
+// failure domain was cut off before it, or because there are no peers.
+BOOST_AUTO_TEST_CASE(quorum_of_the_peers_that_were_live_before) {
+  PeerTable Table(peer("10.1.0.1", "a", PeerRole::Gateway));
+  BOOST_TEST(Table.hasQuorumOf(Table.liveIps(Start), Start));
+  for (const char *Domain : {"a", "b", "c"})
+    for (int Host = 2; Host < 6; ++Host)
+      Table.recordContact(
+          peer("10.1." + std::string(Domain) + std::to_string(Host), Domain,
+               PeerRole::Gateway),
+          milliseconds(0), Start);
+  auto Hear = [&](const char *Domain, core::BootTime Now) {
+    for (int Host = 2; Host < 6; ++Host)
+      Table.recordContact(
+          peer("10.1." + std::string(Domain) + std::to_string(Host), Domain,
+               PeerRole::Gateway),
+          milliseconds(0), Now);
+  };
+  // Failure domain c is cut off.
+  auto Later = Start + milliseconds(5000);
+  Hear("a", Later);
+  Hear("b", Later);
+  BOOST_TEST(!Table.hasPeerQuorum(Later));
+  auto Before = Table.liveIps(Later);
+  auto Outage = Later + milliseconds(5000);
+  Hear("a", Outage);
+  Hear("b", Outage);
+  BOOST_TEST(Table.hasQuorumOf(Before, Outage));
+  // This process is cut off from b as well.
+  auto Partition = Outage + milliseconds(5000);
+  Hear("a", Partition);
+  BOOST_TEST(!Table.hasQuorumOf(Before, Partition));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -132,6 +132,8 @@
   SectionCopy Registry{SectionCopy::Missing::MayHaveLapsed};
   /// The registry as last passed on to `Hooks::OnRegistryChanged`.
   StoreSection::Items LastRegistry;
+  /// Peers that were live when the registry was last confirmed.
+  std::set<std::string> PeersAtConfirmation;
   SectionReads OperatorsReads;
   SectionReads RegistryReads;
   serving::PeerQuerySchedule PeerQueries;
@@ -209,17 +211,23 @@
   /// Records what tells an outage of the store from a partition of this
   /// process.
   void recordReachability(BootTime Now) {
-    bool Partitioned = !Peers.hasPeerQuorum(Now);
+    if (!Peers.hasPeerQuorum(Now))
+      Operators.outage().recordPossiblePartition(Now);
+    // Of the registry, a peer that was silent before the store was says
+    // nothing.
+    auto Staleness = Registry.section().staleness(Now);
+    if (Staleness && *Staleness < serving::ReadSchedule::TakeoverStaleness)
+      PeersAtConfirmation = Peers.liveIps(Now);
+    if (!Peers.hasQuorumOf(PeersAtConfirmation, Now))
+      Registry.outage().recordPossiblePartition(Now);
     std::vector<serving::Peer> Live = Peers.live(Now);
     bool PeerFails =
-        std::any_of(Live.begin(), Live.end(),
-                    [](const serving::Peer &Other) { return Other.StoreLost; });
-    for (SectionCopy *Copy : {&Operators, &Registry}) {
-      if (Partitioned)
-        Copy->outage().recordPossiblePartition(Now);
-      if (PeerFails)
-        Copy->outage().recordPeerFailure(Now);
-    }
+        std::any_of(Live.begin(), Live.end(), [this](const auto &Other) {
+          return Other.StoreLost &&
+                 Other.FailureDomain == Settings.FailureDomain;
+        });
+    if (PeerFails)
+      Registry.outage().recordPeerFailure(Now);
   }
 
   // --- Reading the store
