Lapsed entries are kept through a second outage of the store

Change: an entry is dropped once a read near the end of that time still lacks it.

section_copy/lapsed_entries_are_kept_through_a_second_outage fails on the code before. a_deleted_entry_is_acted_on_for_a_bounded_time counts to such a read.

--- a/libs/serving/include/serving/LapsedEntries.h
+++ b/libs/serving/include/serving/LapsedEntries.h
@@ -26,16 +26,25 @@
 public:
   /// Time within which a running target registers again.
   static constexpr std::chrono::milliseconds ReregistrationTime{2200};
+  /// A read is near the end of `ReregistrationTime` if at most the period of
+  /// regular reads lies between.
+  static constexpr std::chrono::milliseconds LastReadMargin{900};
 
   /// Retains the entries of \p Before that are missing from \p Registered.
   /// @param Before entries of the registry section before it changed.
   /// @param Registered entries that the section holds now.
+  /// @param ReadAt when the read that shows them missing was sent.
   void retainMissing(const StoreSection::Items &Before,
-                     const StoreSection::Items &Registered, core::BootTime Now);
+                     const StoreSection::Items &Registered,
+                     core::BootTime ReadAt);
 
-  /// Drops entries that are registered again or whose time is over.
+  /// Drops entries that are registered again, or whose time is over and that
+  /// are still missing from a read near its end. If the store is down again by
+  /// then, their targets have not had that time.
+  /// @param ConfirmedAt when \p Registered was last confirmed.
   /// @return whether any was dropped.
-  bool expire(const StoreSection::Items &Registered, core::BootTime Now);
+  bool expire(const StoreSection::Items &Registered, core::BootTime ConfirmedAt,
+              core::BootTime Now);
 
   /// @return \p Registered and the retained entries.
   StoreSection::Items joinedWith(const StoreSection::Items &Registered) const;
--- a/libs/serving/include/serving/SectionCopy.h
+++ b/libs/serving/include/serving/SectionCopy.h
@@ -70,7 +70,7 @@
 
   /// Drops assumptions whose time is over.
   /// @return whether `items` has changed.
-  bool expire(core::BootTime Now) { return Lapsed.expire(Read.items(), Now); }
+  bool expire(core::BootTime Now);
 
   /// @return what the store is known to have held; peers may copy it.
   const StoreSection &section() const { return Read; }
--- a/libs/serving/src/LapsedEntries.cpp
+++ b/libs/serving/src/LapsedEntries.cpp
@@ -4,16 +4,18 @@
 
 void LapsedEntries::retainMissing(const StoreSection::Items &Before,
                                   const StoreSection::Items &Registered,
-                                  core::BootTime Now) {
+                                  core::BootTime ReadAt) {
   for (const auto &[Key, Item] : Before)
     if (!Registered.contains(Key))
-      Retained.try_emplace(Key, Entry{Item, Now + ReregistrationTime});
+      Retained.try_emplace(Key, Entry{Item, ReadAt + ReregistrationTime});
 }
 
 bool LapsedEntries::expire(const StoreSection::Items &Registered,
-                           core::BootTime Now) {
+                           core::BootTime ConfirmedAt, core::BootTime Now) {
   std::size_t Dropped = std::erase_if(Retained, [&](const auto &Known) {
-    return Now >= Known.second.Until || Registered.contains(Known.first);
+    core::BootTime Until = Known.second.Until;
+    bool StillMissing = Now >= Until && ConfirmedAt >= Until - LastReadMargin;
+    return StillMissing || Registered.contains(Known.first);
   });
   return Dropped > 0;
 }
--- a/libs/serving/src/SectionCopy.cpp
+++ b/libs/serving/src/SectionCopy.cpp
@@ -30,10 +30,15 @@
   });
   if (OutageAssumed)
     assumeChangesAfter(*Result.CountdownStart, Before);
-  Lapsed.expire(Read.items(), Now);
+  expire(Now);
   return Result;
 }
 
+bool SectionCopy::expire(core::BootTime Now) {
+  auto Staleness = Read.staleness(Now);
+  return Staleness && Lapsed.expire(Read.items(), Now - *Staleness, Now);
+}
+
 void SectionCopy::assumeChangesAfter(core::BootTime OutageEnd,
                                      const StoreSection::Items &Before) {
   for (const auto &[Key, Item] : Read.items()) {
