An outage is measured to the read that ends it, not to its answer

Found by the review: the time that a slow answer or a copy from a peer takes counted as outage and prolonged the retention, so that a target that was deleted just after a read could stay in use beyond 2 s (DRAIN).

section_copy/time_that_an_answer_takes_is_no_outage fails on the code before.

--- a/libs/serving/include/serving/StoreOutage.h
+++ b/libs/serving/include/serving/StoreOutage.h
@@ -74,9 +74,11 @@
   core::BootTime countdownStart(core::BootTime UnchangedAt) const;
 
   /// @param UnchangedAt as for `countdownStart`.
-  /// @return whether leases may have expired since \p UnchangedAt because of an
-  /// outage.
-  bool mayHaveLapsed(core::BootTime UnchangedAt, core::BootTime Now) const;
+  /// @param ChangedReadAt when the read that shows the change was sent; the
+  /// time that its answer took is no outage.
+  /// @return whether leases may have expired in between because of an outage.
+  bool mayHaveLapsed(core::BootTime UnchangedAt,
+                     core::BootTime ChangedReadAt) const;
 
 private:
   using Times = std::set<core::BootTime>;
--- a/libs/serving/src/SectionCopy.cpp
+++ b/libs/serving/src/SectionCopy.cpp
@@ -14,7 +14,7 @@
   }
   bool MayHaveLapsed = MeaningOfMissing == Missing::MayHaveLapsed &&
                        Result.UnchangedAt &&
-                       Outage.mayHaveLapsed(*Result.UnchangedAt, Now);
+                       Outage.mayHaveLapsed(*Result.UnchangedAt, ConfirmedAt);
   bool OutageAssumed = Result.CountdownStart != Result.UnchangedAt;
   StoreSection::Items Before;
   if (MayHaveLapsed || OutageAssumed)
@@ -23,7 +23,7 @@
                   Result.UnchangedAt))
     return std::nullopt;
   if (MayHaveLapsed)
-    Lapsed.retainMissing(Before, Read.items(), Now);
+    Lapsed.retainMissing(Before, Read.items(), ConfirmedAt);
   std::erase_if(AssumedChanges, [&](const auto &Entry) {
     auto Known = Read.items().find(Entry.first);
     return Known == Read.items().end() || Known->second != Entry.second.Item;
--- a/libs/serving/src/StoreOutage.cpp
+++ b/libs/serving/src/StoreOutage.cpp
@@ -57,9 +57,10 @@
                                                     : UnchangedAt;
 }
 
-bool StoreOutage::mayHaveLapsed(BootTime UnchangedAt, BootTime Now) const {
+bool StoreOutage::mayHaveLapsed(BootTime UnchangedAt,
+                                BootTime ChangedReadAt) const {
   auto Answer = firstAnswerAfter(UnchangedAt);
-  BootTime End = Answer ? std::min(*Answer, Now) : Now;
+  BootTime End = Answer ? std::min(*Answer, ChangedReadAt) : ChangedReadAt;
   BootTime FailingFrom = UnchangedAt + MinFailing;
   bool Failed = lastBetween(Failures, FailingFrom, Answer) ||
                 lastBetween(PeerFailures, FailingFrom, Answer);
--- a/libs/serving/tests/SectionCopyTest.cpp
+++ b/libs/serving/tests/SectionCopyTest.cpp
@@ -78,6 +78,15 @@
   BOOST_TEST(Copy.items().empty());
 }
 
+// A target that was deleted just after a read is not kept because the next read
+// took long.
+BOOST_AUTO_TEST_CASE(time_that_an_answer_takes_is_no_outage) {
+  SectionCopy Copy = registryWith(entry("t", "ready"));
+  Copy.outage().recordPeerFailure(at(1200));
+  Copy.adopt({}, 9, at(1500), at(2600));
+  BOOST_TEST(Copy.items().empty());
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_that_is_registered_again_is_the_new_one) {
   SectionCopy Copy = registryWith(entry("t", "ready"));
   failReads(Copy, 500, 4500);
