Gateway: split the handling of a request into units

Meant to change no behaviour: names, values and order of the log fields are as before. The requirements of a request are now computed once per attempt instead of at each try from the queue; nothing that they depend on changes while the request waits. The header fields of a stream are a local variable instead of a temporary beside the await.

--- /dev/null
+++ b/rosemarylane/src/gateway/QuarantineCheck.h
@@ -0,0 +1,43 @@
+#ifndef ROSEMARYLANE_GATEWAY_QUARANTINE_CHECK_H
+#define ROSEMARYLANE_GATEWAY_QUARANTINE_CHECK_H
+
+#include "gateway/Admission.h"
+#include "gateway/CallerConnection.h"
+#include "gateway/GatewayContext.h"
+#include "serving/LoadBalancer.h"
+
+namespace rosemarylane {
+
+/// The quarantine's view of one request: asks it whether the request is
+/// refused, and tells it what became of the request's attempts.
+///
+/// Used on the thread of the event loop. The constructor's arguments must
+/// outlive it.
+class QuarantineCheck {
+public:
+  QuarantineCheck(GatewayContext &Context, const AdmittedRequest &Admitted,
+                  const CallerConnection::Request &Request)
+      : Context(Context), Admitted(Admitted), Request(Request) {}
+
+  /// @return whether the request is refused because such requests have killed
+  /// targets.
+  bool isRefused() const;
+
+  /// Reports that the request may have killed \p Target: it was written, and
+  /// the connection broke before the answer began.
+  void recordBreak(const serving::SelectedTarget &Target);
+
+  void recordAnswerBegun();
+
+private:
+  /// @return what identifies the request to the quarantine.
+  routing::PartQuarantine::Subject subject() const;
+
+  GatewayContext &Context;
+  const AdmittedRequest &Admitted;
+  const CallerConnection::Request &Request;
+};
+
+} // namespace rosemarylane
+
+#endif // ROSEMARYLANE_GATEWAY_QUARANTINE_CHECK_H
--- /dev/null
+++ b/rosemarylane/src/gateway/RequestLog.cpp
@@ -0,0 +1,69 @@
+#include "gateway/RequestLog.h"
+
+#include "telemetry/Log.h"
+
+namespace rosemarylane {
+
+using serving::TargetFeedback;
+using std::chrono::milliseconds;
+
+void RequestLog::recordAttemptBegun(const serving::SelectedTarget &Target) {
+  LastTarget = Target.Id.str();
+  LastLoad = Target.Load;
+  LastLoadAgeMs = Target.LoadAge.count();
+  LastSentAfter = elapsed();
+}
+
+std::int64_t RequestLog::writtenAfterMs(Clock::time_point SentAt) const {
+  if (SentAt == Clock::time_point())
+    return -1;
+  return std::chrono::duration_cast<milliseconds>(SentAt - StartedAt).count();
+}
+
+void RequestLog::logFailedAttempt(const serving::SelectedTarget &Target,
+                                  const AttemptState &Attempt) const {
+  std::string Parts;
+  for (const std::string &Part : Admitted.HeaderValues.SharedParts)
+    Parts += (Parts.empty() ? "" : ",") + Part;
+  bool Sent = Attempt.SentAt != Clock::time_point();
+  auto SinceSent =
+      std::chrono::duration_cast<milliseconds>(Clock::now() - Attempt.SentAt);
+  telemetry::log(telemetry::Level::Info, "attempt failed",
+                 {{"id", Admitted.HeaderValues.Id},
+                  {"target", Target.Id.str()},
+                  {"how", std::string(Attempt.Feedback == TargetFeedback::Silent
+                                          ? "silent"
+                                          : "broken")},
+                  {"sent_ms_ago", Sent ? SinceSent.count() : std::int64_t(-1)},
+                  {"answer_begun", Attempt.AnswerBegun},
+                  {"shared_parts", std::move(Parts)}});
+}
+
+void RequestLog::logEnd(const End &Ended) const {
+  std::uint64_t Version = Context.Config ? Context.Config->Version : 0;
+  auto ConfirmationAge = Context.Follower->operatorsStaleness();
+  telemetry::log(
+      telemetry::Level::Info, "request ended",
+      {{"id", Admitted.HeaderValues.Id},
+       {"outcome", std::string(Ended.Outcome)},
+       {"status", std::int64_t(Ended.Status)},
+       {"ms", std::int64_t(elapsed().count())},
+       {"first_ms", FirstByte ? FirstByte->count() : std::int64_t(-1)},
+       {"pause_ms", std::int64_t(Ended.LongestPause.count())},
+       {"route", Admitted.Route ? Admitted.Route->Name : std::string()},
+       {"workspace", Admitted.Workspace},
+       {"target", LastTarget},
+       {"target_load", LastLoad},
+       {"load_age_ms", LastLoadAgeMs},
+       {"sends", std::int64_t(Ended.AttemptCount)},
+       {"sent_after_ms",
+        LastSentAfter ? LastSentAfter->count() : std::int64_t(-1)},
+       {"written_after_ms", writtenAfterMs(Ended.SentAt)},
+       {"reused", LastReused},
+       {"waited_ms", std::int64_t(Ended.QueueTime.count())},
+       {"configuration", std::int64_t(Version)},
+       {"proof_age_ms",
+        ConfirmationAge ? ConfirmationAge->count() : std::int64_t(-1)}});
+}
+
+} // namespace rosemarylane
--- /dev/null
+++ b/rosemarylane/src/gateway/RequestLog.h
@@ -0,0 +1,87 @@
+#ifndef ROSEMARYLANE_GATEWAY_REQUEST_LOG_H
+#define ROSEMARYLANE_GATEWAY_REQUEST_LOG_H
+
+#include "gateway/Admission.h"
+#include "gateway/GatewayContext.h"
+#include "serving/LoadBalancer.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace rosemarylane {
+
+/// Writes the log lines of one request: one for each attempt that failed, and
+/// one for its end.
+///
+/// Used on the thread of the event loop. The constructor's arguments must
+/// outlive it.
+class RequestLog {
+public:
+  using Clock = std::chrono::steady_clock;
+
+  /// What is known of the last attempt when its failure or the end of the
+  /// request is logged.
+  struct AttemptState {
+    serving::TargetFeedback Feedback = serving::TargetFeedback::Abandoned;
+    /// When the attempt began to be written; the epoch if it was not.
+    Clock::time_point SentAt{};
+    bool AnswerBegun = false;
+  };
+
+  /// How the request ended.
+  struct End {
+    const char *Outcome = "";
+    unsigned Status = 0;
+    /// When the last attempt began to be written; the epoch if it was not.
+    Clock::time_point SentAt{};
+    /// Attempts, without those that were withheld.
+    std::size_t AttemptCount = 0;
+    std::chrono::milliseconds QueueTime{0};
+    /// Longest time between two writes of a stream.
+    std::chrono::milliseconds LongestPause{0};
+  };
+
+  RequestLog(const GatewayContext &Context, const AdmittedRequest &Admitted,
+             Clock::time_point StartedAt)
+      : Context(Context), Admitted(Admitted), StartedAt(StartedAt) {}
+
+  void recordAttemptBegun(const serving::SelectedTarget &Target);
+  void recordConnection(bool Reused) { LastReused = Reused; }
+  /// @param Time time from the arrival of the request to the first byte of the
+  /// response.
+  void recordFirstByte(std::chrono::milliseconds Time) { FirstByte = Time; }
+
+  void logFailedAttempt(const serving::SelectedTarget &Target,
+                        const AttemptState &Attempt) const;
+  void logEnd(const End &Ended) const;
+
+private:
+  std::chrono::milliseconds elapsed() const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() -
+                                                                 StartedAt);
+  }
+  /// @return the time from the request's arrival to \p SentAt; -1 if that is
+  /// the epoch.
+  std::int64_t writtenAfterMs(Clock::time_point SentAt) const;
+
+  const GatewayContext &Context;
+  const AdmittedRequest &Admitted;
+  Clock::time_point StartedAt;
+  std::string LastTarget;
+  /// Whether the last attempt was sent on a pooled connection.
+  bool LastReused = false;
+  /// When the last attempt began; empty before the first one.
+  std::optional<std::chrono::milliseconds> LastSentAfter;
+  /// Load of the target of the last attempt, as a fraction of its slots.
+  double LastLoad = 0;
+  /// Age of that load in milliseconds; -1 before the first attempt.
+  std::int64_t LastLoadAgeMs = -1;
+  /// Time to the first byte of the response; empty before it is sent.
+  std::optional<std::chrono::milliseconds> FirstByte;
+};
+
+} // namespace rosemarylane
+
+#endif // ROSEMARYLANE_GATEWAY_REQUEST_LOG_H
--- /dev/null
+++ b/rosemarylane/src/gateway/StreamForward.h
@@ -0,0 +1,96 @@
+#ifndef ROSEMARYLANE_GATEWAY_STREAM_FORWARD_H
+#define ROSEMARYLANE_GATEWAY_STREAM_FORWARD_H
+
+#include "gateway/CallerConnection.h"
+#include "gateway/TargetSend.h"
+#include "serving/EventSplitter.h"
+#include "serving/LoadBalancer.h"
+#include "serving/RequestOutcome.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace rosemarylane {
+
+/// Forwards the stream of server-sent events of one request to its caller.
+/// Another target can resume the stream where the last one broke off.
+///
+/// Used on the thread of the event loop. \p Caller must outlive it, and it must
+/// outlive the coroutine that awaits `forward`.
+class StreamForward {
+public:
+  using Clock = TargetSend::Clock;
+
+  struct Hooks {
+    /// Tells whether another attempt may follow the one in progress.
+    std::function<bool()> MayRetry;
+    /// The target has sent whole events.
+    std::function<void()> OnEvents;
+    /// The head of the response is about to be sent to the caller.
+    std::function<void()> OnFirstByte;
+  };
+
+  /// How the forwarding of one target's response ended.
+  struct Result {
+    serving::SendResult Sent = serving::SendResult::Unknown;
+    serving::TargetFeedback Feedback = serving::TargetFeedback::Abandoned;
+    /// The outcome of the request; null if the response to the caller has not
+    /// ended.
+    const char *Outcome = nullptr;
+    unsigned Status = 0;
+  };
+
+  StreamForward(CallerConnection &Caller, Hooks ToCall)
+      : Caller(Caller), Observers(std::move(ToCall)) {}
+
+  /// Forwards the response of \p Attempt, whose head was read.
+  /// @param TimeLimit time limit for the next event if no other attempt may
+  /// follow.
+  boost::asio::awaitable<Result> forward(TargetSend &Attempt,
+                                         Clock::time_point Deadline,
+                                         std::chrono::milliseconds TimeLimit);
+
+  /// @return whether the caller has been sent the head of the response.
+  bool begun() const { return Begun; }
+  /// @return whether the next target can be told where to go on, if the caller
+  /// has got anything.
+  bool canResume() const { return !Begun || Splitter.resumable(); }
+  /// @return the id after which the next target goes on; empty if the caller
+  /// has got nothing.
+  std::string resumeAfter() const {
+    return Begun ? Splitter.lastEventId() : "";
+  }
+  /// @return the version that the response began with; 0 before that.
+  std::uint64_t version() const { return Begun ? Version : 0; }
+  /// @return the longest time between two writes.
+  std::chrono::milliseconds longestPause() const { return LongestPause; }
+
+private:
+  /// @return whether a stream whose response has ended was broken off.
+  bool brokeOffAtEnd(const TargetSend &Attempt) const;
+  /// @return whether the stream that the caller is getting cannot go on with
+  /// what the target has sent so far.
+  bool isNoContinuation(const TargetSend &Attempt) const;
+  void recordPause();
+
+  CallerConnection &Caller;
+  Hooks Observers;
+  /// Splits a streamed response into server-sent events. Only complete events
+  /// are forwarded, so that another target can resume the stream after the
+  /// last.
+  serving::EventSplitter Splitter;
+  bool Begun = false;
+  /// The target in use has sent at least one whole event.
+  bool HasEvents = false;
+  std::uint64_t Version = 0;
+  /// Longest time between two writes.
+  std::chrono::milliseconds LongestPause{0};
+  Clock::time_point LastDataAt{};
+};
+
+} // namespace rosemarylane
+
+#endif // ROSEMARYLANE_GATEWAY_STREAM_FORWARD_H
--- /dev/null
+++ b/rosemarylane/src/gateway/TargetWait.cpp
@@ -0,0 +1,105 @@
+#include "gateway/TargetWait.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace rosemarylane {
+
+namespace asio = boost::asio;
+using core::BootClock;
+using core::BootTime;
+using serving::SelectionFailure;
+using std::chrono::milliseconds;
+
+const char *TargetWait::failureReason() const {
+  if (Quarantine.isRefused())
+    return "such requests crash targets";
+  switch (Failure) {
+  case SelectionFailure::Full:
+    return "no free place";
+  case SelectionFailure::Paused:
+    return "targets want no requests";
+  case SelectionFailure::Unavailable:
+    break;
+  }
+  return "no usable target";
+}
+
+bool TargetWait::allPausedPast(const serving::TargetRequirements &Demand,
+                               Clock::time_point Until) const {
+  BootTime Now = BootClock::now();
+  auto PausedUntil = Context.Targets.allPausedUntil(Demand, Now);
+  return PausedUntil && *PausedUntil - Now > Until - Clock::now();
+}
+
+std::optional<serving::SelectedTarget>
+TargetWait::selectAndReserve(const serving::TargetRequirements &Demand) {
+  if (Quarantine.isRefused()) {
+    Failure = SelectionFailure::Unavailable;
+    return std::nullopt;
+  }
+  return Context.Targets.choose(Demand, BootClock::now(), Context.random(),
+                                Failure);
+}
+
+asio::awaitable<std::optional<serving::SelectedTarget>>
+TargetWait::acquire(const serving::TargetRequirements &Demand,
+                    Clock::time_point Deadline) {
+  serving::AdmissionQueue &Queue = Context.waitQueue(Admitted.Service);
+  std::optional<serving::SelectedTarget> Chosen;
+  if (Quarantine.isRefused())
+    co_return Chosen;
+  if (Queue.size() == 0) {
+    Chosen = selectAndReserve(Demand);
+    if (Chosen || Failure == SelectionFailure::Unavailable)
+      co_return Chosen;
+  } else if (!Context.Targets.mayServe(Demand, BootClock::now())) {
+    Failure = SelectionFailure::Unavailable;
+    co_return Chosen;
+  }
+  // Longest time in the queue: a fraction of the route's latency objective.
+  auto MaxQueueTime = std::chrono::duration_cast<Clock::duration>(
+      Admitted.Route->LatencyObjective *
+      Context.Settings.Limits.MaxQueueTimeShare);
+  auto QueueDeadline = std::min(Deadline, StartedAt + MaxQueueTime);
+  if (Clock::now() >= QueueDeadline)
+    co_return selectAndReserve(Demand);
+  if (allPausedPast(Demand, QueueDeadline)) {
+    Failure = SelectionFailure::Paused;
+    co_return std::nullopt;
+  }
+  // Whoever waits behind others is not tried before they are.
+  Failure = SelectionFailure::Full;
+  bool Waits = true;
+  auto TryStart = [&] {
+    Chosen = selectAndReserve(Demand);
+    bool InVain = Failure == SelectionFailure::Unavailable ||
+                  allPausedPast(Demand, QueueDeadline);
+    Waits = !Chosen && !InVain;
+    if (!Waits) {
+      Timer.cancel();
+      return serving::StartResult::Ended;
+    }
+    return Context.Targets.hasRoom(Admitted.Service, BootClock::now())
+               ? serving::StartResult::NoUsableSlot
+               : serving::StartResult::NoSlot;
+  };
+  // Destroying the place removes the request from the queue.
+  auto QueuePlace =
+      Queue.enqueue(Admitted.Priority, serving::DemandClass(Demand), TryStart);
+  if (!QueuePlace) {
+    Failure = SelectionFailure::Full;
+    co_return std::nullopt;
+  }
+  auto JoinedAt = Clock::now();
+  Timer.expires_at(QueueDeadline);
+  Queue.dispatch();
+  if (Waits)
+    co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  auto Time = std::chrono::duration_cast<milliseconds>(Clock::now() - JoinedAt);
+  QueueTime += Time;
+  Context.Metrics.queued(Time);
+  co_return Chosen;
+}
+
+} // namespace rosemarylane
--- /dev/null
+++ b/rosemarylane/src/gateway/TargetWait.h
@@ -0,0 +1,68 @@
+#ifndef ROSEMARYLANE_GATEWAY_TARGET_WAIT_H
+#define ROSEMARYLANE_GATEWAY_TARGET_WAIT_H
+
+#include "gateway/Admission.h"
+#include "gateway/GatewayContext.h"
+#include "gateway/QuarantineCheck.h"
+#include "serving/LoadBalancer.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <optional>
+
+namespace rosemarylane {
+
+/// Selects the target of each attempt of one request, and waits in the queue of
+/// its service while no target has room.
+///
+/// Used on the thread of the event loop. The constructor's arguments must
+/// outlive it, and it must outlive the coroutine that awaits `acquire`.
+class TargetWait {
+public:
+  using Clock = std::chrono::steady_clock;
+
+  TargetWait(GatewayContext &Context, const AdmittedRequest &Admitted,
+             const QuarantineCheck &Quarantine, Clock::time_point StartedAt)
+      : Context(Context), Admitted(Admitted), Quarantine(Quarantine),
+        StartedAt(StartedAt), Timer(Context.Loop) {}
+
+  /// Selects a target and counts the request as sent to it, until
+  /// `LoadBalancer::recordResult` is called.
+  /// @param Demand what the request requires of its target; must stay valid
+  /// until the coroutine ends.
+  /// @return empty if no target was found, or if `cancel` was called before one
+  /// was.
+  boost::asio::awaitable<std::optional<serving::SelectedTarget>>
+  acquire(const serving::TargetRequirements &Demand,
+          Clock::time_point Deadline);
+
+  /// Ends the wait in progress.
+  void cancel() { Timer.cancel(); }
+
+  /// @return why no target was acquired.
+  const char *failureReason() const;
+
+  /// @return the time spent in the queue so far, over all attempts.
+  std::chrono::milliseconds queueTime() const { return QueueTime; }
+
+private:
+  std::optional<serving::SelectedTarget>
+  selectAndReserve(const serving::TargetRequirements &Demand);
+  /// @return whether all targets that may get the request want none until
+  /// after \p Until.
+  bool allPausedPast(const serving::TargetRequirements &Demand,
+                     Clock::time_point Until) const;
+
+  GatewayContext &Context;
+  const AdmittedRequest &Admitted;
+  const QuarantineCheck &Quarantine;
+  Clock::time_point StartedAt;
+  boost::asio::steady_timer Timer;
+  serving::SelectionFailure Failure = serving::SelectionFailure::Unavailable;
+  std::chrono::milliseconds QueueTime{0};
+};
+
+} // namespace rosemarylane
+
+#endif // ROSEMARYLANE_GATEWAY_TARGET_WAIT_H
