--- a/rosemarylane/src/agent/Gate.cpp
+++ b/rosemarylane/src/agent/Gate.cpp
@@ -85,7 +85,7 @@
   void drain(std::function<void()> Idle) override {
     Draining = true;
     OnIdle = std::move(Idle);
-    handBackWaiting();
+    handBackWaiting(wire::REFUSAL_OUT_OF_SERVICE, "");
     checkIdle();
   }
 
@@ -162,7 +162,7 @@
     Admit.setOutOfService(Config.isOutOfService(Context.Config.Host,
                                                 Context.Config.FailureDomain));
     if (Admit.outOfService())
-      handBackWaiting();
+      handBackWaiting(wire::REFUSAL_OUT_OF_SERVICE, "");
   }
 
   /// Registers the attempt.
@@ -239,12 +239,12 @@
     }
   }
 
-  /// Refuses all waiting requests, none of which can start here any more, while
+  /// Refuses all waiting requests, none of which can start here soon, while
   /// their entries still have time to send them elsewhere.
-  void handBackWaiting() {
+  void handBackWaiting(wire::RefusalReason Reason, const std::string &Detail) {
     auto Any = [](core::TrafficClass) { return true; };
     while (auto Next = Waiting.pop(Any))
-      finishRefused(*Next, wire::REFUSAL_OUT_OF_SERVICE, wire::RAN_NO, "");
+      finishRefused(*Next, Reason, wire::RAN_NO, Detail);
   }
 
   void onTick() {
@@ -290,17 +290,14 @@
     end(R, R->End.Ran, R->End.Answer);
   }
 
-  /// Hands waiting requests back, so that their entries can send them
-  /// elsewhere.
+  /// Records that the target wants no requests for \p Duration.
   void beginPause(std::chrono::milliseconds Duration) {
     bool Begins = Said.recordPause(Own, Duration, core::BootClock::now());
     if (Begins)
       telemetry::log(telemetry::Level::Info, "target wants no requests",
                      {{"target", Context.Config.Target.Address},
                       {"ms", std::int64_t(Duration.count())}});
-    auto Any = [](core::TrafficClass) { return true; };
-    while (auto Next = Waiting.pop(Any))
-      finishRefused(*Next, wire::REFUSAL_BUSY, wire::RAN_NO, PauseDetail);
+    handBackWaiting(wire::REFUSAL_BUSY, PauseDetail);
   }
 
   /// @return how long the target still wants no requests; 0 if it takes some.
