--- a/rosemarylane/src/common/ProcessStart.cpp
+++ b/rosemarylane/src/common/ProcessStart.cpp
@@ -1,5 +1,6 @@
 #include "common/ProcessStart.h"
 
+#include "common/CommandLine.h"
 #include "store/EtcdKeyValue.h"
 #include "telemetry/Log.h"
 
@@ -9,7 +10,6 @@
 #include <fstream>
 #include <future>
 #include <iostream>
-#include <popt.h>
 #include <prometheus/text_serializer.h>
 #include <sstream>
 
@@ -59,35 +59,10 @@
 
 core::Result<Settings, ExitCode>
 settingsFromCommandLine(ProcessKind Kind, int Argc, const char **Argv) {
-  char *Path = nullptr;
-  int Version = 0;
-  poptOption Options[] = {
-      {"settings", 's', POPT_ARG_STRING, &Path, 0, "settings file in JSON",
-       "FILE"},
-      {"version", 0, POPT_ARG_NONE, &Version, 0, "print the version", nullptr},
-      POPT_AUTOHELP POPT_TABLEEND};
-  poptContext Popt = poptGetContext(nameOf(Kind), Argc, Argv, Options, 0);
-  int Next = poptGetNextOpt(Popt);
-  std::string Problem;
-  if (Next < -1)
-    Problem = std::string(poptBadOption(Popt, POPT_BADOPTION_NOALIAS)) + ": " +
-              poptStrerror(Next);
-  else if (const char *Extra = poptGetArg(Popt))
-    Problem = std::string("unexpected argument: ") + Extra;
-  poptFreeContext(Popt);
-  std::string SettingsPath = Path ? Path : "";
-  std::free(Path);
-  if (Version) {
-    std::cout << "rosemarylane " ROSEMARYLANE_VERSION "\n";
-    return core::failure(ExitCode::Ok);
-  }
-  if (Problem.empty() && SettingsPath.empty())
-    Problem = "--settings FILE is required";
-  if (!Problem.empty()) {
-    std::cerr << "rosemarylane " << nameOf(Kind) << ": " << Problem << "\n";
-    return core::failure(ExitCode::Usage);
-  }
-  return readSettings(Kind, SettingsPath);
+  auto Path = settingsPath(nameOf(Kind), Argc, Argv);
+  if (!Path)
+    return core::failure(Path.error());
+  return readSettings(Kind, *Path);
 }
 
 std::unique_ptr<ProcessContext> startContext(ProcessKind Kind,
--- a/rosemarylane/src/node/NodeRuntime.cpp
+++ b/rosemarylane/src/node/NodeRuntime.cpp
@@ -7,7 +7,6 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
-#include <popt.h>
 
 namespace rosemarylane {
 
@@ -23,38 +22,6 @@
               << ", expected " << E.Expected << "\n";
 }
 
-core::Result<std::string, ExitCode> settingsPath(NodeKind Kind, int Argc,
-                                                 const char **Argv) {
-  char *Path = nullptr;
-  int Version = 0;
-  poptOption Options[] = {
-      {"settings", 's', POPT_ARG_STRING, &Path, 0, "settings file in JSON",
-       "FILE"},
-      {"version", 0, POPT_ARG_NONE, &Version, 0, "print the version", nullptr},
-      POPT_AUTOHELP POPT_TABLEEND};
-  poptContext Popt = poptGetContext(nameOf(Kind), Argc, Argv, Options, 0);
-  int Next = poptGetNextOpt(Popt);
-  std::string Problem;
-  if (Next < -1)
-    Problem = std::string(poptBadOption(Popt, POPT_BADOPTION_NOALIAS)) + ": " +
-              poptStrerror(Next);
-  else if (const char *Extra = poptGetArg(Popt))
-    Problem = std::string("unexpected argument: ") + Extra;
-  poptFreeContext(Popt);
-  std::string Result = Path ? Path : "";
-  std::free(Path);
-  if (Version) {
-    std::cout << "rosemarylane " ROSEMARYLANE_VERSION "\n";
-    return core::failure(ExitCode::Ok);
-  }
-  if (Problem.empty() && Result.empty())
-    Problem = "--settings FILE is required";
-  if (Problem.empty())
-    return Result;
-  std::cerr << "rosemarylane " << nameOf(Kind) << ": " << Problem << "\n";
-  return core::failure(ExitCode::Usage);
-}
-
 } // namespace
 
 struct NodeRuntime::State {
@@ -115,7 +82,7 @@
 
 core::Result<std::unique_ptr<NodeRuntime>, ExitCode>
 NodeRuntime::create(NodeKind Kind, int Argc, const char **Argv) {
-  auto Path = settingsPath(Kind, Argc, Argv);
+  auto Path = settingsPath(nameOf(Kind), Argc, Argv);
   if (!Path)
     return core::failure(Path.error());
   auto Text = readFile(*Path);
