--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -8,6 +8,7 @@
 #include "gateway/TargetSend.h"
 #include "gateway/TargetWait.h"
 #include "serving/RequestOutcome.h"
+
 namespace rosemarylane {
 
 namespace asio = boost::asio;
