--- a/libs/swarm/tests/EventLoop.h
+++ b/libs/emulator/include/emulator/EventLoop.h
@@ -1,5 +1,5 @@
-#ifndef ROSEMARYLANE_SWARM_TESTS_EVENT_LOOP_H
-#define ROSEMARYLANE_SWARM_TESTS_EVENT_LOOP_H
+#ifndef ROSEMARYLANE_EMULATOR_EVENT_LOOP_H
+#define ROSEMARYLANE_EMULATOR_EVENT_LOOP_H
 
 #include "core/Time.h"
 
@@ -8,7 +8,7 @@
 #include <queue>
 #include <vector>
 
-namespace rosemarylane::swarm::testing {
+namespace rosemarylane::emulator {
 
 /// A discrete-event loop with simulated time. Actions run in the order of their
 /// times, and in the order of submission at equal times.
@@ -68,6 +68,6 @@
   std::vector<std::size_t> FreeSlots;
 };
 
-} // namespace rosemarylane::swarm::testing
+} // namespace rosemarylane::emulator
 
-#endif // ROSEMARYLANE_SWARM_TESTS_EVENT_LOOP_H
+#endif // ROSEMARYLANE_EMULATOR_EVENT_LOOP_H
--- a/libs/swarm/tests/FleetTest.cpp
+++ b/libs/emulator/tests/FleetTest.cpp
@@ -1,11 +1,11 @@
 /// Simulates the distribution of one version over whole fleets and checks the
 /// results against limits and against baseline planners.
 
-#include "FleetSimulation.h"
+#include "emulator/RolloutModel.h"
 
 #include <boost/test/unit_test.hpp>
 
-using namespace rosemarylane::swarm::testing;
+using namespace rosemarylane::emulator;
 
 namespace {
 
--- a/libs/serving/include/serving/VersionPlan.h
+++ b/libs/serving/include/serving/VersionPlan.h
@@ -43,10 +43,12 @@
 /// loads one.
 ///
 /// Versions may be named in quick succession or shortly before the origin
-/// fails, while all targets are needed to serve. The newest version is fetched,
-/// unless an older one has a clear head start and can still serve before it is
-/// superseded. Targets switch in rank order, spread over the time between the
-/// completion of the download and the moment at which the version takes effect.
+/// fails, while all targets are needed to serve. The newest version is always
+/// fetched; an older one is finished beside it if it has a clear head start,
+/// its chunks still arrive, and it can serve before it is superseded. Targets
+/// switch in rank order, spread over the time between the completion of the
+/// download and the moment from which the loaded version may not be used any
+/// more. A version is skipped if a newer one will be loaded before that moment.
 /// A target keeps serving until its switch can actually be made. Immutable
 /// value without a clock of its own; an agent builds a new one for each
 /// decision.
@@ -74,8 +76,9 @@
   VersionPlan(Settings Config, std::uint64_t Loaded,
               std::vector<KnownVersion> Known);
 
-  /// @return the version whose chunks to fetch now; 0 for none.
-  std::uint64_t versionToFetch(core::BootTime Now) const;
+  /// @return the versions whose chunks to fetch now, the newest first; at most
+  /// one of them is older than the newest known.
+  std::vector<std::uint64_t> versionsToFetch(core::BootTime Now) const;
 
   /// @return the load to make or to announce. A version is considered once at
   /// least half of its chunks are present, and while chunks still arrive or all
@@ -87,14 +90,22 @@
   /// use the whole link.
   bool cannotServe(core::BootTime Now) const;
 
+  /// @return whether the newest version will not be complete, at the usual
+  /// rate, by the time from which neither the loaded version nor one that is
+  /// complete may be used.
+  bool isLate(core::BootTime Now) const;
+
 private:
-  /// An incomplete version is finished before the next one is fetched only if
-  /// it was learnt of at least this long before the next one.
+  /// An incomplete version is finished beside the next one only if it was
+  /// learnt of at least this long before the next one.
   static constexpr std::chrono::milliseconds MinHeadStart{1000};
-  /// An incomplete version is finished before the next one is fetched only if
-  /// it will be complete before this fraction of the next one's activation
-  /// delay has passed.
+  /// An incomplete version is finished beside the next one only if it will be
+  /// complete before this fraction of the next one's activation delay has
+  /// passed.
   static constexpr double FinishOlderFraction = 0.75;
+  /// An incomplete version is given up for the next one if no chunk of it has
+  /// arrived for this long.
+  static constexpr std::chrono::milliseconds FinishStallTimeout{1000};
   /// Times of the first and the last switch, as fractions of the activation
   /// delay, counted from the naming of the version.
   static constexpr double FirstSwitchFraction = 0.5;
@@ -109,6 +120,13 @@
   core::BootTime completionTime(const KnownVersion &V,
                                 core::BootTime Now) const;
   core::BootTime switchTime(const KnownVersion &V, core::BootTime Now) const;
+  /// @return whether chunks of the version still arrive or all are present.
+  static bool isProgressing(const KnownVersion &V, core::BootTime Now);
+  /// @return whether a load of the version can be planned now.
+  bool canPlanLoad(const KnownVersion &V, core::BootTime Now) const;
+  /// @return whether loading \p V would gain nothing, because it is superseded
+  /// or a newer version will be loaded before the loaded one goes out of use.
+  bool isSkipped(const KnownVersion &V, core::BootTime Now) const;
   /// @return the oldest named version that is newer than \p After, or null.
   const KnownVersion *nextNamed(std::uint64_t After) const;
   /// @return the time at which \p Fraction of the activation delay of \p V has
--- a/libs/serving/src/VersionPlan.cpp
+++ b/libs/serving/src/VersionPlan.cpp
@@ -11,14 +11,20 @@
                          std::vector<KnownVersion> Known)
     : Config(Config), Loaded(Loaded), Known(std::move(Known)) {}
 
-std::uint64_t VersionPlan::versionToFetch(BootTime Now) const {
+std::vector<std::uint64_t> VersionPlan::versionsToFetch(BootTime Now) const {
+  std::vector<std::uint64_t> Result;
   if (Known.empty())
-    return 0;
-  for (const KnownVersion &V : Known)
-    if (worthFinishing(V, Now))
-      return V.Number;
+    return Result;
   const KnownVersion &Newest = Known.back();
-  return Newest.Chunks > 0 && !Newest.complete() ? Newest.Number : 0;
+  if (Newest.Chunks > 0 && !Newest.complete())
+    Result.push_back(Newest.Number);
+  auto Older =
+      std::find_if(Known.rbegin(), Known.rend(), [&](const KnownVersion &V) {
+        return worthFinishing(V, Now);
+      });
+  if (Older != Known.rend())
+    Result.push_back(Older->Number);
+  return Result;
 }
 
 bool VersionPlan::worthFinishing(const KnownVersion &V, BootTime Now) const {
@@ -26,7 +32,8 @@
   bool Useful = Loaded != 0 && V.Number > Loaded && V.NamedAt && Next;
   if (!Useful || V.Chunks == 0 || V.complete())
     return false;
-  if (Next->LearntAt - V.LearntAt < MinHeadStart)
+  if (Next->LearntAt - V.LearntAt < MinHeadStart ||
+      Now - V.LastChunkAt > FinishStallTimeout)
     return false;
   return completionTime(V, Now) < timeAfterNaming(*Next, FinishOlderFraction);
 }
@@ -34,11 +41,7 @@
 VersionPlan::LoadPlan VersionPlan::plannedLoad(BootTime Now) const {
   LoadPlan Result;
   for (const KnownVersion &V : Known) {
-    // Without half of the chunks, no load of the version is planned, and
-    // `NextAt` does not announce one to the gateways.
-    bool HalfFetched = V.Chunks > 0 && V.Held * 2 >= V.Chunks;
-    bool Progressing = V.complete() || Now - V.LastChunkAt < StallTimeout;
-    if (V.Number <= Loaded || !HalfFetched || !Progressing)
+    if (!canPlanLoad(V, Now) || isSkipped(V, Now))
       continue;
     BootTime SwitchTime = switchTime(V, Now);
     if (V.complete() && Now >= SwitchTime)
@@ -51,6 +54,45 @@
   return Result;
 }
 
+bool VersionPlan::isProgressing(const KnownVersion &V, BootTime Now) {
+  return V.complete() || Now - V.LastChunkAt < StallTimeout;
+}
+
+bool VersionPlan::canPlanLoad(const KnownVersion &V, BootTime Now) const {
+  // Without half of the chunks, no load of the version is planned, and `NextAt`
+  // does not announce one to the gateways.
+  bool HalfFetched = V.Chunks > 0 && V.Held * 2 >= V.Chunks;
+  return V.Number > Loaded && HalfFetched && isProgressing(V, Now);
+}
+
+bool VersionPlan::isSkipped(const KnownVersion &V, BootTime Now) const {
+  const KnownVersion *Next = nextNamed(V.Number);
+  if (Next && Now >= timeAfterNaming(*Next, 1))
+    return true;
+  const KnownVersion *FirstDue = nextNamed(Loaded);
+  if (Loaded == 0 || !FirstDue)
+    return false;
+  BootTime OutOfUseAt = timeAfterNaming(*FirstDue, 1);
+  return std::any_of(Known.begin(), Known.end(), [&](const KnownVersion &W) {
+    return W.Number > V.Number && canPlanLoad(W, Now) &&
+           switchTime(W, Now) < OutOfUseAt;
+  });
+}
+
+bool VersionPlan::isLate(BootTime Now) const {
+  if (Known.empty())
+    return false;
+  const KnownVersion &Newest = Known.back();
+  if (Newest.Chunks == 0 || Newest.complete())
+    return false;
+  std::uint64_t Usable = Loaded;
+  for (const KnownVersion &V : Known)
+    if (V.complete())
+      Usable = std::max(Usable, V.Number);
+  const KnownVersion *Next = nextNamed(Usable);
+  return Next && completionTime(Newest, Now) > timeAfterNaming(*Next, 1);
+}
+
 bool VersionPlan::cannotServe(BootTime Now) const {
   const KnownVersion *Next = nextNamed(Loaded);
   return Loaded == 0 || (Next && Now >= timeAfterNaming(*Next, 1));
@@ -62,9 +104,14 @@
   // switches could be spread.
   if (Loaded == 0 || !V.NamedAt)
     return BootTime();
-  BootTime First =
-      std::max(timeAfterNaming(V, FirstSwitchFraction), completionTime(V, Now));
-  BootTime Last = std::max(timeAfterNaming(V, LastSwitchFraction), First);
+  // The loaded version goes out of use when the oldest newer one takes effect.
+  const KnownVersion *FirstDue = nextNamed(Loaded);
+  if (!FirstDue || FirstDue->Number > V.Number)
+    FirstDue = &V;
+  BootTime First = std::max(timeAfterNaming(*FirstDue, FirstSwitchFraction),
+                            completionTime(V, Now));
+  BootTime Last =
+      std::max(timeAfterNaming(*FirstDue, LastSwitchFraction), First);
   double Position =
       V.SwitchingTargets > 1
           ? static_cast<double>(std::min(V.Rank, V.SwitchingTargets - 1)) /
--- a/libs/swarm/include/swarm/SwarmPlanner.h
+++ b/libs/swarm/include/swarm/SwarmPlanner.h
@@ -17,11 +17,14 @@
 /// A fetch is a request for one chunk. It is called a pull if it goes to a peer
 /// in the own failure domain that holds the chunk, a read if it goes to a
 /// reader or to the origin, and a remote read if it goes to the origin or to
-/// the fleet's reader.
+/// another region.
 struct PlannerSettings {
   /// Maximum number of peers in the own failure domain whose holdings are
   /// tracked.
   std::size_t ViewSize = 20;
+  /// Maximum number of hosts in other regions whose holdings are tracked; they
+  /// are spread over the regions.
+  std::size_t RemoteViewSize = 4;
   /// Maximum number of pulls in progress.
   std::size_t MaxPulls = 4;
   /// Maximum number of remote reads in progress.
@@ -52,6 +55,9 @@
   /// rate. Paces the origin reads of hosts that see only part of the fleet or
   /// that read in place of the fleet's reader.
   std::chrono::nanoseconds CopyTime = std::chrono::seconds(60);
+
+  /// @return settings for versions of which one copy takes a few seconds.
+  static PlannerSettings forShortCopies(std::chrono::nanoseconds CopyTime);
 };
 
 /// A request for a chunk, and the source that it goes to.
@@ -64,6 +70,8 @@
     RegionReader,
     /// The fleet's reader in another region.
     FleetReader,
+    /// A host in another region that holds the chunk.
+    RemoteHolder,
   };
 
   std::uint64_t Id = 0;
@@ -99,11 +107,13 @@
 /// Within a failure domain, hosts pull the chunk that is rarest among a bounded
 /// view of peers, from a peer that is idle; they never wait for a busy one.
 /// Chunks enter a failure domain, a region and the fleet through the readers
-/// that `ReaderRanks` assigns.
+/// that `ReaderRanks` assigns. A chunk that a tracked host of another region
+/// holds is read from there, so that none depends on its readers alone.
 ///
-/// Usage: call `setMembers`, exchange holdings with the hosts of `view`, then
-/// call `plan` after every event and a few times a second. Send the requests
-/// that it returns and report each of them by `reportOutcome`.
+/// Usage: call `setMembers`, exchange holdings with the hosts of `view` and,
+/// less often, with those of `remoteView`, then call `plan` after every event
+/// and a few times a second. Send the requests that it returns and report each
+/// of them by `reportOutcome`.
 ///
 /// One planner lives as long as the host fetches or uploads the version. A
 /// state machine without I/O: time is passed in with every call, and all
@@ -126,9 +136,14 @@
   virtual void setMembers(std::vector<EngineHost> Members,
                           std::uint32_t Replicas, core::TimePoint Now) = 0;
 
-  /// @return the peers whose holdings have to be reported by `peerHolds`.
+  /// @return the peers in the own failure domain whose holdings have to be
+  /// reported by `peerHolds`.
   virtual const std::vector<core::HostId> &view() const = 0;
 
+  /// @return the hosts in other regions whose holdings have to be reported by
+  /// `peerHolds`. Their number does not grow with the fleet.
+  virtual const std::vector<core::HostId> &remoteView() const = 0;
+
   /// Records the chunks that \p Peer holds now.
   virtual void peerHolds(const core::HostId &Peer, ChunkSet Chunks,
                          core::TimePoint Now) = 0;
@@ -166,11 +181,16 @@
   /// fetch in progress, such as a reply after the timeout.
   virtual void markStored(std::size_t Chunk, core::TimePoint Now) = 0;
 
-  /// Records that this host or a reader cannot reach the origin now. Restarts
+  /// Records that this host or a reader could not reach the origin. Restarts
   /// the `StallTimeout`, since another host that took over from the reader
-  /// would not reach the origin either. Call it again while the origin stays
-  /// unreachable.
-  virtual void markOriginUnreachable(core::TimePoint Now) { (void)Now; }
+  /// would not have reached the origin either. Call it again while the origin
+  /// stays unreachable.
+  /// @param At when that host failed to reach it.
+  virtual void markOriginUnreachable(core::TimePoint At) { (void)At; }
+
+  /// Sets whether a newer version of the weights is to be served. The origin is
+  /// then read only for the last few chunks that no tracked host holds.
+  virtual void setSuperseded(bool Superseded) { (void)Superseded; }
 
   /// Records that this host no longer holds a chunk.
   virtual void markLost(std::size_t Chunk) = 0;
--- a/libs/swarm/src/BaselinePlanners.cpp
+++ b/libs/swarm/src/BaselinePlanners.cpp
@@ -26,6 +26,9 @@
     Members = std::move(Hosts);
   }
   const std::vector<core::HostId> &view() const override { return EmptyView; }
+  const std::vector<core::HostId> &remoteView() const override {
+    return EmptyView;
+  }
   void peerHolds(const core::HostId &, ChunkSet, TimePoint) override {}
   void markDemanded(std::size_t, ChunkFetch::Source) override {}
   double regionShare() const override {
--- a/libs/swarm/src/PlannerState.h
+++ b/libs/swarm/src/PlannerState.h
@@ -16,11 +16,18 @@
 /// During its lifetime, a planner sends at most one of them per this many
 /// chunks of the version, but may always send one.
 inline constexpr std::size_t ChunksPerDuplicateRequest = 100;
+/// The origin is read for a superseded version only while at least this
+/// fraction of its chunks is held by this host or the hosts that it tracks.
+inline constexpr double MinSeenFractionIfSuperseded = 0.9;
 
 /// Fetch state of one chunk.
 struct ChunkState {
   /// The chunk is not read before this time. Does not delay pulls.
   core::TimePoint RetryAt{};
+  /// When a host of another region was first known to hold the chunk.
+  core::TimePoint HeldRemotelySince{};
+  /// Whether a reader or the origin, asked for the chunk, did not have it.
+  bool SourceLacked = false;
   /// Number of failed reads; selects the next source in rank.
   std::size_t FailedAttempts = 0;
   /// Number of fetches of the chunk that are in progress.
--- a/libs/swarm/src/SwarmPlanner.cpp
+++ b/libs/swarm/src/SwarmPlanner.cpp
@@ -29,7 +29,8 @@
       : Self(std::move(Self)), Version(Version), ChunkIds(std::move(Chunks)),
         Settings(Settings), Random(Seed), HeldChunks(std::move(Held)),
         SeenChunks(HeldChunks), PendingChunks(ChunkIds.size()),
-        ChunkStates(ChunkIds.size()), View(ChunkIds.size()) {
+        ChunkStates(ChunkIds.size()), View(ChunkIds.size()),
+        RemoteView(ChunkIds.size()) {
     assert(HeldChunks.size() == ChunkIds.size());
   }
 
@@ -49,21 +50,42 @@
     Budget.setFleet(ChunkIds.size(), Members.size(), Replicas,
                     Ranks.ingressHostCount(), Settings.CopyTime);
     View.update(domainPeers());
+    RemoteView.update(remotePeers());
     cancelFetchesFromDepartedHosts();
     updateChunksToRead();
     StallTimerStart = Now;
+    LastSeenAt = Now;
   }
 
-  void markOriginUnreachable(TimePoint Now) override { StallTimerStart = Now; }
+  void markOriginUnreachable(TimePoint At) override {
+    StallTimerStart = std::max(StallTimerStart, At);
+  }
+
+  void setSuperseded(bool IsSuperseded) override { Superseded = IsSuperseded; }
 
   const std::vector<core::HostId> &view() const override {
     return View.hosts();
   }
 
+  const std::vector<core::HostId> &remoteView() const override {
+    return RemoteView.hosts();
+  }
+
   void peerHolds(const core::HostId &Host, ChunkSet Chunks,
                  TimePoint Now) override {
+    if (Chunks.size() != ChunkIds.size())
+      return;
+    if (ViewPeer *Remote = RemoteView.find(Host)) {
+      RemoteView.recordHoldings(*Remote, std::move(Chunks))
+          .forEach([&](std::size_t C) {
+            TimePoint &Since = ChunkStates[C].HeldRemotelySince;
+            if (Since == TimePoint())
+              Since = Now;
+          });
+      return;
+    }
     ViewPeer *Peer = View.find(Host);
-    if (!Peer || Chunks.size() != ChunkIds.size())
+    if (!Peer)
       return;
     ChunkSet Gained = View.recordHoldings(*Peer, std::move(Chunks));
     Gained.forEach([&](std::size_t C) { markSeen(C, Now); });
@@ -158,6 +180,30 @@
     return Result;
   }
 
+  /// @return the hosts of other regions whose holdings are tracked: those of
+  /// highest rank of each region in turn.
+  std::vector<core::HostId> remotePeers() const {
+    std::map<core::RegionId, std::vector<core::HostId>> ByRegion;
+    for (const EngineHost &Member : Members)
+      if (Member.Region != Members[SelfIndex].Region)
+        ByRegion[Member.Region].push_back(Member.Host);
+    for (auto &[Region, Hosts] : ByRegion)
+      Hosts = core::rendezvousRank(
+          Self.str(), std::move(Hosts),
+          [](const core::HostId &H) -> std::string_view { return H.str(); });
+    std::vector<core::HostId> Result;
+    for (std::size_t Rank = 0; Result.size() < Settings.RemoteViewSize;
+         ++Rank) {
+      std::size_t Before = Result.size();
+      for (auto &[Region, Hosts] : ByRegion)
+        if (Rank < Hosts.size() && Result.size() < Settings.RemoteViewSize)
+          Result.push_back(Hosts[Rank]);
+      if (Result.size() == Before)
+        break;
+    }
+    return Result;
+  }
+
   void cancelFetchesFromDepartedHosts() {
     for (auto Item = PendingFetches.begin(); Item != PendingFetches.end();) {
       const core::HostId &Host = Item->second.Fetch.Host;
@@ -229,7 +275,8 @@
 
   static bool isRemote(ChunkFetch::Source From) {
     return From == ChunkFetch::Source::Origin ||
-           From == ChunkFetch::Source::FleetReader;
+           From == ChunkFetch::Source::FleetReader ||
+           From == ChunkFetch::Source::RemoteHolder;
   }
 
   bool addChunk(std::size_t Chunk, TimePoint Now) {
@@ -246,6 +293,7 @@
       return;
     SeenChunks.insert(Chunk);
     StallTimerStart = Now;
+    LastSeenAt = Now;
   }
 
   /// Delays further requests after a failed fetch. After a pull, the peer is
@@ -257,10 +305,19 @@
       ChunkStates[Fetch.Chunk].RetryAt = Now + Settings.PollDelay;
     else if (ViewPeer *Peer = View.find(Fetch.Host))
       Peer->AvoidUntil = Now + PeerDelay;
+    if (Fetch.From == ChunkFetch::Source::RemoteHolder)
+      if (ViewPeer *Peer = RemoteView.find(Fetch.Host))
+        Peer->AvoidUntil = Now + PeerDelay;
   }
 
   void handleNotHeld(const ChunkFetch &Fetch, TimePoint Now) {
+    if (Fetch.From == ChunkFetch::Source::RemoteHolder) {
+      if (ViewPeer *Peer = RemoteView.find(Fetch.Host))
+        RemoteView.removeHolding(*Peer, Fetch.Chunk);
+      return;
+    }
     if (Fetch.From != ChunkFetch::Source::DomainPeer) {
+      ChunkStates[Fetch.Chunk].SourceLacked = true;
       ChunkStates[Fetch.Chunk].RetryAt = Now + Settings.PollDelay;
       if (Now - StallTimerStart > Settings.StallTimeout)
         ++ChunkStates[Fetch.Chunk].FailedAttempts;
@@ -337,22 +394,75 @@
   /// Plans reads in place of readers that have stalled.
   void planTakeovers(TimePoint Now, std::size_t &RemoteReads,
                      std::vector<ChunkFetch> &Result) {
-    auto StalledFor = Now - StallTimerStart;
-    if (StalledFor <= Settings.StallTimeout)
+    // Never later than `StallTimerStart`.
+    if (Now - LastSeenAt <= Settings.StallTimeout)
       return;
     for (std::size_t C = 0; C < ChunkIds.size(); ++C) {
       std::uint32_t Rank = Ranks.readers(C).OwnDomainRank;
       if (HeldChunks.contains(C) || PendingChunks.contains(C) ||
           View.holderCount(C) != 0 || Rank == 0 ||
-          StalledFor <= Settings.StallTimeout * Rank ||
-          ChunkStates[C].RetryAt > Now)
+          ChunkStates[C].RetryAt > Now ||
+          stalledFor(C, Now) <= Settings.StallTimeout * Rank)
         continue;
       planRead(C, Now, RemoteReads, Result);
     }
   }
 
+  /// @return how long the chunk has not reached the failure domain although it
+  /// could have. While the origin is away, only a chunk that another region
+  /// holds could have.
+  std::chrono::nanoseconds stalledFor(std::size_t Chunk, TimePoint Now) const {
+    if (RemoteView.holderCount(Chunk) == 0)
+      return Now - StallTimerStart;
+    return Now - std::max(LastSeenAt, ChunkStates[Chunk].HeldRemotelySince);
+  }
+
+  /// @return whether the chunk is to be read from any host of another region
+  /// that holds it, since its readers do not deliver it.
+  bool bypassesReaders(std::size_t Chunk, TimePoint Now) const {
+    const ChunkState &State = ChunkStates[Chunk];
+    bool ReadsForRegion =
+        Ranks.readers(Chunk).Region[0] == SelfIndex || State.NeededByRegion;
+    return (ReadsForRegion && State.SourceLacked) ||
+           stalledFor(Chunk, Now) > Settings.StallTimeout;
+  }
+
+  /// @return a tracked host of another region that holds the chunk, chosen at
+  /// random; null if there is none.
+  const ViewPeer *pickRemoteHolder(std::size_t Chunk, TimePoint Now) {
+    const ViewPeer *Best = nullptr;
+    std::size_t Ties = 0;
+    for (const ViewPeer &Peer : RemoteView.peers())
+      if (Peer.Held.contains(Chunk) && Peer.AvoidUntil <= Now &&
+          Random() % ++Ties == 0)
+        Best = &Peer;
+    return Best;
+  }
+
+  /// @return whether a chunk may be read from the origin for a version that is
+  /// to be served for a short time only.
+  bool mayReadOrigin() const {
+    if (!Superseded)
+      return true;
+    std::size_t Seen = 0;
+    for (std::size_t C = 0; C < ChunkIds.size(); ++C)
+      Seen += SeenChunks.contains(C) || RemoteView.holderCount(C) > 0;
+    return static_cast<double>(Seen) >=
+           MinSeenFractionIfSuperseded * static_cast<double>(ChunkIds.size());
+  }
+
   void planRead(std::size_t Chunk, TimePoint Now, std::size_t &RemoteReads,
                 std::vector<ChunkFetch> &Result) {
+    const ViewPeer *Holder =
+        bypassesReaders(Chunk, Now) ? pickRemoteHolder(Chunk, Now) : nullptr;
+    if (Holder) {
+      if (RemoteReads == 0 || ActiveRemoteReads >= Settings.MaxRemoteReads)
+        return;
+      --RemoteReads;
+      beginFetch(Chunk, ChunkFetch::Source::RemoteHolder, Holder->Host, Now,
+                 Result);
+      return;
+    }
     std::vector<SourceChoice> Sources = sources(Chunk);
     if (Sources.empty())
       return;
@@ -362,6 +472,8 @@
         (RemoteReads == 0 || ActiveRemoteReads >= Settings.MaxRemoteReads))
       return;
     if (Choice.From == ChunkFetch::Source::Origin) {
+      if (!mayReadOrigin())
+        return;
       bool IsFleetReader = Ranks.readers(Chunk).Fleet[0] == SelfIndex;
       if (!Budget.tryAcquire(IsFleetReader, Now))
         return;
@@ -465,6 +577,10 @@
   std::vector<ChunkState> ChunkStates;
   /// The peers of the failure domain whose holdings are tracked.
   PeerView View;
+  /// The hosts of other regions whose holdings are tracked.
+  PeerView RemoteView;
+  /// Whether a newer version is to be served.
+  bool Superseded = false;
   /// Missing chunks that this host reads for its failure domain, its region or
   /// the fleet.
   std::vector<std::size_t> ChunksToRead;
@@ -480,11 +596,32 @@
   /// When the current `StallTimeout` began: a chunk was seen for the first
   /// time, the members changed, or the origin was reported as unreachable.
   TimePoint StallTimerStart{};
+  /// When a chunk was last seen for the first time, or the members changed.
+  TimePoint LastSeenAt{};
   TimePoint NextExpiryCheck{};
 };
 
 } // namespace
 
+PlannerSettings
+PlannerSettings::forShortCopies(std::chrono::nanoseconds CopyTime) {
+  using std::chrono::milliseconds;
+  PlannerSettings Result;
+  Result.MaxPulls = 6;
+  // Readers hold the requests until they have the chunk, so most of these wait
+  // and use nothing of the link.
+  Result.MaxRemoteReads = 24;
+  Result.RequestTimeout = milliseconds(1500);
+  Result.RemoteTimeout = milliseconds(1500);
+  Result.StallTimeout = milliseconds(700);
+  Result.BusyDelay = milliseconds(40);
+  Result.PollDelay = milliseconds(60);
+  Result.DiscoveryTime = milliseconds(30);
+  Result.SettleTime = milliseconds(30);
+  Result.CopyTime = CopyTime;
+  return Result;
+}
+
 std::unique_ptr<SwarmPlanner>
 SwarmPlanner::create(core::HostId Self, core::Digest Version,
                      std::vector<core::Digest> Chunks, ChunkSet Held,
--- a/libs/swarm/tests/LinkTest.cpp
+++ b/libs/swarm/tests/LinkTest.cpp
@@ -3,6 +3,7 @@
 
 #include "Generators.h"
 #include "swarm/ClassShare.h"
+#include "swarm/InboundPacing.h"
 #include "swarm/SlowLink.h"
 #include "swarm/TokenBucket.h"
 #include "swarm/UploadQueue.h"
@@ -167,6 +168,26 @@
 // an eighth while weights are distributed. A slow transfer must reduce fetches
 // to one at a time, with pauses, until a fast one shows that the link has
 // recovered.
+// Guards against pulls that wait for chunks that never came. While the origin
+// was away, each read that brought nothing took a chunk's time of the link;
+// pulls then waited for up to 3.5 s.
+BOOST_AUTO_TEST_CASE(requests_that_bring_nothing_do_not_delay_pulls) {
+  swarm::InboundPacing Inbound(/*BytesPerSecond=*/10 * ChunkBytes, ChunkBytes);
+  TimePoint Now = Start;
+  for (int Read = 0; Read < 40; ++Read)
+    Inbound.readEnded(/*Received=*/0, Now += std::chrono::milliseconds(50));
+  BOOST_TEST(Inbound.pullAllowed(Now));
+  for (int Pull = 0; Pull < 40; ++Pull) {
+    Inbound.pullStarted(ChunkBytes, Now);
+    Inbound.pullEnded(ChunkBytes, /*Received=*/0, Now);
+  }
+  BOOST_TEST(Inbound.pullAllowed(Now));
+  for (int Read = 0; Read < 3; ++Read)
+    Inbound.readEnded(ChunkBytes, Now);
+  BOOST_TEST(!Inbound.pullAllowed(Now));
+  BOOST_TEST(Inbound.pullAllowed(Now + std::chrono::milliseconds(300)));
+}
+
 BOOST_AUTO_TEST_CASE(a_slow_link_carries_one_chunk_at_a_time_with_pauses) {
   swarm::SlowLink Throttle(700ms);
   BOOST_TEST(!Throttle.shouldWait(4, Start));
--- a/libs/swarm/tests/PlannerTest.cpp
+++ b/libs/swarm/tests/PlannerTest.cpp
@@ -6,6 +6,7 @@
 #include "swarm/ReaderRanks.h"
 #include "swarm/SwarmPlanner.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <rapidcheck.h>
@@ -185,6 +186,45 @@
   }));
 }
 
+// Guards against chunks that depend on a single reader. One chunk was missing
+// in a whole region for four seconds, though the others held it: its reader
+// asked only the origin, which was down, and the others asked only the reader.
+BOOST_AUTO_TEST_CASE(chunks_come_from_other_regions_while_the_origin_is_away) {
+  constexpr std::size_t Chunks = 24;
+  auto Hosts = makeHosts(12, 6);
+  for (const EngineHost &Self : Hosts) {
+    auto Planner = SwarmPlanner::create(Self.Host, Version, makeDigests(Chunks),
+                                        ChunkSet(Chunks), PlannerSettings{}, 7);
+    TimePoint Now = Start;
+    Planner->setMembers(Hosts, static_cast<std::uint32_t>(Hosts.size()), Now);
+    ChunkSet All(Chunks);
+    for (std::size_t C = 0; C < Chunks; ++C)
+      All.insert(C);
+    auto IsRemote = [&](const core::HostId &Host) {
+      return std::any_of(Hosts.begin(), Hosts.end(), [&](const auto &H) {
+        return H.Host == Host && H.Region != Self.Region;
+      });
+    };
+    for (int Step = 0; Step < 600 && !Planner->held().full(); ++Step) {
+      Now += 100ms;
+      for (const EngineHost &H : Hosts)
+        Planner->peerHolds(H.Host, IsRemote(H.Host) ? All : ChunkSet(Chunks),
+                           Now);
+      for (const ChunkFetch &Fetch : Planner->plan(Now, UnlimitedRemoteReads)) {
+        bool FromOrigin = Fetch.From == ChunkFetch::Source::Origin;
+        if (FromOrigin)
+          Planner->markOriginUnreachable(Now);
+        Planner->reportOutcome(Fetch.Id,
+                               !FromOrigin && IsRemote(Fetch.Host)
+                                   ? FetchOutcome::Stored
+                                   : FetchOutcome::NotHeld,
+                               Now);
+      }
+    }
+    BOOST_TEST(Planner->held().count() == Chunks);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(duplicate_requests_stay_within_two_percent) {
   BOOST_TEST(rc::check([] {
     constexpr std::size_t Chunks = 200;
--- a/rosemarylane/src/agent/ChunkExchange.cpp
+++ b/rosemarylane/src/agent/ChunkExchange.cpp
@@ -433,6 +433,8 @@
       Shared.RenewedAt = Now;
       for (const core::HostId &Peer : Shared.planner()->view())
         tell(Shared, Peer, /*Interested=*/true);
+      for (const core::HostId &Peer : Shared.planner()->remoteView())
+        tell(Shared, Peer, /*Interested=*/true);
     }
     if (!Shared.Untold || Now - Shared.ToldAt < HoldingsInterval)
       return;
--- a/rosemarylane/src/node/PeerServer.cpp
+++ b/rosemarylane/src/node/PeerServer.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <deque>
 
 namespace rosemarylane {
 
@@ -107,14 +108,19 @@
     }
   }
 
-  /// Waits until the rate limit admits a large response, and deducts its size.
+  /// Waits until the rate limit admits a large response, in the order of the
+  /// requests, and deducts its size.
   /// @return false if the client has closed the connection meanwhile.
   asio::awaitable<bool> acquireLargeWrite(Tcp::socket &To, std::size_t Bytes) {
+    std::uint64_t Ticket = NextTicket++;
+    WaitingTickets.push_back(Ticket);
     asio::steady_timer Pause(Loop);
-    while (!LargeWrites.ready(std::chrono::steady_clock::now())) {
+    while (WaitingTickets.front() != Ticket ||
+           !LargeWrites.ready(std::chrono::steady_clock::now())) {
       Pause.expires_after(LargeWritePollPeriod);
       co_await Pause.async_wait(Await);
     }
+    WaitingTickets.pop_front();
     if (closedByPeer(To))
       co_return false;
     LargeWrites.take(Bytes, std::chrono::steady_clock::now());
@@ -122,6 +128,9 @@
   }
 
   swarm::TokenBucket LargeWrites;
+  /// The large responses that wait, in the order of their requests.
+  std::deque<std::uint64_t> WaitingTickets;
+  std::uint64_t NextTicket = 0;
   asio::io_context &Loop;
   Tcp::acceptor Acceptor;
   Handler OnRequest;
@@ -159,6 +168,10 @@
   S->LargeWrites.setRate(BytesPerSecond, std::chrono::steady_clock::now());
 }
 
+std::size_t PeerServer::waitingLargeResponses() const {
+  return S->WaitingTickets.size();
+}
+
 PeerServer::~PeerServer() {
   // Closing ends `accept`. Open connections share the state and go on. An error
   // is ignored, as there is nothing left to do with the acceptor.
--- a/rosemarylane/src/node/PeerServer.h
+++ b/rosemarylane/src/node/PeerServer.h
@@ -37,6 +37,9 @@
   /// Changes the rate limit for large responses.
   void setLargeResponseRate(std::uint64_t BytesPerSecond);
 
+  /// @return the number of large responses that wait for the rate limit.
+  std::size_t waitingLargeResponses() const;
+
   struct State;
 
 private:
--- a/rosemarylane/src/sidecar/ChunkFetcher.cpp
+++ b/rosemarylane/src/sidecar/ChunkFetcher.cpp
@@ -3,7 +3,6 @@
 #include "sidecar/PeerPaths.h"
 #include "swarm/SlowLink.h"
 #include "swarm/SwarmPlanner.h"
-#include "swarm/TokenBucket.h"
 #include "telemetry/Log.h"
 
 #include <algorithm>
@@ -12,6 +11,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <optional>
 #include <random>
 
 namespace rosemarylane {
@@ -26,20 +27,16 @@
 
 constexpr milliseconds PlanPeriod{30};
 constexpr milliseconds AnnouncePeriod{90};
-/// Time limit of one request for a chunk, to a peer or to the origin.
-constexpr milliseconds ChunkTimeout{1500};
-/// Limit of concurrent fetches from hosts of the failure domain; their start is
-/// also paced by the bandwidth for incoming chunks.
-constexpr std::size_t MaxDomainFetches = 4;
-/// Limit of concurrent fetches from the origin and from hosts of other regions.
-constexpr std::size_t MaxRemoteFetches = 10;
+/// Holdings are announced to other regions only with every nth announcement, to
+/// save their links.
+constexpr std::size_t AnnouncementsPerRemoteOne = 4;
 /// A transfer from a host of the failure domain that takes longer indicates a
 /// slow link.
 constexpr milliseconds SlowTransferTime{700};
 /// Limit of concurrent fetches from the origin by one host: the origin accepts
 /// only few connections from the whole fleet. Each of them holds a slot; see
 /// `acquireOriginSlot`.
-constexpr std::size_t MaxOriginFetches = 2;
+constexpr std::size_t MaxOriginFetches = 1;
 constexpr milliseconds OriginSlotPollPeriod{10};
 /// Longest wait for a free slot; the fetch then ends as `Busy`, and the planner
 /// plans the chunk again.
@@ -48,39 +45,30 @@
 /// before its failure is reported to the planner.
 constexpr milliseconds OriginFailureDelay{120};
 /// Time for which the origin counts as unreachable after a fetch from it got no
-/// response, or a reader reported it as unreachable.
+/// response.
 constexpr milliseconds OriginUnreachablePeriod{1000};
 constexpr milliseconds BandwidthPollPeriod{4};
 constexpr milliseconds LogPeriod{500};
-/// Chunk size, in bytes, that pacing and the planner's copy time are based on.
-/// The size that the configuration states is not used here.
-constexpr std::size_t AssumedChunkBytes = 24 << 10;
 
-swarm::PlannerSettings plannerSettings(std::uint64_t Rate, std::size_t Chunks,
-                                       std::size_t ChunkBytes) {
-  swarm::PlannerSettings Result;
-  Result.MaxPulls = MaxDomainFetches;
-  Result.MaxRemoteReads = MaxRemoteFetches;
-  Result.RequestTimeout = ChunkTimeout;
-  Result.RemoteTimeout = ChunkTimeout;
-  // A reader is replaced by the host of next rank after this time without a new
-  // chunk.
-  Result.StallTimeout = milliseconds(700);
-  // Delay before a busy peer is asked again.
-  Result.BusyDelay = milliseconds(40);
-  // Delay before a reader that did not hold a chunk is asked again.
-  Result.PollDelay = milliseconds(60);
-  // Wait for the peers' holdings before the origin is read.
-  Result.DiscoveryTime = milliseconds(30);
-  // While some members are not visible, the origin is read only once the
-  // members have not changed for this time.
-  Result.SettleTime = milliseconds(30);
-  // Time that one copy of the version takes over the host's link.
-  double Bytes = static_cast<double>(Chunks * ChunkBytes);
-  double PerSecond = static_cast<double>(std::max<std::uint64_t>(Rate, 1));
-  Result.CopyTime = std::chrono::duration_cast<std::chrono::nanoseconds>(
-      std::chrono::duration<double>(Bytes / PerSecond));
-  return Result;
+/// @return the age of the failure that a peer reports together with
+/// `OriginUnreachableStatus`.
+milliseconds reportedFailureAge(const http::ResponseHead &Head) {
+  unsigned Age = 0;
+  if (auto Text = Head.Fields.find(OriginFailureAgeField))
+    std::from_chars(Text->data(), Text->data() + Text->size(), Age);
+  return std::min(milliseconds(Age), OriginUnreachablePeriod);
+}
+
+/// @return the role in which a peer is asked for a chunk; see `chunkPath`.
+const char *roleOf(ChunkFetch::Source From) {
+  switch (From) {
+  case ChunkFetch::Source::RegionReader:
+    return "region";
+  case ChunkFetch::Source::FleetReader:
+    return "fleet";
+  default:
+    return "held";
+  }
 }
 
 } // namespace
@@ -88,18 +76,20 @@
 struct ChunkFetcher::State : std::enable_shared_from_this<ChunkFetcher::State> {
   State(asio::io_context &Loop, const NodeSettings &Settings, HttpClient &Calls,
         PeerSocket &Link, std::string OriginAddress,
-        std::shared_ptr<VersionChunks> Chunks, std::uint64_t Rate)
+        std::shared_ptr<VersionChunks> Chunks,
+        std::shared_ptr<swarm::InboundPacing> Inbound, VersionSize Size)
       : Loop(Loop), Settings(Settings), Calls(Calls), Link(Link),
         OriginAddress(std::move(OriginAddress)), Chunks(std::move(Chunks)),
-        Timer(Loop), InboundBandwidth(Rate, AssumedChunkBytes / 2) {
+        Timer(Loop), Inbound(std::move(Inbound)), ChunkBytes(Size.ChunkBytes),
+        Planning(swarm::PlannerSettings::forShortCopies(
+            std::chrono::duration_cast<std::chrono::nanoseconds>(
+                Size.CopyTime))) {
     const platform::OriginManifest &Manifest = this->Chunks->manifest();
     core::Digest Version = core::Digest::of(Manifest.Model + "/" +
                                             std::to_string(Manifest.Version));
-    Planner = swarm::SwarmPlanner::create(
-        core::HostId(Settings.Ip), Version, Manifest.Chunks,
-        this->Chunks->held(),
-        plannerSettings(Rate, Manifest.Chunks.size(), AssumedChunkBytes),
-        std::random_device{}());
+    Planner = swarm::SwarmPlanner::create(core::HostId(Settings.Ip), Version,
+                                          Manifest.Chunks, this->Chunks->held(),
+                                          Planning, std::random_device{}());
   }
 
   void tick() {
@@ -126,7 +116,8 @@
     if (!HasMembers || LinkThrottle.shouldWait(FetchesInFlight, Steady::now()))
       return;
     // The planner's own limit of remote fetches applies; no further pacing.
-    for (ChunkFetch &Fetch : Planner->plan(Steady::now(), MaxRemoteFetches))
+    for (ChunkFetch &Fetch :
+         Planner->plan(Steady::now(), Planning.MaxRemoteReads))
       asio::co_spawn(
           Loop,
           [Self = shared_from_this(), Fetch = std::move(Fetch)]()
@@ -137,20 +128,17 @@
   asio::awaitable<void> fetch(const ChunkFetch &Fetch) {
     const platform::OriginManifest &Manifest = Chunks->manifest();
     HttpClient::Call Call;
-    Call.Timeout = ChunkTimeout; // A duration.
+    Call.Timeout =
+        std::chrono::duration_cast<milliseconds>(Planning.RequestTimeout);
     Call.MaxBodyBytes = MaxChunkBytes;
     std::string Address = OriginAddress;
     if (Fetch.From == ChunkFetch::Source::Origin) {
       Call.Request =
           platform::chunkRequest(Manifest.Model, Manifest.Version, Fetch.Chunk);
     } else {
-      const char *Role = Fetch.From == ChunkFetch::Source::DomainPeer ? "held"
-                         : Fetch.From == ChunkFetch::Source::RegionReader
-                             ? "region"
-                             : "fleet";
       Call.Request.Method = "GET";
-      Call.Request.Target =
-          chunkPath(Manifest.Model, Manifest.Version, Fetch.Chunk, Role);
+      Call.Request.Target = chunkPath(Manifest.Model, Manifest.Version,
+                                      Fetch.Chunk, roleOf(Fetch.From));
       Address = Fetch.Host.str() + ":" + std::to_string(Settings.PeerPort);
     }
     bool IsOrigin = Fetch.From == ChunkFetch::Source::Origin;
@@ -164,14 +152,10 @@
                              Steady::now());
       co_return;
     }
-    // The whole fleet depends on chunks from the origin, so they and the chunks
-    // of designated readers do not wait for bandwidth; they only count against
-    // it.
-    if (Fetch.From == ChunkFetch::Source::DomainPeer)
+    bool IsPull = Fetch.From == ChunkFetch::Source::DomainPeer;
+    if (IsPull)
       co_await awaitBandwidth();
-    else
-      InboundBandwidth.take(AssumedChunkBytes, Steady::now());
-    if (Fetch.From == ChunkFetch::Source::DomainPeer)
+    if (IsPull)
       Call.OnBodyEnd =
           [Self = shared_from_this()](const HttpClient::BodyTransfer &Body) {
             Self->LinkThrottle.recordTransfer(Body.Time, Steady::now());
@@ -179,6 +163,11 @@
     ++FetchesInFlight;
     auto Response = co_await Calls.exchange(Address, std::move(Call));
     --FetchesInFlight;
+    std::size_t Received = Response ? Response->Body.size() : 0;
+    if (IsPull)
+      Inbound->pullEnded(ChunkBytes, Received, Steady::now());
+    else
+      Inbound->readEnded(Received, Steady::now());
     if (IsOrigin && !Response) {
       asio::steady_timer Pause(Loop, OriginFailureDelay);
       co_await Pause.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -197,19 +186,21 @@
     } else if (Response && Response->Head.Status == 404) {
       Outcome = FetchOutcome::NotHeld;
     } else if (Response && Response->Head.Status == OriginUnreachableStatus) {
-      recordOriginUnreachable();
+      recordOriginFailure(Steady::now() - reportedFailureAge(Response->Head));
       Outcome = FetchOutcome::NotHeld;
     } else if (IsOrigin && !Response) {
-      recordOriginUnreachable();
+      recordOriginFailure(Steady::now());
       Outcome = FetchOutcome::NotHeld;
-    } else if (Response && Response->Head.Status == 503) {
+    } else if (Response && Response->Head.Status == BusyStatus) {
       Outcome = FetchOutcome::Busy;
     }
     Steady::time_point Now = Steady::now();
     bool InTime = Planner->reportOutcome(Fetch.Id, Outcome, Now);
     if (Stored && !InTime)
       Planner->markStored(Fetch.Chunk, Now);
-    if (Stored && Fetch.From == ChunkFetch::Source::Origin)
+    if (IsOrigin && Response)
+      OriginFailedAt.reset();
+    if (Stored && IsOrigin)
       ++FromOrigin;
     plan();
     if (Chunks->held().full())
@@ -218,11 +209,11 @@
 
   asio::awaitable<void> awaitBandwidth() {
     asio::steady_timer Pause(Loop);
-    while (!InboundBandwidth.ready(Steady::now())) {
+    while (!Inbound->pullAllowed(Steady::now())) {
       Pause.expires_after(BandwidthPollPeriod);
       co_await Pause.async_wait(asio::as_tuple(asio::use_awaitable));
     }
-    InboundBandwidth.take(AssumedChunkBytes, Steady::now());
+    Inbound->pullStarted(ChunkBytes, Steady::now());
   }
 
   /// Waits until one more read from the origin may start.
@@ -243,9 +234,11 @@
 
   /// Tells the planner, so that no other host takes over from the readers while
   /// no chunk can arrive.
-  void recordOriginUnreachable() {
-    OriginUnreachableAt = Steady::now();
-    Planner->markOriginUnreachable(OriginUnreachableAt);
+  /// @param At when a host, this one or another, failed to reach the origin.
+  /// What other hosts say never makes the observation newer than it is.
+  void recordOriginFailure(Steady::time_point At) {
+    OriginFailedAt = std::max(OriginFailedAt.value_or(At), At);
+    Planner->markOriginUnreachable(At);
   }
 
   void logDigestMismatch(const ChunkFetch &Fetch, const std::string &Address) {
@@ -294,6 +287,9 @@
     Own->set_tell(RequestReply);
     for (const core::HostId &Peer : Planner->view())
       Link.send(Peer.str(), Message);
+    if (Announcements++ % AnnouncementsPerRemoteOne == 0)
+      for (const core::HostId &Peer : Planner->remoteView())
+        Link.send(Peer.str(), Message);
   }
 
   asio::io_context &Loop;
@@ -304,30 +300,35 @@
   std::string OriginAddress;
   std::shared_ptr<VersionChunks> Chunks;
   asio::steady_timer Timer;
-  swarm::TokenBucket InboundBandwidth;
+  std::shared_ptr<swarm::InboundPacing> Inbound;
+  const std::size_t ChunkBytes;
+  const swarm::PlannerSettings Planning;
   std::unique_ptr<swarm::SwarmPlanner> Planner;
   std::vector<swarm::EngineHost> Members;
   bool HasMembers = false;
   bool IsComplete = false;
+  std::size_t Announcements = 0;
   std::size_t FromOrigin = 0;
   std::size_t OriginFetches = 0;
   std::size_t FetchesInFlight = 0;
   /// Limits the fetches while the link of this host is slower than configured.
   swarm::SlowLink LinkThrottle{SlowTransferTime};
-  Steady::time_point OriginUnreachableAt{};
+  /// When a host last failed to reach the origin, as far as this one knows;
+  /// absent after a read of its own that succeeded.
+  std::optional<Steady::time_point> OriginFailedAt;
   Steady::time_point LastAnnouncedAt{};
   Steady::time_point LastLoggedAt{};
   Steady::time_point StartedAt = Steady::now();
 };
 
-std::unique_ptr<ChunkFetcher>
-ChunkFetcher::start(asio::io_context &Loop, const NodeSettings &Settings,
-                    HttpClient &Calls, PeerSocket &Link,
-                    std::string OriginAddress,
-                    std::shared_ptr<VersionChunks> Chunks, std::uint64_t Rate) {
+std::unique_ptr<ChunkFetcher> ChunkFetcher::start(
+    asio::io_context &Loop, const NodeSettings &Settings, HttpClient &Calls,
+    PeerSocket &Link, std::string OriginAddress,
+    std::shared_ptr<VersionChunks> Chunks,
+    std::shared_ptr<swarm::InboundPacing> Inbound, VersionSize Size) {
   auto S = std::make_shared<State>(Loop, Settings, Calls, Link,
                                    std::move(OriginAddress), std::move(Chunks),
-                                   Rate);
+                                   std::move(Inbound), Size);
   S->tick();
   return std::unique_ptr<ChunkFetcher>(new ChunkFetcher(std::move(S)));
 }
@@ -336,8 +337,8 @@
 
 ChunkFetcher::~ChunkFetcher() { S->Timer.cancel(); }
 
-void ChunkFetcher::setRate(std::uint64_t BytesPerSecond) {
-  S->InboundBandwidth.setRate(BytesPerSecond, Steady::now());
+void ChunkFetcher::setSuperseded(bool Superseded) {
+  S->Planner->setSuperseded(Superseded);
 }
 
 void ChunkFetcher::setMembers(const std::vector<swarm::EngineHost> &Members) {
@@ -364,8 +365,12 @@
     S->Planner->peerHolds(core::HostId(Ip), std::move(*Held), Steady::now());
 }
 
-bool ChunkFetcher::isOriginUnreachable() const {
-  return Steady::now() - S->OriginUnreachableAt < OriginUnreachablePeriod;
+std::optional<milliseconds> ChunkFetcher::originFailureAge() const {
+  if (!S->OriginFailedAt)
+    return std::nullopt;
+  auto Age =
+      std::chrono::ceil<milliseconds>(Steady::now() - *S->OriginFailedAt);
+  return Age < OriginUnreachablePeriod ? std::optional(Age) : std::nullopt;
 }
 
 void ChunkFetcher::recordDemand(std::size_t Chunk, bool AsFleetReader) {
--- a/rosemarylane/src/sidecar/ChunkFetcher.h
+++ b/rosemarylane/src/sidecar/ChunkFetcher.h
@@ -5,17 +5,29 @@
 #include "node/NodeSettings.h"
 #include "node/PeerSocket.h"
 #include "sidecar/VersionChunks.h"
+#include "swarm/InboundPacing.h"
 #include "swarm/Placement.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace rosemarylane {
 
+/// Size of a version, for pacing.
+struct VersionSize {
+  /// Size of a chunk, in bytes.
+  std::size_t ChunkBytes = 0;
+  /// Time that one copy takes over the host's link.
+  std::chrono::duration<double> CopyTime{0};
+};
+
 /// Fetches the missing chunks of one version of the weights.
 ///
 /// `swarm::SwarmPlanner` decides where each chunk comes from: hosts of the same
@@ -32,15 +44,18 @@
   /// Creates a fetcher and starts it.
   /// @param Chunks receives the chunks; shared with the handlers of peers'
   /// requests for them.
-  /// @param Rate bandwidth for incoming chunks, in bytes per second.
+  /// @param Inbound pacing of this host's link, shared by all fetchers.
+  /// @param Size the size of the version.
   static std::unique_ptr<ChunkFetcher>
   start(boost::asio::io_context &Loop, const NodeSettings &Settings,
         HttpClient &Calls, PeerSocket &Link, std::string OriginAddress,
-        std::shared_ptr<VersionChunks> Chunks, std::uint64_t Rate);
+        std::shared_ptr<VersionChunks> Chunks,
+        std::shared_ptr<swarm::InboundPacing> Inbound, VersionSize Size);
   ~ChunkFetcher();
 
-  /// Changes the bandwidth for incoming chunks.
-  void setRate(std::uint64_t BytesPerSecond);
+  /// Sets whether a newer version is to be served. The origin then hardly
+  /// serves this one any more.
+  void setSuperseded(bool Superseded);
 
   /// Sets the hosts that fetch and share the version, identified by IP. Ignored
   /// if this host is not among them.
@@ -55,8 +70,10 @@
   /// rather than of its region.
   void recordDemand(std::size_t Chunk, bool AsFleetReader);
 
-  /// @return whether the origin was found unreachable within the last second.
-  bool isOriginUnreachable() const;
+  /// @return how long ago a host, this one or one that told it, failed to reach
+  /// the origin; absent if that is longer than a second ago or this host has
+  /// reached it since.
+  std::optional<std::chrono::milliseconds> originFailureAge() const;
 
   struct State;
 
@@ -67,6 +84,10 @@
 
 /// HTTP status with which a reader reports that the origin is unreachable.
 inline constexpr unsigned OriginUnreachableStatus = 504;
+/// Field of such a response: the age of the observation, in milliseconds.
+inline constexpr std::string_view OriginFailureAgeField = "Origin-Failure-Age";
+/// HTTP status with which a host reports that too many responses wait.
+inline constexpr unsigned BusyStatus = 503;
 
 } // namespace rosemarylane
 
--- a/rosemarylane/src/sidecar/ChunkServer.cpp
+++ b/rosemarylane/src/sidecar/ChunkServer.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -21,10 +22,13 @@
 namespace {
 
 /// Longest time for which this host, asked as the reader of its region or of
-/// the fleet, holds a peer's request until it has the chunk. Shorter than
-/// `ChunkTimeout` of the asking host's `ChunkFetcher`.
+/// the fleet, holds a peer's request until it has the chunk. Shorter than the
+/// asking host's `swarm::PlannerSettings::RequestTimeout`.
 constexpr milliseconds ReaderWaitTimeout{1300};
 constexpr milliseconds ReaderPollPeriod{15};
+/// Peers of the failure domain are refused a chunk while this many responses
+/// wait: another holder sends it sooner.
+constexpr std::size_t MaxWaitingPeerResponses = 2;
 
 std::vector<std::string_view> split(std::string_view Text) {
   std::vector<std::string_view> Parts;
@@ -90,11 +94,20 @@
   if (IsReader && !Chunks->has(Index))
     co_await awaitChunk(*Chunks, Index, Parts[3] == "fleet");
   ChunkFetcher *Fetcher = Versions.fetcher(Chunks->manifest().Version);
-  if (!Chunks->has(Index) && IsReader && Fetcher &&
-      Fetcher->isOriginUnreachable())
+  std::optional<milliseconds> FailureAge;
+  if (IsReader && Fetcher)
+    FailureAge = Fetcher->originFailureAge();
+  if (!Chunks->has(Index) && FailureAge) {
     Reply.Head.Status = OriginUnreachableStatus;
+    Reply.Head.Fields.add(std::string(OriginFailureAgeField),
+                          std::to_string(FailureAge->count()));
+  }
   if (!Chunks->has(Index))
     co_return Reply;
+  if (!IsReader && WaitingResponses() >= MaxWaitingPeerResponses) {
+    Reply.Head.Status = BusyStatus;
+    co_return Reply;
+  }
   Reply.Head.Status = 200;
   Reply.Body = Chunks->bytes(Index);
   co_return Reply;
--- a/rosemarylane/src/sidecar/ChunkServer.h
+++ b/rosemarylane/src/sidecar/ChunkServer.h
@@ -9,6 +9,8 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <functional>
 #include <string>
 
 namespace rosemarylane {
@@ -25,6 +27,12 @@
               const ServedModel &Served, const VersionStore &Versions)
       : Loop(Loop), Link(Link), Served(Served), Versions(Versions) {}
 
+  /// Sets the hook that counts the responses that wait for the link. While
+  /// there are many, a peer is told to ask another holder of the chunk.
+  void onWaitingResponses(std::function<std::size_t()> Hook) {
+    WaitingResponses = std::move(Hook);
+  }
+
   /// Handles a peer's report of the chunks that it holds, and replies with this
   /// host's chunks if the peer asks for them; other messages are ignored.
   void handleMessage(const wire::NodeMessage &Message);
@@ -42,6 +50,7 @@
   PeerSocket &Link;
   const ServedModel &Served;
   const VersionStore &Versions;
+  std::function<std::size_t()> WaitingResponses = [] { return 0; };
 };
 
 } // namespace rosemarylane
--- a/rosemarylane/src/sidecar/ServedModel.cpp
+++ b/rosemarylane/src/sidecar/ServedModel.cpp
@@ -70,6 +70,11 @@
   return static_cast<double>(Own->Engine->Chunks) * Own->Engine->ChunkBytes;
 }
 
+std::size_t ServedModel::chunkBytes() const {
+  const serving::Service *Own = Config->service(Service);
+  return Own && Own->Engine ? Own->Engine->ChunkBytes : 0;
+}
+
 std::uint64_t ServedModel::newestVersion() const {
   std::uint64_t Newest = FirstVersion;
   for (const auto &[Key, Times] : NamedVersions)
--- a/rosemarylane/src/sidecar/ServedModel.h
+++ b/rosemarylane/src/sidecar/ServedModel.h
@@ -50,6 +50,8 @@
   /// @return the size of one copy of the weights, in bytes; 0 if the
   /// configuration does not have the service. Call it only if `known`.
   double copyBytes() const;
+  /// @return the size of a chunk, in bytes; otherwise like `copyBytes`.
+  std::size_t chunkBytes() const;
 
   /// @return the newest named version of the model, or the first version if
   /// none is named.
--- a/rosemarylane/src/sidecar/SidecarProcess.cpp
+++ b/rosemarylane/src/sidecar/SidecarProcess.cpp
@@ -85,6 +85,8 @@
   Weights->onRateChange(
       // Limits the total rate of large responses, which here are chunks.
       [this](std::uint64_t Rate) { PeerListener->setLargeResponseRate(Rate); });
+  Weights->onWaitingResponses(
+      [this] { return PeerListener->waitingLargeResponses(); });
   return true;
 }
 
--- a/rosemarylane/src/sidecar/VersionStore.cpp
+++ b/rosemarylane/src/sidecar/VersionStore.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/VersionStore.h"
 
+#include <algorithm>
+
 namespace rosemarylane {
 
 namespace {
@@ -29,11 +31,17 @@
   }
 }
 
-void VersionStore::keepOnlyFetcherOf(std::uint64_t Version) {
-  std::erase_if(Fetchers,
-                [&](const auto &Item) { return Item.first != Version; });
+void VersionStore::keepOnlyFetchersOf(
+    const std::vector<std::uint64_t> &Wanted) {
+  std::erase_if(Fetchers, [&](const auto &Item) {
+    return std::find(Wanted.begin(), Wanted.end(), Item.first) == Wanted.end();
+  });
+  for (auto &[Version, Fetcher] : Fetchers)
+    Fetcher->setSuperseded(Version != Wanted.front());
+  if (Versions.empty() || !Versions.rbegin()->second->held().full())
+    return;
   std::erase_if(Versions, [&](const auto &Item) {
-    return Item.first < Version && !Item.second->held().full();
+    return !Item.second->held().full() && !Fetchers.contains(Item.first);
   });
 }
 
@@ -47,9 +55,4 @@
     Fetcher->setMembers(Members);
 }
 
-void VersionStore::setRate(std::uint64_t BytesPerSecond) {
-  for (auto &[Version, Fetcher] : Fetchers)
-    Fetcher->setRate(BytesPerSecond);
-}
-
 } // namespace rosemarylane
--- a/rosemarylane/src/sidecar/VersionStore.h
+++ b/rosemarylane/src/sidecar/VersionStore.h
@@ -33,15 +33,15 @@
   /// Adds a version. Removes the oldest ones if there are too many.
   void add(std::uint64_t Version, std::shared_ptr<VersionChunks> Chunks);
 
-  /// Stops fetching all versions but this one, and removes incomplete older
-  /// versions.
-  void keepOnlyFetcherOf(std::uint64_t Version);
+  /// Stops fetching all other versions. Once the newest version is complete,
+  /// incomplete older ones are removed; until then, peers may still need their
+  /// chunks.
+  /// @param Wanted the versions to fetch, the newest first.
+  void keepOnlyFetchersOf(const std::vector<std::uint64_t> &Wanted);
   void addFetcher(std::uint64_t Version, std::unique_ptr<ChunkFetcher> Fetcher);
 
   /// Passes the members on to the fetchers.
   void setMembers(const std::vector<swarm::EngineHost> &Members);
-  /// Passes the bandwidth for incoming chunks on to the fetchers.
-  void setRate(std::uint64_t BytesPerSecond);
 
 private:
   std::map<std::uint64_t, std::shared_ptr<VersionChunks>> Versions;
--- a/rosemarylane/src/sidecar/WeightKeeper.cpp
+++ b/rosemarylane/src/sidecar/WeightKeeper.cpp
@@ -60,6 +60,9 @@
   /// Whether weights may use the whole link, because the target cannot serve
   /// callers' requests (`serving::VersionPlan::cannotServe`).
   bool WholeLink = false;
+  /// Pacing of the chunks that arrive, for all versions; null until the first
+  /// version is fetched.
+  std::shared_ptr<swarm::InboundPacing> Inbound;
   RateHook OnRateChange;
   std::mt19937_64 Random{std::random_device{}()};
 
@@ -86,8 +89,8 @@
         {Settings.Objectives.VersionActivationDelay, copyTime()},
         Loader.loadedVersion(), knownVersions());
     BootTime Now = BootClock::now();
-    setWholeLink(Plan.cannotServe(Now));
-    fetchVersion(Plan.versionToFetch(Now));
+    setWholeLink(Plan.cannotServe(Now) || Plan.isLate(Now));
+    fetchVersions(Plan.versionsToFetch(Now));
     Versions.setMembers(Served.members());
     serving::VersionPlan::LoadPlan LoadPlan = Plan.plannedLoad(Now);
     Watch.setSwitchTime(LoadPlan.NextAt);
@@ -158,18 +161,24 @@
     V.SwitchingTargets = Sequence.size();
   }
 
-  /// Fetches the chunks of \p Version and stops fetching all others. Older
-  /// versions that are incomplete are discarded.
-  void fetchVersion(std::uint64_t Version) {
-    if (Version == 0)
+  /// Fetches the chunks of the versions and stops fetching all others.
+  /// @param Wanted the newest first.
+  void fetchVersions(const std::vector<std::uint64_t> &Wanted) {
+    if (Wanted.empty())
       return;
-    Versions.keepOnlyFetcherOf(Version);
-    if (Versions.fetcher(Version))
-      return;
-    Versions.addFetcher(Version,
-                        ChunkFetcher::start(Loop, Settings, Calls, Link,
-                                            Served.originAddress(),
-                                            Versions.chunks(Version), rate()));
+    for (std::uint64_t Version : Wanted)
+      if (!Versions.fetcher(Version))
+        Versions.addFetcher(Version, startFetcher(Version));
+    Versions.keepOnlyFetchersOf(Wanted);
+  }
+
+  std::unique_ptr<ChunkFetcher> startFetcher(std::uint64_t Version) {
+    if (!Inbound)
+      Inbound = std::make_shared<swarm::InboundPacing>(rate(),
+                                                       Served.chunkBytes() / 2);
+    return ChunkFetcher::start(Loop, Settings, Calls, Link,
+                               Served.originAddress(), Versions.chunks(Version),
+                               Inbound, {Served.chunkBytes(), copyTime()});
   }
 
   /// @return the rate at which weights may be received, and sent, in bytes per
@@ -180,14 +189,17 @@
   void setWholeLink(bool UseWholeLink) {
     if (std::exchange(WholeLink, UseWholeLink) == UseWholeLink)
       return;
-    Versions.setRate(rate());
+    if (Inbound)
+      Inbound->setRate(rate(), std::chrono::steady_clock::now());
     if (OnRateChange)
       OnRateChange(rate());
   }
 
-  /// @return the time that one copy of the weights takes over this host's link.
+  /// @return the time that one copy of the weights takes over this host's link
+  /// at the usual rate.
   std::chrono::duration<double> copyTime() const {
-    double Rate = static_cast<double>(std::max<std::uint64_t>(rate(), 1));
+    double Rate = static_cast<double>(
+        std::max<std::uint64_t>(weightRateLimit(Settings, false), 1));
     return std::chrono::duration<double>(Served.copyBytes() / Rate);
   }
 };
@@ -219,6 +231,10 @@
   S->Server.handleMessage(Message);
 }
 
+void WeightKeeper::onWaitingResponses(std::function<std::size_t()> Hook) {
+  S->Server.onWaitingResponses(std::move(Hook));
+}
+
 void WeightKeeper::onRateChange(RateHook Hook) {
   S->OnRateChange = std::move(Hook);
 }
--- a/rosemarylane/src/sidecar/WeightKeeper.h
+++ b/rosemarylane/src/sidecar/WeightKeeper.h
@@ -54,6 +54,10 @@
   /// set before.
   void onRateChange(RateHook Hook);
 
+  /// Registers \p Hook, which counts the responses to peers that wait for this
+  /// host's link.
+  void onWaitingResponses(std::function<std::size_t()> Hook);
+
   /// Handles a peer's report of the chunks that it holds; other messages are
   /// ignored.
   void handleMessage(const wire::NodeMessage &Message);
