--- a/rosemarylane/src/sidecar/TargetLoader.cpp
+++ b/rosemarylane/src/sidecar/TargetLoader.cpp
@@ -25,6 +25,10 @@
 /// another order may be sent.
 constexpr milliseconds OrderConfirmationTimeout{600};
 
+std::int64_t millisecondsBetween(BootTime From, BootTime To) {
+  return std::chrono::duration_cast<milliseconds>(To - From).count();
+}
+
 } // namespace
 
 std::uint64_t TargetLoader::loadedVersion() const {
@@ -54,6 +58,7 @@
 asio::awaitable<void> TargetLoader::stageAndLoad(VersionChunks &Chunks) {
   // Identifies the incarnation of the target.
   std::int64_t StartTime = Watch.state()->Born;
+  BootTime StagingFrom = BootClock::now();
   std::uint64_t Version = Chunks.manifest().Version;
   for (std::size_t I = 0; I < Chunks.size(); ++I) {
     HttpClient::Call Call;
@@ -73,10 +78,11 @@
   }
   if (!Watch.state() || Watch.state()->Born != StartTime)
     co_return;
-  co_await orderLoad(Version);
+  co_await orderLoad(Version, StagingFrom);
 }
 
-asio::awaitable<void> TargetLoader::orderLoad(std::uint64_t Version) {
+asio::awaitable<void> TargetLoader::orderLoad(std::uint64_t Version,
+                                              BootTime StagingFrom) {
   platform::LoadOrder Order;
   Order.Model = Served.model();
   Order.Version = Version;
@@ -91,6 +97,7 @@
   Call.MaxBodyBytes = MaxTargetResponseBytes;
   Call.NewConnection = true;
   Watch.setSwitching(true);
+  BootTime OrderedAt = BootClock::now();
   auto Reply = co_await Calls.exchange(Settings.TargetAddress, std::move(Call));
   std::string Outcome = "no answer";
   if (Reply)
@@ -99,8 +106,14 @@
                  {{"model", Served.model()},
                   {"version", std::int64_t(Version)},
                   {"after_orders", Order.AfterOrders},
+                  {"staging_ms", millisecondsBetween(StagingFrom, OrderedAt)},
                   {"outcome", Outcome}});
   co_await awaitLoadedVersion(Version);
+  if (loadedVersion() == Version)
+    telemetry::log(telemetry::Level::Info, "version loaded",
+                   {{"model", Served.model()},
+                    {"version", std::int64_t(Version)},
+                    {"ms", millisecondsBetween(OrderedAt, BootClock::now())}});
   Watch.setSwitching(false);
 }
 
--- a/rosemarylane/src/sidecar/TargetLoader.h
+++ b/rosemarylane/src/sidecar/TargetLoader.h
@@ -40,7 +40,9 @@
   boost::asio::awaitable<void> stageAndLoad(VersionChunks &Chunks);
 
 private:
-  boost::asio::awaitable<void> orderLoad(std::uint64_t Version);
+  /// @param StagingFrom when the staging of the chunks began.
+  boost::asio::awaitable<void> orderLoad(std::uint64_t Version,
+                                         core::BootTime StagingFrom);
   /// Waits until the target's state shows the version or the wait times out.
   /// The state is authoritative, also if the response to the order was lost.
   boost::asio::awaitable<void> awaitLoadedVersion(std::uint64_t Version);
