--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -18,6 +18,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <list>
+#include <set>
+#include <string>
+#include <vector>
 
 namespace rosemarylane {
 
@@ -97,6 +100,8 @@
   void operatorsChanged(const serving::StoreSection::Items &Items,
                         std::optional<BootTime> UnchangedAt);
   void registryChanged(const serving::StoreSection::Items &Items);
+  /// Logs the errors that the last call did not have.
+  void logUnreadable(const std::vector<platform::DecodeError> &Errors);
   /// Updates the time from which targets with older weights get no new
   /// requests. A version is named when an operator writes it to the store as
   /// the one to serve.
@@ -133,6 +138,8 @@
   /// Times at which named versions take effect.
   serving::VersionDeadlines ActivationDeadlines;
   std::vector<serving::RegisteredTarget> Registered;
+  /// The errors of the registry's unreadable records, which were logged.
+  std::set<std::string> UnreadableRecords;
   BootTime StartedAt;
   std::optional<BootTime> StoppedAt;
   bool WasReady = false;
@@ -364,12 +371,22 @@
     }
 }
 
+void GatewayProcess::logUnreadable(
+    const std::vector<platform::DecodeError> &Errors) {
+  std::set<std::string> Texts;
+  for (const platform::DecodeError &E : Errors)
+    Texts.insert(E.text());
+  for (const std::string &Text : Texts)
+    if (!UnreadableRecords.contains(Text))
+      telemetry::log(telemetry::Level::Warning, "registry record unreadable",
+                     {{"error", Text}});
+  UnreadableRecords = std::move(Texts);
+}
+
 void GatewayProcess::registryChanged(
     const serving::StoreSection::Items &Items) {
   platform::RegistryRecords Records = platform::decodeRegistry(Items);
-  for (const platform::DecodeError &E : Records.Errors)
-    telemetry::log(telemetry::Level::Warning, "registry record unreadable",
-                   {{"error", E.text()}});
+  logUnreadable(Records.Errors);
   Registered = std::move(Records.Targets);
   if (Context.Config)
     Context.Targets.setRegistered(Registered, *Context.Config,
