Planner: one read of the origin in progress at a host

Cause, traced in the model: up to 24 reads queued at a slow origin longer than their timeout of 1.5 s and were made twice; the origin sent 124 chunks in place of 96, and 153 hosts in three domains took 3.89 copy-times (bound 3.36). In sidecars a slot at each host hid it, but reads that waited for the slot kept others from being planned and ended as busy after 0.4 s. Change: PlannerSettings::MaxOriginReads; the slot is gone.

--- a/libs/swarm/include/swarm/SwarmPlanner.h
+++ b/libs/swarm/include/swarm/SwarmPlanner.h
@@ -29,6 +29,10 @@
   std::size_t MaxPulls = 4;
   /// Maximum number of remote reads in progress.
   std::size_t MaxRemoteReads = 4;
+  /// Maximum number of reads from the origin in progress, which are remote
+  /// reads too. Reads beyond what the origin sends within their timeout would
+  /// be made twice.
+  std::size_t MaxOriginReads = 4;
   /// Timeout of a request to another host, until that host replies `Queued`.
   std::chrono::nanoseconds RequestTimeout = std::chrono::seconds(3);
   /// Timeout of a request to the origin, and of one that the fleet's reader has
--- a/libs/swarm/src/SwarmPlanner.cpp
+++ b/libs/swarm/src/SwarmPlanner.cpp
@@ -252,6 +252,7 @@
       ++View.find(Fetch.Host)->ActiveFetches;
     }
     ActiveRemoteReads += isRemote(From);
+    ActiveOriginReads += From == ChunkFetch::Source::Origin;
     ++ChunkStates[Chunk].ActiveFetches;
     PendingChunks.insert(Chunk);
     auto Timeout = From == ChunkFetch::Source::Origin ? Settings.RemoteTimeout
@@ -268,6 +269,7 @@
         --Peer->ActiveFetches;
     }
     ActiveRemoteReads -= isRemote(Fetch.From);
+    ActiveOriginReads -= Fetch.From == ChunkFetch::Source::Origin;
     if (--ChunkStates[Fetch.Chunk].ActiveFetches == 0)
       PendingChunks.erase(Fetch.Chunk);
     return PendingFetches.erase(Item);
@@ -472,7 +474,7 @@
         (RemoteReads == 0 || ActiveRemoteReads >= Settings.MaxRemoteReads))
       return;
     if (Choice.From == ChunkFetch::Source::Origin) {
-      if (!mayReadOrigin())
+      if (ActiveOriginReads >= Settings.MaxOriginReads || !mayReadOrigin())
         return;
       bool IsFleetReader = Ranks.readers(Chunk).Fleet[0] == SelfIndex;
       if (!Budget.tryAcquire(IsFleetReader, Now))
@@ -589,6 +591,7 @@
   std::uint64_t NextId = 1;
   std::size_t ActivePulls = 0;
   std::size_t ActiveRemoteReads = 0;
+  std::size_t ActiveOriginReads = 0;
   /// Number of second requests since the planner was created.
   std::size_t Duplicates = 0;
   TimePoint StartedAt{};
@@ -611,6 +614,8 @@
   // Readers hold the requests until they have the chunk, so most of these wait
   // and use nothing of the link.
   Result.MaxRemoteReads = 24;
+  // The origin accepts few connections from the whole fleet.
+  Result.MaxOriginReads = 1;
   Result.RequestTimeout = milliseconds(1500);
   Result.RemoteTimeout = milliseconds(1500);
   Result.StallTimeout = milliseconds(700);
--- a/rosemarylane/src/sidecar/ChunkFetcher.cpp
+++ b/rosemarylane/src/sidecar/ChunkFetcher.cpp
@@ -33,16 +33,8 @@
 /// A transfer from a host of the failure domain that takes longer indicates a
 /// slow link.
 constexpr milliseconds SlowTransferTime{700};
-/// Limit of concurrent fetches from the origin by one host: the origin accepts
-/// only few connections from the whole fleet. Each of them holds a slot; see
-/// `acquireOriginSlot`.
-constexpr std::size_t MaxOriginFetches = 1;
-constexpr milliseconds OriginSlotPollPeriod{10};
-/// Longest wait for a free slot; the fetch then ends as `Busy`, and the planner
-/// plans the chunk again.
-constexpr milliseconds OriginSlotTimeout{400};
-/// Time for which a fetch from the origin that got no response keeps its slot
-/// before its failure is reported to the planner.
+/// Pause before the failure of a fetch from the origin is reported to the
+/// planner, which then plans the next one.
 constexpr milliseconds OriginFailureDelay{120};
 /// Time for which the origin counts as unreachable after a fetch from it got no
 /// response.
@@ -142,16 +134,6 @@
       Address = Fetch.Host.str() + ":" + std::to_string(Settings.PeerPort);
     }
     bool IsOrigin = Fetch.From == ChunkFetch::Source::Origin;
-    bool HasSlot = true;
-    if (IsOrigin)
-      HasSlot = co_await acquireOriginSlot(Fetch.Chunk);
-    if (!HasSlot) {
-      Planner->reportOutcome(Fetch.Id,
-                             Chunks->has(Fetch.Chunk) ? FetchOutcome::Stored
-                                                      : FetchOutcome::Busy,
-                             Steady::now());
-      co_return;
-    }
     bool IsPull = Fetch.From == ChunkFetch::Source::DomainPeer;
     if (IsPull)
       co_await awaitBandwidth();
@@ -172,8 +154,6 @@
       asio::steady_timer Pause(Loop, OriginFailureDelay);
       co_await Pause.async_wait(asio::as_tuple(asio::use_awaitable));
     }
-    if (IsOrigin)
-      --OriginFetches;
     FetchOutcome Outcome = FetchOutcome::Failed;
     bool Stored = false;
     if (Response && Response->Head.Status == 200) {
@@ -216,22 +196,6 @@
     Inbound->pullStarted(ChunkBytes, Steady::now());
   }
 
-  /// Waits until one more read from the origin may start.
-  /// @return false if the chunk was received from elsewhere meanwhile, or the
-  /// wait timed out.
-  asio::awaitable<bool> acquireOriginSlot(std::size_t Chunk) {
-    asio::steady_timer Pause(Loop);
-    Steady::time_point GiveUpAt = Steady::now() + OriginSlotTimeout;
-    while (OriginFetches >= MaxOriginFetches) {
-      if (Chunks->has(Chunk) || Steady::now() >= GiveUpAt)
-        co_return false;
-      Pause.expires_after(OriginSlotPollPeriod);
-      co_await Pause.async_wait(asio::as_tuple(asio::use_awaitable));
-    }
-    ++OriginFetches;
-    co_return true;
-  }
-
   /// Tells the planner, so that no other host takes over from the readers while
   /// no chunk can arrive.
   /// @param At when a host, this one or another, failed to reach the origin.
@@ -309,7 +273,6 @@
   bool IsComplete = false;
   std::size_t Announcements = 0;
   std::size_t FromOrigin = 0;
-  std::size_t OriginFetches = 0;
   std::size_t FetchesInFlight = 0;
   /// Limits the fetches while the link of this host is slower than configured.
   swarm::SlowLink LinkThrottle{SlowTransferTime};
