Version plan: an older version is skipped only for a newer one that is complete

Change: only a complete newer version lets an older one be skipped. Test: a_version_is_skipped_if_..., with an incomplete newer version.

--- a/libs/serving/include/serving/VersionPlan.h
+++ b/libs/serving/include/serving/VersionPlan.h
@@ -48,10 +48,10 @@
 /// its chunks still arrive, and it can serve before it is superseded. Targets
 /// switch in rank order, spread over the time between the completion of the
 /// download and the moment from which the loaded version may not be used any
-/// more. A version is skipped if a newer one will be loaded before that moment.
-/// A target keeps serving until its switch can actually be made. Immutable
-/// value without a clock of its own; an agent builds a new one for each
-/// decision.
+/// more. A version is skipped if a newer one is complete and will be loaded
+/// before that moment. A target keeps serving until its switch can actually be
+/// made. Immutable value without a clock of its own; an agent builds a new one
+/// for each decision.
 class VersionPlan {
 public:
   struct Settings {
@@ -125,7 +125,8 @@
   /// @return whether a load of the version can be planned now.
   bool canPlanLoad(const KnownVersion &V, core::BootTime Now) const;
   /// @return whether loading \p V would gain nothing, because it is superseded
-  /// or a newer version will be loaded before the loaded one goes out of use.
+  /// or a newer version, complete already, will be loaded before the loaded one
+  /// goes out of use.
   bool isSkipped(const KnownVersion &V, core::BootTime Now) const;
   /// @return the oldest named version that is newer than \p After, or null.
   const KnownVersion *nextNamed(std::uint64_t After) const;
--- a/libs/serving/src/VersionPlan.cpp
+++ b/libs/serving/src/VersionPlan.cpp
@@ -74,7 +74,7 @@
     return false;
   BootTime OutOfUseAt = timeAfterNaming(*FirstDue, 1);
   return std::any_of(Known.begin(), Known.end(), [&](const KnownVersion &W) {
-    return W.Number > V.Number && canPlanLoad(W, Now) &&
+    return W.Number > V.Number && W.complete() &&
            switchTime(W, Now) < OutOfUseAt;
   });
 }
--- a/libs/serving/tests/VersionPlanTest.cpp
+++ b/libs/serving/tests/VersionPlanTest.cpp
@@ -157,9 +157,10 @@
   BOOST_TEST(
       VersionPlan(Config, 1, {Older, Newer}).plannedLoad(NewerCompleteAt).Now ==
       3u);
-  // The newer one has stalled.
-  Newer.Held = 60;
-  Newer.LastChunkAt = Start + milliseconds(4500);
+  // Guards against a target that has neither version in time: chunks of the
+  // newer one arrived more slowly than the link allows, and the target was
+  // without a usable version for 1.6 s.
+  Newer.Held = 90;
   BOOST_TEST(
       VersionPlan(Config, 1, {Older, Newer}).plannedLoad(NewerCompleteAt).Now ==
       2u);
