Weights: a domain of two hosts is served again as fast as a larger one

Change: InboundPacing settles the difference only; PeerServer counts waiting responses by their requests. Tests: link_sharing/pulls_one_after_the_other_get_the_whole_rate (red before), peer_server/waiting_responses_are_counted_by_their_requests.

--- a/libs/swarm/include/swarm/InboundPacing.h
+++ b/libs/swarm/include/swarm/InboundPacing.h
@@ -41,8 +41,12 @@
   /// @param Received the bytes that arrived.
   void pullEnded(std::size_t Expected, std::size_t Received,
                  core::TimePoint Now) {
-    Link.refund(Expected, Now);
-    Link.take(Received, Now);
+    // Only the difference: a refund beyond the burst would be lost, and the
+    // pull then be charged twice.
+    if (Received < Expected)
+      Link.refund(Expected - Received, Now);
+    else
+      Link.take(Received - Expected, Now);
   }
 
   /// @param Received the bytes that arrived.
--- a/libs/swarm/tests/LinkTest.cpp
+++ b/libs/swarm/tests/LinkTest.cpp
@@ -164,10 +164,23 @@
   BOOST_TEST(Sent - Before >= Count);
 }
 
-// Guards against chunk fetches that fill a host's link when its rate drops to
-// an eighth while weights are distributed. A slow transfer must reduce fetches
-// to one at a time, with pauses, until a fast one shows that the link has
-// recovered.
+// A refund beyond the burst was lost, so that each pull was charged 1.5 times.
+BOOST_AUTO_TEST_CASE(pulls_one_after_the_other_get_the_whole_rate) {
+  constexpr int Pulls = 100;
+  constexpr std::uint64_t Rate = 10 * ChunkBytes;
+  const auto TransferTime = std::chrono::milliseconds(100);
+  swarm::InboundPacing Inbound(Rate, ChunkBytes / 2);
+  TimePoint Now = Start;
+  for (int Pull = 0; Pull < Pulls; ++Pull) {
+    while (!Inbound.pullAllowed(Now))
+      Now += std::chrono::milliseconds(1);
+    Inbound.pullStarted(ChunkBytes, Now);
+    Now += TransferTime;
+    Inbound.pullEnded(ChunkBytes, ChunkBytes, Now);
+  }
+  BOOST_TEST((Now - Start <= (Pulls + 1) * TransferTime));
+}
+
 // Guards against pulls that wait for chunks that never came. While the origin
 // was away, each read that brought nothing took a chunk's time of the link;
 // pulls then waited for up to 3.5 s.
@@ -188,6 +201,10 @@
   BOOST_TEST(Inbound.pullAllowed(Now + std::chrono::milliseconds(300)));
 }
 
+// Guards against chunk fetches that fill a host's link when its rate drops to
+// an eighth while weights are distributed. A slow transfer must reduce fetches
+// to one at a time, with pauses, until a fast one shows that the link has
+// recovered.
 BOOST_AUTO_TEST_CASE(a_slow_link_carries_one_chunk_at_a_time_with_pauses) {
   swarm::SlowLink Throttle(700ms);
   BOOST_TEST(!Throttle.shouldWait(4, Start));
--- a/rosemarylane/src/node/PeerServer.cpp
+++ b/rosemarylane/src/node/PeerServer.cpp
@@ -4,6 +4,7 @@
 #include "swarm/TokenBucket.h"
 #include "telemetry/Log.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -38,6 +39,13 @@
 /// chunk or the trailer.
 constexpr std::size_t MaxUnparsedBytes = 64 << 10;
 
+/// A large response that waits for the rate limit.
+struct WaitingResponse {
+  std::uint64_t Ticket = 0;
+  /// Target of its request.
+  std::string Target;
+};
+
 http::Request fromBeast(http_::request<http_::string_body> &&From) {
   http::Request To;
   auto Method = From.method_string();
@@ -83,6 +91,7 @@
       if (ReadFailed)
         co_return;
       bool KeepOpen = Message.keep_alive();
+      std::string Target(Message.target().data(), Message.target().size());
       http::Response Answer =
           co_await Self->OnRequest(fromBeast(std::move(Message)));
       http_::response<http_::string_body> Out;
@@ -95,8 +104,8 @@
       Out.prepare_payload();
       bool Large = Out.body().size() >= LargeResponseBytes;
       if (Large) {
-        bool Open = co_await Self->acquireLargeWrite(Stream.socket(),
-                                                     Out.body().size());
+        bool Open = co_await Self->acquireLargeWrite(
+            Stream.socket(), Out.body().size(), std::move(Target));
         if (!Open)
           co_return;
       }
@@ -111,16 +120,17 @@
   /// Waits until the rate limit admits a large response, in the order of the
   /// requests, and deducts its size.
   /// @return false if the client has closed the connection meanwhile.
-  asio::awaitable<bool> acquireLargeWrite(Tcp::socket &To, std::size_t Bytes) {
+  asio::awaitable<bool> acquireLargeWrite(Tcp::socket &To, std::size_t Bytes,
+                                          std::string Target) {
     std::uint64_t Ticket = NextTicket++;
-    WaitingTickets.push_back(Ticket);
+    Waiting.push_back({Ticket, std::move(Target)});
     asio::steady_timer Pause(Loop);
-    while (WaitingTickets.front() != Ticket ||
+    while (Waiting.front().Ticket != Ticket ||
            !LargeWrites.ready(std::chrono::steady_clock::now())) {
       Pause.expires_after(LargeWritePollPeriod);
       co_await Pause.async_wait(Await);
     }
-    WaitingTickets.pop_front();
+    Waiting.pop_front();
     if (closedByPeer(To))
       co_return false;
     LargeWrites.take(Bytes, std::chrono::steady_clock::now());
@@ -129,7 +139,7 @@
 
   swarm::TokenBucket LargeWrites;
   /// The large responses that wait, in the order of their requests.
-  std::deque<std::uint64_t> WaitingTickets;
+  std::deque<WaitingResponse> Waiting;
   std::uint64_t NextTicket = 0;
   asio::io_context &Loop;
   Tcp::acceptor Acceptor;
@@ -168,8 +178,11 @@
   S->LargeWrites.setRate(BytesPerSecond, std::chrono::steady_clock::now());
 }
 
-std::size_t PeerServer::waitingLargeResponses() const {
-  return S->WaitingTickets.size();
+std::size_t PeerServer::waitingLargeResponses(
+    const std::function<bool(std::string_view Target)> &IsCounted) const {
+  return static_cast<std::size_t>(std::count_if(
+      S->Waiting.begin(), S->Waiting.end(),
+      [&](const WaitingResponse &W) { return IsCounted(W.Target); }));
 }
 
 PeerServer::~PeerServer() {
--- a/rosemarylane/src/node/PeerServer.h
+++ b/rosemarylane/src/node/PeerServer.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace rosemarylane {
 
@@ -37,8 +38,10 @@
   /// Changes the rate limit for large responses.
   void setLargeResponseRate(std::uint64_t BytesPerSecond);
 
-  /// @return the number of large responses that wait for the rate limit.
-  std::size_t waitingLargeResponses() const;
+  /// @return the number of large responses that wait for the rate limit and
+  /// whose request had a target for which \p IsCounted is true.
+  std::size_t waitingLargeResponses(
+      const std::function<bool(std::string_view Target)> &IsCounted) const;
 
   struct State;
 
--- a/rosemarylane/src/sidecar/PeerPaths.h
+++ b/rosemarylane/src/sidecar/PeerPaths.h
@@ -22,6 +22,12 @@
          std::to_string(Chunk) + "/" + Role;
 }
 
+/// @return whether \p Path asks for a chunk that the host holds already, rather
+/// than asking it as a designated reader.
+inline bool asksHolder(std::string_view Path) {
+  return Path.starts_with(ChunksPath) && Path.ends_with("/held");
+}
+
 /// @return the path of a version's manifest on the peer port.
 inline std::string manifestPath(const std::string &Model,
                                 std::uint64_t Version) {
--- a/rosemarylane/src/sidecar/SidecarProcess.cpp
+++ b/rosemarylane/src/sidecar/SidecarProcess.cpp
@@ -5,6 +5,7 @@
 #include "node/PeerServer.h"
 #include "node/PeerSocket.h"
 #include "node/StoreFollower.h"
+#include "sidecar/PeerPaths.h"
 #include "sidecar/TargetWatch.h"
 #include "sidecar/WeightKeeper.h"
 #include "sidecar/WeightRate.h"
@@ -86,7 +87,7 @@
       // Limits the total rate of large responses, which here are chunks.
       [this](std::uint64_t Rate) { PeerListener->setLargeResponseRate(Rate); });
   Weights->onWaitingResponses(
-      [this] { return PeerListener->waitingLargeResponses(); });
+      [this] { return PeerListener->waitingLargeResponses(asksHolder); });
   return true;
 }
 
--- a/rosemarylane/src/sidecar/WeightKeeper.h
+++ b/rosemarylane/src/sidecar/WeightKeeper.h
@@ -54,8 +54,8 @@
   /// set before.
   void onRateChange(RateHook Hook);
 
-  /// Registers \p Hook, which counts the responses to peers that wait for this
-  /// host's link.
+  /// Registers \p Hook, which counts the responses that wait for this host's
+  /// link, those to readers aside.
   void onWaitingResponses(std::function<std::size_t()> Hook);
 
   /// Handles a peer's report of the chunks that it holds; other messages are
--- a/rosemarylane/tests/PeerServerTest.cpp
+++ b/rosemarylane/tests/PeerServerTest.cpp
@@ -30,8 +30,9 @@
   return Probe.local_endpoint().port();
 }
 
-asio::awaitable<Tcp::socket> ask(asio::io_context &Loop, std::uint16_t Port) {
-  static const std::string Request = "GET /chunk HTTP/1.1\r\nHost: x\r\n\r\n";
+asio::awaitable<Tcp::socket> ask(asio::io_context &Loop, std::uint16_t Port,
+                                 std::string Path = "/chunk") {
+  std::string Request = "GET " + Path + " HTTP/1.1\r\nHost: x\r\n\r\n";
   Tcp::socket Socket(Loop);
   co_await Socket.async_connect(
       Tcp::endpoint(asio::ip::address_v4::loopback(), Port),
@@ -88,6 +89,48 @@
   BOOST_TEST((*Took < seconds(1)));
 }
 
+// Guards against hosts that refuse their only peer: responses to readers of
+// other regions filled the queue, and a domain of two hosts had a version 4 s
+// late.
+BOOST_AUTO_TEST_CASE(waiting_responses_are_counted_by_their_requests) {
+  asio::io_context Loop;
+  std::uint16_t Port = freePort(Loop);
+  auto Server = PeerServer::listen(
+      Loop, "127.0.0.1:" + std::to_string(Port),
+      [](const http::Request &) -> asio::awaitable<http::Response> {
+        http::Response Answer;
+        Answer.Body = std::string(AnswerBytes, 'x');
+        co_return Answer;
+      },
+      BytesPerSecond);
+  BOOST_REQUIRE(Server);
+  std::size_t Readers = 0;
+  std::size_t Peers = 0;
+  asio::co_spawn(
+      Loop,
+      [&]() -> asio::awaitable<void> {
+        std::vector<Tcp::socket> Open;
+        // The first response is sent at once.
+        for (const char *Path : {"/region", "/region", "/held", "/region"}) {
+          Tcp::socket Socket = co_await ask(Loop, Port, Path);
+          Open.push_back(std::move(Socket));
+        }
+        asio::steady_timer Timer(Loop, milliseconds(100));
+        co_await Timer.async_wait(asio::use_awaitable);
+        auto Count = [&](std::string_view Path) {
+          return Server->waitingLargeResponses(
+              [Path](std::string_view Target) { return Target == Path; });
+        };
+        Readers = Count("/region");
+        Peers = Count("/held");
+        Loop.stop();
+      },
+      asio::detached);
+  Loop.run_for(seconds(10));
+  BOOST_TEST(Readers == 2u);
+  BOOST_TEST(Peers == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(bytes_that_are_no_request_end_the_connection) {
   // What the sockets of both ends and the server's buffer can hold.
   constexpr std::size_t MostSentBytes = 16 << 20;
