--- a/libs/swarm/src/SwarmPlanner.cpp
+++ b/libs/swarm/src/SwarmPlanner.cpp
@@ -3,10 +3,9 @@
 #include "OriginBudget.h"
 #include "PeerView.h"
 #include "PlannerState.h"
+#include "TrackedHosts.h"
 #include "swarm/ReaderRanks.h"
 
-#include "core/Rendezvous.h"
-
 #include <algorithm>
 #include <cassert>
 #include <map>
@@ -49,8 +48,10 @@
     Ranks = ReaderRanks(Version, ChunkIds, Members, SelfIndex);
     Budget.setFleet(ChunkIds.size(), Members.size(), Replicas,
                     Ranks.ingressHostCount(), Settings.CopyTime);
-    View.update(domainPeers());
-    RemoteView.update(remotePeers());
+    const EngineHost &SelfHost = Members[SelfIndex];
+    View.update(trackedInDomain(Members, SelfHost, Settings.ViewSize));
+    RemoteView.update(
+        trackedInOtherRegions(Members, SelfHost, Settings.RemoteViewSize));
     cancelFetchesFromDepartedHosts();
     updateChunksToRead();
     StallTimerStart = Now;
@@ -166,44 +167,6 @@
 private:
   // ---- Members and view ----
 
-  /// @return the hosts of the failure domain whose holdings are tracked.
-  std::vector<core::HostId> domainPeers() const {
-    std::vector<core::HostId> Result;
-    for (const EngineHost &Member : Members)
-      if (Member.FailureDomain == Members[SelfIndex].FailureDomain &&
-          Member.Host != Self)
-        Result.push_back(Member.Host);
-    Result = core::rendezvousRank(
-        Self.str(), std::move(Result),
-        [](const core::HostId &H) -> std::string_view { return H.str(); });
-    Result.resize(std::min(Result.size(), Settings.ViewSize));
-    return Result;
-  }
-
-  /// @return the hosts of other regions whose holdings are tracked: those of
-  /// highest rank of each region in turn.
-  std::vector<core::HostId> remotePeers() const {
-    std::map<core::RegionId, std::vector<core::HostId>> ByRegion;
-    for (const EngineHost &Member : Members)
-      if (Member.Region != Members[SelfIndex].Region)
-        ByRegion[Member.Region].push_back(Member.Host);
-    for (auto &[Region, Hosts] : ByRegion)
-      Hosts = core::rendezvousRank(
-          Self.str(), std::move(Hosts),
-          [](const core::HostId &H) -> std::string_view { return H.str(); });
-    std::vector<core::HostId> Result;
-    for (std::size_t Rank = 0; Result.size() < Settings.RemoteViewSize;
-         ++Rank) {
-      std::size_t Before = Result.size();
-      for (auto &[Region, Hosts] : ByRegion)
-        if (Rank < Hosts.size() && Result.size() < Settings.RemoteViewSize)
-          Result.push_back(Hosts[Rank]);
-      if (Result.size() == Before)
-        break;
-    }
-    return Result;
-  }
-
   void cancelFetchesFromDepartedHosts() {
     for (auto Item = PendingFetches.begin(); Item != PendingFetches.end();) {
       const core::HostId &Host = Item->second.Fetch.Host;
@@ -606,27 +569,6 @@
 
 } // namespace
 
-PlannerSettings
-PlannerSettings::forShortCopies(std::chrono::nanoseconds CopyTime) {
-  using std::chrono::milliseconds;
-  PlannerSettings Result;
-  Result.MaxPulls = 6;
-  // Readers hold the requests until they have the chunk, so most of these wait
-  // and use nothing of the link.
-  Result.MaxRemoteReads = 24;
-  // The origin accepts few connections from the whole fleet.
-  Result.MaxOriginReads = 1;
-  Result.RequestTimeout = milliseconds(1500);
-  Result.RemoteTimeout = milliseconds(1500);
-  Result.StallTimeout = milliseconds(700);
-  Result.BusyDelay = milliseconds(40);
-  Result.PollDelay = milliseconds(60);
-  Result.DiscoveryTime = milliseconds(30);
-  Result.SettleTime = milliseconds(30);
-  Result.CopyTime = CopyTime;
-  return Result;
-}
-
 std::unique_ptr<SwarmPlanner>
 SwarmPlanner::create(core::HostId Self, core::Digest Version,
                      std::vector<core::Digest> Chunks, ChunkSet Held,
--- a/rosemarylane/src/sidecar/ChunkServer.h
+++ b/rosemarylane/src/sidecar/ChunkServer.h
@@ -27,10 +27,10 @@
               const ServedModel &Served, const VersionStore &Versions)
       : Loop(Loop), Link(Link), Served(Served), Versions(Versions) {}
 
-  /// Sets the hook that counts the responses to holders' requests that wait for
-  /// the link. While there are many, a peer is told to ask another holder of
-  /// the chunk. Responses to readers don't count: they may be many, and a peer
-  /// that has no other holder would never get its turn.
+  /// Sets the hook that counts the responses to peers of the failure domain
+  /// that wait for the link. While there are many, a peer is told to ask
+  /// another holder of the chunk. Responses to readers don't count: they may be
+  /// many, and a peer that has no other holder would never get its turn.
   void onWaitingResponses(std::function<std::size_t()> Hook) {
     WaitingResponses = std::move(Hook);
   }
