--- a/rosemarylane/tests/PeerServerTest.cpp
+++ b/rosemarylane/tests/PeerServerTest.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -42,6 +43,20 @@
   co_return Socket;
 }
 
+/// @return a server that answers every request with `AnswerBytes`, at
+/// `BytesPerSecond`.
+std::unique_ptr<PeerServer> serveLargeAnswers(asio::io_context &Loop,
+                                              std::uint16_t Port) {
+  return PeerServer::listen(
+      Loop, "127.0.0.1:" + std::to_string(Port),
+      [](const http::Request &) -> asio::awaitable<http::Response> {
+        http::Response Answer;
+        Answer.Body = std::string(AnswerBytes, 'x');
+        co_return Answer;
+      },
+      BytesPerSecond);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(peer_server)
@@ -52,14 +67,7 @@
     large_answers_that_were_given_up_take_nothing_of_the_link) {
   asio::io_context Loop;
   std::uint16_t Port = freePort(Loop);
-  auto Server = PeerServer::listen(
-      Loop, "127.0.0.1:" + std::to_string(Port),
-      [](const http::Request &) -> asio::awaitable<http::Response> {
-        http::Response Answer;
-        Answer.Body = std::string(AnswerBytes, 'x');
-        co_return Answer;
-      },
-      BytesPerSecond);
+  auto Server = serveLargeAnswers(Loop, Port);
   BOOST_REQUIRE(Server);
   std::optional<std::chrono::steady_clock::duration> Took;
   asio::co_spawn(
@@ -95,14 +103,7 @@
 BOOST_AUTO_TEST_CASE(waiting_responses_are_counted_by_their_requests) {
   asio::io_context Loop;
   std::uint16_t Port = freePort(Loop);
-  auto Server = PeerServer::listen(
-      Loop, "127.0.0.1:" + std::to_string(Port),
-      [](const http::Request &) -> asio::awaitable<http::Response> {
-        http::Response Answer;
-        Answer.Body = std::string(AnswerBytes, 'x');
-        co_return Answer;
-      },
-      BytesPerSecond);
+  auto Server = serveLargeAnswers(Loop, Port);
   BOOST_REQUIRE(Server);
   std::size_t Readers = 0;
   std::size_t Peers = 0;
