--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -499,6 +499,8 @@
 
     async def run():
         fleet = Fleet(folder, **options)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         try:
             if not os.path.exists(os.path.join(ROOT, "target/rosemarylane/rosemarylane")):
                 raise CannotRun("the deploy file's build is missing")
@@ -509,7 +511,7 @@
         except CannotRun as reason:
             fleet.record.say(f"could not run: {reason}")
             return 2
-        except Exception:
+        except (Exception, asyncio.CancelledError):
             fleet.record.say("could not run:\n" + traceback.format_exc())
             return 2
         finally:
