Quarantine: a request to a plain service that crashes targets is held back

Cause: QuarantineCheck ignored requests without parts of a prompt, so nothing was remembered against requests to plain services.

Change: they are remembered by a hash of the whole request. No sidecar watches plain targets, so the innocent are spared by other means: only a connection that the target closed or reset counts, three deaths one after the other are needed, an equal request that was answered whole clears, and a target that is still registered 6 s later did not die.

--- a/libs/routing/include/routing/PartQuarantine.h
+++ b/libs/routing/include/routing/PartQuarantine.h
@@ -14,7 +14,8 @@
 namespace rosemarylane::routing {
 
 /// Finds the part of a prompt that crashes each target that begins to answer
-/// it, and tells which requests are refused because of it.
+/// it, and tells which requests are refused because of it. Finds the requests
+/// that do so by themselves, too; those of plain services have no parts.
 ///
 /// Requests share the parts of their prompts, so neither a death nor a request
 /// names the part. Three observations do:
@@ -25,9 +26,13 @@
 /// A part may be accused only together with others, for example with a first
 /// part that all callers of a route share. Then only requests with all of these
 /// parts are refused, until one of the parts is cleared or seen without the
-/// others. `Quarantine` is the counterpart for requests that are repeated as
-/// they are; here, a request whose repeats were seen at two deaths is refused
-/// too, without its parts being convicted.
+/// others. A request whose repeats were seen at two deaths is refused too,
+/// without its parts being convicted, unless an equal one was answered whole
+/// meanwhile. One without parts is refused after three deaths, each of a
+/// repeat that was sent after the death before: nobody but its callers watches
+/// the target of a plain service, so a broken connection proves no death there,
+/// and targets that die together have a cause of their own. `Quarantine` is
+/// the counterpart for targets with an agent.
 ///
 /// Processes exchange incidents; each counts once, in whichever order they
 /// arrive. Copyable, reads no clock, and not thread-safe.
@@ -42,11 +47,16 @@
     std::chrono::seconds DoubtfulRetention{60};
     /// Time after which an incident is forgotten.
     std::chrono::minutes Retention{30};
-    /// A part is not accused if an answer began on it this shortly before.
+    /// A part is not accused if an answer began on it this shortly before, nor
+    /// a request if an equal one was answered whole.
     std::chrono::milliseconds AnsweredBefore{1000};
+    /// A target that is still registered this long after a death did not die:
+    /// its registration is removed once it has missed three heartbeats.
+    std::chrono::seconds RegistrationTimeout{6};
     /// Maximum number of incidents; the oldest is forgotten first.
     std::size_t Capacity = 512;
-    /// Maximum number of parts of which it is known when they were answered.
+    /// Maximum number of parts, and of requests, of which it is known when they
+    /// were answered.
     std::size_t AnsweredCapacity = 4096;
   };
 
@@ -62,7 +72,10 @@
     /// Identifies the target's incarnation across the fleet.
     std::uint64_t Death = 0;
     Subject Accused;
+    /// When its connection broke.
     core::BootTime At;
+    /// Time from its sending until then.
+    std::chrono::milliseconds InProgress{0};
     /// The target did not die. Kept so that a peer that does not know this yet
     /// cannot bring the incident back.
     bool Dismissed = false;
@@ -80,16 +93,31 @@
   std::vector<std::string> recordAnswered(const std::vector<std::string> &Parts,
                                           core::BootTime At);
 
+  /// Records that a request with this hash was answered whole.
+  /// @return whether it was accused and is clear now, which other processes
+  /// have to be told.
+  bool recordAnsweredWhole(std::uint64_t Request, core::BootTime At);
+
   /// @return the parts of \p Report that are clear because an answer began on
   /// them since, or shortly before.
   std::vector<std::string> clearedParts(const Incident &Report) const;
   /// @return when an answer last began on \p Part; the epoch if unknown.
   core::BootTime answeredAt(const std::string &Part) const;
+  /// @return whether the request of \p Report is clear because an equal one was
+  /// answered whole since, or shortly before.
+  bool isRequestCleared(const Incident &Report) const;
+  /// The same as `answeredAt` for a request that was answered whole.
+  core::BootTime answeredWholeAt(std::uint64_t Request) const;
 
   /// Dismisses what was seen at a death that was none: the incarnation is
   /// alive.
   void dismiss(std::uint64_t Death, core::BootTime AliveAt);
 
+  /// Dismisses what was seen long enough before \p ReadAt at deaths whose
+  /// incarnations were still registered then.
+  void dismissRegistered(const std::set<std::uint64_t> &Deaths,
+                         core::BootTime ReadAt);
+
   /// @return whether a request must not be sent to a target.
   bool refuses(const Subject &Request, core::BootTime Now) const;
 
@@ -134,11 +162,14 @@
   DeathsByPart ownDeaths(const EvidenceByPart &All) const;
   void convictParts() const;
   void convictRequests() const;
+  /// Dismisses the incident if it was not seen after \p Until.
+  void dismissOlder(Incident &Report, core::BootTime Until);
 
   Settings Config;
   /// Ordered by time of arrival here.
   std::vector<Incident> Incidents;
   std::unordered_map<std::string, core::BootTime> LastAnswered;
+  std::unordered_map<std::uint64_t, core::BootTime> LastAnsweredWhole;
   /// What follows from the evidence; worked out when it is asked for, because
   /// the deaths of many targets come together.
   mutable std::vector<Conviction> Convicted;
--- a/libs/routing/src/PartQuarantine.cpp
+++ b/libs/routing/src/PartQuarantine.cpp
@@ -34,6 +34,42 @@
   });
 }
 
+/// Counts the deaths of one request of which each can have been its doing: its
+/// repeat was sent after the death before, so that targets that die together
+/// count once.
+std::size_t
+successiveDeaths(std::vector<const PartQuarantine::Incident *> Incidents) {
+  std::sort(Incidents.begin(), Incidents.end(),
+            [](const auto *A, const auto *B) { return A->At < B->At; });
+  std::set<std::uint64_t> Counted;
+  core::BootTime LastAt = core::BootTime::min();
+  for (const auto *Report : Incidents) {
+    bool SentSince = Report->At - Report->InProgress >= LastAt;
+    if (!SentSince || !Counted.insert(Report->Death).second)
+      continue;
+    LastAt = Report->At;
+  }
+  return Counted.size();
+}
+
+/// Records in \p Last when \p Key was answered, if it was \p Accused or there
+/// is room.
+template <typename Key>
+void recordLast(std::unordered_map<Key, core::BootTime> &Last, const Key &Of,
+                core::BootTime At, bool Accused, std::size_t Capacity) {
+  if (!Accused && !Last.contains(Of) && Last.size() >= Capacity)
+    return;
+  core::BootTime &Known = Last[Of];
+  Known = std::max(Known, At);
+}
+
+template <typename Key>
+core::BootTime lastOf(const std::unordered_map<Key, core::BootTime> &Last,
+                      const Key &Of) {
+  auto Found = Last.find(Of);
+  return Found == Last.end() ? core::BootTime() : Found->second;
+}
+
 } // namespace
 
 bool PartQuarantine::add(Incident Report) {
@@ -52,8 +88,29 @@
 }
 
 core::BootTime PartQuarantine::answeredAt(const std::string &Part) const {
-  auto Found = LastAnswered.find(Part);
-  return Found == LastAnswered.end() ? core::BootTime() : Found->second;
+  return lastOf(LastAnswered, Part);
+}
+
+core::BootTime PartQuarantine::answeredWholeAt(std::uint64_t Request) const {
+  return lastOf(LastAnsweredWhole, Request);
+}
+
+bool PartQuarantine::isRequestCleared(const Incident &Report) const {
+  auto Found = LastAnsweredWhole.find(Report.Accused.Request);
+  return Found != LastAnsweredWhole.end() &&
+         Found->second >= Report.At - Config.AnsweredBefore;
+}
+
+bool PartQuarantine::recordAnsweredWhole(std::uint64_t Request,
+                                         core::BootTime At) {
+  bool Accused = std::any_of(
+      Incidents.begin(), Incidents.end(), [&](const Incident &Report) {
+        return Report.Accused.Request == Request && !isRequestCleared(Report) &&
+               At >= Report.At - Config.AnsweredBefore;
+      });
+  recordLast(LastAnsweredWhole, Request, At, Accused, Config.AnsweredCapacity);
+  EvidenceChanged |= Accused;
+  return Accused;
 }
 
 bool PartQuarantine::isCleared(const std::string &Part,
@@ -94,11 +151,7 @@
                                });
     if (Accused)
       Cleared.push_back(Part);
-    if (Accused || LastAnswered.contains(Part) ||
-        LastAnswered.size() < Config.AnsweredCapacity) {
-      core::BootTime &Last = LastAnswered[Part];
-      Last = std::max(Last, At);
-    }
+    recordLast(LastAnswered, Part, At, Accused, Config.AnsweredCapacity);
   }
   if (!Cleared.empty())
     EvidenceChanged = true;
@@ -106,12 +159,23 @@
 }
 
 void PartQuarantine::dismiss(std::uint64_t Death, core::BootTime AliveAt) {
-  for (Incident &Report : Incidents) {
-    if (Report.Death != Death || AliveAt - Report.At < ReportDelay)
-      continue;
-    EvidenceChanged |= !Report.Dismissed;
-    Report.Dismissed = true;
-  }
+  for (Incident &Report : Incidents)
+    if (Report.Death == Death)
+      dismissOlder(Report, AliveAt - ReportDelay);
+}
+
+void PartQuarantine::dismissRegistered(const std::set<std::uint64_t> &Deaths,
+                                       core::BootTime ReadAt) {
+  for (Incident &Report : Incidents)
+    if (Deaths.contains(Report.Death))
+      dismissOlder(Report, ReadAt - Config.RegistrationTimeout);
+}
+
+void PartQuarantine::dismissOlder(Incident &Report, core::BootTime Until) {
+  if (Report.Dismissed || Report.At > Until)
+    return;
+  EvidenceChanged = true;
+  Report.Dismissed = true;
 }
 
 void PartQuarantine::expire(core::BootTime Now) {
@@ -127,6 +191,13 @@
     return Now - Entry.second > Config.AnsweredBefore &&
            !Needed.contains(Entry.first);
   });
+  std::set<std::uint64_t> NeededRequests;
+  for (const Incident &Report : Incidents)
+    NeededRequests.insert(Report.Accused.Request);
+  std::erase_if(LastAnsweredWhole, [&](const auto &Entry) {
+    return Now - Entry.second > Config.AnsweredBefore &&
+           !NeededRequests.contains(Entry.first);
+  });
 }
 
 std::uint64_t PartQuarantine::digest() const {
@@ -215,20 +286,23 @@
 }
 
 void PartQuarantine::convictRequests() const {
-  std::map<std::uint64_t, Conviction> ByRequest;
-  std::map<std::uint64_t, Deaths> DeathsOf;
-  for (const Incident &Report : Incidents) {
-    if (Report.Dismissed)
-      continue;
-    Conviction &Against = ByRequest[Report.Accused.Request];
-    Against.Request = Report.Accused.Request;
-    Against.LastDeath = std::max(Against.LastDeath, Report.At);
-    DeathsOf[Against.Request].insert(Report.Death);
-  }
-  for (auto &[Request, Against] : ByRequest) {
-    Against.Deaths = DeathsOf[Request].size();
-    if (Against.Deaths >= Config.DeathsToQuarantine)
-      Convicted.push_back(Against);
+  std::map<std::uint64_t, std::vector<const Incident *>> ByRequest;
+  for (const Incident &Report : Incidents)
+    if (!Report.Dismissed && !isRequestCleared(Report))
+      ByRequest[Report.Accused.Request].push_back(&Report);
+  for (const auto &[Request, Against] : ByRequest) {
+    Conviction Found;
+    Found.Request = Request;
+    Deaths All;
+    for (const Incident *Report : Against) {
+      All.insert(Report->Death);
+      Found.LastDeath = std::max(Found.LastDeath, Report->At);
+    }
+    Found.Deaths = All.size();
+    bool IsPlain = Against.front()->Accused.Parts.empty();
+    if (IsPlain ? successiveDeaths(Against) >= Config.CertainDeaths
+                : Found.Deaths >= Config.DeathsToQuarantine)
+      Convicted.push_back(Found);
   }
 }
 
--- a/libs/routing/tests/PartQuarantineTest.cpp
+++ b/libs/routing/tests/PartQuarantineTest.cpp
@@ -142,6 +142,90 @@
   BOOST_TEST(!Q.refuses({11, {"part"}}, Start));
 }
 
+// Requests of plain services have no parts, and no sidecar watches their
+// targets: a request that crashed targets was never refused.
+BOOST_AUTO_TEST_CASE(plain_request_is_refused_after_three_deaths_in_a_row) {
+  PartQuarantine Q;
+  Q.add({1, {10, {}}, Start, 30ms});
+  Q.add({2, {10, {}}, Start + 40ms, 30ms});
+  BOOST_TEST(!Q.refuses({10, {}}, Start + 40ms));
+  Q.add({3, {10, {}}, Start + 2s, 30ms});
+  BOOST_TEST(Q.refuses({10, {}}, Start + 20min));
+  BOOST_TEST(!Q.refuses({11, {}}, Start + 2s));
+}
+
+BOOST_AUTO_TEST_CASE(targets_that_die_together_count_once_for_a_plain_request) {
+  // Equal requests were in progress at all of them before the first death.
+  PartQuarantine Q;
+  for (std::uint64_t Death = 1; Death <= 8; ++Death)
+    Q.add({Death, {10, {}}, Start + Death * 50ms, 500ms});
+  BOOST_TEST(!Q.refuses({10, {}}, Start + 1s));
+}
+
+BOOST_AUTO_TEST_CASE(plain_request_that_is_answered_whole_is_clear) {
+  PartQuarantine Q;
+  for (std::uint64_t Death = 1; Death <= 3; ++Death)
+    Q.add({Death, {10, {}}, Start + Death * 1s, 30ms});
+  BOOST_TEST(Q.refuses({10, {}}, Start + 3s));
+  BOOST_TEST(Q.recordAnsweredWhole(10, Start + 4s));
+  BOOST_TEST(!Q.recordAnsweredWhole(10, Start + 4s));
+  BOOST_TEST(!Q.refuses({10, {}}, Start + 4s));
+}
+
+BOOST_AUTO_TEST_CASE(death_of_a_target_that_stays_registered_is_dismissed) {
+  PartQuarantine Q;
+  for (std::uint64_t Death = 1; Death <= 3; ++Death)
+    Q.add({Death, {10, {}}, Start + Death * 1s, 30ms});
+  // The registration of a target that has died stays for a while.
+  Q.dismissRegistered({3}, Start + 6s);
+  BOOST_TEST(Q.refuses({10, {}}, Start + 6s));
+  Q.dismissRegistered({3}, Start + 9s);
+  BOOST_TEST(!Q.refuses({10, {}}, Start + 9s));
+}
+
+/// Plain targets that one request crashes when they begin to run it. Its caller
+/// repeats it, and each attempt is sent to a second target; requests that are
+/// all alike are always in progress beside it.
+struct PlainModel {
+  static constexpr std::uint64_t Crashing = 1;
+  static constexpr std::uint64_t Sound = 2;
+
+  void attempt() {
+    for (int Send = 0; Send < 2; ++Send) {
+      if (Known.refuses({Crashing, {}}, Now))
+        return;
+      Now += std::chrono::milliseconds(*rc::gen::inRange(1, 100));
+      ++Deaths;
+      Known.add({Deaths, {Crashing, {}}, Now, 1ms});
+      Known.add({Deaths, {Sound, {}}, Now, 50ms});
+    }
+  }
+
+  /// @param SoundAnswered an equal sound request was answered elsewhere.
+  void pause(bool SoundAnswered) {
+    Now += std::chrono::milliseconds(*rc::gen::inRange(50, 3000));
+    if (SoundAnswered)
+      Known.recordAnsweredWhole(Sound, Now);
+  }
+
+  PartQuarantine Known;
+  BootTime Now = Start;
+  std::uint64_t Deaths = 0;
+};
+
+BOOST_AUTO_TEST_CASE(
+    crashing_plain_request_is_found_and_equal_sound_ones_go_on) {
+  BOOST_TEST(rc::check([] {
+    PlainModel Targets;
+    for (int I = 0; I < 30; ++I) {
+      Targets.attempt();
+      Targets.pause(true);
+      RC_ASSERT(!Targets.Known.refuses({PlainModel::Sound, {}}, Targets.Now));
+    }
+    RC_ASSERT(Targets.Deaths == 3U);
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(death_of_a_target_that_is_alive_is_dismissed) {
   PartQuarantine Q;
   Q.add(incident(1, {10, {"part"}}));
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -436,6 +436,8 @@
   Context.TargetConnections.closeExpired(Now);
   Context.recheckWaitQueues();
   updateGatewayCounts();
+  if (auto Staleness = Follower->registryStaleness())
+    Quarantine->targetsRegistered(Registered, Now - *Staleness);
   milliseconds IdleLimit = Context.Config ? Context.Config->Limits.IdleTimeout
                                           : serving::CallerLimits().IdleTimeout;
   std::erase_if(CallerConnections, [&](const auto &Weak) {
--- a/rosemarylane/src/gateway/QuarantineCheck.cpp
+++ b/rosemarylane/src/gateway/QuarantineCheck.cpp
@@ -7,30 +7,39 @@
 
 namespace rosemarylane {
 
+std::uint64_t QuarantineCheck::requestHash() const {
+  if (!Hash) {
+    std::string Head = Admitted.Workspace + '\n';
+    Head += std::string_view(Request.target().data(), Request.target().size());
+    Head += '\n' + Admitted.HeaderValues.PromptParts;
+    // Serves as a plain hash of both values; nothing is ranked by it.
+    Hash = core::rendezvousWeight(Head, Request.body());
+  }
+  return *Hash;
+}
+
 routing::PartQuarantine::Subject QuarantineCheck::subject() const {
-  const platform::RequestMarks &Marks = Admitted.HeaderValues;
-  std::string Whole = Admitted.Workspace + '\n';
-  Whole += std::string_view(Request.target().data(), Request.target().size());
-  Whole += '\n' + Marks.PromptParts + '\n' + Request.body();
-  return {core::rendezvousWeight("request", Whole), Marks.SharedParts};
+  return {requestHash(), Admitted.HeaderValues.SharedParts};
 }
 
 bool QuarantineCheck::isRefused() const {
-  return !Admitted.HeaderValues.PromptParts.empty() &&
-         Context.Quarantine->watchful() &&
+  return Context.Quarantine->watchful() &&
          Context.Quarantine->refuses(subject());
 }
 
-void QuarantineCheck::recordBreak(const serving::SelectedTarget &Target) {
-  if (Admitted.HeaderValues.PromptParts.empty())
-    return;
+void QuarantineCheck::recordBreak(const serving::SelectedTarget &Target,
+                                  std::chrono::milliseconds InProgress) {
   Context.Quarantine->requestBroke(
       PartQuarantineService::deathId(Target.Address, Target.StartTimeMs),
-      subject());
+      subject(), InProgress);
 }
 
 void QuarantineCheck::recordAnswerBegun() {
   Context.Quarantine->answerBegun(Admitted.HeaderValues.SharedParts);
 }
 
+void QuarantineCheck::recordAnsweredWhole() {
+  Context.Quarantine->answeredWhole(requestHash());
+}
+
 } // namespace rosemarylane
--- a/rosemarylane/src/gateway/QuarantineCheck.h
+++ b/rosemarylane/src/gateway/QuarantineCheck.h
@@ -6,6 +6,10 @@
 #include "gateway/GatewayContext.h"
 #include "serving/LoadBalancer.h"
 
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
 namespace rosemarylane {
 
 /// The quarantine's view of one request: asks it whether the request is
@@ -25,17 +29,24 @@
 
   /// Reports that the request may have killed \p Target: it was written, and
   /// the connection broke before the answer began.
-  void recordBreak(const serving::SelectedTarget &Target);
+  /// @param InProgress time since it was written.
+  void recordBreak(const serving::SelectedTarget &Target,
+                   std::chrono::milliseconds InProgress);
 
   void recordAnswerBegun();
+  void recordAnsweredWhole();
 
 private:
+  /// @return a hash of the whole request: caller, path, prompt and body.
+  std::uint64_t requestHash() const;
   /// @return what identifies the request to the quarantine.
   routing::PartQuarantine::Subject subject() const;
 
   GatewayContext &Context;
   const AdmittedRequest &Admitted;
   const CallerConnection::Request &Request;
+  /// The result of `requestHash` once it was needed.
+  mutable std::optional<std::uint64_t> Hash;
 };
 
 } // namespace rosemarylane
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -265,6 +265,9 @@
     Log.logFailedAttempt(Target, {LastFeedback, SentAt, AnswerBegun});
   if (LastFeedback == TargetFeedback::Broken)
     reportBreak(Target);
+  if (AttemptResult == SendResult::Answered ||
+      AttemptResult == SendResult::Failed)
+    Quarantine.recordAnsweredWhole();
   if (HasResponse && HeaderValues.Load)
     Context.Targets.updateLoad(Target.Id, *HeaderValues.Load, Now);
   if (HasResponse && HeaderValues.WarmupLeft)
@@ -277,8 +280,9 @@
 
 void RequestRun::reportBreak(const serving::SelectedTarget &Target) {
   bool WasWritten = SentAt != Clock::time_point();
-  if (WasWritten && !AnswerBegun)
-    Quarantine.recordBreak(Target);
+  if (WasWritten && !AnswerBegun && Attempt->connectionLost())
+    Quarantine.recordBreak(Target, std::chrono::duration_cast<milliseconds>(
+                                       Clock::now() - SentAt));
 }
 
 void RequestRun::recordAnswerBegun() {
--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -40,9 +40,12 @@
 
 namespace {
 
-TargetSend::Result resultOf(boost::system::error_code ErrorCode) {
-  return ErrorCode == beast::error::timeout ? TargetSend::Result::TimedOut
-                                            : TargetSend::Result::Broken;
+bool isClosedByPeer(boost::system::error_code ErrorCode) {
+  return ErrorCode == asio::error::eof ||
+         ErrorCode == asio::error::connection_reset ||
+         ErrorCode == asio::error::broken_pipe ||
+         ErrorCode == http_::error::end_of_stream ||
+         ErrorCode == http_::error::partial_message;
 }
 
 /// @return whether a response of this status is followed by the final one.
@@ -121,6 +124,11 @@
   Outgoing->IsWritten = !ErrorCode;
 }
 
+TargetSend::Result TargetSend::resultOf(boost::system::error_code ErrorCode) {
+  ConnectionLost = isClosedByPeer(ErrorCode);
+  return ErrorCode == beast::error::timeout ? Result::TimedOut : Result::Broken;
+}
+
 void TargetSend::resetParser(bool HasNoBody) {
   Response.emplace();
   Response->body_limit(boost::none);
@@ -204,10 +212,8 @@
     Response->get().body().more = true;
     auto [ErrorCode, BytesRead] = co_await http_::async_read_some(
         *TcpStream, ConnectionBuffer, *Response, Await);
-    if (ErrorCode == beast::error::timeout)
-      co_return Result::TimedOut;
     if (ErrorCode && ErrorCode != http_::error::need_buffer)
-      co_return Result::Broken;
+      co_return resultOf(ErrorCode);
     BodyDataSize = BodyBuffer.size() - Response->get().body().size;
   }
   co_return Result::Data;
--- a/rosemarylane/src/gateway/TargetSend.h
+++ b/rosemarylane/src/gateway/TargetSend.h
@@ -86,6 +86,9 @@
   const platform::HttpFields &head() const;
   /// @return the values parsed from the header fields of the response.
   const platform::AnswerMarks &headerValues() const { return HeaderValues; }
+  /// @return whether the target has closed or reset the connection. It has not
+  /// if its host has gone silent, or if it sends what is no response.
+  bool connectionLost() const { return ConnectionLost; }
   /// @return whether the request was sent on a pooled connection.
   bool reusedConnection() const { return ReusedConnection; }
 
@@ -117,6 +120,7 @@
   /// \p Id.
   bool answers(const std::string &Id) const;
   boost::asio::awaitable<bool> discardBody();
+  Result resultOf(boost::system::error_code ErrorCode);
   /// Records what the target says of itself in the head that was just read.
   void recordStatements();
   void resetParser(bool HasNoBody);
@@ -139,6 +143,7 @@
   std::string BodyBuffer;
   std::size_t BodyDataSize = 0;
   bool ReusedConnection = false;
+  bool ConnectionLost = false;
   /// A response to another request came before the one to this request.
   bool HasSkippedResponse = false;
   bool IsHeadRequest = false;
--- a/rosemarylane/src/node/PartQuarantineService.cpp
+++ b/rosemarylane/src/node/PartQuarantineService.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 
 namespace rosemarylane {
 
@@ -20,6 +21,7 @@
 /// a process knows of nothing that it must not send.
 constexpr milliseconds NewProcessAskPeriod{50};
 constexpr milliseconds NewProcessTime{2000};
+constexpr milliseconds RegistryCheckPeriod{1000};
 /// Peers that are asked in each period.
 constexpr std::size_t PeersAsked = 3;
 /// Incidents in one message, so that it fits a datagram.
@@ -48,6 +50,7 @@
   for (const std::string &Part : From.Accused.Parts)
     To.add_parts(Part);
   To.set_age_ms(ageMs(From.At, Now));
+  To.set_in_progress_ms(static_cast<std::uint32_t>(From.InProgress.count()));
 }
 
 } // namespace
@@ -104,6 +107,8 @@
          ++In, ++I) {
       toWire(Incidents[I], Now, *Body.add_incidents());
       addAnswered(Known.clearedParts(Incidents[I]), Now, Body);
+      if (Known.isRequestCleared(Incidents[I]))
+        addAnsweredWhole(Incidents[I].Accused.Request, Now, Body);
     }
     Socket.send(Ip, std::move(Message));
   }
@@ -129,20 +134,22 @@
 void PartQuarantineService::logConvictions() {
   std::vector<std::string> Refused;
   for (const auto &Against : Known.convictions())
-    if (!Against.Parts.empty())
-      Refused.push_back(joined(Against.Parts));
+    Refused.push_back(Against.Parts.empty()
+                          ? "request " + std::to_string(Against.Request)
+                          : joined(Against.Parts));
   if (Refused == LoggedRefused)
     return;
-  for (const std::string &Parts : Refused)
+  for (const std::string &What : Refused)
     telemetry::log(telemetry::Level::Warning, "requests are refused",
-                   {{"shared_parts", Parts}});
+                   {{"shared_parts", What}});
   LoggedRefused = std::move(Refused);
 }
 
 void PartQuarantineService::requestBroke(std::uint64_t Death,
-                                         PartQuarantine::Subject Request) {
+                                         PartQuarantine::Subject Request,
+                                         milliseconds InProgress) {
   BootTime Now = BootClock::now();
-  PartQuarantine::Incident Report{Death, std::move(Request), Now};
+  PartQuarantine::Incident Report{Death, std::move(Request), Now, InProgress};
   wire::NodeMessage Message;
   wire::CrashEvidence &Body = *Message.mutable_crash_evidence();
   toWire(Report, Now, *Body.add_incidents());
@@ -179,6 +186,46 @@
   }
 }
 
+void PartQuarantineService::answeredWhole(std::uint64_t Request) {
+  BootTime Now = BootClock::now();
+  if (Known.recordAnsweredWhole(Request, Now))
+    spreadAnsweredWhole({Request}, Now);
+}
+
+void PartQuarantineService::spreadAnsweredWhole(
+    const std::vector<std::uint64_t> &Requests, BootTime Now) {
+  if (Requests.empty())
+    return;
+  telemetry::log(telemetry::Level::Info, "requests are cleared",
+                 {{"count", std::int64_t(Requests.size())}});
+  wire::NodeMessage Message;
+  wire::CrashEvidence &Body = *Message.mutable_crash_evidence();
+  Body.set_digest(Known.digest());
+  for (std::uint64_t Request : Requests)
+    addAnsweredWhole(Request, Now, Body);
+  spread(Message, Now);
+}
+
+void PartQuarantineService::addAnsweredWhole(std::uint64_t Request,
+                                             BootTime Now,
+                                             wire::CrashEvidence &To) const {
+  wire::AnsweredRequest &Answered = *To.add_answered_whole();
+  Answered.set_request(Request);
+  Answered.set_age_ms(ageMs(Known.answeredWholeAt(Request), Now));
+}
+
+void PartQuarantineService::targetsRegistered(
+    const std::vector<serving::RegisteredTarget> &Targets, BootTime ReadAt) {
+  if (Known.empty() || ReadAt - RegistryCheckedAt < RegistryCheckPeriod)
+    return;
+  RegistryCheckedAt = ReadAt;
+  std::set<std::uint64_t> Registered;
+  for (const serving::RegisteredTarget &T : Targets)
+    if (T.StartTimeMs != 0)
+      Registered.insert(deathId(T.Address, T.StartTimeMs));
+  Known.dismissRegistered(Registered, ReadAt);
+}
+
 void PartQuarantineService::targetAlive(const std::string &Address,
                                         std::int64_t StartTimeMs) {
   if (!Known.empty())
@@ -199,33 +246,50 @@
     if (Report.Accused.Parts.size() < MaxParts && Part.size() <= MaxPartBytes)
       Report.Accused.Parts.push_back(Part);
   Report.At = Now - milliseconds(Source.age_ms());
+  Report.InProgress = milliseconds(Source.in_progress_ms());
   std::vector<std::string> Cleared = Known.clearedParts(Report);
-  if (!add(std::move(Report)) || Cleared.empty())
+  bool IsRequestCleared = Known.isRequestCleared(Report);
+  if (!add(std::move(Report)) || (Cleared.empty() && !IsRequestCleared))
     return;
   // The others cannot know what was answered here. Only the sender is told, and
   // passes it on, so that not every gateway writes to every other.
   wire::NodeMessage Message;
-  addAnswered(Cleared, Now, *Message.mutable_crash_evidence());
-  Message.mutable_crash_evidence()->set_spread(true);
+  wire::CrashEvidence &Body = *Message.mutable_crash_evidence();
+  addAnswered(Cleared, Now, Body);
+  if (IsRequestCleared)
+    addAnsweredWhole(Source.request(), Now, Body);
+  Body.set_spread(true);
   Socket.send(Ip, std::move(Message));
 }
 
+void PartQuarantineService::addAnswersFromPeer(
+    const wire::CrashEvidence &Source, BootTime Now) {
+  std::vector<std::string> Parts;
+  for (const wire::AnsweredPart &Answered : Source.answered())
+    if (Answered.part().size() <= MaxPartBytes &&
+        !Known
+             .recordAnswered({Answered.part()},
+                             Now - milliseconds(Answered.age_ms()))
+             .empty())
+      Parts.push_back(Answered.part());
+  std::vector<std::uint64_t> Requests;
+  for (const wire::AnsweredRequest &Answered : Source.answered_whole())
+    if (Known.recordAnsweredWhole(Answered.request(),
+                                  Now - milliseconds(Answered.age_ms())))
+      Requests.push_back(Answered.request());
+  if (!Source.spread())
+    return;
+  spreadAnswered(Parts, Now);
+  spreadAnsweredWhole(Requests, Now);
+}
+
 void PartQuarantineService::received(const wire::NodeMessage &Message) {
   if (!Message.has_crash_evidence())
     return;
   BootTime Now = BootClock::now();
   const wire::CrashEvidence &Body = Message.crash_evidence();
   const std::string &Ip = Message.sender().ip();
-  std::vector<std::string> Cleared;
-  for (const wire::AnsweredPart &Answered : Body.answered())
-    if (Answered.part().size() <= MaxPartBytes &&
-        !Known
-             .recordAnswered({Answered.part()},
-                             Now - milliseconds(Answered.age_ms()))
-             .empty())
-      Cleared.push_back(Answered.part());
-  if (Body.spread())
-    spreadAnswered(Cleared, Now);
+  addAnswersFromPeer(Body, Now);
   for (const wire::CrashIncident &Source : Body.incidents())
     addFromPeer(Source, Ip, Now);
   if (Body.ask() && Body.digest() != Known.digest())
--- a/rosemarylane/src/node/PartQuarantineService.h
+++ b/rosemarylane/src/node/PartQuarantineService.h
@@ -4,6 +4,7 @@
 #include "node/PeerSocket.h"
 #include "routing/PartQuarantine.h"
 #include "serving/PeerTable.h"
+#include "serving/RegisteredTarget.h"
 #include "wire/node.pb.h"
 
 #include <boost/asio/io_context.hpp>
@@ -16,8 +17,8 @@
 
 namespace rosemarylane {
 
-/// Shares with all gateways and sidecars what is known of parts of prompts that
-/// crash targets, see `routing::PartQuarantine`.
+/// Shares with all gateways and sidecars what is known of requests and of parts
+/// of prompts that crash targets, see `routing::PartQuarantine`.
 ///
 /// A gateway sends what it learns to all live gateways at once, and to the
 /// sidecars of its failure domain. Besides, each process compares a digest with
@@ -39,12 +40,21 @@
 
   /// Records that a request had no answer begun when its connection to a target
   /// broke.
+  /// @param InProgress time since the request was sent.
   void requestBroke(std::uint64_t Death,
-                    routing::PartQuarantine::Subject Request);
+                    routing::PartQuarantine::Subject Request,
+                    std::chrono::milliseconds InProgress);
 
   /// Records that an answer has begun on a prompt with these parts.
   void answerBegun(const std::vector<std::string> &Parts);
 
+  /// Records that the request with this hash was answered whole.
+  void answeredWhole(std::uint64_t Request);
+
+  /// Records the targets that were registered at \p ReadAt.
+  void targetsRegistered(const std::vector<serving::RegisteredTarget> &Targets,
+                         core::BootTime ReadAt);
+
   /// Records that a target's sidecar has just reported.
   void targetAlive(const std::string &Address, std::int64_t StartTimeMs);
 
@@ -74,7 +84,14 @@
                       core::BootTime Now);
   void addAnswered(const std::vector<std::string> &Parts, core::BootTime Now,
                    wire::CrashEvidence &To) const;
-  /// Logs the parts whose requests are refused, if that has changed.
+  void spreadAnsweredWhole(const std::vector<std::uint64_t> &Requests,
+                           core::BootTime Now);
+  void addAnsweredWhole(std::uint64_t Request, core::BootTime Now,
+                        wire::CrashEvidence &To) const;
+  /// Takes what a peer says of answers.
+  void addAnswersFromPeer(const wire::CrashEvidence &Source,
+                          core::BootTime Now);
+  /// Logs what is refused, if that has changed.
   void logConvictions();
   /// Adds an incident and logs it.
   bool add(routing::PartQuarantine::Incident Report);
@@ -87,7 +104,8 @@
   core::BootTime StartedAt;
   std::mt19937_64 Random;
   routing::PartQuarantine Known;
-  /// The parts as last logged by `logConvictions`.
+  core::BootTime RegistryCheckedAt{};
+  /// The parts and requests as last logged by `logConvictions`.
   std::vector<std::string> LoggedRefused;
 };
 
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -736,6 +736,10 @@
   return S->Operators.section().staleness(BootClock::now());
 }
 
+std::optional<milliseconds> StoreFollower::registryStaleness() const {
+  return S->Registry.section().staleness(BootClock::now());
+}
+
 const serving::PeerTable &StoreFollower::peers() const { return S->Peers; }
 
 std::uint64_t StoreFollower::storeRequestCount() const {
--- a/rosemarylane/src/node/StoreFollower.h
+++ b/rosemarylane/src/node/StoreFollower.h
@@ -71,6 +71,9 @@
   /// before the first read.
   std::optional<std::chrono::milliseconds> operatorsStaleness() const;
 
+  /// The same for the registry.
+  std::optional<std::chrono::milliseconds> registryStaleness() const;
+
   const serving::PeerTable &peers() const;
 
   /// @return number of requests sent to the store so far.
