Quarantine: a part that crashes targets after the first event is found

Cause: a connection that broke after the first event accused nothing, and the first event of each such request cleared its part.

Change: a request whose answer had begun accuses its parts too. Only an answer that was given whole clears them of that, and it takes three deaths in a row, each with a request sent after the death before, so that targets that die together convict nothing.

--- a/libs/routing/src/PartQuarantine.cpp
+++ b/libs/routing/src/PartQuarantine.cpp
@@ -34,18 +34,28 @@
   });
 }
 
-/// Counts the deaths of one request of which each can have been its doing: its
-/// repeat was sent after the death before, so that targets that die together
-/// count once.
+std::set<std::uint64_t>
+deathsOf(const std::vector<const PartQuarantine::Incident *> &Incidents) {
+  std::set<std::uint64_t> Deaths;
+  for (const auto *Report : Incidents)
+    Deaths.insert(Report->Death);
+  return Deaths;
+}
+
+/// Counts the deaths among \p Of that followed one another: at each, some
+/// request was in progress that was sent after the death before. Targets that
+/// die together count once.
 std::size_t
-successiveDeaths(std::vector<const PartQuarantine::Incident *> Incidents) {
+successiveDeaths(std::vector<const PartQuarantine::Incident *> Incidents,
+                 const std::set<std::uint64_t> &Of) {
   std::sort(Incidents.begin(), Incidents.end(),
             [](const auto *A, const auto *B) { return A->At < B->At; });
   std::set<std::uint64_t> Counted;
   core::BootTime LastAt = core::BootTime::min();
   for (const auto *Report : Incidents) {
     bool SentSince = Report->At - Report->InProgress >= LastAt;
-    if (!SentSince || !Counted.insert(Report->Death).second)
+    if (!SentSince || !Of.contains(Report->Death) ||
+        !Counted.insert(Report->Death).second)
       continue;
     LastAt = Report->At;
   }
@@ -91,13 +101,17 @@
   return lastOf(LastAnswered, Part);
 }
 
+core::BootTime PartQuarantine::answeredWholeAt(const std::string &Part) const {
+  return lastOf(LastAnsweredWhole, Part);
+}
+
 core::BootTime PartQuarantine::answeredWholeAt(std::uint64_t Request) const {
-  return lastOf(LastAnsweredWhole, Request);
+  return lastOf(RequestsAnsweredWhole, Request);
 }
 
 bool PartQuarantine::isRequestCleared(const Incident &Report) const {
-  auto Found = LastAnsweredWhole.find(Report.Accused.Request);
-  return Found != LastAnsweredWhole.end() &&
+  auto Found = RequestsAnsweredWhole.find(Report.Accused.Request);
+  return Found != RequestsAnsweredWhole.end() &&
          Found->second >= Report.At - Config.AnsweredBefore;
 }
 
@@ -108,23 +122,26 @@
         return Report.Accused.Request == Request && !isRequestCleared(Report) &&
                At >= Report.At - Config.AnsweredBefore;
       });
-  recordLast(LastAnsweredWhole, Request, At, Accused, Config.AnsweredCapacity);
+  recordLast(RequestsAnsweredWhole, Request, At, Accused,
+             Config.AnsweredCapacity);
   EvidenceChanged |= Accused;
   return Accused;
 }
 
 bool PartQuarantine::isCleared(const std::string &Part,
-                               core::BootTime IncidentAt) const {
-  auto Found = LastAnswered.find(Part);
-  return Found != LastAnswered.end() &&
-         Found->second >= IncidentAt - Config.AnsweredBefore;
+                               const Incident &Report) const {
+  const AnswerTimes &Last =
+      Report.AnswerBegun ? LastAnsweredWhole : LastAnswered;
+  auto Found = Last.find(Part);
+  return Found != Last.end() &&
+         Found->second >= Report.At - Config.AnsweredBefore;
 }
 
 std::vector<std::string>
 PartQuarantine::clearedParts(const Incident &Report) const {
   std::vector<std::string> Cleared;
   for (const std::string &Part : Report.Accused.Parts)
-    if (isCleared(Part, Report.At))
+    if (isCleared(Part, Report))
       Cleared.push_back(Part);
   return Cleared;
 }
@@ -133,7 +150,7 @@
 PartQuarantine::accusedParts(const Incident &Report) const {
   std::vector<std::string> Accused;
   for (const std::string &Part : Report.Accused.Parts)
-    if (!isCleared(Part, Report.At))
+    if (!isCleared(Part, Report))
       Accused.push_back(Part);
   return Accused;
 }
@@ -141,17 +158,36 @@
 std::vector<std::string>
 PartQuarantine::recordAnswered(const std::vector<std::string> &Parts,
                                core::BootTime At) {
+  return recordAnswer(LastAnswered, Parts, At);
+}
+
+std::vector<std::string>
+PartQuarantine::recordAnsweredWhole(const std::vector<std::string> &Parts,
+                                    core::BootTime At) {
+  std::vector<std::string> Cleared = recordAnswer(LastAnswered, Parts, At);
+  for (std::string &Part : recordAnswer(LastAnsweredWhole, Parts, At))
+    if (!contains(Cleared, Part))
+      Cleared.push_back(std::move(Part));
+  return Cleared;
+}
+
+std::vector<std::string>
+PartQuarantine::recordAnswer(AnswerTimes &Last,
+                             const std::vector<std::string> &Parts,
+                             core::BootTime At) {
+  bool IsWhole = &Last == &LastAnsweredWhole;
   std::vector<std::string> Cleared;
   for (const std::string &Part : Parts) {
     bool Accused = std::any_of(Incidents.begin(), Incidents.end(),
                                [&](const Incident &Report) {
-                                 return contains(Report.Accused.Parts, Part) &&
-                                        !isCleared(Part, Report.At) &&
+                                 return Report.AnswerBegun == IsWhole &&
+                                        contains(Report.Accused.Parts, Part) &&
+                                        !isCleared(Part, Report) &&
                                         At >= Report.At - Config.AnsweredBefore;
                                });
     if (Accused)
       Cleared.push_back(Part);
-    recordLast(LastAnswered, Part, At, Accused, Config.AnsweredCapacity);
+    recordLast(Last, Part, At, Accused, Config.AnsweredCapacity);
   }
   if (!Cleared.empty())
     EvidenceChanged = true;
@@ -187,14 +223,15 @@
   std::set<std::string_view> Needed;
   for (const Incident &Report : Incidents)
     Needed.insert(Report.Accused.Parts.begin(), Report.Accused.Parts.end());
-  std::erase_if(LastAnswered, [&](const auto &Entry) {
-    return Now - Entry.second > Config.AnsweredBefore &&
-           !Needed.contains(Entry.first);
-  });
+  for (AnswerTimes *Last : {&LastAnswered, &LastAnsweredWhole})
+    std::erase_if(*Last, [&](const auto &Entry) {
+      return Now - Entry.second > Config.AnsweredBefore &&
+             !Needed.contains(Entry.first);
+    });
   std::set<std::uint64_t> NeededRequests;
   for (const Incident &Report : Incidents)
     NeededRequests.insert(Report.Accused.Request);
-  std::erase_if(LastAnsweredWhole, [&](const auto &Entry) {
+  std::erase_if(RequestsAnsweredWhole, [&](const auto &Entry) {
     return Now - Entry.second > Config.AnsweredBefore &&
            !NeededRequests.contains(Entry.first);
   });
@@ -223,10 +260,12 @@
       });
 }
 
-PartQuarantine::EvidenceByPart PartQuarantine::collectEvidence() const {
+PartQuarantine::EvidenceByPart
+PartQuarantine::collectEvidence(Source From) const {
   EvidenceByPart All;
   for (const Incident &Report : Incidents) {
-    if (Report.Dismissed)
+    bool IsUsed = From == Source::All || !Report.AnswerBegun;
+    if (Report.Dismissed || !IsUsed)
       continue;
     std::vector<std::string> Accused = accusedParts(Report);
     std::set<std::string> Together(Accused.begin(), Accused.end());
@@ -239,6 +278,7 @@
           return !Together.contains(Other);
         });
       Against.At.insert(Report.Death);
+      Against.Incidents.push_back(&Report);
       Against.Requests.insert(Report.Accused.Request);
       Against.LastDeath = std::max(Against.LastDeath, Report.At);
     }
@@ -266,8 +306,8 @@
   return Own;
 }
 
-void PartQuarantine::convictParts() const {
-  EvidenceByPart All = collectEvidence();
+void PartQuarantine::convictParts(Source From) const {
+  EvidenceByPart All = collectEvidence(From);
   DeathsByPart Own = ownDeaths(All);
   std::map<std::uint64_t, std::vector<const Deaths *>> SeenAt;
   for (const auto &[Part, OfPart] : Own)
@@ -278,6 +318,9 @@
         isExplained(OfPart, SeenAt[*OfPart.begin()]))
       continue;
     const Evidence &Against = All.at(Part);
+    if (From == Source::All &&
+        successiveDeaths(Against.Incidents, OfPart) < Config.CertainDeaths)
+      continue;
     Convicted.push_back({{Against.Companions.begin(), Against.Companions.end()},
                          0,
                          OfPart.size(),
@@ -291,26 +334,38 @@
     if (!Report.Dismissed && !isRequestCleared(Report))
       ByRequest[Report.Accused.Request].push_back(&Report);
   for (const auto &[Request, Against] : ByRequest) {
+    if (!suffices(Against))
+      continue;
     Conviction Found;
     Found.Request = Request;
-    Deaths All;
-    for (const Incident *Report : Against) {
-      All.insert(Report->Death);
+    Found.Deaths = deathsOf(Against).size();
+    for (const Incident *Report : Against)
       Found.LastDeath = std::max(Found.LastDeath, Report->At);
-    }
-    Found.Deaths = All.size();
-    bool IsPlain = Against.front()->Accused.Parts.empty();
-    if (IsPlain ? successiveDeaths(Against) >= Config.CertainDeaths
-                : Found.Deaths >= Config.DeathsToQuarantine)
-      Convicted.push_back(Found);
+    Convicted.push_back(Found);
   }
 }
 
+bool PartQuarantine::suffices(
+    const std::vector<const Incident *> &Against) const {
+  std::vector<const Incident *> Prompts;
+  for (const Incident *Report : Against)
+    if (!Report->AnswerBegun && !Report->Accused.Parts.empty())
+      Prompts.push_back(Report);
+  return deathsOf(Prompts).size() >= Config.DeathsToQuarantine ||
+         successiveDeaths(Against, deathsOf(Against)) >= Config.CertainDeaths;
+}
+
 const std::vector<PartQuarantine::Conviction> &
 PartQuarantine::convictions() const {
   if (std::exchange(EvidenceChanged, false)) {
     Convicted.clear();
-    convictParts();
+    convictParts(Source::NotBegun);
+    bool AnyBegun =
+        std::any_of(Incidents.begin(), Incidents.end(),
+                    [](const Incident &Report) { return Report.AnswerBegun; });
+    // Without begun answers, the same incidents with a higher bound.
+    if (AnyBegun)
+      convictParts(Source::All);
     convictRequests();
   }
   return Convicted;
--- a/libs/routing/tests/PartQuarantineTest.cpp
+++ b/libs/routing/tests/PartQuarantineTest.cpp
@@ -27,7 +27,12 @@
 struct Model {
   static constexpr const char *Deadly = "deadly";
 
-  explicit Model(std::size_t BatchSize) : BatchSize(BatchSize) {}
+  /// When a target crashes on the deadly part.
+  enum class CrashTime { BeforeAnswer, AfterFirstEvent };
+
+  explicit Model(std::size_t BatchSize,
+                 CrashTime When = CrashTime::BeforeAnswer)
+      : BatchSize(BatchSize), When(When) {}
 
   Subject request() {
     Subject Result{++LastRequest, {"first"}};
@@ -53,11 +58,15 @@
     });
     if (Crash)
       ++Deaths;
+    bool Begins = !Crash || When == CrashTime::AfterFirstEvent;
+    if (Begins)
+      for (const Subject &R : Batch)
+        Known.recordAnswered(R.Parts, Now);
     for (const Subject &R : Batch) {
       if (Crash)
-        Known.add({Deaths, R, Now});
+        Known.add({Deaths, R, Now, 5ms, Begins});
       else
-        Known.recordAnswered(R.Parts, Now);
+        Known.recordAnsweredWhole(R.Parts, Now);
       // Each is sent once more after its target has died.
       if (Crash && Retried.insert(R.Request).second)
         Retries.push_back(R);
@@ -65,6 +74,7 @@
   }
 
   std::size_t BatchSize;
+  CrashTime When;
   PartQuarantine Known;
   BootTime Now = Start;
   std::uint64_t Deaths = 0;
@@ -94,6 +104,44 @@
   }));
 }
 
+// The first event of an answer cleared the part, so a part that crashes targets
+// after it was never refused.
+BOOST_AUTO_TEST_CASE(part_that_crashes_after_the_first_event_is_found) {
+  BOOST_TEST(rc::check([] {
+    Model Engines(*rc::gen::inRange<std::size_t>(1, 7),
+                  Model::CrashTime::AfterFirstEvent);
+    for (int I = 0; I < 200; ++I)
+      Engines.round();
+    RC_ASSERT(Engines.Deaths <= 5U);
+    std::size_t Before = Engines.SoundRefused;
+    for (int I = 0; I < 200; ++I)
+      Engines.round();
+    RC_ASSERT(Engines.Deaths <= 5U);
+    RC_ASSERT(2 * (Engines.SoundRefused - Before) <= Engines.BatchSize * 200);
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(streams_of_targets_that_die_together_convict_nothing) {
+  // Different requests with the same parts were in progress at all targets.
+  PartQuarantine Q;
+  for (std::uint64_t Death = 1; Death <= 30; ++Death)
+    Q.add(
+        {Death, {Death, {"first", "second"}}, Start + Death * 40ms, 2s, true});
+  BOOST_TEST(!Q.refuses({99, {"first", "second"}}, Start + 2s));
+}
+
+BOOST_AUTO_TEST_CASE(part_that_was_answered_whole_is_clear_of_begun_answers) {
+  PartQuarantine Q;
+  for (std::uint64_t Death = 1; Death <= 3; ++Death)
+    Q.add({Death, {Death, {"part"}}, Start + Death * 1s, 30ms, true});
+  // Another answer on it begins, which shows nothing.
+  Q.recordAnswered({"part"}, Start + 4s);
+  BOOST_TEST(Q.refuses({99, {"part"}}, Start + 4s));
+  auto Cleared = Q.recordAnsweredWhole({"part"}, Start + 5s);
+  BOOST_TEST((Cleared == std::vector<std::string>{"part"}));
+  BOOST_TEST(!Q.refuses({99, {"part"}}, Start + 5s));
+}
+
 BOOST_AUTO_TEST_CASE(part_that_always_comes_with_another_is_refused_with_it) {
   PartQuarantine Q;
   Q.add(incident(1, {10, {"first", "deadly"}}));
@@ -265,6 +313,34 @@
   BOOST_TEST((Q.answeredAt("answered19") == BootTime()));
 }
 
+BOOST_AUTO_TEST_CASE(deaths_with_begun_answers_cost_little_time) {
+  // As below, but nearly all of the requests in progress have events already.
+  constexpr int Targets = 84;
+  constexpr int RequestsAtEach = 12;
+  constexpr std::chrono::milliseconds TimeLimitForEach{10};
+  PartQuarantine Q;
+  std::uint64_t Request = 0;
+  std::chrono::steady_clock::duration Longest{0};
+  for (int Target = 0; Target < Targets; ++Target) {
+    auto Begin = std::chrono::steady_clock::now();
+    for (int I = 0; I < RequestsAtEach; ++I, ++Request)
+      Q.add({static_cast<std::uint64_t>(Target),
+             {Request,
+              {"first" + std::to_string(Request % 40),
+               "second" + std::to_string(Request % 150)}},
+             Start + Target * 1ms,
+             500ms,
+             true});
+    (void)Q.refuses({0, {"first0"}}, Start);
+    Longest = std::max(Longest, std::chrono::steady_clock::now() - Begin);
+  }
+  BOOST_TEST_MESSAGE(
+      "longest "
+      << std::chrono::duration_cast<std::chrono::microseconds>(Longest).count()
+      << " us");
+  BOOST_TEST((Longest < TimeLimitForEach));
+}
+
 BOOST_AUTO_TEST_CASE(deaths_of_a_whole_failure_domain_cost_little_time) {
   // The event loop serves nobody else meanwhile. Many targets die at once, each
   // with requests that share some of a few first parts.
--- a/rosemarylane/src/gateway/QuarantineCheck.cpp
+++ b/rosemarylane/src/gateway/QuarantineCheck.cpp
@@ -28,10 +28,10 @@
 }
 
 void QuarantineCheck::recordBreak(const serving::SelectedTarget &Target,
-                                  std::chrono::milliseconds InProgress) {
+                                  PartQuarantineService::Progress Until) {
   Context.Quarantine->requestBroke(
       PartQuarantineService::deathId(Target.Address, Target.StartTimeMs),
-      subject(), InProgress);
+      subject(), Until);
 }
 
 void QuarantineCheck::recordAnswerBegun() {
@@ -39,7 +39,7 @@
 }
 
 void QuarantineCheck::recordAnsweredWhole() {
-  Context.Quarantine->answeredWhole(requestHash());
+  Context.Quarantine->answeredWhole(subject());
 }
 
 } // namespace rosemarylane
--- a/rosemarylane/src/gateway/QuarantineCheck.h
+++ b/rosemarylane/src/gateway/QuarantineCheck.h
@@ -4,9 +4,9 @@
 #include "gateway/Admission.h"
 #include "gateway/CallerConnection.h"
 #include "gateway/GatewayContext.h"
+#include "node/PartQuarantineService.h"
 #include "serving/LoadBalancer.h"
 
-#include <chrono>
 #include <cstdint>
 #include <optional>
 
@@ -28,10 +28,9 @@
   bool isRefused() const;
 
   /// Reports that the request may have killed \p Target: it was written, and
-  /// the connection broke before the answer began.
-  /// @param InProgress time since it was written.
+  /// the connection broke before the answer was whole.
   void recordBreak(const serving::SelectedTarget &Target,
-                   std::chrono::milliseconds InProgress);
+                   PartQuarantineService::Progress Until);
 
   void recordAnswerBegun();
   void recordAnsweredWhole();
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -280,9 +280,13 @@
 
 void RequestRun::reportBreak(const serving::SelectedTarget &Target) {
   bool WasWritten = SentAt != Clock::time_point();
-  if (WasWritten && !AnswerBegun && Attempt->connectionLost())
-    Quarantine.recordBreak(Target, std::chrono::duration_cast<milliseconds>(
-                                       Clock::now() - SentAt));
+  if (!WasWritten || !Attempt->connectionLost())
+    return;
+  PartQuarantineService::Progress Until;
+  Until.InProgress =
+      std::chrono::duration_cast<milliseconds>(Clock::now() - SentAt);
+  Until.AnswerBegun = AnswerBegun;
+  Quarantine.recordBreak(Target, Until);
 }
 
 void RequestRun::recordAnswerBegun() {
--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -198,6 +198,7 @@
   while (BodyDataSize == 0) {
     if (Response->is_done()) {
       IsComplete = true;
+      ConnectionLost = endsWithConnection();
       co_return Result::End;
     }
     if (Cancelled)
--- a/rosemarylane/src/node/PartQuarantineService.cpp
+++ b/rosemarylane/src/node/PartQuarantineService.cpp
@@ -51,6 +51,7 @@
     To.add_parts(Part);
   To.set_age_ms(ageMs(From.At, Now));
   To.set_in_progress_ms(static_cast<std::uint32_t>(From.InProgress.count()));
+  To.set_answer_begun(From.AnswerBegun);
 }
 
 } // namespace
@@ -147,9 +148,10 @@
 
 void PartQuarantineService::requestBroke(std::uint64_t Death,
                                          PartQuarantine::Subject Request,
-                                         milliseconds InProgress) {
+                                         Progress Until) {
   BootTime Now = BootClock::now();
-  PartQuarantine::Incident Report{Death, std::move(Request), Now, InProgress};
+  PartQuarantine::Incident Report{Death, std::move(Request), Now,
+                                  Until.InProgress, Until.AnswerBegun};
   wire::NodeMessage Message;
   wire::CrashEvidence &Body = *Message.mutable_crash_evidence();
   toWire(Report, Now, *Body.add_incidents());
@@ -183,13 +185,18 @@
     wire::AnsweredPart &Cleared = *To.add_answered();
     Cleared.set_part(Part);
     Cleared.set_age_ms(ageMs(Known.answeredAt(Part), Now));
+    BootTime WholeAt = Known.answeredWholeAt(Part);
+    if (WholeAt != BootTime())
+      Cleared.set_whole_age_ms(ageMs(WholeAt, Now));
   }
 }
 
-void PartQuarantineService::answeredWhole(std::uint64_t Request) {
+void PartQuarantineService::answeredWhole(
+    const PartQuarantine::Subject &Request) {
   BootTime Now = BootClock::now();
-  if (Known.recordAnsweredWhole(Request, Now))
-    spreadAnsweredWhole({Request}, Now);
+  spreadAnswered(Known.recordAnsweredWhole(Request.Parts, Now), Now);
+  if (Known.recordAnsweredWhole(Request.Request, Now))
+    spreadAnsweredWhole({Request.Request}, Now);
 }
 
 void PartQuarantineService::spreadAnsweredWhole(
@@ -247,6 +254,7 @@
       Report.Accused.Parts.push_back(Part);
   Report.At = Now - milliseconds(Source.age_ms());
   Report.InProgress = milliseconds(Source.in_progress_ms());
+  Report.AnswerBegun = Source.answer_begun();
   std::vector<std::string> Cleared = Known.clearedParts(Report);
   bool IsRequestCleared = Known.isRequestCleared(Report);
   if (!add(std::move(Report)) || (Cleared.empty() && !IsRequestCleared))
@@ -262,15 +270,28 @@
   Socket.send(Ip, std::move(Message));
 }
 
+bool PartQuarantineService::addAnswerFromPeer(const wire::AnsweredPart &Source,
+                                              BootTime Now) {
+  if (Source.part().size() > MaxPartBytes)
+    return false;
+  bool IsNews =
+      !Known
+           .recordAnswered({Source.part()}, Now - milliseconds(Source.age_ms()))
+           .empty();
+  if (Source.has_whole_age_ms())
+    IsNews |=
+        !Known
+             .recordAnsweredWhole({Source.part()},
+                                  Now - milliseconds(Source.whole_age_ms()))
+             .empty();
+  return IsNews;
+}
+
 void PartQuarantineService::addAnswersFromPeer(
     const wire::CrashEvidence &Source, BootTime Now) {
   std::vector<std::string> Parts;
   for (const wire::AnsweredPart &Answered : Source.answered())
-    if (Answered.part().size() <= MaxPartBytes &&
-        !Known
-             .recordAnswered({Answered.part()},
-                             Now - milliseconds(Answered.age_ms()))
-             .empty())
+    if (addAnswerFromPeer(Answered, Now))
       Parts.push_back(Answered.part());
   std::vector<std::uint64_t> Requests;
   for (const wire::AnsweredRequest &Answered : Source.answered_whole())
--- a/rosemarylane/src/node/PartQuarantineService.h
+++ b/rosemarylane/src/node/PartQuarantineService.h
@@ -38,18 +38,22 @@
   static std::uint64_t deathId(const std::string &Address,
                                std::int64_t StartTimeMs);
 
-  /// Records that a request had no answer begun when its connection to a target
-  /// broke.
-  /// @param InProgress time since the request was sent.
+  /// How far a request had come when its connection to a target broke.
+  struct Progress {
+    /// Time since it was sent.
+    std::chrono::milliseconds InProgress{0};
+    bool AnswerBegun = false;
+  };
+
+  /// Records that a request's connection to a target broke.
   void requestBroke(std::uint64_t Death,
-                    routing::PartQuarantine::Subject Request,
-                    std::chrono::milliseconds InProgress);
+                    routing::PartQuarantine::Subject Request, Progress Until);
 
   /// Records that an answer has begun on a prompt with these parts.
   void answerBegun(const std::vector<std::string> &Parts);
 
-  /// Records that the request with this hash was answered whole.
-  void answeredWhole(std::uint64_t Request);
+  /// Records that a request was answered whole.
+  void answeredWhole(const routing::PartQuarantine::Subject &Request);
 
   /// Records the targets that were registered at \p ReadAt.
   void targetsRegistered(const std::vector<serving::RegisteredTarget> &Targets,
@@ -88,6 +92,9 @@
                            core::BootTime Now);
   void addAnsweredWhole(std::uint64_t Request, core::BootTime Now,
                         wire::CrashEvidence &To) const;
+  /// Takes what a peer says of answers on one part.
+  /// @return whether this clears the part.
+  bool addAnswerFromPeer(const wire::AnsweredPart &Source, core::BootTime Now);
   /// Takes what a peer says of answers.
   void addAnswersFromPeer(const wire::CrashEvidence &Source,
                           core::BootTime Now);
