Sidecar: a wrong digest in a manifest is found and corrected

Cause: a manifest was taken on one word, passed on, and never read again; a chunk that didn't fit was always held to be the corrupt one.

Change: a chunk that comes twice with the same other digest disputes the manifest's. The manifest is read again from whoever sent the chunk, and a digest is replaced if that reading states what was received. A fetcher that was replaced starts no more fetches.

--- a/rosemarylane/src/sidecar/ChunkFetcher.cpp
+++ b/rosemarylane/src/sidecar/ChunkFetcher.cpp
@@ -105,7 +105,8 @@
   void plan() {
     // The throttle only waits while chunk transfers over this host's link are
     // slow.
-    if (!HasMembers || LinkThrottle.shouldWait(FetchesInFlight, Steady::now()))
+    if (Stopped || !HasMembers ||
+        LinkThrottle.shouldWait(FetchesInFlight, Steady::now()))
       return;
     // The planner's own limit of remote fetches applies; no further pacing.
     for (ChunkFetch &Fetch :
@@ -158,7 +159,7 @@
     bool Stored = false;
     if (Response && Response->Head.Status == 200) {
       Stored = Chunks->has(Fetch.Chunk) ||
-               Chunks->store(Fetch.Chunk, std::move(Response->Body));
+               Chunks->receive(Fetch.Chunk, std::move(Response->Body), Address);
       if (Stored)
         Outcome = FetchOutcome::Stored;
       else
@@ -271,6 +272,8 @@
   std::vector<swarm::EngineHost> Members;
   bool HasMembers = false;
   bool IsComplete = false;
+  /// Set when the owner is destroyed; fetches in progress still end.
+  bool Stopped = false;
   std::size_t Announcements = 0;
   std::size_t FromOrigin = 0;
   std::size_t FetchesInFlight = 0;
@@ -298,7 +301,10 @@
 
 ChunkFetcher::ChunkFetcher(std::shared_ptr<State> S) : S(std::move(S)) {}
 
-ChunkFetcher::~ChunkFetcher() { S->Timer.cancel(); }
+ChunkFetcher::~ChunkFetcher() {
+  S->Stopped = true;
+  S->Timer.cancel();
+}
 
 void ChunkFetcher::setSuperseded(bool Superseded) {
   S->Planner->setSuperseded(Superseded);
--- a/rosemarylane/src/sidecar/ManifestClient.cpp
+++ b/rosemarylane/src/sidecar/ManifestClient.cpp
@@ -42,29 +42,37 @@
 ManifestClient::fetch(std::uint64_t Version) {
   std::vector<std::string> Sources = sources(Version);
   for (const std::string &Address : Sources) {
-    bool FromOrigin = Address == Served.originAddress();
-    HttpClient::Call Call = manifestCall(Version, FromOrigin);
-    auto Reply = co_await Calls.exchange(Address, std::move(Call));
-    if (!Reply) {
-      logFailure(Version, Address, Reply.error().Detail);
-      continue;
-    }
-    if (Reply->Head.Status != 200)
-      logFailure(Version, Address,
-                 "status " + std::to_string(Reply->Head.Status));
-    if (Reply->Head.Status == 404) {
-      asio::steady_timer Timer(Loop, ManifestRetryDelay);
-      co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
-      continue;
-    }
-    std::optional<platform::OriginManifest> Found =
-        decode(*Reply, Version, FromOrigin);
-    if (Found && Found->Version == Version && !Found->Chunks.empty())
+    auto Found = co_await fetchFrom(Address, Version);
+    if (Found)
       co_return Found;
   }
   co_return std::nullopt;
 }
 
+asio::awaitable<std::optional<platform::OriginManifest>>
+ManifestClient::fetchFrom(std::string Address, std::uint64_t Version) {
+  bool FromOrigin = Address == Served.originAddress();
+  HttpClient::Call Call = manifestCall(Version, FromOrigin);
+  auto Reply = co_await Calls.exchange(Address, std::move(Call));
+  if (!Reply) {
+    logFailure(Version, Address, Reply.error().Detail);
+    co_return std::nullopt;
+  }
+  if (Reply->Head.Status != 200)
+    logFailure(Version, Address,
+               "status " + std::to_string(Reply->Head.Status));
+  if (Reply->Head.Status == 404) {
+    asio::steady_timer Timer(Loop, ManifestRetryDelay);
+    co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_return std::nullopt;
+  }
+  std::optional<platform::OriginManifest> Found =
+      decode(*Reply, Version, FromOrigin);
+  if (!Found || Found->Version != Version || Found->Chunks.empty())
+    co_return std::nullopt;
+  co_return Found;
+}
+
 std::vector<std::string> ManifestClient::sources(std::uint64_t Version) {
   std::vector<swarm::EngineHost> Ranked = Served.rankedMembers(Version);
   bool IsFirst = Ranked.empty() || Ranked.front().Host.str() == Settings.Ip;
--- a/rosemarylane/src/sidecar/ManifestClient.h
+++ b/rosemarylane/src/sidecar/ManifestClient.h
@@ -31,6 +31,11 @@
   boost::asio::awaitable<std::optional<platform::OriginManifest>>
   fetch(std::uint64_t Version);
 
+  /// Asks one source only.
+  /// @param Address that of the origin, or of a host's peer port.
+  boost::asio::awaitable<std::optional<platform::OriginManifest>>
+  fetchFrom(std::string Address, std::uint64_t Version);
+
 private:
   /// @return the addresses to ask for the manifest, in order. The
   /// highest-ranked host asks the origin; the others ask that host and then a
--- a/rosemarylane/src/sidecar/VersionChunks.h
+++ b/rosemarylane/src/sidecar/VersionChunks.h
@@ -4,8 +4,11 @@
 #include "core/BootClock.h"
 #include "platform/TargetCalls.h"
 #include "swarm/ChunkSet.h"
+#include "swarm/DigestDisputes.h"
 
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace rosemarylane {
@@ -36,6 +39,31 @@
     return true;
   }
 
+  /// The same for a chunk from another host or the origin. One with another
+  /// digest may show that the manifest is wrong.
+  /// @param Source the address that sent it.
+  bool receive(std::size_t Index, std::string Data, const std::string &Source) {
+    core::Digest Received = core::Digest::of(Data);
+    bool Stored = store(Index, std::move(Data));
+    if (Stored)
+      Disputes.recordMatch(Index);
+    else
+      Disputes.recordMismatch(Index, Received, Source);
+    return Stored;
+  }
+
+  /// @return a chunk whose digest in the manifest is probably wrong.
+  std::optional<swarm::DigestDisputes::Dispute> disputed() const {
+    return Disputes.first();
+  }
+
+  /// Takes another reading of the manifest; see
+  /// `swarm::DigestDisputes::resolve`.
+  /// @return whether the manifest was corrected.
+  bool correct(const platform::OriginManifest &Reading) {
+    return Disputes.resolve(Reading.Chunks, Manifest.Chunks);
+  }
+
   const platform::OriginManifest &manifest() const { return Manifest; }
   const swarm::ChunkSet &held() const { return Held; }
   std::size_t size() const { return Bytes.size(); }
@@ -51,6 +79,7 @@
 private:
   platform::OriginManifest Manifest;
   swarm::ChunkSet Held;
+  swarm::DigestDisputes Disputes;
   std::vector<std::string> Bytes;
   core::BootTime LastStored{};
 };
--- a/rosemarylane/src/sidecar/VersionStore.cpp
+++ b/rosemarylane/src/sidecar/VersionStore.cpp
@@ -22,6 +22,14 @@
   return Found == Fetchers.end() ? nullptr : Found->second.get();
 }
 
+std::uint64_t VersionStore::disputedVersion() const {
+  auto Found =
+      std::find_if(Versions.rbegin(), Versions.rend(), [](const auto &Item) {
+        return Item.second->disputed().has_value();
+      });
+  return Found == Versions.rend() ? 0 : Found->first;
+}
+
 void VersionStore::add(std::uint64_t Version,
                        std::shared_ptr<VersionChunks> Chunks) {
   Versions[Version] = std::move(Chunks);
--- a/rosemarylane/src/sidecar/VersionStore.h
+++ b/rosemarylane/src/sidecar/VersionStore.h
@@ -30,6 +30,10 @@
   /// store; null if the version is not being fetched.
   ChunkFetcher *fetcher(std::uint64_t Version) const;
 
+  /// @return the newest version of which a chunk's digest is disputed; 0 if
+  /// there is none.
+  std::uint64_t disputedVersion() const;
+
   /// Adds a version. Removes the oldest ones if there are too many.
   void add(std::uint64_t Version, std::shared_ptr<VersionChunks> Chunks);
 
@@ -38,6 +42,8 @@
   /// chunks.
   /// @param Wanted the versions to fetch, the newest first.
   void keepOnlyFetchersOf(const std::vector<std::uint64_t> &Wanted);
+  /// Stops fetching the version.
+  void removeFetcher(std::uint64_t Version) { Fetchers.erase(Version); }
   void addFetcher(std::uint64_t Version, std::unique_ptr<ChunkFetcher> Fetcher);
 
   /// Passes the members on to the fetchers.
--- a/rosemarylane/src/sidecar/WeightKeeper.cpp
+++ b/rosemarylane/src/sidecar/WeightKeeper.cpp
@@ -83,6 +83,11 @@
       bool Prepared = co_await prepareVersion(Newest);
       recordPrepareResult(Prepared);
     }
+    std::uint64_t Disputed = Versions.disputedVersion();
+    if (Disputed != 0 && ManifestBackoff.due(BootClock::now())) {
+      bool Corrected = co_await correctManifest(Disputed);
+      recordPrepareResult(Corrected);
+    }
     if (!Watch.state())
       co_return;
     serving::VersionPlan Plan(
@@ -126,6 +131,26 @@
     co_return true;
   }
 
+  /// Reads the manifest once more from the source of the chunk that does not
+  /// fit it. The fetcher starts anew with a corrected manifest.
+  /// @return false if the reading confirms none of the disputed digests.
+  asio::awaitable<bool> correctManifest(std::uint64_t Version) {
+    std::shared_ptr<VersionChunks> Chunks = Versions.chunks(Version);
+    swarm::DigestDisputes::Dispute Dispute = *Chunks->disputed();
+    auto Reading = co_await Manifests.fetchFrom(Dispute.Source, Version);
+    if (!Reading)
+      co_return false;
+    bool Corrected = Chunks->correct(*Reading);
+    telemetry::log(telemetry::Level::Warning,
+                   Corrected ? "manifest corrected" : "manifest confirmed",
+                   {{"version", std::int64_t(Version)},
+                    {"chunk", std::int64_t(Dispute.Chunk)},
+                    {"source", Dispute.Source}});
+    if (Corrected)
+      Versions.removeFetcher(Version);
+    co_return Corrected;
+  }
+
   void recordPrepareResult(bool Prepared) {
     std::uniform_real_distribution<double> Uniform(0, 1);
     if (Prepared)
