Gateway: silence ends an attempt only if another target takes over

Cause: an attempt that the route allows to repeat was given up after a fixed time, before it was known whether any target could take it over.

Change: after the same time the gateway looks for another target with room and for a retry in the budget, reserves the place, and gives the attempt up then. Otherwise it waits on until the deadline.

--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -4,6 +4,7 @@
 #include "gateway/QuarantineCheck.h"
 #include "gateway/RequestLog.h"
 #include "gateway/RetryAfter.h"
+#include "gateway/SilenceWatch.h"
 #include "gateway/StreamForward.h"
 #include "gateway/TargetSend.h"
 #include "gateway/TargetWait.h"
@@ -22,13 +23,15 @@
 
 namespace {
 
-/// Time limits for the response head of an attempt, the first on streaming
-/// routes, the second on other routes. They apply only if the request can still
-/// be retried: the route allows a request to run twice
-/// (`serving::Route::repeatable`) and attempts are left. Otherwise the limit is
-/// that of the whole request.
-constexpr milliseconds StreamHeadTimeout{1500};
-constexpr milliseconds BufferedHeadTimeout{700};
+/// Times without progress after which another target takes over: until the
+/// response head, the first on streaming routes, the second on other routes,
+/// and until the next event of a stream. They apply only while the request can
+/// be retried, that is the route allows a request to run twice
+/// (`serving::Route::repeatable`) and attempts are left, and while another
+/// target has room. Otherwise the limit is that of the whole request.
+constexpr milliseconds StreamHeadPatience{1500};
+constexpr milliseconds BufferedHeadPatience{700};
+constexpr milliseconds StreamEventPatience{1100};
 /// Estimated time that an engine takes for one token of a response. Used for
 /// the expected duration of a request, for all models.
 constexpr milliseconds EstimatedTimePerToken{8};
@@ -50,8 +53,8 @@
         StartedAt(Clock::now()), Quarantine(Context, Admitted, Request),
         Wait(Context, Admitted, Quarantine, StartedAt),
         Stream(*this->Caller,
-               {[this] { return mayRetry(); }, [this] { recordAnswerBegun(); },
-                [this] { recordFirstByte(); }}),
+               {[this] { recordEvents(); }, [this] { recordFirstByte(); }}),
+        Silence(Context.Loop, [this] { return handOver(); }),
         Log(Context, Admitted, StartedAt) {}
 
   asio::awaitable<void> run();
@@ -68,7 +71,16 @@
   asio::awaitable<SendResult> exchange(const serving::SelectedTarget &Target);
   /// @return whether another attempt may follow the one in progress.
   bool mayRetry() const;
-  /// @return when an attempt that begins now gives up without a response head.
+  /// Takes a retry from the budget of the service, if it has one left.
+  bool tryAcquireRetry();
+  /// Gives up the attempt in progress, whose target is silent, if another
+  /// target can take the request over; reserves a place there.
+  /// @return whether it did.
+  bool handOver();
+  /// Frees the place that `handOver` reserved if it was not needed.
+  void releaseNextTarget();
+  /// @return when an attempt ends without a response head, if no other target
+  /// takes over before.
   Clock::time_point headDeadline(const serving::SelectedTarget &Target) const;
   /// @return what the target is told about the request.
   platform::TargetMarks
@@ -83,7 +95,7 @@
                         SendResult AttemptResult);
   /// Reports a request that may have killed its target.
   void reportBreak(const serving::SelectedTarget &Target);
-  void recordAnswerBegun();
+  void recordEvents();
 
   // Final responses, logging and metrics.
   // A reason is the outcome in the log and the label of the request metric;
@@ -113,12 +125,17 @@
   QuarantineCheck Quarantine;
   TargetWait Wait;
   StreamForward Stream;
+  SilenceWatch Silence;
   RequestLog Log;
   /// Results of all attempts so far; decides whether to retry.
   serving::RequestOutcome Outcome;
   std::vector<serving::TargetId> AttemptedTargets;
   /// The attempt in progress, to one target.
   std::unique_ptr<TargetSend> Attempt;
+  /// The target that takes over after `handOver`, with a place reserved.
+  std::optional<serving::SelectedTarget> NextTarget;
+  /// `handOver` has given up the attempt in progress.
+  bool GivenUp = false;
   /// What the load balancer is told about the target of the last attempt.
   TargetFeedback LastFeedback = TargetFeedback::Abandoned;
 
@@ -149,6 +166,7 @@
       Attempt->cancel();
   });
   co_await sendToTargets();
+  releaseNextTarget();
   Caller->onDisconnect(nullptr);
   if (!IsFinished)
     finish(Caller->disconnected() ? "caller left" : "ended", 0);
@@ -157,7 +175,9 @@
 asio::awaitable<void> RequestRun::sendToTargets() {
   for (;;) {
     serving::TargetRequirements Demand = requirements();
-    auto Target = co_await Wait.acquire(Demand, Deadline);
+    auto Target = std::exchange(NextTarget, std::nullopt);
+    if (!Target)
+      Target = co_await Wait.acquire(Demand, Deadline);
     if (Caller->disconnected()) {
       if (Target)
         Context.Targets.recordResult(Target->Id, TargetFeedback::Abandoned,
@@ -181,10 +201,8 @@
       abortStream("stream broke off after an event without an id");
       co_return;
     }
-    RetryDecision Next = Outcome.next([&] {
-      return !deadlinePassed() && Context.RetryBudgets.share(Admitted.Service)
-                                      .tryAcquireRetry(BootClock::now());
-    });
+    RetryDecision Next = Outcome.next(
+        [&] { return !deadlinePassed() && (NextTarget || tryAcquireRetry()); });
     if (Next == RetryDecision::Retry && deadlinePassed())
       Next = Outcome.mayHaveRun() ? RetryDecision::ReportUnknownOutcome
                                   : RetryDecision::Refuse;
@@ -233,7 +251,11 @@
 RequestRun::sendAttempt(const serving::SelectedTarget &Target) {
   Log.recordAttemptBegun(Target);
   AttemptedTargets.push_back(Target.Id);
+  GivenUp = false;
   SendResult AttemptResult = co_await exchange(Target);
+  Silence.stop();
+  if (GivenUp && LastFeedback == TargetFeedback::Broken)
+    LastFeedback = TargetFeedback::Silent;
   if (AttemptResult == SendResult::Withheld)
     AttemptedTargets.pop_back();
   if (Caller->disconnected()) {
@@ -289,10 +311,11 @@
   Quarantine.recordBreak(Target, Until);
 }
 
-void RequestRun::recordAnswerBegun() {
+void RequestRun::recordEvents() {
   if (!AnswerBegun)
     Quarantine.recordAnswerBegun();
   AnswerBegun = true;
+  Silence.expectWithin(StreamEventPatience);
 }
 
 bool RequestRun::mayRetry() const {
@@ -301,19 +324,43 @@
          Outcome.attemptCount() + 1 < Admitted.Route->MaxAttempts;
 }
 
+bool RequestRun::tryAcquireRetry() {
+  return Context.RetryBudgets.share(Admitted.Service)
+      .tryAcquireRetry(BootClock::now());
+}
+
+bool RequestRun::handOver() {
+  if (!mayRetry() || deadlinePassed() || Caller->disconnected())
+    return false;
+  NextTarget = Wait.trySelect(requirements());
+  if (!NextTarget)
+    return false;
+  if (!tryAcquireRetry()) {
+    releaseNextTarget();
+    return false;
+  }
+  GivenUp = true;
+  Attempt->cancel();
+  return true;
+}
+
+void RequestRun::releaseNextTarget() {
+  if (NextTarget)
+    Context.Targets.recordResult(NextTarget->Id, TargetFeedback::Abandoned,
+                                 BootClock::now());
+  NextTarget.reset();
+}
+
 Clock::time_point
 RequestRun::headDeadline(const serving::SelectedTarget &Target) const {
-  Clock::time_point Now = Clock::now();
-  milliseconds Timeout = !mayRetry()     ? Admitted.TimeLimit
-                         : isStreaming() ? StreamHeadTimeout
-                                         : BufferedHeadTimeout;
   // The target must start the request by `StartDeadline`, shortly before a
   // version of the weights that is newer than the target's takes effect. The
   // response head is awaited no longer than that.
-  if (Target.StartDeadline)
-    Timeout = std::min(Timeout, std::chrono::duration_cast<milliseconds>(
-                                    *Target.StartDeadline - BootClock::now()));
-  return std::min(Deadline, Now + Timeout);
+  if (!Target.StartDeadline)
+    return Deadline;
+  auto Left = std::chrono::duration_cast<milliseconds>(*Target.StartDeadline -
+                                                       BootClock::now());
+  return std::min(Deadline, Clock::now() + Left);
 }
 
 platform::TargetMarks
@@ -341,6 +388,8 @@
   if (!Context.Targets.maySend(Target, requirements(), BootClock::now()))
     co_return SendResult::Withheld;
   Clock::time_point HeadDeadline = headDeadline(Target);
+  Silence.expectWithin(isStreaming() ? StreamHeadPatience
+                                     : BufferedHeadPatience);
   bool Connected =
       co_await Attempt->connect(!Admitted.Route->repeatable(), HeadDeadline);
   if (!Connected) {
@@ -385,6 +434,7 @@
   recordResponseTime(Target);
   if (isStreaming() && Attempt->status() == 200)
     co_return co_await forwardStream();
+  Silence.stop();
   co_return co_await bufferResponse();
 }
 
@@ -415,6 +465,7 @@
 }
 
 asio::awaitable<SendResult> RequestRun::forwardStream() {
+  Silence.expectWithin(StreamEventPatience);
   StreamForward::Result Ended =
       co_await Stream.forward(*Attempt, Deadline, Admitted.TimeLimit);
   LastFeedback = Ended.Feedback;
--- a/rosemarylane/src/gateway/StreamForward.cpp
+++ b/rosemarylane/src/gateway/StreamForward.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-/// Time limit for the next event of a stream that another target may resume.
-constexpr milliseconds StreamEventTimeout{1100};
 /// Limit of the size of one event of a stream. A larger one is handled like a
 /// connection that broke.
 constexpr std::size_t MaxEventBytes = 1 << 20;
@@ -34,14 +32,9 @@
   Splitter.beginResponse();
   HasEvents = false;
   bool Resumes = Begun;
-  Clock::time_point EventDeadline = Clock::now() + StreamEventTimeout;
   Result Ended;
   for (;;) {
-    milliseconds Timeout = TimeLimit;
-    if (Observers.MayRetry())
-      Timeout = std::chrono::duration_cast<milliseconds>(EventDeadline -
-                                                         Clock::now());
-    TargetSend::Result Received = co_await Attempt.next(Deadline, Timeout);
+    TargetSend::Result Received = co_await Attempt.next(Deadline, TimeLimit);
     if (Caller.disconnected())
       co_return Ended;
     if (Received == TargetSend::Result::End && brokeOffAtEnd(Attempt))
@@ -77,7 +70,6 @@
     if (!Events.empty()) {
       recordPause();
       Delivered = co_await Caller.writeChunk(std::move(Events));
-      EventDeadline = Clock::now() + StreamEventTimeout;
     }
     if (!Delivered) {
       Caller.abort();
--- a/rosemarylane/src/gateway/StreamForward.h
+++ b/rosemarylane/src/gateway/StreamForward.h
@@ -25,9 +25,7 @@
   using Clock = TargetSend::Clock;
 
   struct Hooks {
-    /// Tells whether another attempt may follow the one in progress.
-    std::function<bool()> MayRetry;
-    /// The target has sent whole events.
+    /// The target has sent whole events; called each time.
     std::function<void()> OnEvents;
     /// The head of the response is about to be sent to the caller.
     std::function<void()> OnFirstByte;
@@ -47,8 +45,7 @@
       : Caller(Caller), Observers(std::move(ToCall)) {}
 
   /// Forwards the response of \p Attempt, whose head was read.
-  /// @param TimeLimit time limit for the next event if no other attempt may
-  /// follow.
+  /// @param TimeLimit time limit for the next part of the response.
   boost::asio::awaitable<Result> forward(TargetSend &Attempt,
                                          Clock::time_point Deadline,
                                          std::chrono::milliseconds TimeLimit);
--- a/rosemarylane/src/gateway/TargetWait.h
+++ b/rosemarylane/src/gateway/TargetWait.h
@@ -37,6 +37,12 @@
   acquire(const serving::TargetRequirements &Demand,
           Clock::time_point Deadline);
 
+  /// The same without waiting.
+  std::optional<serving::SelectedTarget>
+  trySelect(const serving::TargetRequirements &Demand) {
+    return selectAndReserve(Demand);
+  }
+
   /// Ends the wait in progress.
   void cancel() { Timer.cancel(); }
 
