Load balancer: a report costs the same at any size of the fleet

Cause, one of three: for each report of a sidecar a gateway walked all targets to find the one at its address, and counted all of them anew for each failure domain to know its share of the free slots. That grows with the square of the fleet.

Change: targets are found by address, and shares are kept until the registry, the gateways, an evacuation or a leaving target changes them.

The shares are the same: gateway_share/share_follows_each_change_of_the_fleet.

--- a/libs/serving/include/serving/LoadBalancer.h
+++ b/libs/serving/include/serving/LoadBalancer.h
@@ -15,6 +15,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace rosemarylane::serving {
@@ -222,6 +224,9 @@
   };
 
   explicit LoadBalancer(LoadBalancerSettings Settings);
+  LoadBalancer(LoadBalancer &&) = default;
+  LoadBalancer(const LoadBalancer &) = delete;
+  LoadBalancer &operator=(const LoadBalancer &) = delete;
 
   void setHooks(Hooks ToCall) { Observers = std::move(ToCall); }
 
@@ -378,10 +383,20 @@
   double capacity(const Target &T) const;
   /// @return the fraction of the free slots of \p T that this gateway may fill.
   double gatewayShare(const Target &T) const;
+  double computeGatewayShare(const Target &T) const;
+  /// Forgets the shares, because what they follow from has changed.
+  void resetGatewayShares() { GatewayShares.clear(); }
+  /// The targets of one service that accept work.
+  struct TargetCounts {
+    std::map<core::FailureDomainId, std::size_t> InDomain;
+    std::size_t Total = 0;
+  };
+  TargetCounts countTargets(std::string_view Service) const;
   /// @return the weight of a gateway of \p Domain at targets of other domains;
   /// see `LoadBalancerSettings::MinRemoteWeight`.
   double remoteDomainWeight(const core::FailureDomainId &Domain,
-                            std::string_view Service) const;
+                            const TargetCounts &Of) const;
+  void indexAddresses();
   bool hasFreshReport(const Target &T, core::BootTime Now) const;
   double agentSilencePenalty(const Target &T, core::BootTime Now) const;
   double excessResponseMs(const Target &T, core::BootTime Now) const;
@@ -415,6 +430,13 @@
   LoadBalancerSettings Settings;
   Hooks Observers;
   std::map<TargetId, Target> Targets;
+  /// The targets at each address. One that restarts mostly has a new id, so
+  /// there may be several.
+  std::unordered_map<std::string, std::vector<Target *>> TargetsAt;
+  /// Results of `gatewayShare` by service and failure domain of the target. A
+  /// share is needed for each of the many reports, and changes rarely.
+  mutable std::map<std::pair<std::string, core::FailureDomainId>, double>
+      GatewayShares;
   /// Outlives the entries of `Targets`.
   TargetStatements Statements;
   std::set<core::FailureDomainId> Evacuated;
--- a/libs/serving/src/LoadBalancer.cpp
+++ b/libs/serving/src/LoadBalancer.cpp
@@ -40,6 +40,8 @@
       recordLeaving(Info.incarnation(), StatementSource::Registry, Now);
   }
   Targets = std::move(Next);
+  indexAddresses();
+  resetGatewayShares();
   Statements.forgetUnmentioned(Now);
   markSuperseded(Config);
 }
@@ -63,8 +65,15 @@
         T.Info.StartTimeMs != 0 && T.Info.StartTimeMs < Newest[T.Info.Address];
 }
 
+void LoadBalancer::indexAddresses() {
+  TargetsAt.clear();
+  for (auto &[Id, T] : Targets)
+    TargetsAt[T.Info.Address].push_back(&T);
+}
+
 void LoadBalancer::setEvacuated(std::set<core::FailureDomainId> Domains) {
   Evacuated = std::move(Domains);
+  resetGatewayShares();
 }
 
 void LoadBalancer::setNamedVersion(const std::string &Model,
@@ -79,6 +88,8 @@
 
 void LoadBalancer::setGatewayCount(
     std::map<core::FailureDomainId, std::size_t> InDomain) {
+  if (InDomain != GatewayCounts)
+    resetGatewayShares();
   GatewayCounts = std::move(InDomain);
   LocalGatewayCount =
       std::max<std::size_t>(GatewayCounts[Settings.OwnDomain], 1);
@@ -113,39 +124,54 @@
   return Changed;
 }
 
-double LoadBalancer::remoteDomainWeight(const core::FailureDomainId &Domain,
-                                        std::string_view Service) const {
-  double DomainTargets = 0;
-  double TotalTargets = 0;
+LoadBalancer::TargetCounts
+LoadBalancer::countTargets(std::string_view Service) const {
+  TargetCounts Result;
   for (const auto &[Id, T] : Targets) {
     bool AcceptsWork = T.Info.Service == Service &&
                        !isLeaving(T.Info.incarnation()) &&
                        !Evacuated.contains(T.Info.FailureDomain);
     if (!AcceptsWork)
       continue;
-    ++TotalTargets;
-    if (T.Info.FailureDomain == Domain)
-      ++DomainTargets;
+    ++Result.Total;
+    ++Result.InDomain[T.Info.FailureDomain];
   }
+  return Result;
+}
+
+double LoadBalancer::remoteDomainWeight(const core::FailureDomainId &Domain,
+                                        const TargetCounts &Of) const {
   double AllGateways = 0;
   for (const auto &[Other, Count] : GatewayCounts)
     AllGateways += static_cast<double>(Count);
   auto Found = GatewayCounts.find(Domain);
-  if (Found == GatewayCounts.end() || Found->second == 0 || TotalTargets == 0)
+  if (Found == GatewayCounts.end() || Found->second == 0 || Of.Total == 0)
     return 1;
+  auto InDomain = Of.InDomain.find(Domain);
+  double DomainTargets =
+      InDomain == Of.InDomain.end() ? 0 : static_cast<double>(InDomain->second);
   // Targets per gateway of this domain, relative to those of the fleet; may
   // exceed 1.
   double TargetRatio = (DomainTargets / static_cast<double>(Found->second)) /
-                       (TotalTargets / AllGateways);
+                       (static_cast<double>(Of.Total) / AllGateways);
   return std::max(Settings.MinRemoteWeight,
                   1 - (1 - Settings.MinRemoteWeight) * TargetRatio);
 }
 
 double LoadBalancer::gatewayShare(const Target &T) const {
+  auto [Known, IsNew] =
+      GatewayShares.try_emplace({T.Info.Service, T.Info.FailureDomain}, 0.0);
+  if (IsNew)
+    Known->second = computeGatewayShare(T);
+  return Known->second;
+}
+
+double LoadBalancer::computeGatewayShare(const Target &T) const {
+  TargetCounts OfService = countTargets(T.Info.Service);
   auto Weight = [&](const core::FailureDomainId &Domain) {
     return Domain == T.Info.FailureDomain
                ? 1.0
-               : remoteDomainWeight(Domain, T.Info.Service);
+               : remoteDomainWeight(Domain, OfService);
   };
   double All = 0;
   for (const auto &[Domain, Count] : GatewayCounts)
@@ -161,9 +187,11 @@
 
 void LoadBalancer::updateFromReport(const AgentReport &Report,
                                     core::BootTime Now, double Random) {
-  for (auto &[Id, T] : Targets) {
-    if (T.Info.Address != Report.Address)
-      continue;
+  auto At = TargetsAt.find(Report.Address);
+  if (At == TargetsAt.end())
+    return;
+  for (Target *Known : At->second) {
+    Target &T = *Known;
     if (T.Info.StartTimeMs != 0 && Report.StartTimeMs != 0 &&
         T.Info.StartTimeMs != Report.StartTimeMs) {
       T.Superseded |= T.Info.StartTimeMs < Report.StartTimeMs;
@@ -450,6 +478,8 @@
 void LoadBalancer::recordLeaving(const TargetIncarnation &Target,
                                  StatementSource Source, core::BootTime Now) {
   bool IsNew = Statements.recordLeaving(Target, Now);
+  if (IsNew)
+    resetGatewayShares();
   if (IsNew && Observers.OnLeaving)
     Observers.OnLeaving(Target, Source);
 }
