Gateway: silence is watched only while another attempt may follow

Change: the watch is armed only if the request may be sent once more, and the budget is looked at before a place is reserved. silent_target/* and serving_tests pass.

--- a/libs/serving/include/serving/RetryShare.h
+++ b/libs/serving/include/serving/RetryShare.h
@@ -43,10 +43,15 @@
     Tokens = std::min(maxTokens(), Tokens + FleetBudget.Ratio * UsableFraction);
   }
 
+  /// @return whether `tryAcquireRetry` would succeed.
+  [[nodiscard]] bool canRetry(core::BootTime Now) {
+    refill(Now);
+    return Tokens >= 1;
+  }
+
   /// @return whether a retry may be made; its token is then taken.
   [[nodiscard]] bool tryAcquireRetry(core::BootTime Now) {
-    refill(Now);
-    if (Tokens < 1)
+    if (!canRetry(Now))
       return false;
     Tokens -= 1;
     return true;
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -71,8 +71,9 @@
   asio::awaitable<SendResult> exchange(const serving::SelectedTarget &Target);
   /// @return whether another attempt may follow the one in progress.
   bool mayRetry() const;
-  /// Takes a retry from the budget of the service, if it has one left.
-  bool tryAcquireRetry();
+  /// Lets another target take over if this one is silent for longer than
+  /// \p Patience, and the request may be sent once more.
+  void expectProgress(milliseconds Patience);
   /// Gives up the attempt in progress, whose target is silent, if another
   /// target can take the request over; reserves a place there.
   /// @return whether it did.
@@ -201,8 +202,11 @@
       abortStream("stream broke off after an event without an id");
       co_return;
     }
-    RetryDecision Next = Outcome.next(
-        [&] { return !deadlinePassed() && (NextTarget || tryAcquireRetry()); });
+    RetryDecision Next = Outcome.next([&] {
+      return !deadlinePassed() &&
+             (NextTarget || Context.RetryBudgets.share(Admitted.Service)
+                                .tryAcquireRetry(BootClock::now()));
+    });
     if (Next == RetryDecision::Retry && deadlinePassed())
       Next = Outcome.mayHaveRun() ? RetryDecision::ReportUnknownOutcome
                                   : RetryDecision::Refuse;
@@ -315,7 +319,7 @@
   if (!AnswerBegun)
     Quarantine.recordAnswerBegun();
   AnswerBegun = true;
-  Silence.expectWithin(StreamEventPatience);
+  expectProgress(StreamEventPatience);
 }
 
 bool RequestRun::mayRetry() const {
@@ -324,22 +328,22 @@
          Outcome.attemptCount() + 1 < Admitted.Route->MaxAttempts;
 }
 
-bool RequestRun::tryAcquireRetry() {
-  return Context.RetryBudgets.share(Admitted.Service)
-      .tryAcquireRetry(BootClock::now());
+void RequestRun::expectProgress(milliseconds Patience) {
+  if (mayRetry())
+    Silence.expectWithin(Patience);
+  else
+    Silence.stop();
 }
 
 bool RequestRun::handOver() {
-  if (!mayRetry() || deadlinePassed() || Caller->disconnected())
+  serving::RetryShare &Budget = Context.RetryBudgets.share(Admitted.Service);
+  if (deadlinePassed() || Caller->disconnected() ||
+      !Budget.canRetry(BootClock::now()))
     return false;
   NextTarget = Wait.trySelect(requirements());
   if (!NextTarget)
     return false;
-  if (!tryAcquireRetry()) {
-    releaseNextTarget();
-    return false;
-  }
-  GivenUp = true;
+  GivenUp = Budget.tryAcquireRetry(BootClock::now());
   Attempt->cancel();
   return true;
 }
@@ -388,8 +392,7 @@
   if (!Context.Targets.maySend(Target, requirements(), BootClock::now()))
     co_return SendResult::Withheld;
   Clock::time_point HeadDeadline = headDeadline(Target);
-  Silence.expectWithin(isStreaming() ? StreamHeadPatience
-                                     : BufferedHeadPatience);
+  expectProgress(isStreaming() ? StreamHeadPatience : BufferedHeadPatience);
   bool Connected =
       co_await Attempt->connect(!Admitted.Route->repeatable(), HeadDeadline);
   if (!Connected) {
@@ -465,7 +468,7 @@
 }
 
 asio::awaitable<SendResult> RequestRun::forwardStream() {
-  Silence.expectWithin(StreamEventPatience);
+  expectProgress(StreamEventPatience);
   StreamForward::Result Ended =
       co_await Stream.forward(*Attempt, Deadline, Admitted.TimeLimit);
   LastFeedback = Ended.Feedback;
