A silent target is given up only once another one goes on

What callers saw: a stream was cut, with seconds left, after its target had been silent for 1.1 s; the target was sound and would have gone on. Plain answers that were late became 502.

Cause: `RequestRun::handOver` ended the silent attempt as soon as another target had room. That one could still be withheld, refuse the connection, turn the request away (503, 421), fail, break off or be silent too; no attempt was left then.

Change: the silent attempt goes on while another target is asked (`StandbyAttempts`), until the first event of that one, or the head of a plain answer without an error, has come. Whichever goes on first is kept; the other one is reset at once. An attempt's own state moves into `TargetAttempt`. A connection that is being opened can be given up. `request ended` tells the time that was left, and `standby ended` why the target that was asked did not take over.

--- a/rosemarylane/src/gateway/RequestLog.cpp
+++ b/rosemarylane/src/gateway/RequestLog.cpp
@@ -7,11 +7,32 @@
 using serving::TargetFeedback;
 using std::chrono::milliseconds;
 
-void RequestLog::recordAttemptBegun(const serving::SelectedTarget &Target) {
+namespace {
+
+const char *nameOf(serving::SendResult Result) {
+  switch (Result) {
+  case serving::SendResult::NotSent:
+    return "not reached";
+  case serving::SendResult::Withheld:
+    return "withheld";
+  case serving::SendResult::Refused:
+    return "refused";
+  case serving::SendResult::Answered:
+  case serving::SendResult::Failed:
+  case serving::SendResult::Unknown:
+    break;
+  }
+  return "failed or broken";
+}
+
+} // namespace
+
+void RequestLog::recordAttemptBegun(const serving::SelectedTarget &Target,
+                                    Clock::time_point BegunAt) {
   LastTarget = Target.Id.str();
   LastLoad = Target.Load;
   LastLoadAgeMs = Target.LoadAge.count();
-  LastSentAfter = elapsed();
+  LastSentAfter = std::chrono::duration_cast<milliseconds>(BegunAt - StartedAt);
 }
 
 std::int64_t RequestLog::writtenAfterMs(Clock::time_point SentAt) const {
@@ -39,6 +60,16 @@
                   {"shared_parts", std::move(Parts)}});
 }
 
+void RequestLog::logStandbyEnd(const serving::SelectedTarget &Target,
+                               serving::SendResult Result,
+                               bool IsWithdrawn) const {
+  telemetry::log(
+      telemetry::Level::Info, "standby ended",
+      {{"id", Admitted.HeaderValues.Id},
+       {"target", Target.Id.str()},
+       {"how", std::string(IsWithdrawn ? "withdrawn" : nameOf(Result))}});
+}
+
 void RequestLog::logEnd(const End &Ended) const {
   std::uint64_t Version = Context.Config ? Context.Config->Version : 0;
   auto ConfirmationAge = Context.Follower->operatorsStaleness();
@@ -60,6 +91,7 @@
         LastSentAfter ? LastSentAfter->count() : std::int64_t(-1)},
        {"written_after_ms", writtenAfterMs(Ended.SentAt)},
        {"reused", LastReused},
+       {"left_ms", std::int64_t(Ended.TimeLeft.count())},
        {"waited_ms", std::int64_t(Ended.QueueTime.count())},
        {"configuration", std::int64_t(Version)},
        {"proof_age_ms",
--- a/rosemarylane/src/gateway/RequestLog.h
+++ b/rosemarylane/src/gateway/RequestLog.h
@@ -4,6 +4,7 @@
 #include "gateway/Admission.h"
 #include "gateway/GatewayContext.h"
 #include "serving/LoadBalancer.h"
+#include "serving/RequestOutcome.h"
 
 #include <chrono>
 #include <cstdint>
@@ -41,13 +42,16 @@
     std::chrono::milliseconds QueueTime{0};
     /// Longest time between two writes of a stream.
     std::chrono::milliseconds LongestPause{0};
+    /// Time until the deadline; negative after it.
+    std::chrono::milliseconds TimeLeft{0};
   };
 
   RequestLog(const GatewayContext &Context, const AdmittedRequest &Admitted,
              Clock::time_point StartedAt)
       : Context(Context), Admitted(Admitted), StartedAt(StartedAt) {}
 
-  void recordAttemptBegun(const serving::SelectedTarget &Target);
+  void recordAttemptBegun(const serving::SelectedTarget &Target,
+                          Clock::time_point BegunAt);
   void recordConnection(bool Reused) { LastReused = Reused; }
   /// @param Time time from the arrival of the request to the first byte of the
   /// response.
@@ -55,6 +59,12 @@
 
   void logFailedAttempt(const serving::SelectedTarget &Target,
                         const AttemptState &Attempt) const;
+  /// Logs that \p Target, which was asked beside a silent one, did not take
+  /// over.
+  /// @param IsWithdrawn the gateway ended the attempt, because another target
+  /// went on or the caller left.
+  void logStandbyEnd(const serving::SelectedTarget &Target,
+                     serving::SendResult Result, bool IsWithdrawn) const;
   void logEnd(const End &Ended) const;
 
 private:
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -7,28 +7,31 @@
 #include "gateway/RequestRetries.h"
 #include "gateway/RetryAfter.h"
 #include "gateway/SilenceWatch.h"
+#include "gateway/StandbyAttempts.h"
 #include "gateway/StreamForward.h"
-#include "gateway/TargetSend.h"
+#include "gateway/TargetAttempt.h"
 #include "gateway/TargetWait.h"
 #include "serving/RequestOutcome.h"
 
+#include <exception>
+#include <utility>
+
 namespace rosemarylane {
 
 namespace asio = boost::asio;
 using core::BootClock;
-using core::BootTime;
 using serving::RetryDecision;
 using serving::SendResult;
 using serving::TargetFeedback;
 using std::chrono::milliseconds;
-using Clock = TargetSend::Clock;
+using Clock = TargetAttempt::Clock;
 
 namespace {
 
-/// Times without progress after which another target takes over: until the
-/// response head, the first on streaming routes, the second on other routes,
-/// and until the next event of a stream. They apply only while the request can
-/// be retried, that is the route allows a request to run twice
+/// Times without progress after which another target is asked as well: until
+/// the response head, the first on streaming routes, the second on other
+/// routes, and until the next event of a stream. They apply only while the
+/// request can be retried, that is the route allows a request to run twice
 /// (`serving::Route::repeatable`) and attempts are left, and while another
 /// target has room. Otherwise the limit is that of the whole request.
 constexpr milliseconds StreamHeadPatience{1500};
@@ -51,7 +54,14 @@
         Wait(Context, Admitted, Quarantine, StartedAt),
         Stream(*this->Caller,
                {[this] { recordEvents(); }, [this] { recordFirstByte(); }}),
-        Silence(Context.Loop, [this] { return handOver(); }),
+        Silence(Context.Loop, [this] { return askAnother(); }),
+        Standbys(
+            Context.Loop,
+            {[this](TargetAttempt &Standby) { return openStandby(Standby); },
+             [this] { giveUpCurrent(); },
+             [this](TargetAttempt &Standby, SendResult Result) {
+               standbyEnded(Standby, Result);
+             }}),
         Log(Context, Admitted, StartedAt), Retries(Context, Admitted) {}
 
   asio::awaitable<void> run();
@@ -61,40 +71,35 @@
   asio::awaitable<void> sendToTargets();
   /// @return what the request requires of a target that is selected now.
   serving::TargetRequirements requirements() const;
-  /// Makes one attempt and reports its result to the load balancer.
-  asio::awaitable<SendResult>
-  sendAttempt(const serving::SelectedTarget &Target);
-  /// Sends the request and receives the response; part of `sendAttempt`.
-  asio::awaitable<SendResult> exchange(const serving::SelectedTarget &Target);
-  /// @return whether another attempt may follow the one in progress.
-  bool mayRetry() const;
-  /// Lets another target take over if this one is silent for longer than
-  /// \p Patience, and the request may be sent once more.
-  void expectProgress(milliseconds Patience);
-  /// Gives up the attempt in progress, whose target is silent, if another
-  /// target can take the request over; reserves a place there.
-  /// @return whether it did.
-  bool handOver();
-  /// Frees the place that `handOver` reserved if it was not needed.
-  void releaseNextTarget();
-  /// @return when an attempt ends without a response head, if no other target
-  /// takes over before.
-  Clock::time_point headDeadline(const serving::SelectedTarget &Target) const;
-  /// @return what the target is told about the request.
-  platform::TargetMarks
-  targetMarks(const serving::SelectedTarget &Target) const;
+  /// Selects a target for the next attempt; may wait until one has room.
+  asio::awaitable<std::unique_ptr<TargetAttempt>> nextAttempt();
+  /// Makes `Current`, whose response may have begun already, to its end.
+  asio::awaitable<SendResult> finishCurrent(bool HasBegun);
+  asio::awaitable<SendResult> receive();
   asio::awaitable<SendResult> bufferResponse();
   asio::awaitable<SendResult> forwardStream();
   asio::awaitable<void> forwardBuffered();
-  /// Records the time from the start of the attempt, connecting included, to
-  /// the response head.
-  void recordResponseTime(const serving::SelectedTarget &Target);
-  void recordAttemptEnd(const serving::SelectedTarget &Target,
-                        SendResult AttemptResult);
+  std::unique_ptr<TargetAttempt>
+  makeAttempt(const serving::SelectedTarget &Target);
+  void recordAttemptEnd(TargetAttempt &Attempt, SendResult AttemptResult);
   /// Reports a request that may have killed its target.
-  void reportBreak(const serving::SelectedTarget &Target);
+  void reportBreak(TargetAttempt &Attempt);
   void recordEvents();
 
+  // Attempts beside one whose target is silent.
+  /// @return whether another attempt may follow those in progress.
+  bool mayAskAnother() const;
+  /// Asks another target if this one is silent for longer than \p Patience, and
+  /// the request may be sent once more.
+  void expectProgress(milliseconds Patience);
+  /// Sends the request to another target, if one can take it.
+  /// @return whether it did.
+  bool askAnother();
+  asio::awaitable<std::optional<SendResult>>
+  openStandby(TargetAttempt &Standby);
+  void giveUpCurrent();
+  void standbyEnded(TargetAttempt &Standby, SendResult Result);
+
   // Final responses, logging and metrics.
   // A reason is the outcome in the log and the label of the request metric;
   // `refuse` and `fail` also send it to the caller as the detail text.
@@ -108,6 +113,12 @@
   milliseconds elapsed() const {
     return std::chrono::duration_cast<milliseconds>(Clock::now() - StartedAt);
   }
+  /// @return the time until the deadline; 0 if the request was not admitted.
+  milliseconds timeLeft() const {
+    if (Deadline == Clock::time_point())
+      return milliseconds(0);
+    return std::chrono::duration_cast<milliseconds>(Deadline - Clock::now());
+  }
   bool isStreaming() const {
     return Admitted.Route->Kind == serving::RequestKind::Streaming;
   }
@@ -117,6 +128,7 @@
   CallerConnection::Request &Request;
   Clock::time_point StartedAt;
   Clock::time_point Deadline{};
+  /// When the last attempt began to be written; the epoch if it was not.
   Clock::time_point SentAt{};
 
   AdmittedRequest Admitted;
@@ -124,24 +136,18 @@
   TargetWait Wait;
   StreamForward Stream;
   SilenceWatch Silence;
+  StandbyAttempts Standbys;
   RequestLog Log;
   RequestRetries Retries;
   /// Results of all attempts so far; decides whether to retry.
   serving::RequestOutcome Outcome;
   std::vector<serving::TargetId> AttemptedTargets;
-  /// The attempt in progress, to one target.
-  std::unique_ptr<TargetSend> Attempt;
-  /// The target that takes over after `handOver`, with a place reserved.
-  std::optional<serving::SelectedTarget> NextTarget;
-  /// `handOver` has given up the attempt in progress.
-  bool GivenUp = false;
-  /// What the load balancer is told about the target of the last attempt.
-  TargetFeedback LastFeedback = TargetFeedback::Abandoned;
+  /// The attempt whose response is read; null between two of them.
+  std::unique_ptr<TargetAttempt> Current;
+  /// A retry was taken from the budget and not sent yet.
+  bool HasUnsentRetry = false;
 
   // State of the response to the caller.
-  /// The target of the last attempt has sent at least one whole event, or the
-  /// head of a response that is not a stream.
-  bool AnswerBegun = false;
   BufferedAnswer Buffered;
   bool IsFinished = false;
 };
@@ -159,29 +165,45 @@
   Retries.recordFirstAttempt();
   Caller->onDisconnect([this] {
     Wait.cancel();
-    if (Attempt)
-      Attempt->cancel();
+    if (Current)
+      Current->withdraw();
+    Standbys.withdraw();
   });
-  co_await sendToTargets();
-  releaseNextTarget();
+  std::exception_ptr Thrown;
+  try {
+    co_await sendToTargets();
+  } catch (...) {
+    Thrown = std::current_exception();
+  }
+  Silence.stop();
+  co_await Standbys.finish();
   Caller->onDisconnect(nullptr);
+  if (Thrown)
+    std::rethrow_exception(Thrown);
   if (!IsFinished)
     finish(Caller->disconnected() ? "caller left" : "ended", 0);
 }
 
+asio::awaitable<std::unique_ptr<TargetAttempt>> RequestRun::nextAttempt() {
+  serving::TargetRequirements Demand = requirements();
+  auto Target = co_await Wait.acquire(Demand, Deadline);
+  if (!Target)
+    co_return nullptr;
+  co_return makeAttempt(*Target);
+}
+
 asio::awaitable<void> RequestRun::sendToTargets() {
   for (;;) {
-    serving::TargetRequirements Demand = requirements();
-    auto Target = std::exchange(NextTarget, std::nullopt);
-    if (!Target)
-      Target = co_await Wait.acquire(Demand, Deadline);
+    Current = Standbys.takeReady();
+    bool HasBegun = Current != nullptr;
+    if (!Current)
+      Current = co_await nextAttempt();
     if (Caller->disconnected()) {
-      if (Target)
-        Context.Targets.recordResult(Target->Id, TargetFeedback::Abandoned,
-                                     BootClock::now());
+      if (Current)
+        Current->recordEnd(SendResult::Withheld);
       co_return;
     }
-    if (!Target) {
+    if (!Current) {
       if (Stream.begun())
         abortStream("no target goes on with the stream");
       else if (Outcome.mayHaveRun())
@@ -190,16 +212,23 @@
         co_await refuse(503, Wait.failureReason());
       co_return;
     }
-    SendResult AttemptResult = co_await sendAttempt(*Target);
+    SendResult AttemptResult = co_await finishCurrent(HasBegun);
     if (Caller->disconnected() || IsFinished)
       co_return;
+    if (AttemptResult != SendResult::Answered)
+      co_await Standbys.settle();
+    if (Caller->disconnected())
+      co_return;
     Outcome.recordResult(AttemptResult);
     if (!Stream.canResume()) {
       abortStream("stream broke off after an event without an id");
       co_return;
     }
+    if (AttemptResult != SendResult::Answered && Standbys.hasReady())
+      continue;
     RetryDecision Next = Outcome.next([&] {
-      return !deadlinePassed() && (NextTarget || Retries.tryAcquire());
+      return !deadlinePassed() &&
+             (std::exchange(HasUnsentRetry, false) || Retries.tryAcquire());
     });
     if (Next == RetryDecision::Retry && deadlinePassed())
       Next = Outcome.mayHaveRun() ? RetryDecision::ReportUnknownOutcome
@@ -245,210 +274,165 @@
   return Demand;
 }
 
-asio::awaitable<SendResult>
-RequestRun::sendAttempt(const serving::SelectedTarget &Target) {
-  Log.recordAttemptBegun(Target);
+std::unique_ptr<TargetAttempt>
+RequestRun::makeAttempt(const serving::SelectedTarget &Target) {
   AttemptedTargets.push_back(Target.Id);
-  GivenUp = false;
-  SendResult AttemptResult = co_await exchange(Target);
-  Silence.stop();
-  if (GivenUp && LastFeedback == TargetFeedback::Broken)
-    LastFeedback = TargetFeedback::Silent;
-  if (AttemptResult == SendResult::Withheld)
-    AttemptedTargets.pop_back();
-  if (Caller->disconnected()) {
-    LastFeedback = TargetFeedback::Abandoned;
-    Attempt->cancel();
+  return std::make_unique<TargetAttempt>(
+      TargetAttempt::Source{Context, Admitted, Request, Deadline}, Target);
+}
+
+asio::awaitable<SendResult> RequestRun::finishCurrent(bool HasBegun) {
+  Log.recordAttemptBegun(Current->target(), Current->begunAt());
+  std::optional<SendResult> Ended;
+  if (!HasBegun) {
+    expectProgress(isStreaming() ? StreamHeadPatience : BufferedHeadPatience);
+    serving::TargetRequirements Demand = requirements();
+    std::string ResumeAfter = Stream.resumeAfter();
+    Ended = co_await Current->open(Demand, ResumeAfter);
   }
-  recordAttemptEnd(Target, AttemptResult);
-  Attempt.reset();
-  co_return AttemptResult;
+  SentAt = Current->sentAt();
+  bool HasHead = !Ended || *Ended == SendResult::Refused;
+  // While there are others, one of them may still arrive at its target.
+  if (HasHead && Standbys.size() == 0)
+    Retries.recordArrived();
+  if (!Ended)
+    Ended = co_await receive();
+  Silence.stop();
+  recordAttemptEnd(*Current, *Ended);
+  Current.reset();
+  co_return *Ended;
 }
 
-void RequestRun::recordResponseTime(const serving::SelectedTarget &Target) {
-  auto Duration =
-      std::chrono::duration_cast<milliseconds>(Clock::now() - SentAt);
-  Context.Targets.recordResponseTime(Target.Id, Duration, BootClock::now());
+asio::awaitable<SendResult> RequestRun::receive() {
+  if (isStreaming() && Current->send().status() == 200)
+    co_return co_await forwardStream();
+  Silence.stop();
+  co_return co_await bufferResponse();
 }
 
-void RequestRun::recordAttemptEnd(const serving::SelectedTarget &Target,
+void RequestRun::recordAttemptEnd(TargetAttempt &Attempt,
                                   SendResult AttemptResult) {
-  Log.recordConnection(Attempt->reusedConnection());
-  BootTime Now = BootClock::now();
-  const platform::AnswerMarks &HeaderValues = Attempt->headerValues();
-  bool HasResponse = AttemptResult == SendResult::Answered ||
-                     AttemptResult == SendResult::Refused ||
-                     AttemptResult == SendResult::Failed;
-  Context.Targets.recordResult(Target.Id, LastFeedback, Now);
-  if (LastFeedback == TargetFeedback::Broken ||
-      LastFeedback == TargetFeedback::Silent)
-    Log.logFailedAttempt(Target, {LastFeedback, SentAt, AnswerBegun});
-  if (LastFeedback == TargetFeedback::Broken)
-    reportBreak(Target);
+  Log.recordConnection(Attempt.send().reusedConnection());
+  if (AttemptResult == SendResult::Withheld)
+    std::erase(AttemptedTargets, Attempt.target().Id);
+  Attempt.recordEnd(AttemptResult);
+  TargetFeedback Feedback = Attempt.feedback();
+  if (Feedback == TargetFeedback::Broken || Feedback == TargetFeedback::Silent)
+    Log.logFailedAttempt(Attempt.target(),
+                         {Feedback, Attempt.sentAt(), Attempt.answerBegun()});
+  if (Feedback == TargetFeedback::Broken)
+    reportBreak(Attempt);
   if (AttemptResult == SendResult::Answered ||
       AttemptResult == SendResult::Failed)
     Quarantine.recordAnsweredWhole();
-  if (HasResponse && HeaderValues.Load)
-    Context.Targets.updateLoad(Target.Id, *HeaderValues.Load, Now);
-  if (HasResponse && HeaderValues.WarmupLeft)
-    Context.Targets.updateWarmup(Target.Id, *HeaderValues.WarmupLeft, Now);
-  if (LastFeedback == TargetFeedback::Silent ||
-      LastFeedback == TargetFeedback::Broken)
-    Context.TargetConnections.closeIdle(Target.Id);
-  Context.advanceWaitQueues();
 }
 
-void RequestRun::reportBreak(const serving::SelectedTarget &Target) {
-  bool WasWritten = SentAt != Clock::time_point();
-  if (!WasWritten || !Attempt->connectionLost())
+void RequestRun::reportBreak(TargetAttempt &Attempt) {
+  bool WasWritten = Attempt.sentAt() != Clock::time_point();
+  if (!WasWritten || !Attempt.send().connectionLost())
     return;
   PartQuarantineService::Progress Until;
   Until.InProgress =
-      std::chrono::duration_cast<milliseconds>(Clock::now() - SentAt);
-  Until.AnswerBegun = AnswerBegun;
-  Quarantine.recordBreak(Target, Until);
+      std::chrono::duration_cast<milliseconds>(Clock::now() - Attempt.sentAt());
+  Until.AnswerBegun = Attempt.answerBegun();
+  Quarantine.recordBreak(Attempt.target(), Until);
 }
 
 void RequestRun::recordEvents() {
-  if (!AnswerBegun)
+  if (!Current->answerBegun())
     Quarantine.recordAnswerBegun();
-  AnswerBegun = true;
+  Current->setAnswerBegun();
   expectProgress(StreamEventPatience);
+  Standbys.withdraw();
 }
 
-bool RequestRun::mayRetry() const {
-  // `attemptCount` leaves out attempts that ended with `SendResult::NotSent`.
-  return Admitted.Route->repeatable() && Stream.canResume() &&
-         Outcome.attemptCount() + 1 < Admitted.Route->MaxAttempts;
+bool RequestRun::mayAskAnother() const {
+  // `attemptCount` leaves out attempts that ended with `SendResult::NotSent`,
+  // and those in progress.
+  std::size_t InProgress = 1 + Standbys.size();
+  return Admitted.Route->repeatable() && Outcome.mayRetry() &&
+         Stream.canResume() &&
+         Outcome.attemptCount() + InProgress < Admitted.Route->MaxAttempts;
 }
 
 void RequestRun::expectProgress(milliseconds Patience) {
-  if (mayRetry())
+  if (mayAskAnother())
     Silence.expectWithin(Patience);
   else
     Silence.stop();
 }
 
-bool RequestRun::handOver() {
-  if (deadlinePassed() || Caller->disconnected() || !Retries.canAcquire())
+bool RequestRun::askAnother() {
+  if (deadlinePassed() || Caller->disconnected())
     return false;
-  NextTarget = Wait.trySelect(requirements());
-  if (!NextTarget)
+  if (!HasUnsentRetry && !Retries.canAcquire())
     return false;
-  GivenUp = Retries.tryAcquire();
-  Attempt->cancel();
+  auto Target = Wait.trySelect(requirements());
+  if (!Target)
+    return false;
+  bool IsGranted = std::exchange(HasUnsentRetry, false);
+  if (!IsGranted)
+    (void)Retries.tryAcquire(); // Succeeds, as `canAcquire` has.
+  Context.Metrics.requestSent(true);
+  Standbys.start(makeAttempt(*Target));
+  expectProgress(StreamHeadPatience);
   return true;
 }
 
-void RequestRun::releaseNextTarget() {
-  if (NextTarget)
-    Context.Targets.recordResult(NextTarget->Id, TargetFeedback::Abandoned,
-                                 BootClock::now());
-  NextTarget.reset();
-}
-
-Clock::time_point
-RequestRun::headDeadline(const serving::SelectedTarget &Target) const {
-  // The target must start the request by `StartDeadline`, shortly before a
-  // version of the weights that is newer than the target's takes effect. The
-  // response head is awaited no longer than that.
-  if (!Target.StartDeadline)
-    return Deadline;
-  auto Left = std::chrono::duration_cast<milliseconds>(*Target.StartDeadline -
-                                                       BootClock::now());
-  return std::min(Deadline, Clock::now() + Left);
+asio::awaitable<std::optional<SendResult>>
+RequestRun::openStandby(TargetAttempt &Standby) {
+  serving::TargetRequirements Demand = requirements();
+  std::string ResumeAfter = Stream.resumeAfter();
+  std::optional<SendResult> Ended = co_await Standby.open(Demand, ResumeAfter);
+  if (Ended || Standby.isWithdrawn())
+    co_return Ended;
+  if (!isStreaming() || Standby.send().status() != 200) {
+    // An error is no better than what the silent target may still answer.
+    bool IsError = Standby.send().status() >= 500 || Stream.begun();
+    if (!IsError)
+      co_return std::nullopt;
+    Standby.setFeedback(TargetFeedback::Failed);
+    co_return SendResult::Unknown;
+  }
+  auto Fault = co_await Stream.awaitContinuation(Standby.send(), Deadline,
+                                                 Admitted.TimeLimit);
+  if (!Fault)
+    co_return std::nullopt;
+  Standby.setFeedback(*Fault);
+  co_return SendResult::Unknown;
 }
 
-platform::TargetMarks
-RequestRun::targetMarks(const serving::SelectedTarget &Target) const {
-  platform::TargetMarks Marks;
-  Marks.TimeLeft = std::max(
-      milliseconds(1),
-      std::chrono::duration_cast<milliseconds>(Deadline - Clock::now()));
-  Marks.Target = Target.Id;
-  Marks.Workspace = Admitted.Workspace;
-  Marks.Priority = Admitted.Priority;
-  // Whether the request names a model; it does not for plain services.
-  Marks.ForModel = !Admitted.HeaderValues.Model.empty();
-  Marks.Version = Target.VersionRequired ? Target.Version : 0;
-  Marks.ContinueAfter = Stream.resumeAfter();
-  return Marks;
+void RequestRun::giveUpCurrent() {
+  // The response of a plain service that has begun will be whole soon.
+  bool IsBuffering = Current && !isStreaming() && Current->answerBegun();
+  if (Current && !IsBuffering)
+    Current->giveUp();
 }
 
-asio::awaitable<SendResult>
-RequestRun::exchange(const serving::SelectedTarget &Target) {
-  Attempt = std::make_unique<TargetSend>(Context, Target);
-  SentAt = Clock::time_point();
-  AnswerBegun = false;
-  LastFeedback = TargetFeedback::Abandoned;
-  if (!Context.Targets.maySend(Target, requirements(), BootClock::now()))
-    co_return SendResult::Withheld;
-  Clock::time_point HeadDeadline = headDeadline(Target);
-  expectProgress(isStreaming() ? StreamHeadPatience : BufferedHeadPatience);
-  bool Connected =
-      co_await Attempt->connect(!Admitted.Route->repeatable(), HeadDeadline);
-  if (!Connected) {
-    LastFeedback = Clock::now() >= HeadDeadline ? TargetFeedback::Abandoned
-                                                : TargetFeedback::Broken;
-    co_return SendResult::NotSent;
-  }
-  // Connecting may have taken a while.
-  if (!Context.Targets.maySend(Target, requirements(), BootClock::now())) {
-    Attempt->releaseUnused();
-    co_return SendResult::Withheld;
-  }
-  auto Fields = platform::targetFields(Request.base(), targetMarks(Target));
-  SentAt = Clock::now();
-  TargetSend::Result Result = co_await Attempt->start(
-      Request, Fields, Admitted.HeaderValues.Id, HeadDeadline);
-  switch (Result) {
-  case TargetSend::Result::NotSent:
-    LastFeedback = TargetFeedback::Abandoned;
-    co_return SendResult::NotSent;
-  case TargetSend::Result::Broken:
-  case TargetSend::Result::End:
-    LastFeedback =
-        deadlinePassed() ? TargetFeedback::Abandoned : TargetFeedback::Broken;
-    co_return SendResult::Unknown;
-  case TargetSend::Result::TimedOut:
-    LastFeedback =
-        deadlinePassed() ? TargetFeedback::Abandoned : TargetFeedback::Silent;
-    co_return SendResult::Unknown;
-  case TargetSend::Result::Data:
-    break;
-  }
-  // After a hand-over, the place that is held is that of the next attempt.
-  if (!GivenUp)
-    Retries.recordArrived();
-  Context.Limits->heard(Target, Attempt->headerValues().RateLimit);
-  if (Attempt->headerValues().NotRun) {
-    // 421 (Misdirected Request): the target at this address was restarted or
-    // has another version of the weights. Any other refusal is taken as a lack
-    // of capacity.
-    LastFeedback = Attempt->status() == 421 ? TargetFeedback::Mismatch
-                                            : TargetFeedback::Full;
-    co_return SendResult::Refused;
-  }
-  recordResponseTime(Target);
-  if (isStreaming() && Attempt->status() == 200)
-    co_return co_await forwardStream();
-  Silence.stop();
-  co_return co_await bufferResponse();
+void RequestRun::standbyEnded(TargetAttempt &Standby, SendResult Result) {
+  bool WasSent =
+      Result != SendResult::Withheld && Result != SendResult::NotSent;
+  HasUnsentRetry = HasUnsentRetry || !WasSent;
+  recordAttemptEnd(Standby, Result);
+  Outcome.recordResult(Result);
+  Log.logStandbyEnd(Standby.target(), Result, Standby.isWithdrawn());
+  if (Current && !Standby.isWithdrawn())
+    expectProgress(milliseconds(0));
 }
 
 asio::awaitable<SendResult> RequestRun::bufferResponse() {
-  AnswerBegun = true;
+  Current->setAnswerBegun();
   BufferedAnswer::Result Ended =
-      co_await Buffered.read(*Attempt, Deadline, Admitted.TimeLimit);
-  LastFeedback = Ended.Feedback;
+      co_await Buffered.read(Current->send(), Deadline, Admitted.TimeLimit);
+  Current->setFeedback(Ended.Feedback);
   co_return Ended.Sent;
 }
 
 asio::awaitable<SendResult> RequestRun::forwardStream() {
   expectProgress(StreamEventPatience);
   StreamForward::Result Ended =
-      co_await Stream.forward(*Attempt, Deadline, Admitted.TimeLimit);
-  LastFeedback = Ended.Feedback;
+      co_await Stream.forward(Current->send(), Deadline, Admitted.TimeLimit);
+  Current->setFeedback(Ended.Feedback);
   if (Ended.Outcome)
     finish(Ended.Outcome, Ended.Status);
   co_return Ended.Sent;
@@ -501,7 +485,7 @@
   IsFinished = true;
   Context.Metrics.requestEnded(OutcomeLabel, elapsed());
   Log.logEnd({OutcomeLabel, Status, SentAt, AttemptedTargets.size(),
-              Wait.queueTime(), Stream.longestPause()});
+              Wait.queueTime(), Stream.longestPause(), timeLeft()});
 }
 
 } // namespace
--- a/rosemarylane/src/gateway/SilenceWatch.cpp
+++ b/rosemarylane/src/gateway/SilenceWatch.cpp
@@ -15,9 +15,8 @@
     // `this` may be gone as well if the timer is.
     if (Failed || Armed.expired())
       return;
-    if (TryHandOver())
-      stop();
-    else
+    stop();
+    if (!TryAskAnother())
       expectWithin(RecheckPeriod);
   });
 }
--- a/rosemarylane/src/gateway/SilenceWatch.h
+++ b/rosemarylane/src/gateway/SilenceWatch.h
@@ -11,21 +11,21 @@
 
 /// Watches one attempt for a target that has gone silent.
 ///
-/// A sound target may be silent for a second or two and go on, so silence ends
-/// an attempt only if another target can take the request over. Once the limit
-/// has passed, the hook is asked again and again until it has found one.
+/// Once the limit has passed, the hook is called again and again until it has
+/// found another target to ask beside the silent one.
 ///
 /// Call `expectWithin` whenever the target has made progress, and `stop` when
-/// the attempt has ended. Used on the thread of the event loop; no hook is
-/// called after `stop` or the destructor.
+/// the attempt has ended, or while the target is not waited for. Used on the
+/// thread of the event loop; no hook is called after `stop` or the destructor.
 class SilenceWatch {
 public:
-  /// Hands the request over to another target, if one can take it now.
-  /// @return whether it did; the watch then ends.
-  using HandOver = std::function<bool()>;
+  /// Asks another target, if one can take the request now.
+  /// @return whether it did. The watch has then ended, unless the hook has
+  /// called `expectWithin`.
+  using AskAnother = std::function<bool()>;
 
-  SilenceWatch(boost::asio::io_context &Loop, HandOver TryHandOver)
-      : Loop(Loop), TryHandOver(std::move(TryHandOver)) {}
+  SilenceWatch(boost::asio::io_context &Loop, AskAnother TryAskAnother)
+      : Loop(Loop), TryAskAnother(std::move(TryAskAnother)) {}
 
   /// Expects progress within \p Limit from now on; replaces what was expected
   /// before.
@@ -35,7 +35,7 @@
 
 private:
   boost::asio::io_context &Loop;
-  HandOver TryHandOver;
+  AskAnother TryAskAnother;
   /// A new one for each wait, so that the handler of an earlier wait, which may
   /// be queued already, finds that it is gone.
   std::shared_ptr<boost::asio::steady_timer> Timer;
--- /dev/null
+++ b/rosemarylane/src/gateway/StandbyAttempts.cpp
@@ -0,0 +1,89 @@
+#include "gateway/StandbyAttempts.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace rosemarylane {
+
+namespace asio = boost::asio;
+using serving::SendResult;
+
+void StandbyAttempts::start(std::unique_ptr<TargetAttempt> Attempt) {
+  Entries.push_back({std::move(Attempt)});
+  Iterator Started = std::prev(Entries.end());
+  asio::co_spawn(
+      Loop,
+      [this, Started]() -> asio::awaitable<void> { co_await run(Started); },
+      asio::detached);
+}
+
+asio::awaitable<void> StandbyAttempts::run(Iterator Started) {
+  TargetAttempt &Attempt = *Started->Attempt;
+  std::optional<SendResult> Ended = SendResult::Unknown;
+  try {
+    Ended = co_await Observers.Open(Attempt);
+  } catch (const std::exception &) {
+    // Like an exchange that broke; the request goes on without it.
+    Attempt.send().cancel();
+  }
+  if (Ended || Attempt.isWithdrawn()) {
+    end(Started, Ended.value_or(SendResult::Unknown));
+    co_return;
+  }
+  Started->IsReady = true;
+  Changed.cancel();
+  Observers.OnReady();
+}
+
+void StandbyAttempts::end(Iterator Ended, SendResult Result) {
+  std::unique_ptr<TargetAttempt> Attempt = std::move(Ended->Attempt);
+  Entries.erase(Ended);
+  Changed.cancel();
+  Observers.OnEnded(*Attempt, Result);
+}
+
+bool StandbyAttempts::hasReady() const {
+  return std::any_of(Entries.begin(), Entries.end(),
+                     [](const Entry &E) { return E.IsReady; });
+}
+
+std::unique_ptr<TargetAttempt> StandbyAttempts::takeReady() {
+  auto Found = std::find_if(Entries.begin(), Entries.end(),
+                            [](const Entry &E) { return E.IsReady; });
+  if (Found == Entries.end())
+    return nullptr;
+  std::unique_ptr<TargetAttempt> Attempt = std::move(Found->Attempt);
+  Entries.erase(Found);
+  return Attempt;
+}
+
+asio::awaitable<void> StandbyAttempts::waitForChange() {
+  Changed.expires_at(asio::steady_timer::time_point::max());
+  co_await Changed.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+asio::awaitable<void> StandbyAttempts::settle() {
+  while (!Entries.empty() && !hasReady())
+    co_await waitForChange();
+}
+
+void StandbyAttempts::withdraw() {
+  for (auto Next = Entries.begin(); Next != Entries.end();) {
+    Iterator Current = Next++;
+    Current->Attempt->withdraw();
+    // The coroutine of a ready attempt has ended.
+    if (Current->IsReady)
+      end(Current, SendResult::Unknown);
+  }
+}
+
+asio::awaitable<void> StandbyAttempts::finish() {
+  withdraw();
+  while (!Entries.empty())
+    co_await waitForChange();
+}
+
+} // namespace rosemarylane
--- /dev/null
+++ b/rosemarylane/src/gateway/StandbyAttempts.h
@@ -0,0 +1,84 @@
+#ifndef ROSEMARYLANE_GATEWAY_STANDBY_ATTEMPTS_H
+#define ROSEMARYLANE_GATEWAY_STANDBY_ATTEMPTS_H
+
+#include "gateway/TargetAttempt.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+
+namespace rosemarylane {
+
+/// Attempts of one request at other targets, beside an attempt whose target is
+/// silent (request hedging).
+///
+/// A sound target may be silent for a second or two and go on, and the target
+/// that is asked in its place may refuse, fail or fall silent too. So the first
+/// attempt goes on until the response of another one has begun.
+///
+/// `start` adds an attempt. Once the response of one has begun, `OnReady` is
+/// called and `takeReady` hands it over. Used on the thread of the event loop.
+/// Await `finish` before the end: the attempts use what the hooks refer to.
+class StandbyAttempts {
+public:
+  struct Hooks {
+    /// Sends the request and waits for the beginning of the response.
+    /// @return how the attempt ended; empty if its response has begun.
+    std::function<boost::asio::awaitable<std::optional<serving::SendResult>>(
+        TargetAttempt &)>
+        Open;
+    /// The response of an attempt has begun, so that it can take over.
+    std::function<void()> OnReady;
+    /// An attempt has ended without taking over.
+    std::function<void(TargetAttempt &, serving::SendResult)> OnEnded;
+  };
+
+  StandbyAttempts(boost::asio::io_context &Loop, Hooks ToCall)
+      : Loop(Loop), Observers(std::move(ToCall)), Changed(Loop) {}
+  StandbyAttempts(const StandbyAttempts &) = delete;
+  StandbyAttempts &operator=(const StandbyAttempts &) = delete;
+
+  void start(std::unique_ptr<TargetAttempt> Attempt);
+
+  /// @return the attempts that have not ended, those that are ready included.
+  std::size_t size() const { return Entries.size(); }
+
+  /// @return an attempt whose response has begun, which is no longer one of
+  /// these; null if there is none.
+  std::unique_ptr<TargetAttempt> takeReady();
+  bool hasReady() const;
+
+  /// Waits until an attempt is ready or all have ended.
+  boost::asio::awaitable<void> settle();
+
+  /// Withdraws all attempts. `OnEnded` is called for each, now or later.
+  void withdraw();
+
+  /// Withdraws all attempts and waits until they have ended.
+  boost::asio::awaitable<void> finish();
+
+private:
+  struct Entry {
+    std::unique_ptr<TargetAttempt> Attempt;
+    bool IsReady = false;
+  };
+  using Iterator = std::list<Entry>::iterator;
+
+  boost::asio::awaitable<void> run(Iterator Started);
+  void end(Iterator Ended, serving::SendResult Result);
+  boost::asio::awaitable<void> waitForChange();
+
+  boost::asio::io_context &Loop;
+  Hooks Observers;
+  std::list<Entry> Entries;
+  /// Cancelled whenever an attempt becomes ready or ends.
+  boost::asio::steady_timer Changed;
+};
+
+} // namespace rosemarylane
+
+#endif // ROSEMARYLANE_GATEWAY_STANDBY_ATTEMPTS_H
--- a/rosemarylane/src/gateway/StreamForward.cpp
+++ b/rosemarylane/src/gateway/StreamForward.cpp
@@ -37,6 +37,10 @@
     TargetSend::Result Received = co_await Attempt.next(Deadline, TimeLimit);
     if (Caller.disconnected())
       co_return Ended;
+    // Data may have been read just before; the target that takes over sends it
+    // again.
+    if (Attempt.isCancelled())
+      Received = TargetSend::Result::Broken;
     if (Received == TargetSend::Result::End && brokeOffAtEnd(Attempt))
       Received = TargetSend::Result::Broken;
     bool AtEnd = Received == TargetSend::Result::End;
@@ -48,7 +52,7 @@
     std::string Events;
     if (!AtEnd)
       Events = Splitter.feed(Attempt.bodyData());
-    if (Resumes && isNoContinuation(Attempt)) {
+    if (Resumes && isNoContinuation(Attempt, Splitter)) {
       Ended.Feedback = TargetFeedback::Failed;
       Attempt.cancel();
       co_return Ended;
@@ -100,12 +104,48 @@
   return NothingCame || Splitter.insideEvent();
 }
 
-bool StreamForward::isNoContinuation(const TargetSend &Attempt) const {
+asio::awaitable<std::optional<TargetFeedback>>
+StreamForward::awaitContinuation(TargetSend &Attempt,
+                                 Clock::time_point Deadline,
+                                 milliseconds TimeLimit) const {
+  for (;;) {
+    TargetSend::Result Received =
+        co_await Attempt.readAhead(Deadline, TimeLimit);
+    bool AtEnd = Received == TargetSend::Result::End;
+    if (!AtEnd && Received != TargetSend::Result::Data)
+      co_return feedbackOf(Received, Deadline);
+    Continuation Found = checkAhead(Attempt, AtEnd);
+    if (Found == Continuation::Yes)
+      co_return std::nullopt;
+    if (Found == Continuation::No)
+      co_return TargetFeedback::Failed;
+    if (AtEnd || Attempt.dataAhead().size() > MaxEventBytes)
+      co_return TargetFeedback::Broken;
+  }
+}
+
+StreamForward::Continuation StreamForward::checkAhead(const TargetSend &Attempt,
+                                                      bool AtEnd) const {
+  serving::EventSplitter Trial = Splitter;
+  Trial.beginResponse();
+  bool HasEvent = !Trial.feed(Attempt.dataAhead()).empty();
+  if (Begun && isNoContinuation(Attempt, Trial))
+    return Continuation::No;
+  bool GoesOn =
+      Begun ? Trial.lastEventId() != Splitter.lastEventId() : HasEvent;
+  // The stream may have nothing left to send but its end.
+  bool EndsWell = AtEnd && !Trial.insideEvent() &&
+                  (HasEvent || !Attempt.endsWithConnection());
+  return GoesOn || EndsWell ? Continuation::Yes : Continuation::Unknown;
+}
+
+bool StreamForward::isNoContinuation(
+    const TargetSend &Attempt, const serving::EventSplitter &Parsed) const {
   namespace http_ = boost::beast::http;
   auto Type = Attempt.head()[http_::field::content_type];
   bool IsOtherType =
       !Type.empty() && !boost::algorithm::istarts_with(Type, EventStreamType);
-  return IsOtherType || Splitter.diverged();
+  return IsOtherType || Parsed.diverged();
 }
 
 void StreamForward::recordPause() {
--- a/rosemarylane/src/gateway/StreamForward.h
+++ b/rosemarylane/src/gateway/StreamForward.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace rosemarylane {
@@ -25,7 +26,8 @@
   using Clock = TargetSend::Clock;
 
   struct Hooks {
-    /// The target has sent whole events; called each time.
+    /// The target has sent whole events, which are about to be sent to the
+    /// caller; called each time.
     std::function<void()> OnEvents;
     /// The head of the response is about to be sent to the caller.
     std::function<void()> OnFirstByte;
@@ -50,6 +52,13 @@
                                          Clock::time_point Deadline,
                                          std::chrono::milliseconds TimeLimit);
 
+  /// Reads the response of \p Attempt ahead, until its first event shows that
+  /// `forward` can go on with it.
+  /// @return what is wrong with the target; empty if the response is good.
+  boost::asio::awaitable<std::optional<serving::TargetFeedback>>
+  awaitContinuation(TargetSend &Attempt, Clock::time_point Deadline,
+                    std::chrono::milliseconds TimeLimit) const;
+
   /// @return whether the caller has been sent the head of the response.
   bool begun() const { return Begun; }
   /// @return whether the next target can be told where to go on, if the caller
@@ -69,8 +78,12 @@
   /// @return whether a stream whose response has ended was broken off.
   bool brokeOffAtEnd(const TargetSend &Attempt) const;
   /// @return whether the stream that the caller is getting cannot go on with
-  /// what the target has sent so far.
-  bool isNoContinuation(const TargetSend &Attempt) const;
+  /// what the target has sent so far, of which \p Parsed has taken the body.
+  bool isNoContinuation(const TargetSend &Attempt,
+                        const serving::EventSplitter &Parsed) const;
+  /// Whether the stream can go on with what a target has sent so far.
+  enum class Continuation { Unknown, Yes, No };
+  Continuation checkAhead(const TargetSend &Attempt, bool AtEnd) const;
   void recordPause();
 
   CallerConnection &Caller;
--- /dev/null
+++ b/rosemarylane/src/gateway/TargetAttempt.h
@@ -0,0 +1,96 @@
+#ifndef ROSEMARYLANE_GATEWAY_TARGET_ATTEMPT_H
+#define ROSEMARYLANE_GATEWAY_TARGET_ATTEMPT_H
+
+#include "gateway/Admission.h"
+#include "gateway/CallerConnection.h"
+#include "gateway/GatewayContext.h"
+#include "gateway/TargetSend.h"
+#include "serving/LoadBalancer.h"
+#include "serving/RequestOutcome.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace rosemarylane {
+
+/// One attempt of a request at one selected target: what was sent, how it went,
+/// and what the load balancer is told about the target at its end.
+///
+/// Call `open`, read the body from `send()`, then `recordEnd`. Used on the
+/// thread of the event loop. The constructor's arguments must outlive it, and
+/// it must outlive the coroutine that awaits `open`.
+class TargetAttempt {
+public:
+  using Clock = TargetSend::Clock;
+
+  /// The request that is attempted.
+  struct Source {
+    GatewayContext &Context;
+    const AdmittedRequest &Admitted;
+    const CallerConnection::Request &Request;
+    Clock::time_point Deadline;
+  };
+
+  TargetAttempt(const Source &From, serving::SelectedTarget Selected)
+      : From(From), Selected(std::move(Selected)),
+        Send(From.Context, this->Selected) {}
+
+  /// Sends the request and reads the head of its response.
+  /// @param Demand what the request requires of its target. Both arguments must
+  /// stay valid until the coroutine ends.
+  /// @param ResumeAfter id of the event after which a stream goes on; empty
+  /// for a new response.
+  /// @return how the attempt ended; empty if its response has begun.
+  boost::asio::awaitable<std::optional<serving::SendResult>>
+  open(const serving::TargetRequirements &Demand,
+       const std::string &ResumeAfter);
+
+  /// Ends the attempt because its target is silent and another one answers.
+  void giveUp();
+  /// Ends the attempt because it isn't needed; says nothing about its target.
+  void withdraw();
+  bool isWithdrawn() const { return Withdrawn; }
+
+  /// Tells the load balancer how the attempt ended.
+  void recordEnd(serving::SendResult Result);
+
+  /// Sets what the load balancer is told, unless the attempt was withdrawn.
+  void setFeedback(serving::TargetFeedback About);
+  serving::TargetFeedback feedback() const { return Feedback; }
+
+  /// Records that the target has sent at least one whole event, or the head of
+  /// a response that is not a stream.
+  void setAnswerBegun() { AnswerBegun = true; }
+  bool answerBegun() const { return AnswerBegun; }
+
+  const serving::SelectedTarget &target() const { return Selected; }
+  TargetSend &send() { return Send; }
+  Clock::time_point begunAt() const { return BegunAt; }
+  /// @return when the request began to be written; the epoch if it was not.
+  Clock::time_point sentAt() const { return SentAt; }
+
+private:
+  /// @return when the attempt ends without a response head.
+  Clock::time_point headDeadline() const;
+  /// @return what the target is told about the request.
+  platform::TargetMarks marks(const std::string &ResumeAfter) const;
+  /// Takes the head of the response that was read.
+  std::optional<serving::SendResult> takeHead();
+  bool deadlinePassed() const { return Clock::now() >= From.Deadline; }
+
+  Source From;
+  serving::SelectedTarget Selected;
+  TargetSend Send;
+  Clock::time_point BegunAt = Clock::now();
+  Clock::time_point SentAt{};
+  serving::TargetFeedback Feedback = serving::TargetFeedback::Abandoned;
+  bool AnswerBegun = false;
+  bool GivenUp = false;
+  bool Withdrawn = false;
+};
+
+} // namespace rosemarylane
+
+#endif // ROSEMARYLANE_GATEWAY_TARGET_ATTEMPT_H
--- a/rosemarylane/src/gateway/TargetPool.cpp
+++ b/rosemarylane/src/gateway/TargetPool.cpp
@@ -46,19 +46,19 @@
   return nullptr;
 }
 
-asio::awaitable<TargetPool::ConnectionPtr>
-TargetPool::connect(std::string Address, milliseconds Timeout) {
+asio::awaitable<bool> TargetPool::connect(beast::tcp_stream &Connection,
+                                          std::string Address,
+                                          milliseconds Timeout) {
   auto Endpoint = parseEndpoint(Address);
   if (!Endpoint)
-    co_return nullptr;
-  auto Connection = std::make_unique<beast::tcp_stream>(Loop);
-  Connection->expires_after(Timeout);
-  auto [ErrorCode] = co_await Connection->async_connect(
+    co_return false;
+  Connection.expires_after(Timeout);
+  auto [ErrorCode] = co_await Connection.async_connect(
       *Endpoint, asio::as_tuple(asio::use_awaitable));
-  if (ErrorCode)
-    co_return nullptr;
-  enableDeadPeerDetection(Connection->socket(), TargetSilenceTimeout);
-  co_return Connection;
+  if (ErrorCode || !Connection.socket().is_open())
+    co_return false;
+  enableDeadPeerDetection(Connection.socket(), TargetSilenceTimeout);
+  co_return true;
 }
 
 void TargetPool::release(const serving::TargetId &Id, ConnectionPtr Connection,
--- a/rosemarylane/src/gateway/TargetPool.h
+++ b/rosemarylane/src/gateway/TargetPool.h
@@ -39,11 +39,17 @@
   ConnectionPtr acquireIdle(const serving::TargetId &Id, core::BootTime Now,
                             std::chrono::milliseconds MaxIdleTime);
 
-  /// Opens a connection to \p Address (`IP:port`).
-  /// @return null if it was refused or timed out; no byte was sent in that
-  /// case.
-  boost::asio::awaitable<ConnectionPtr>
-  connect(std::string Address, std::chrono::milliseconds Timeout);
+  /// @return a connection that is not open yet.
+  ConnectionPtr create() {
+    return std::make_unique<boost::beast::tcp_stream>(Loop);
+  }
+
+  /// Opens \p Connection to \p Address (`IP:port`). Closing its socket
+  /// meanwhile ends the wait.
+  /// @return whether it is open. No byte of a request was sent.
+  static boost::asio::awaitable<bool>
+  connect(boost::beast::tcp_stream &Connection, std::string Address,
+          std::chrono::milliseconds Timeout);
 
   /// Returns a connection to the pool. Its last response must be complete.
   /// @param TargetKeepAlive how long the target keeps idle connections open, if
--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
+#include <utility>
 
 namespace rosemarylane {
 
@@ -95,9 +96,10 @@
       std::chrono::duration_cast<milliseconds>(Deadline - Clock::now());
   if (Remaining <= milliseconds(0))
     co_return false;
-  TcpStream = co_await Context.TargetConnections.connect(
-      Target.Address, std::min(Remaining, ConnectTimeout));
-  co_return TcpStream != nullptr;
+  TcpStream = Context.TargetConnections.create();
+  bool Connected = co_await TargetPool::connect(
+      *TcpStream, Target.Address, std::min(Remaining, ConnectTimeout));
+  co_return Connected && !Cancelled;
 }
 
 asio::awaitable<void>
@@ -193,6 +195,25 @@
 
 asio::awaitable<TargetSend::Result> TargetSend::next(Clock::time_point Deadline,
                                                      milliseconds Timeout) {
+  if (!DataAhead.empty()) {
+    BodyBuffer = std::exchange(DataAhead, {});
+    BodyDataSize = BodyBuffer.size();
+    co_return Result::Data;
+  }
+  Result Received = co_await readPart(Deadline, Timeout);
+  co_return Received;
+}
+
+asio::awaitable<TargetSend::Result>
+TargetSend::readAhead(Clock::time_point Deadline, milliseconds Timeout) {
+  Result Received = co_await readPart(Deadline, Timeout);
+  if (Received == Result::Data)
+    DataAhead += bodyData();
+  co_return Received;
+}
+
+asio::awaitable<TargetSend::Result>
+TargetSend::readPart(Clock::time_point Deadline, milliseconds Timeout) {
   BodyDataSize = 0;
   BodyBuffer.resize(BodyBufferBytes);
   while (BodyDataSize == 0) {
--- a/rosemarylane/src/gateway/TargetSend.h
+++ b/rosemarylane/src/gateway/TargetSend.h
@@ -27,7 +27,7 @@
 /// withdrawn.
 ///
 /// Must outlive the coroutine that awaits it. Not thread-safe: used only on the
-/// thread of the event loop. `cancel` may be called while `start` or `next` is
+/// thread of the event loop. `cancel` may be called while another function is
 /// awaited.
 class TargetSend {
 public:
@@ -79,6 +79,13 @@
   boost::asio::awaitable<Result> next(Clock::time_point Deadline,
                                       std::chrono::milliseconds Timeout);
 
+  /// Reads the next part of the body and keeps it: `next` returns all that was
+  /// kept before it reads on.
+  boost::asio::awaitable<Result> readAhead(Clock::time_point Deadline,
+                                           std::chrono::milliseconds Timeout);
+  /// @return what `readAhead` keeps.
+  std::string_view dataAhead() const { return DataAhead; }
+
   unsigned status() const;
   /// @return whether the response has neither a length nor chunks, so that it
   /// ends with its connection.
@@ -107,6 +114,7 @@
   /// Resets the connection, which withdraws what the target's host has not
   /// received yet, and makes the target stop working on the request.
   void cancel();
+  bool isCancelled() const { return Cancelled; }
 
 private:
   struct PendingWrite;
@@ -120,6 +128,8 @@
   /// \p Id.
   bool answers(const std::string &Id) const;
   boost::asio::awaitable<bool> discardBody();
+  boost::asio::awaitable<Result> readPart(Clock::time_point Deadline,
+                                          std::chrono::milliseconds Timeout);
   Result resultOf(boost::system::error_code ErrorCode);
   /// Records what the target says of itself in the head that was just read.
   void recordStatements();
@@ -142,6 +152,7 @@
   /// The last part of the body; its first `BodyDataSize` bytes are valid.
   std::string BodyBuffer;
   std::size_t BodyDataSize = 0;
+  std::string DataAhead;
   bool ReusedConnection = false;
   bool ConnectionLost = false;
   /// A response to another request came before the one to this request.
