A caller that reads slowly is no silence of its target

What callers saw: a stream that its caller took no byte of for over 1.1 s was cut, or asked of a second target for nothing.

Cause: the watch for silence ran on while the gateway waited for the caller's connection to take the events.

Change: it runs only while the target is waited for.

Red before: hand_over/target_of_a_caller_that_reads_slowly_is_not_silent (two requests, stream not whole), green now.

--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -52,8 +52,9 @@
       : Context(Context), Caller(std::move(Caller)), Request(Request),
         StartedAt(Clock::now()), Quarantine(Context, Admitted, Request),
         Wait(Context, Admitted, Quarantine, StartedAt),
-        Stream(*this->Caller,
-               {[this] { recordEvents(); }, [this] { recordFirstByte(); }}),
+        Stream(*this->Caller, {[this] { recordEvents(); },
+                               [this] { expectProgress(StreamEventPatience); },
+                               [this] { recordFirstByte(); }}),
         Silence(Context.Loop, [this] { return askAnother(); }),
         Standbys(
             Context.Loop,
@@ -342,7 +343,8 @@
   if (!Current->answerBegun())
     Quarantine.recordAnswerBegun();
   Current->setAnswerBegun();
-  expectProgress(StreamEventPatience);
+  // A caller that reads slowly is no silence of the target.
+  Silence.stop();
   Standbys.withdraw();
 }
 
--- a/rosemarylane/src/gateway/StreamForward.cpp
+++ b/rosemarylane/src/gateway/StreamForward.cpp
@@ -57,7 +57,8 @@
       Attempt.cancel();
       co_return Ended;
     }
-    if (!Events.empty()) {
+    bool WasEvent = !Events.empty();
+    if (WasEvent) {
       HasEvents = true;
       Observers.OnEvents();
     }
@@ -82,6 +83,8 @@
     }
     if (AtEnd)
       break;
+    if (WasEvent)
+      Observers.OnWritten();
     if (Splitter.pendingBytes() > MaxEventBytes) {
       Ended.Feedback = TargetFeedback::Broken;
       Attempt.cancel();
--- a/rosemarylane/src/gateway/StreamForward.h
+++ b/rosemarylane/src/gateway/StreamForward.h
@@ -29,6 +29,8 @@
     /// The target has sent whole events, which are about to be sent to the
     /// caller; called each time.
     std::function<void()> OnEvents;
+    /// The caller's connection has taken them; the target is waited for again.
+    std::function<void()> OnWritten;
     /// The head of the response is about to be sent to the caller.
     std::function<void()> OnFirstByte;
   };
