A begun stream waits for a full target until its time limit

What callers saw: a stream whose target had broken off was cut although another target had room half a second later and the caller seconds of patience.

Cause: `TargetWait` left the queue after a share of the latency objective since the request came, which is meant for requests whose callers have got nothing yet.

Change: who has got the beginning of a stream waits until the deadline. If no target may serve it at all, the stream still ends at once.

Red before: hand_over/broken_stream_waits_for_a_target_that_is_full, green now.

--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -187,7 +187,9 @@
 
 asio::awaitable<std::unique_ptr<TargetAttempt>> RequestRun::nextAttempt() {
   serving::TargetRequirements Demand = requirements();
-  auto Target = co_await Wait.acquire(Demand, Deadline);
+  // Whoever has got the beginning of a stream waits for the rest of it.
+  auto QueueDeadline = Stream.begun() ? Deadline : Wait.queueDeadline(Deadline);
+  auto Target = co_await Wait.acquire(Demand, QueueDeadline);
   if (!Target)
     co_return nullptr;
   co_return makeAttempt(*Target);
--- a/rosemarylane/src/gateway/TargetWait.cpp
+++ b/rosemarylane/src/gateway/TargetWait.cpp
@@ -42,9 +42,18 @@
                                 Failure);
 }
 
+TargetWait::Clock::time_point
+TargetWait::queueDeadline(Clock::time_point Deadline) const {
+  // Longest time in the queue: a fraction of the route's latency objective.
+  auto MaxQueueTime = std::chrono::duration_cast<Clock::duration>(
+      Admitted.Route->LatencyObjective *
+      Context.Settings.Limits.MaxQueueTimeShare);
+  return std::min(Deadline, StartedAt + MaxQueueTime);
+}
+
 asio::awaitable<std::optional<serving::SelectedTarget>>
 TargetWait::acquire(const serving::TargetRequirements &Demand,
-                    Clock::time_point Deadline) {
+                    Clock::time_point QueueDeadline) {
   serving::AdmissionQueue &Queue = Context.waitQueue(Admitted.Service);
   std::optional<serving::SelectedTarget> Chosen;
   if (Quarantine.isRefused())
@@ -57,11 +66,6 @@
     Failure = SelectionFailure::Unavailable;
     co_return Chosen;
   }
-  // Longest time in the queue: a fraction of the route's latency objective.
-  auto MaxQueueTime = std::chrono::duration_cast<Clock::duration>(
-      Admitted.Route->LatencyObjective *
-      Context.Settings.Limits.MaxQueueTimeShare);
-  auto QueueDeadline = std::min(Deadline, StartedAt + MaxQueueTime);
   if (Clock::now() >= QueueDeadline)
     co_return selectAndReserve(Demand);
   if (allPausedPast(Demand, QueueDeadline)) {
--- a/rosemarylane/src/gateway/TargetWait.h
+++ b/rosemarylane/src/gateway/TargetWait.h
@@ -31,11 +31,16 @@
   /// `LoadBalancer::recordResult` is called.
   /// @param Demand what the request requires of its target; must stay valid
   /// until the coroutine ends.
+  /// @param QueueDeadline when to leave the queue.
   /// @return empty if no target was found, or if `cancel` was called before one
   /// was.
   boost::asio::awaitable<std::optional<serving::SelectedTarget>>
   acquire(const serving::TargetRequirements &Demand,
-          Clock::time_point Deadline);
+          Clock::time_point QueueDeadline);
+
+  /// @return when a request leaves the queue whose caller has got nothing yet,
+  /// and has to be answered by \p Deadline.
+  Clock::time_point queueDeadline(Clock::time_point Deadline) const;
 
   /// The same without waiting.
   std::optional<serving::SelectedTarget>
