A plain answer of the second target is awaited whole before it takes over

Its body is read ahead now. Attempts that are not needed any more are withdrawn before the answer is written to the caller, and no further target is asked while a plain answer is being read.

--- a/rosemarylane/src/gateway/BufferedAnswer.cpp
+++ b/rosemarylane/src/gateway/BufferedAnswer.cpp
@@ -16,6 +16,21 @@
 
 } // namespace
 
+asio::awaitable<std::optional<TargetFeedback>>
+BufferedAnswer::awaitWhole(TargetSend &Attempt, Clock::time_point Deadline,
+                           milliseconds TimeLimit) {
+  for (;;) {
+    TargetSend::Result Received =
+        co_await Attempt.readAhead(Deadline, TimeLimit);
+    if (Received == TargetSend::Result::End)
+      co_return std::nullopt;
+    bool TooLarge = Attempt.dataAhead().size() > MaxBufferedBytes;
+    if (Received != TargetSend::Result::Data || TooLarge)
+      co_return Clock::now() >= Deadline ? TargetFeedback::Abandoned
+                                         : TargetFeedback::Broken;
+  }
+}
+
 asio::awaitable<BufferedAnswer::Result>
 BufferedAnswer::read(TargetSend &Attempt, Clock::time_point Deadline,
                      milliseconds TimeLimit) {
--- a/rosemarylane/src/gateway/BufferedAnswer.h
+++ b/rosemarylane/src/gateway/BufferedAnswer.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
+#include <optional>
 #include <string>
 
 namespace rosemarylane {
@@ -33,6 +34,12 @@
                                       Clock::time_point Deadline,
                                       std::chrono::milliseconds TimeLimit);
 
+  /// Reads the rest of the response of \p Attempt ahead, for `read`.
+  /// @return what is wrong with the target; empty if the response is whole.
+  static boost::asio::awaitable<std::optional<serving::TargetFeedback>>
+  awaitWhole(TargetSend &Attempt, Clock::time_point Deadline,
+             std::chrono::milliseconds TimeLimit);
+
   // Of the response that was read last.
   unsigned status() const { return Status; }
   const platform::HttpFields &head() const { return Head; }
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -218,7 +218,9 @@
     SendResult AttemptResult = co_await finishCurrent(HasBegun);
     if (Caller->disconnected() || IsFinished)
       co_return;
-    if (AttemptResult != SendResult::Answered)
+    if (AttemptResult == SendResult::Answered)
+      Standbys.withdraw();
+    else
       co_await Standbys.settle();
     if (Caller->disconnected())
       co_return;
@@ -301,6 +303,7 @@
   if (!Ended)
     Ended = co_await receive();
   Silence.stop();
+  Log.recordConnection(Current->send().reusedConnection());
   recordAttemptEnd(*Current, *Ended);
   Current.reset();
   co_return *Ended;
@@ -315,7 +318,6 @@
 
 void RequestRun::recordAttemptEnd(TargetAttempt &Attempt,
                                   SendResult AttemptResult) {
-  Log.recordConnection(Attempt.send().reusedConnection());
   if (AttemptResult == SendResult::Withheld)
     std::erase(AttemptedTargets, Attempt.target().Id);
   Attempt.recordEnd(AttemptResult);
@@ -390,16 +392,17 @@
   std::optional<SendResult> Ended = co_await Standby.open(Demand, ResumeAfter);
   if (Ended || Standby.isWithdrawn())
     co_return Ended;
-  if (!isStreaming() || Standby.send().status() != 200) {
-    // An error is no better than what the silent target may still answer.
-    bool IsError = Standby.send().status() >= 500 || Stream.begun();
-    if (!IsError)
-      co_return std::nullopt;
-    Standby.setFeedback(TargetFeedback::Failed);
-    co_return SendResult::Unknown;
-  }
-  auto Fault = co_await Stream.awaitContinuation(Standby.send(), Deadline,
-                                                 Admitted.TimeLimit);
+  std::optional<TargetFeedback> Fault;
+  bool IsStream = isStreaming() && Standby.send().status() == 200;
+  // An error is no better than what the silent target may still answer.
+  if (!IsStream && (Standby.send().status() >= 500 || Stream.begun()))
+    Fault = TargetFeedback::Failed;
+  else if (IsStream)
+    Fault = co_await Stream.awaitContinuation(Standby.send(), Deadline,
+                                              Admitted.TimeLimit);
+  else
+    Fault = co_await BufferedAnswer::awaitWhole(Standby.send(), Deadline,
+                                                Admitted.TimeLimit);
   if (!Fault)
     co_return std::nullopt;
   Standby.setFeedback(*Fault);
@@ -407,9 +410,7 @@
 }
 
 void RequestRun::giveUpCurrent() {
-  // The response of a plain service that has begun will be whole soon.
-  bool IsBuffering = Current && !isStreaming() && Current->answerBegun();
-  if (Current && !IsBuffering)
+  if (Current)
     Current->giveUp();
 }
 
@@ -420,7 +421,8 @@
   recordAttemptEnd(Standby, Result);
   Outcome.recordResult(Result);
   Log.logStandbyEnd(Standby.target(), Result, Standby.isWithdrawn());
-  if (Current && !Standby.isWithdrawn())
+  bool IsBuffering = Current && Current->answerBegun() && !isStreaming();
+  if (Current && !IsBuffering && !Standby.isWithdrawn())
     expectProgress(milliseconds(0));
 }
 
