A refusal arrives although its request was not read whole

What callers saw: a caller whose body or head was beyond a limit, or whose head was malformed, was reset while it sent, and got no refusal. That also met callers with a kept connection when a configuration lowered the limit.

Cause: the connection was closed right after the refusal, with bytes unread. Closing such a socket resets it.

Change: after the refusal the gateway ends sending and discards what still comes, for 3 s and 16 MiB at most, until the caller closes the connection. The refusal takes nothing (method) from the request before on the connection.

--- a/rosemarylane/src/gateway/CallerConnection.cpp
+++ b/rosemarylane/src/gateway/CallerConnection.cpp
@@ -26,6 +26,11 @@
 /// Time limit for one write. A caller that does not read its response is
 /// disconnected.
 constexpr std::chrono::seconds WriteTimeout{20};
+/// How long, and up to how many bytes, a caller may go on sending a request
+/// that was refused before it was read whole.
+constexpr std::chrono::seconds LingerTime{3};
+constexpr std::size_t MaxLingerBytes = 16 << 20;
+constexpr std::size_t LingerReadBytes = 16 << 10;
 /// A connection is closed if the caller's host leaves sent bytes or TCP
 /// keep-alive probes unacknowledged for this long.
 constexpr milliseconds CallerSilenceTimeout{8000};
@@ -138,7 +143,26 @@
   telemetry::log(telemetry::Level::Warning,
                  "request rejected: malformed, too large or too slow",
                  {{"status", std::int64_t(Status)}});
-  co_await respond(Status, Fields(), "");
+  // The response is not one to the request before.
+  CurrentRequest = Request();
+  bool Written = co_await respond(Status, Fields(), "");
+  if (Written)
+    co_await discardInput();
+}
+
+asio::awaitable<void> CallerConnection::discardInput() {
+  boost::system::error_code Ignored; // The reads below fail then.
+  TcpStream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
+  Buffer.clear();
+  TcpStream.expires_after(LingerTime);
+  std::size_t Discarded = 0;
+  while (Discarded < MaxLingerBytes) {
+    auto [ErrorCode, Bytes] = co_await TcpStream.async_read_some(
+        Buffer.prepare(LingerReadBytes), Await);
+    if (ErrorCode)
+      co_return;
+    Discarded += Bytes;
+  }
 }
 
 void CallerConnection::watchForDisconnect() {
--- a/rosemarylane/src/gateway/CallerConnection.h
+++ b/rosemarylane/src/gateway/CallerConnection.h
@@ -76,6 +76,10 @@
   boost::asio::awaitable<bool> awaitRequest();
   boost::asio::awaitable<bool> readRequest();
   boost::asio::awaitable<void> rejectUnreadable(unsigned Status);
+  /// Ends sending, and discards what the caller still sends until it closes the
+  /// connection, for a bounded time and amount. Closing a socket with unread
+  /// bytes resets it, and the response before is lost on its way.
+  boost::asio::awaitable<void> discardInput();
   void watchForDisconnect();
   void stopWatching();
 
