--- a/rosemarylane/src/gateway/CallerConnection.h
+++ b/rosemarylane/src/gateway/CallerConnection.h
@@ -66,7 +66,8 @@
   /// Closes the connection if it has been idle for at least \p Limit.
   void closeIfIdle(core::BootTime Now, std::chrono::milliseconds Limit);
 
-  /// Reads no further request, and closes the connection if it is idle.
+  /// Closes the connection once it is idle: now, or after the request that is
+  /// in progress or has arrived.
   void drain();
 
   bool isOpen() const { return TcpStream.socket().is_open(); }
@@ -76,6 +77,10 @@
   boost::asio::awaitable<bool> awaitRequest();
   boost::asio::awaitable<bool> readRequest();
   boost::asio::awaitable<void> rejectUnreadable(unsigned Status);
+  /// Ends sending, and discards what the caller still sends until it closes the
+  /// connection, for a bounded time and amount. Closing a socket with unread
+  /// bytes resets it, and the response before is lost on its way.
+  boost::asio::awaitable<void> discardInput();
   void watchForDisconnect();
   void stopWatching();
 
