A target that leaves a long body unread is not taken for dead

What callers saw: a stream was cut, and an answer became 502, some 1.4 s after its sound target had stopped reading, with seconds left; no other part was at fault.

Cause: `TCP_USER_TIMEOUT` (1.2 s towards targets) also ends a connection whose receive window stays closed, although the peer acknowledges each probe. A target that is silent for a second, or answers before it has read the body, looks dead.

Change: a connection that carries a body over 32 KB has no such timeout. A dead host is then noticed by the watch for silence, the probes of an idle connection (about 4 s) or the deadline. Cost, not measured: a long request that may not be repeated waits for a dead host until its deadline, not 1.2 s.

--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -32,6 +32,8 @@
 /// buffer of the socket. A larger body is written in the background, because
 /// the target may respond before it has read all of it.
 constexpr std::size_t MaxAwaitedBodyBytes = 8 << 10;
+/// What a target's host takes of a request while the target reads nothing.
+constexpr std::size_t MaxUnreadBodyBytes = 32 << 10;
 /// Limit of the bytes that are skipped before the response: interim responses
 /// and late ones to earlier requests. The timeout alone is no limit, as it does
 /// not fire while bytes can be read without a wait.
@@ -113,6 +115,9 @@
   Message.target(Request.target());
   Message.body() = Request.body();
   Message.prepare_payload();
+  // For good: the target may leave the rest unread until after its response.
+  if (Request.body().size() > MaxUnreadBodyBytes)
+    tolerateUnreadBytes(TcpStream->socket());
   if (Request.body().size() > MaxAwaitedBodyBytes) {
     auto OnWritten = [Pending = Outgoing](boost::system::error_code ErrorCode,
                                           std::size_t) {
--- a/rosemarylane/src/node/Sockets.cpp
+++ b/rosemarylane/src/node/Sockets.cpp
@@ -58,12 +58,16 @@
   setOption(Handle, SOL_SOCKET, SO_KEEPALIVE, 1);
   // Linux closes a connection after `TCP_USER_TIMEOUT` without acknowledgement,
   // and then ignores `TCP_KEEPCNT`; the count applies only if setting the time
-  // above has failed.
+  // above has failed, or after `tolerateUnreadBytes`.
   setOption(Handle, IPPROTO_TCP, TCP_KEEPIDLE, /*Seconds=*/1);
   setOption(Handle, IPPROTO_TCP, TCP_KEEPINTVL, /*Seconds=*/1);
   setOption(Handle, IPPROTO_TCP, TCP_KEEPCNT, /*Probes=*/3);
 }
 
+void tolerateUnreadBytes(Tcp::socket &Socket) {
+  setOption(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, 0);
+}
+
 bool isIdle(Tcp::socket &Socket) {
   return Socket.is_open() &&
          peek(Socket.native_handle()) == PeekResult::WouldBlock;
--- a/rosemarylane/src/node/Sockets.h
+++ b/rosemarylane/src/node/Sockets.h
@@ -19,6 +19,11 @@
 void enableDeadPeerDetection(boost::asio::ip::tcp::socket &Socket,
                              std::chrono::milliseconds Timeout);
 
+/// Lets the peer leave bytes unread for any time. Linux counts a receive window
+/// that stays closed like bytes that are not acknowledged. Of the detection
+/// above, the probes of an idle connection remain.
+void tolerateUnreadBytes(boost::asio::ip::tcp::socket &Socket);
+
 /// @return whether a connection that is not in use can be reused: it is open
 /// and there are no unread bytes.
 bool isIdle(boost::asio::ip::tcp::socket &Socket);
