A third target is asked if the second one is silent and the first has broken off

What callers saw: on routes with three attempts or more, a stream was cut or a plain answer became 504, although a free target was there: a silent target broke off after a second one had been asked, and that one was silent too.

Cause: with the end of the first attempt the watch for silence stopped; `StandbyAttempts::settle` then waited for the second target until the deadline.

Change: the wait for the remaining attempts has the watch, too.

Red before: hand_over/third_target_is_asked_if_the_second_is_silent_too (2 of 2 runs, stream and plain: two requests, no answer). Green now, 2 of 2; hand_over green once.

--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -98,6 +98,9 @@
   bool askAnother();
   asio::awaitable<std::optional<SendResult>>
   openStandby(TargetAttempt &Standby);
+  /// Waits, without an attempt whose target may go on, until another one takes
+  /// over or all have ended.
+  asio::awaitable<void> settleStandbys();
   void giveUpCurrent();
   void standbyEnded(TargetAttempt &Standby, SendResult Result);
 
@@ -221,7 +224,7 @@
     if (AttemptResult == SendResult::Answered)
       Standbys.withdraw();
     else
-      co_await Standbys.settle();
+      co_await settleStandbys();
     if (Caller->disconnected())
       co_return;
     Outcome.recordResult(AttemptResult);
@@ -409,6 +412,13 @@
   co_return SendResult::Unknown;
 }
 
+asio::awaitable<void> RequestRun::settleStandbys() {
+  if (Standbys.size() > 0)
+    expectProgress(StreamHeadPatience);
+  co_await Standbys.settle();
+  Silence.stop();
+}
+
 void RequestRun::giveUpCurrent() {
   if (Current)
     Current->giveUp();
