A retry is free again once the stream of a silent target has gone on

What callers saw: after a target had been silent and gone on, other requests of the service found no retry until that stream ended, and failures went to their callers.

Cause: the retry that the withdrawn attempt had taken stayed open until the end of the request.

Change: once the withdrawn attempts have ended and the current one has answered, none can arrive any more, and the retries end. An acquired retry that was not sent is kept by `RequestRetries` and ends with the others: `RequestRun` kept it past their end, and it could then be sent without being counted (read, not shown by a run).

--- a/rosemarylane/src/gateway/RequestRetries.cpp
+++ b/rosemarylane/src/gateway/RequestRetries.cpp
@@ -8,9 +8,15 @@
   share().recordFirstAttempt(BootClock::now());
 }
 
-bool RequestRetries::canAcquire() { return share().canRetry(BootClock::now()); }
+bool RequestRetries::canAcquire() {
+  return Unsent > 0 || share().canRetry(BootClock::now());
+}
 
 bool RequestRetries::tryAcquire() {
+  if (Unsent > 0) {
+    --Unsent;
+    return true;
+  }
   bool Acquired = share().tryAcquireRetry(BootClock::now());
   Context.Metrics.retryDecided(Admitted.Service, Acquired);
   Open += Acquired ? 1 : 0;
@@ -18,6 +24,7 @@
 }
 
 void RequestRetries::recordArrived() {
+  Unsent = 0;
   for (; Open > 0; --Open)
     share().recordRetryEnd(BootClock::now());
 }
--- a/rosemarylane/src/gateway/RequestRetries.h
+++ b/rosemarylane/src/gateway/RequestRetries.h
@@ -27,8 +27,11 @@
   /// @return whether another attempt may be made; it then counts as a retry.
   bool tryAcquire();
 
+  /// Keeps a retry that was acquired and not sent for the next `tryAcquire`.
+  void recordUnsent() { ++Unsent; }
+
   /// Records that no attempt made so far can arrive at its target any more: the
-  /// last one was answered or its connection is closed.
+  /// last one was answered or its connection is closed. Ends unsent ones too.
   void recordArrived();
 
 private:
@@ -38,6 +41,8 @@
   const AdmittedRequest &Admitted;
   /// Retries that may still arrive.
   std::size_t Open = 0;
+  /// Of these, the ones that the next attempts take.
+  std::size_t Unsent = 0;
 };
 
 } // namespace rosemarylane
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -148,8 +148,6 @@
   std::vector<serving::TargetId> AttemptedTargets;
   /// The attempt whose response is read; null between two of them.
   std::unique_ptr<TargetAttempt> Current;
-  /// A retry was taken from the budget and not sent yet.
-  bool HasUnsentRetry = false;
 
   // State of the response to the caller.
   BufferedAnswer Buffered;
@@ -234,10 +232,8 @@
     }
     if (AttemptResult != SendResult::Answered && Standbys.hasReady())
       continue;
-    RetryDecision Next = Outcome.next([&] {
-      return !deadlinePassed() &&
-             (std::exchange(HasUnsentRetry, false) || Retries.tryAcquire());
-    });
+    RetryDecision Next =
+        Outcome.next([&] { return !deadlinePassed() && Retries.tryAcquire(); });
     if (Next == RetryDecision::Retry && deadlinePassed())
       Next = Outcome.mayHaveRun() ? RetryDecision::ReportUnknownOutcome
                                   : RetryDecision::Refuse;
@@ -374,14 +370,12 @@
 bool RequestRun::askAnother() {
   if (deadlinePassed() || Caller->disconnected())
     return false;
-  if (!HasUnsentRetry && !Retries.canAcquire())
+  if (!Retries.canAcquire())
     return false;
   auto Target = Wait.trySelect(requirements());
   if (!Target)
     return false;
-  bool IsGranted = std::exchange(HasUnsentRetry, false);
-  if (!IsGranted)
-    (void)Retries.tryAcquire(); // Succeeds, as `canAcquire` has.
+  (void)Retries.tryAcquire(); // Succeeds, as `canAcquire` has.
   Context.Metrics.requestSent(true);
   Standbys.start(makeAttempt(*Target));
   expectProgress(StreamHeadPatience);
@@ -427,7 +421,11 @@
 void RequestRun::standbyEnded(TargetAttempt &Standby, SendResult Result) {
   bool WasSent =
       Result != SendResult::Withheld && Result != SendResult::NotSent;
-  HasUnsentRetry = HasUnsentRetry || !WasSent;
+  if (!WasSent)
+    Retries.recordUnsent();
+  // Attempts that were withdrawn because the current one has gone on.
+  if (Current && Current->answerBegun() && Standbys.size() == 0)
+    Retries.recordArrived();
   recordAttemptEnd(Standby, Result);
   Outcome.recordResult(Result);
   Log.logStandbyEnd(Standby.target(), Result, Standby.isWithdrawn());
