Nothing follows the answer to HEAD on a streaming route

What callers saw: after the head, the end of a chunked body ("0"), which on a kept connection stands before the next answer.

Cause: a success on a streaming route was forwarded as a stream whatever the method.

Change: the answer to HEAD is forwarded like one that is no stream.

Red before: unframed_answer/nothing_follows_the_head_that_was_asked_for (2 of 2). Green now, 3 of 3.

--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -126,6 +126,9 @@
   bool isStreaming() const {
     return Admitted.Route->Kind == serving::RequestKind::Streaming;
   }
+  /// @return whether the response of \p Attempt, whose head was read, has a
+  /// body of events.
+  bool hasStream(const TargetAttempt &Attempt) const;
 
   GatewayContext &Context;
   std::shared_ptr<CallerConnection> Caller;
@@ -309,12 +312,17 @@
 }
 
 asio::awaitable<SendResult> RequestRun::receive() {
-  if (isStreaming() && Current->send().status() == 200)
+  if (hasStream(*Current))
     co_return co_await forwardStream();
   Silence.stop();
   co_return co_await bufferResponse();
 }
 
+bool RequestRun::hasStream(const TargetAttempt &Attempt) const {
+  bool HasNoBody = Request.method() == boost::beast::http::verb::head;
+  return isStreaming() && !HasNoBody && Attempt.send().status() == 200;
+}
+
 void RequestRun::recordAttemptEnd(TargetAttempt &Attempt,
                                   SendResult AttemptResult) {
   if (AttemptResult == SendResult::Withheld)
@@ -390,7 +398,7 @@
   if (Ended || Standby.isWithdrawn())
     co_return Ended;
   std::optional<TargetFeedback> Fault;
-  bool IsStream = isStreaming() && Standby.send().status() == 200;
+  bool IsStream = hasStream(Standby);
   // An error is no better than what the silent target may still answer.
   if (!IsStream && (Standby.send().status() >= 500 || Stream.begun()))
     Fault = TargetFeedback::Failed;
--- a/rosemarylane/src/gateway/TargetAttempt.h
+++ b/rosemarylane/src/gateway/TargetAttempt.h
@@ -67,6 +67,7 @@
 
   const serving::SelectedTarget &target() const { return Selected; }
   TargetSend &send() { return Send; }
+  const TargetSend &send() const { return Send; }
   Clock::time_point begunAt() const { return BegunAt; }
   /// @return when the request began to be written; the epoch if it was not.
   Clock::time_point sentAt() const { return SentAt; }
