--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -98,6 +98,9 @@
   bool askAnother();
   asio::awaitable<std::optional<SendResult>>
   openStandby(TargetAttempt &Standby);
+  /// Waits, without an attempt whose target may go on, until another one takes
+  /// over or all have ended.
+  asio::awaitable<void> settleStandbys();
   void giveUpCurrent();
   void standbyEnded(TargetAttempt &Standby, SendResult Result);
 
@@ -123,6 +126,9 @@
   bool isStreaming() const {
     return Admitted.Route->Kind == serving::RequestKind::Streaming;
   }
+  /// @return whether the response of \p Attempt, whose head was read, has a
+  /// body of events.
+  bool hasStream(const TargetAttempt &Attempt) const;
 
   GatewayContext &Context;
   std::shared_ptr<CallerConnection> Caller;
@@ -145,8 +151,6 @@
   std::vector<serving::TargetId> AttemptedTargets;
   /// The attempt whose response is read; null between two of them.
   std::unique_ptr<TargetAttempt> Current;
-  /// A retry was taken from the budget and not sent yet.
-  bool HasUnsentRetry = false;
 
   // State of the response to the caller.
   BufferedAnswer Buffered;
@@ -221,7 +225,7 @@
     if (AttemptResult == SendResult::Answered)
       Standbys.withdraw();
     else
-      co_await Standbys.settle();
+      co_await settleStandbys();
     if (Caller->disconnected())
       co_return;
     Outcome.recordResult(AttemptResult);
@@ -231,10 +235,8 @@
     }
     if (AttemptResult != SendResult::Answered && Standbys.hasReady())
       continue;
-    RetryDecision Next = Outcome.next([&] {
-      return !deadlinePassed() &&
-             (std::exchange(HasUnsentRetry, false) || Retries.tryAcquire());
-    });
+    RetryDecision Next =
+        Outcome.next([&] { return !deadlinePassed() && Retries.tryAcquire(); });
     if (Next == RetryDecision::Retry && deadlinePassed())
       Next = Outcome.mayHaveRun() ? RetryDecision::ReportUnknownOutcome
                                   : RetryDecision::Refuse;
@@ -310,12 +312,17 @@
 }
 
 asio::awaitable<SendResult> RequestRun::receive() {
-  if (isStreaming() && Current->send().status() == 200)
+  if (hasStream(*Current))
     co_return co_await forwardStream();
   Silence.stop();
   co_return co_await bufferResponse();
 }
 
+bool RequestRun::hasStream(const TargetAttempt &Attempt) const {
+  bool HasNoBody = Request.method() == boost::beast::http::verb::head;
+  return isStreaming() && !HasNoBody && Attempt.send().status() == 200;
+}
+
 void RequestRun::recordAttemptEnd(TargetAttempt &Attempt,
                                   SendResult AttemptResult) {
   if (AttemptResult == SendResult::Withheld)
@@ -371,14 +378,12 @@
 bool RequestRun::askAnother() {
   if (deadlinePassed() || Caller->disconnected())
     return false;
-  if (!HasUnsentRetry && !Retries.canAcquire())
+  if (!Retries.canAcquire())
     return false;
   auto Target = Wait.trySelect(requirements());
   if (!Target)
     return false;
-  bool IsGranted = std::exchange(HasUnsentRetry, false);
-  if (!IsGranted)
-    (void)Retries.tryAcquire(); // Succeeds, as `canAcquire` has.
+  (void)Retries.tryAcquire(); // Succeeds, as `canAcquire` has.
   Context.Metrics.requestSent(true);
   Standbys.start(makeAttempt(*Target));
   expectProgress(StreamHeadPatience);
@@ -393,7 +398,7 @@
   if (Ended || Standby.isWithdrawn())
     co_return Ended;
   std::optional<TargetFeedback> Fault;
-  bool IsStream = isStreaming() && Standby.send().status() == 200;
+  bool IsStream = hasStream(Standby);
   // An error is no better than what the silent target may still answer.
   if (!IsStream && (Standby.send().status() >= 500 || Stream.begun()))
     Fault = TargetFeedback::Failed;
@@ -409,6 +414,13 @@
   co_return SendResult::Unknown;
 }
 
+asio::awaitable<void> RequestRun::settleStandbys() {
+  if (Standbys.size() > 0)
+    expectProgress(StreamHeadPatience);
+  co_await Standbys.settle();
+  Silence.stop();
+}
+
 void RequestRun::giveUpCurrent() {
   if (Current)
     Current->giveUp();
@@ -417,7 +429,11 @@
 void RequestRun::standbyEnded(TargetAttempt &Standby, SendResult Result) {
   bool WasSent =
       Result != SendResult::Withheld && Result != SendResult::NotSent;
-  HasUnsentRetry = HasUnsentRetry || !WasSent;
+  if (!WasSent)
+    Retries.recordUnsent();
+  // Attempts that were withdrawn because the current one has gone on.
+  if (Current && Current->answerBegun() && Standbys.size() == 0)
+    Retries.recordArrived();
   recordAttemptEnd(Standby, Result);
   Outcome.recordResult(Result);
   Log.logStandbyEnd(Standby.target(), Result, Standby.isWithdrawn());
