A request that takes too long to arrive is answered 408

What callers saw: a caller whose request did not arrive within the time limit of its head or body was disconnected without an answer.

Cause: the time limits of the stream close its socket, so that the refusal could not be written.

Change: a timer of the connection ends the reads and leaves the socket open.

The time limit of the body (10 s) has no test of its own.

--- a/rosemarylane/src/gateway/CallerConnection.cpp
+++ b/rosemarylane/src/gateway/CallerConnection.cpp
@@ -23,6 +23,8 @@
 constexpr auto Await = asio::as_tuple(asio::use_awaitable);
 /// Time limit for the body of a request after its head.
 constexpr std::chrono::seconds BodyTimeout{10};
+/// How soon a read that has begun after its time limit is ended.
+constexpr milliseconds ReadEndPeriod{20};
 /// Time limit for one write. A caller that does not read its response is
 /// disconnected.
 constexpr std::chrono::seconds WriteTimeout{20};
@@ -39,7 +41,7 @@
 
 CallerConnection::CallerConnection(GatewayContext &Context,
                                    asio::ip::tcp::socket Socket)
-    : Context(Context), TcpStream(std::move(Socket)),
+    : Context(Context), TcpStream(std::move(Socket)), ReadTimer(Context.Loop),
       IdleSince(core::BootClock::now()) {
   enableDeadPeerDetection(TcpStream.socket(), CallerSilenceTimeout);
 }
@@ -103,22 +105,22 @@
   http_::request_parser<http_::string_body> Parser;
   Parser.header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
   Parser.body_limit(Limits.BodyBytes);
-  TcpStream.expires_after(Limits.HeaderTimeout);
+  limitReading(Limits.HeaderTimeout);
   auto [HeadError, HeadBytes] =
       co_await http_::async_read_header(TcpStream, Buffer, Parser, Await);
   boost::system::error_code ErrorCode = HeadError;
   if (!ErrorCode && !Parser.is_done()) {
+    limitReading(BodyTimeout);
     if (beast::iequals(Parser.get()[http_::field::expect], "100-continue")) {
       static constexpr std::string_view Continue =
           "HTTP/1.1 100 Continue\r\n\r\n";
       co_await asio::async_write(TcpStream, asio::buffer(Continue), Await);
     }
-    TcpStream.expires_after(BodyTimeout);
     auto [BodyError, BodyBytes] =
         co_await http_::async_read(TcpStream, Buffer, Parser, Await);
     ErrorCode = BodyError;
   }
-  TcpStream.expires_never();
+  ReadTimer.expires_at(asio::steady_timer::time_point::max());
   if (!ErrorCode) {
     CurrentRequest = Parser.release();
     co_return true;
@@ -132,11 +134,28 @@
            ErrorCode != http_::error::end_of_stream &&
            ErrorCode != http_::error::partial_message)
     co_await rejectUnreadable(400);
-  else if (ErrorCode == beast::error::timeout && HeadBytes > 0)
+  else if (ErrorCode == asio::error::operation_aborted && isOpen())
     co_await rejectUnreadable(408);
   co_return false;
 }
 
+void CallerConnection::limitReading(milliseconds Limit) {
+  ReadTimer.expires_after(Limit);
+  ReadTimer.async_wait([Weak = weak_from_this()](
+                           boost::system::error_code ErrorCode) {
+    auto Self = Weak.lock();
+    // Another limit may have been set when this one was already over.
+    if (ErrorCode || !Self ||
+        Self->ReadTimer.expiry() > asio::steady_timer::clock_type::now())
+      return;
+    boost::system::error_code Ignored; // A closed socket has nothing to cancel.
+    if (Self->isOpen())
+      Self->TcpStream.socket().cancel(Ignored);
+    // Between two reads there was nothing to end.
+    Self->limitReading(ReadEndPeriod);
+  });
+}
+
 asio::awaitable<void> CallerConnection::rejectUnreadable(unsigned Status) {
   KeepAlive = false;
   telemetry::log(telemetry::Level::Warning,
--- a/rosemarylane/src/gateway/CallerConnection.h
+++ b/rosemarylane/src/gateway/CallerConnection.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/fields.hpp>
@@ -76,6 +77,9 @@
   boost::asio::awaitable<void> run();
   boost::asio::awaitable<bool> awaitRequest();
   boost::asio::awaitable<bool> readRequest();
+  /// Ends the reads of a request after \p Limit. Unlike the time limits of
+  /// `TcpStream` it leaves the connection open for an answer.
+  void limitReading(std::chrono::milliseconds Limit);
   boost::asio::awaitable<void> rejectUnreadable(unsigned Status);
   /// Ends sending, and discards what the caller still sends until it closes the
   /// connection, for a bounded time and amount. Closing a socket with unread
@@ -86,6 +90,7 @@
 
   GatewayContext &Context;
   boost::beast::tcp_stream TcpStream;
+  boost::asio::steady_timer ReadTimer;
   boost::beast::flat_buffer Buffer;
   Request CurrentRequest;
   core::BootTime IdleSince;
