A begun stream waits for a target although the queue is full

What callers saw: a stream whose target had broken off was cut with 2.3 s left, although a target had room 0.2 s later: 12 requests that had got nothing yet held all places of the queue.

Cause: a full queue turned away every request.

Change: a begun stream joins a full queue. It is counted there, so that new requests are refused sooner, not it. There are at most as many as streams whose targets have broken off.

Red before: hand_over/broken_stream_waits_beside_a_full_queue (2 of 2: "no target goes on with the stream"). Green now, 3 of 3; serving_tests green once.

--- a/libs/serving/include/serving/AdmissionQueue.h
+++ b/libs/serving/include/serving/AdmissionQueue.h
@@ -22,6 +22,15 @@
   NoSlot,
 };
 
+/// Which requests join a queue.
+enum class QueueEntry {
+  /// Those for which the queue has a place left.
+  IfNotFull,
+  /// All, whatever the capacity: the caller has got the beginning of its
+  /// response, and a refusal would lose it.
+  Always,
+};
+
 /// Bounded priority queue of the requests that wait for a free slot at a
 /// service's targets.
 ///
@@ -60,10 +69,11 @@
   /// @param Priority lower numbers start first.
   /// @param TryStart called by `dispatch` and `recheck` until it returns
   /// `StartResult::Ended` or the place is destroyed.
-  /// @return null if the queue is full.
+  /// @return null if the queue is full and \p Entry respects that.
   std::unique_ptr<Place> enqueue(std::uint32_t Priority,
-                                 const DemandClass &Demand, Start TryStart) {
-    if (Size >= Capacity)
+                                 const DemandClass &Demand, Start TryStart,
+                                 QueueEntry Entry = QueueEntry::IfNotFull) {
+    if (Size >= Capacity && Entry == QueueEntry::IfNotFull)
       return nullptr;
     Position At{Priority, ++LastArrivalNumber};
     Classes[Demand].Waiting.emplace(At, std::move(TryStart));
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -193,7 +193,9 @@
   serving::TargetRequirements Demand = requirements();
   // Whoever has got the beginning of a stream waits for the rest of it.
   auto QueueDeadline = Stream.begun() ? Deadline : Wait.queueDeadline(Deadline);
-  auto Target = co_await Wait.acquire(Demand, QueueDeadline);
+  auto Entry = Stream.begun() ? serving::QueueEntry::Always
+                              : serving::QueueEntry::IfNotFull;
+  auto Target = co_await Wait.acquire(Demand, QueueDeadline, Entry);
   if (!Target)
     co_return nullptr;
   co_return makeAttempt(*Target);
--- a/rosemarylane/src/gateway/TargetWait.cpp
+++ b/rosemarylane/src/gateway/TargetWait.cpp
@@ -53,7 +53,8 @@
 
 asio::awaitable<std::optional<serving::SelectedTarget>>
 TargetWait::acquire(const serving::TargetRequirements &Demand,
-                    Clock::time_point QueueDeadline) {
+                    Clock::time_point QueueDeadline,
+                    serving::QueueEntry Entry) {
   serving::AdmissionQueue &Queue = Context.waitQueue(Admitted.Service);
   std::optional<serving::SelectedTarget> Chosen;
   if (Quarantine.isRefused())
@@ -89,8 +90,8 @@
                : serving::StartResult::NoSlot;
   };
   // Destroying the place removes the request from the queue.
-  auto QueuePlace =
-      Queue.enqueue(Admitted.Priority, serving::DemandClass(Demand), TryStart);
+  auto QueuePlace = Queue.enqueue(
+      Admitted.Priority, serving::DemandClass(Demand), TryStart, Entry);
   if (!QueuePlace) {
     Failure = SelectionFailure::Full;
     co_return std::nullopt;
--- a/rosemarylane/src/gateway/TargetWait.h
+++ b/rosemarylane/src/gateway/TargetWait.h
@@ -32,11 +32,12 @@
   /// @param Demand what the request requires of its target; must stay valid
   /// until the coroutine ends.
   /// @param QueueDeadline when to leave the queue.
+  /// @param Entry whether the request joins the queue if it is full.
   /// @return empty if no target was found, or if `cancel` was called before one
   /// was.
   boost::asio::awaitable<std::optional<serving::SelectedTarget>>
   acquire(const serving::TargetRequirements &Demand,
-          Clock::time_point QueueDeadline);
+          Clock::time_point QueueDeadline, serving::QueueEntry Entry);
 
   /// @return when a request leaves the queue whose caller has got nothing yet,
   /// and has to be answered by \p Deadline.
