Model test: retries of attempts beside silent targets

Gateways of a fleet see 3 in 100 targets silent for 0.8 to 2.5 s during 11 s, 17 in 100 during 2 s more, and 5 in 100 requests fail beside them. A second target costs one retry, whether the silent one is given up at once or kept until the second goes on; if it was not needed, the retry counts until the request ends, up to 3 s later.

--- a/libs/serving/tests/RetryBudgetFleetTest.cpp
+++ b/libs/serving/tests/RetryBudgetFleetTest.cpp
@@ -101,6 +101,8 @@
     // The sockets of a process that ends are closed.
     for (auto &[Arrival, Senders] : HeldBack)
       std::erase(Senders, Host);
+    Hosts[Host].Silences.clear();
+    Hosts[Host].OpenUntil.clear();
     Hosts[Host].Running = std::make_unique<Process>(Host, now());
   }
   /// Only hosts of the same group hear each other.
@@ -117,6 +119,20 @@
   /// Step at which what targets hold back now arrives; 0 if nothing is.
   std::size_t HeldUntil = 0;
 
+  /// A target that falls silent, so that another one is asked as well.
+  struct Silence {
+    /// Steps after which another target is asked, and after which the silent
+    /// one goes on.
+    std::size_t AskAfter = 0;
+    std::size_t GoesOnAfter = 0;
+    /// Steps for which the retry is open.
+    std::size_t RetryOpen = 0;
+  };
+  /// Percentage of first attempts whose target falls silent, as `DrawSilence`
+  /// says.
+  std::uint32_t SilentPercent = 0;
+  std::function<Silence(std::mt19937_64 &)> DrawSilence;
+
   core::BootTime now() const { return at(Current); }
 
   void step() {
@@ -153,6 +169,9 @@
 
   std::size_t retriesWanted() const { return Wanted; }
   std::size_t retriesSent() const { return Sent; }
+  /// @return silences after which another target was to be asked, and was.
+  std::size_t silencesSeen() const { return SilencesSeen; }
+  std::size_t silencesAsked() const { return SilencesAsked; }
 
   /// @return the largest number of arrivals beyond what some window allows; 0
   /// or less if all windows keep to the budget.
@@ -178,6 +197,10 @@
     bool Frozen = false;
     /// Steps at which clients sent requests that were not read yet.
     std::vector<std::size_t> Waiting;
+    /// Silences of targets, with steps from the start of the scenario.
+    std::vector<Silence> Silences;
+    /// Steps at which retries of silences end.
+    std::vector<std::size_t> OpenUntil;
   };
 
   /// Clients of a frozen gateway give up after this time.
@@ -195,10 +218,18 @@
 
   void serve(std::size_t H) {
     Process &P = *Hosts[H].Running;
+    askBesideSilent(Hosts[H]);
     for (std::size_t SentAt : std::exchange(Hosts[H].Waiting, {})) {
       if (Current - SentAt > PatienceSteps)
         continue;
       P.recordFirstAttempt(now());
+      if (SilentPercent > 0 && Random() % 100 < SilentPercent) {
+        Silence Drawn = DrawSilence(Random);
+        Hosts[H].Silences.push_back({Current + Drawn.AskAfter,
+                                     Current + Drawn.GoesOnAfter,
+                                     Drawn.RetryOpen});
+        continue;
+      }
       if (Random() % 100 >= FailingPercent)
         continue;
       ++Wanted;
@@ -214,6 +245,30 @@
     }
   }
 
+  /// As the gateway does, asks another target as soon as the budget allows it,
+  /// while the first one is silent.
+  void askBesideSilent(Host &H) {
+    std::erase_if(H.OpenUntil, [&](std::size_t End) {
+      if (End > Current)
+        return false;
+      H.Running->recordRetryEnd(now());
+      return true;
+    });
+    std::erase_if(H.Silences, [&](const Silence &S) {
+      if (Current < S.AskAfter)
+        return false;
+      if (Current >= S.GoesOnAfter)
+        return true;
+      SilencesSeen += Current == S.AskAfter ? 1 : 0;
+      if (!H.Running->tryAcquireRetry(now()))
+        return false;
+      ++SilencesAsked;
+      ++Arrivals.back();
+      H.OpenUntil.push_back(Current + S.RetryOpen);
+      return true;
+    });
+  }
+
   void deliverHeldBack() {
     for (std::size_t H : HeldBack[Current]) {
       ++Arrivals.back();
@@ -255,6 +310,8 @@
   std::size_t Due = 0;
   std::size_t Wanted = 0;
   std::size_t Sent = 0;
+  std::size_t SilencesSeen = 0;
+  std::size_t SilencesAsked = 0;
   std::vector<std::size_t> Requests;
   std::vector<std::size_t> Arrivals;
   /// By the step at which they arrive, the hosts that sent the retries.
@@ -431,4 +488,70 @@
   }
 }
 
+namespace {
+
+/// What the gateway does once another target was asked beside a silent one.
+enum class SilentTarget { GivenUpAtOnce, KeptUntilOtherGoesOn };
+
+constexpr std::size_t StreamPatienceSteps = 22;
+
+/// Silences of 0.8 to 2.5 s; the other target's first event comes 50 to 600 ms
+/// after it is asked.
+Fleet::Silence drawSilence(std::mt19937_64 &Random, SilentTarget Then) {
+  Fleet::Silence Result;
+  std::size_t Lasts = 16 + Random() % 35;
+  std::size_t FirstEvent = 1 + Random() % 12;
+  std::size_t RestOfStream = Random() % steps(3);
+  Result.AskAfter = StreamPatienceSteps;
+  Result.GoesOnAfter = Lasts;
+  bool FirstGoesOn = Lasts < StreamPatienceSteps + FirstEvent;
+  bool Keeps = Then == SilentTarget::KeptUntilOtherGoesOn;
+  // A retry that was not needed counts until the request ends.
+  Result.RetryOpen =
+      Keeps && FirstGoesOn
+          ? Lasts - std::min(Lasts, StreamPatienceSteps) + RestOfStream
+          : FirstEvent;
+  return Result;
+}
+
+} // namespace
+
+// A target that is asked beside a silent one costs one retry, as one that is
+// asked in its place; it may count for longer. Guards against silences that
+// take the retries of requests that fail beside them.
+BOOST_AUTO_TEST_CASE(silent_targets_leave_retries_to_what_fails) {
+  for (std::size_t Size : {9, 148, 320}) {
+    for (SilentTarget Then :
+         {SilentTarget::GivenUpAtOnce, SilentTarget::KeptUntilOtherGoesOn}) {
+      Fleet F(Size);
+      F.FailingPercent = 5;
+      F.DrawSilence = [Then](std::mt19937_64 &Random) {
+        return drawSilence(Random, Then);
+      };
+      F.play(25);
+      std::size_t Wanted = F.retriesWanted();
+      std::size_t Sent = F.retriesSent();
+      F.SilentPercent = 3;
+      F.play(36);
+      F.SilentPercent = 17;
+      F.play(38);
+      F.SilentPercent = 0;
+      F.play(42);
+      Wanted = F.retriesWanted() - Wanted;
+      Sent = F.retriesSent() - Sent;
+      BOOST_TEST_MESSAGE(
+          Size << " gateways, silent target "
+               << (Then == SilentTarget::GivenUpAtOnce ? "given up" : "kept")
+               << ": asked " << F.silencesAsked() << " of " << F.silencesSeen()
+               << ", retries of failures " << Sent << " of " << Wanted
+               << ", most over the budget " << F.worstExcess());
+      BOOST_TEST(F.worstExcess() <= 0);
+      if (Size < 100) {
+        BOOST_TEST(Sent == Wanted);
+        BOOST_TEST(F.silencesAsked() == F.silencesSeen());
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
