The log tells how a connection of a caller ended without a whole answer

Requests that were refused before they were read had no id in the log, idle connections that were closed and requests in progress at the end of the process no line at all. The refusal now names the id, as far as it was read, and the address of the caller; `idle connections closed` counts those of one tick; `request cut off` names each request that the end of the process cuts off.

--- a/rosemarylane/src/gateway/CallerConnection.cpp
+++ b/rosemarylane/src/gateway/CallerConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/RequestRun.h"
 #include "node/Sockets.h"
+#include "platform/RequestHeaders.h"
 #include "telemetry/Log.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -37,6 +38,27 @@
 /// keep-alive probes unacknowledged for this long.
 constexpr milliseconds CallerSilenceTimeout{8000};
 
+/// Longest identification of an unreadable request in the log.
+constexpr std::size_t MaxLoggedIdBytes = 64;
+
+/// @return the status with which a request is refused whose reading has failed;
+/// 0 if the caller closed the connection.
+unsigned refusalFor(boost::system::error_code ReadError) {
+  if (ReadError == http_::error::header_limit)
+    return 431;
+  if (ReadError == http_::error::body_limit)
+    return 413;
+  // `CallerConnection::limitReading` ended the read.
+  if (ReadError == asio::error::operation_aborted)
+    return 408;
+  bool IsMalformed =
+      ReadError.category() ==
+      http_::make_error_code(http_::error::bad_method).category();
+  bool HasLeft = ReadError == http_::error::end_of_stream ||
+                 ReadError == http_::error::partial_message;
+  return IsMalformed && !HasLeft ? 400 : 0;
+}
+
 } // namespace
 
 CallerConnection::CallerConnection(GatewayContext &Context,
@@ -80,7 +102,9 @@
       co_return;
     KeepAlive = CurrentRequest.keep_alive();
     watchForDisconnect();
+    IsHandling = true;
     co_await runRequest(Context, shared_from_this(), CurrentRequest);
+    IsHandling = false;
     stopWatching();
   } while (KeepAlive && !Disconnected);
 }
@@ -125,17 +149,9 @@
     CurrentRequest = Parser.release();
     co_return true;
   }
-  if (ErrorCode == http_::error::header_limit)
-    co_await rejectUnreadable(431);
-  else if (ErrorCode == http_::error::body_limit)
-    co_await rejectUnreadable(413);
-  else if (ErrorCode.category() ==
-               http_::make_error_code(http_::error::bad_method).category() &&
-           ErrorCode != http_::error::end_of_stream &&
-           ErrorCode != http_::error::partial_message)
-    co_await rejectUnreadable(400);
-  else if (ErrorCode == asio::error::operation_aborted && isOpen())
-    co_await rejectUnreadable(408);
+  unsigned Status = refusalFor(ErrorCode);
+  if (Status != 0 && isOpen())
+    co_await rejectUnreadable(Status, platform::readRequest(Parser.get()).Id);
   co_return false;
 }
 
@@ -156,11 +172,14 @@
   });
 }
 
-asio::awaitable<void> CallerConnection::rejectUnreadable(unsigned Status) {
+asio::awaitable<void> CallerConnection::rejectUnreadable(unsigned Status,
+                                                         std::string Id) {
   KeepAlive = false;
   telemetry::log(telemetry::Level::Warning,
                  "request rejected: malformed, too large or too slow",
-                 {{"status", std::int64_t(Status)}});
+                 {{"status", std::int64_t(Status)},
+                  {"id", Id.substr(0, MaxLoggedIdBytes)},
+                  {"caller", callerAddress()}});
   // The response is not one to the request before.
   CurrentRequest = Request();
   bool Written = co_await respond(Status, Fields(), "");
@@ -273,10 +292,27 @@
     TcpStream.socket().close(Ignored);
 }
 
-void CallerConnection::closeIfIdle(core::BootTime Now, milliseconds Limit) {
+bool CallerConnection::closeIfIdle(core::BootTime Now, milliseconds Limit) {
   // `isIdle`: no byte of a next request has arrived, and the socket is open.
-  if (IsIdle && Now - IdleSince >= Limit && isIdle(TcpStream.socket()))
+  bool Closes =
+      IsIdle && Now - IdleSince >= Limit && isIdle(TcpStream.socket());
+  if (Closes)
     abort();
+  return Closes;
+}
+
+void CallerConnection::logCutOff() const {
+  if (IsHandling)
+    telemetry::log(telemetry::Level::Warning, "request cut off",
+                   {{"id", platform::readRequest(CurrentRequest).Id}});
+}
+
+std::string CallerConnection::callerAddress() const {
+  boost::system::error_code ErrorCode;
+  auto Caller = TcpStream.socket().remote_endpoint(ErrorCode);
+  if (ErrorCode)
+    return {};
+  return Caller.address().to_string() + ":" + std::to_string(Caller.port());
 }
 
 void CallerConnection::drain() {
--- a/rosemarylane/src/gateway/CallerConnection.h
+++ b/rosemarylane/src/gateway/CallerConnection.h
@@ -65,12 +65,17 @@
   }
 
   /// Closes the connection if it has been idle for at least \p Limit.
-  void closeIfIdle(core::BootTime Now, std::chrono::milliseconds Limit);
+  /// @return whether it was closed.
+  bool closeIfIdle(core::BootTime Now, std::chrono::milliseconds Limit);
 
   /// Closes the connection once it is idle: now, or after the request that is
   /// in progress or has arrived.
   void drain();
 
+  /// Logs the request in progress, if there is one; called when the process
+  /// ends without waiting for it.
+  void logCutOff() const;
+
   bool isOpen() const { return TcpStream.socket().is_open(); }
 
 private:
@@ -80,11 +85,13 @@
   /// Ends the reads of a request after \p Limit. Unlike the time limits of
   /// `TcpStream` it leaves the connection open for an answer.
   void limitReading(std::chrono::milliseconds Limit);
-  boost::asio::awaitable<void> rejectUnreadable(unsigned Status);
+  boost::asio::awaitable<void> rejectUnreadable(unsigned Status,
+                                                std::string Id);
   /// Ends sending, and discards what the caller still sends until it closes the
   /// connection, for a bounded time and amount. Closing a socket with unread
   /// bytes resets it, and the response before is lost on its way.
   boost::asio::awaitable<void> discardInput();
+  std::string callerAddress() const;
   void watchForDisconnect();
   void stopWatching();
 
@@ -95,6 +102,8 @@
   Request CurrentRequest;
   core::BootTime IdleSince;
   bool IsIdle = true;
+  /// A request has been read and is not answered yet.
+  bool IsHandling = false;
   bool Disconnected = false;
   bool KeepAlive = true;
   /// Incremented for each request, and again at its end, so that a disconnect
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -429,12 +429,17 @@
     Quarantine->targetsRegistered(Registered, Now - *Staleness);
   milliseconds IdleLimit = Context.Config ? Context.Config->Limits.IdleTimeout
                                           : serving::CallerLimits().IdleTimeout;
+  std::int64_t IdleClosed = 0;
   std::erase_if(CallerConnections, [&](const auto &Weak) {
     auto Connection = Weak.lock();
-    if (Connection)
-      Connection->closeIfIdle(Now, IdleLimit);
+    if (Connection && Connection->closeIfIdle(Now, IdleLimit))
+      ++IdleClosed;
     return !Connection;
   });
+  if (IdleClosed > 0)
+    telemetry::log(
+        telemetry::Level::Info, "idle connections closed",
+        {{"count", IdleClosed}, {"limit_ms", std::int64_t(IdleLimit.count())}});
   if (ready() != WasReady) {
     WasReady = !WasReady;
     auto ConfirmationAge = Follower->operatorsStaleness();
@@ -472,8 +477,12 @@
   bool IsDrained =
       std::all_of(CallerConnections.begin(), CallerConnections.end(),
                   [](const auto &Weak) { return Weak.expired(); });
-  if (IsDrained || SinceStop >= Grace)
-    Runtime.stop();
+  if (!IsDrained && SinceStop < Grace)
+    return;
+  for (const auto &Weak : CallerConnections)
+    if (auto Connection = Weak.lock())
+      Connection->logCutOff();
+  Runtime.stop();
 }
 
 } // namespace
