Another target is asked if the first breaks off and the second is silent

On routes with three or more attempts a stream ended without its last event: its target fell silent, another one was asked beside it, the first one broke off, and the gateway waited for the second until the time limit. Once an attempt had ended, nothing watched whether the others were silent.

Now they are watched while the gateway waits for them.

--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -98,6 +98,9 @@
   bool askAnother();
   asio::awaitable<std::optional<SendResult>>
   openStandby(TargetAttempt &Standby);
+  /// Waits for the others after `Current` has ended, whose result is not in
+  /// `Outcome` yet; asks another target if they are silent.
+  asio::awaitable<void> settleStandbys();
   void giveUpCurrent();
   void standbyEnded(TargetAttempt &Standby, SendResult Result);
 
@@ -221,7 +224,7 @@
     if (AttemptResult == SendResult::Answered)
       Standbys.withdraw();
     else
-      co_await Standbys.settle();
+      co_await settleStandbys();
     if (Caller->disconnected())
       co_return;
     Outcome.recordResult(AttemptResult);
@@ -267,6 +270,14 @@
   }
 }
 
+asio::awaitable<void> RequestRun::settleStandbys() {
+  // Their targets may be silent as well.
+  if (Standbys.size() > 0)
+    expectProgress(isStreaming() ? StreamHeadPatience : BufferedHeadPatience);
+  co_await Standbys.settle();
+  Silence.stop();
+}
+
 serving::TargetRequirements RequestRun::requirements() const {
   serving::TargetRequirements Demand;
   Demand.Service = Admitted.Service;
