--- a/rosemarylane/src/gateway/QuarantineCheck.cpp
+++ b/rosemarylane/src/gateway/QuarantineCheck.cpp
@@ -27,8 +27,15 @@
          Context.Quarantine->refuses(subject());
 }
 
-void QuarantineCheck::recordBreak(const serving::SelectedTarget &Target,
-                                  PartQuarantineService::Progress Until) {
+void QuarantineCheck::recordBreak(TargetAttempt &Attempt) {
+  bool WasWritten = Attempt.sentAt() != TargetAttempt::Clock::time_point();
+  if (!WasWritten || !Attempt.send().connectionLost())
+    return;
+  PartQuarantineService::Progress Until;
+  Until.InProgress = std::chrono::duration_cast<std::chrono::milliseconds>(
+      TargetAttempt::Clock::now() - Attempt.sentAt());
+  Until.AnswerBegun = Attempt.answerBegun();
+  const serving::SelectedTarget &Target = Attempt.target();
   Context.Quarantine->requestBroke(
       PartQuarantineService::deathId(Target.Address, Target.StartTimeMs),
       subject(), Until);
--- a/rosemarylane/src/gateway/QuarantineCheck.h
+++ b/rosemarylane/src/gateway/QuarantineCheck.h
@@ -4,8 +4,8 @@
 #include "gateway/Admission.h"
 #include "gateway/CallerConnection.h"
 #include "gateway/GatewayContext.h"
+#include "gateway/TargetAttempt.h"
 #include "node/PartQuarantineService.h"
-#include "serving/LoadBalancer.h"
 
 #include <cstdint>
 #include <optional>
@@ -27,10 +27,10 @@
   /// targets.
   bool isRefused() const;
 
-  /// Reports that the request may have killed \p Target: it was written, and
-  /// the connection broke before the answer was whole.
-  void recordBreak(const serving::SelectedTarget &Target,
-                   PartQuarantineService::Progress Until);
+  /// Reports that the request may have killed the target of \p Attempt, which
+  /// broke: if it was written, and the connection was lost before the answer
+  /// was whole.
+  void recordBreak(TargetAttempt &Attempt);
 
   void recordAnswerBegun();
   void recordAnsweredWhole();
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -83,8 +83,6 @@
   std::unique_ptr<TargetAttempt>
   makeAttempt(const serving::SelectedTarget &Target);
   void recordAttemptEnd(TargetAttempt &Attempt, SendResult AttemptResult);
-  /// Reports a request that may have killed its target.
-  void reportBreak(TargetAttempt &Attempt);
   void recordEvents();
 
   // Attempts beside one whose target is silent.
@@ -109,6 +107,8 @@
   // `refuse` and `fail` also send it to the caller as the detail text.
   asio::awaitable<void> refuse(unsigned Status, const char *Reason);
   asio::awaitable<void> fail();
+  asio::awaitable<void> respondProblem(http::Response &Problem,
+                                       platform::HttpFields &Fields);
   void abortStream(const char *Reason);
   void recordFirstByte();
   void finish(const char *OutcomeLabel, unsigned Status);
@@ -335,23 +335,12 @@
     Log.logFailedAttempt(Attempt.target(),
                          {Feedback, Attempt.sentAt(), Attempt.answerBegun()});
   if (Feedback == TargetFeedback::Broken)
-    reportBreak(Attempt);
+    Quarantine.recordBreak(Attempt);
   if (AttemptResult == SendResult::Answered ||
       AttemptResult == SendResult::Failed)
     Quarantine.recordAnsweredWhole();
 }
 
-void RequestRun::reportBreak(TargetAttempt &Attempt) {
-  bool WasWritten = Attempt.sentAt() != Clock::time_point();
-  if (!WasWritten || !Attempt.send().connectionLost())
-    return;
-  PartQuarantineService::Progress Until;
-  Until.InProgress =
-      std::chrono::duration_cast<milliseconds>(Clock::now() - Attempt.sentAt());
-  Until.AnswerBegun = Attempt.answerBegun();
-  Quarantine.recordBreak(Attempt.target(), Until);
-}
-
 void RequestRun::recordEvents() {
   if (!Current->answerBegun())
     Quarantine.recordAnswerBegun();
@@ -476,10 +465,9 @@
   platform::HttpFields Fields;
   if (Status == 503)
     Fields.set("Retry-After", retryAfter(Context, requirements()));
-  http::Response Body = http::problemResponse(
+  http::Response Problem = http::problemResponse(
       Status, Status == 503 ? "Unavailable" : "Refused", Reason, "no");
-  Fields.set("Content-Type", "application/problem+json");
-  co_await Caller->respond(Status, Fields, std::move(Body.Body));
+  co_await respondProblem(Problem, Fields);
   finish(Reason, Status);
 }
 
@@ -487,13 +475,19 @@
   unsigned Status = deadlinePassed() ? 504 : 502;
   const char *Reason = deadlinePassed() ? "time ran out" : "target failed";
   platform::HttpFields Fields;
-  Fields.set("Content-Type", "application/problem+json");
-  http::Response Body =
+  http::Response Problem =
       http::problemResponse(Status, "Failed", Reason, "unknown");
-  co_await Caller->respond(Status, Fields, std::move(Body.Body));
+  co_await respondProblem(Problem, Fields);
   finish(Reason, Status);
 }
 
+asio::awaitable<void> RequestRun::respondProblem(http::Response &Problem,
+                                                 platform::HttpFields &Fields) {
+  Fields.set("Content-Type", "application/problem+json");
+  co_await Caller->respond(Problem.Head.Status, Fields,
+                           std::move(Problem.Body));
+}
+
 void RequestRun::abortStream(const char *Reason) {
   Caller->abort();
   finish(Reason, 0);
