--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -420,10 +420,9 @@
 void RequestRun::standbyEnded(TargetAttempt &Standby, SendResult Result) {
   bool WasSent =
       Result != SendResult::Withheld && Result != SendResult::NotSent;
-  if (!WasSent)
+  if (!WasSent && !Standby.isWithdrawn())
     Retries.recordUnsent();
-  // Attempts that were withdrawn because the current one has gone on.
-  if (Current && Current->answerBegun() && Standbys.size() == 0)
+  else if (Current && Current->answerBegun() && Standbys.size() == 0)
     Retries.recordArrived();
   recordAttemptEnd(Standby, Result);
   Outcome.recordResult(Result);
