--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -345,6 +345,7 @@
   if (!Current->answerBegun())
     Quarantine.recordAnswerBegun();
   Current->setAnswerBegun();
+  Current->setSilent(false);
   // A caller that reads slowly is no silence of the target.
   Silence.stop();
   Standbys.withdraw();
@@ -376,6 +377,8 @@
     return false;
   (void)Retries.tryAcquire(); // Succeeds, as `canAcquire` has.
   Context.Metrics.requestSent(true);
+  if (Current)
+    Current->setSilent(true);
   Standbys.start(makeAttempt(*Target));
   expectProgress(StreamHeadPatience);
   return true;
@@ -396,9 +399,11 @@
   else if (IsStream)
     Fault = co_await Stream.awaitContinuation(Standby.send(), Deadline,
                                               Admitted.TimeLimit);
-  else
+  else {
+    Standby.setAnswerBegun();
     Fault = co_await BufferedAnswer::awaitWhole(Standby.send(), Deadline,
                                                 Admitted.TimeLimit);
+  }
   if (!Fault)
     co_return std::nullopt;
   Standby.setFeedback(*Fault);
--- a/rosemarylane/src/gateway/StreamForward.cpp
+++ b/rosemarylane/src/gateway/StreamForward.cpp
@@ -68,8 +68,11 @@
       Observers.OnFirstByte();
       platform::HttpFields Head = platform::callerFields(Attempt.head());
       bool Started = co_await Caller.startStream(Attempt.status(), Head);
-      if (!Started)
+      if (!Started) {
+        Caller.abort();
+        Ended.Outcome = "caller left";
         co_return Ended;
+      }
     }
     bool Delivered = true;
     if (!Events.empty()) {
--- a/rosemarylane/src/gateway/TargetAttempt.cpp
+++ b/rosemarylane/src/gateway/TargetAttempt.cpp
@@ -113,6 +113,9 @@
   Feedback = About;
   if (GivenUp && Feedback == TargetFeedback::Broken)
     Feedback = TargetFeedback::Silent;
+  // The time limit came first.
+  if (IsSilent && Feedback == TargetFeedback::Abandoned)
+    Feedback = TargetFeedback::Silent;
 }
 
 void TargetAttempt::recordEnd(SendResult Result) {
--- a/rosemarylane/src/gateway/TargetAttempt.h
+++ b/rosemarylane/src/gateway/TargetAttempt.h
@@ -53,6 +53,10 @@
   void withdraw();
   bool isWithdrawn() const { return Withdrawn; }
 
+  /// Records whether the target has made no progress for so long that another
+  /// one was asked.
+  void setSilent(bool Silent) { IsSilent = Silent; }
+
   /// Tells the load balancer how the attempt ended.
   void recordEnd(serving::SendResult Result);
 
@@ -88,6 +92,7 @@
   Clock::time_point SentAt{};
   serving::TargetFeedback Feedback = serving::TargetFeedback::Abandoned;
   bool AnswerBegun = false;
+  bool IsSilent = false;
   bool GivenUp = false;
   bool Withdrawn = false;
 };
