What a newcomer's reading of the change found

Faults, new with the standby attempts or beside them: - The retry of a standby that had been refused or not sent stayed open until its stream ended, so that other requests found none.

Names and comments: a standby attempt is "ready" in one sense everywhere, `startStandby`, `waitUntilReady`, `classifyHead`.

--- a/rosemarylane/src/gateway/CallerConnection.cpp
+++ b/rosemarylane/src/gateway/CallerConnection.cpp
@@ -24,7 +24,7 @@
 constexpr auto Await = asio::as_tuple(asio::use_awaitable);
 /// Time limit for the body of a request after its head.
 constexpr std::chrono::seconds BodyTimeout{10};
-/// How soon a read that has begun after its time limit is ended.
+/// How often reads are cancelled once their time limit has passed.
 constexpr milliseconds ReadEndPeriod{20};
 /// Time limit for one write. A caller that does not read its response is
 /// disconnected.
@@ -180,7 +180,8 @@
                  {{"status", std::int64_t(Status)},
                   {"id", Id.substr(0, MaxLoggedIdBytes)},
                   {"caller", callerAddress()}});
-  // The response is not one to the request before.
+  // `respond` takes the method from `CurrentRequest`, which is the previous
+  // one.
   CurrentRequest = Request();
   bool Written = co_await respond(Status, Fields(), "");
   if (Written)
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -276,6 +276,10 @@
     if (!ErrorCode)
       serveCaller(std::move(Socket));
   }
+  if (ErrorCode && ErrorCode != asio::error::would_block)
+    telemetry::log(telemetry::Level::Warning,
+                   "cannot accept the waiting connections",
+                   {{"error", ErrorCode.message()}});
   Acceptor.close(ErrorCode); // An error is ignored: the process is ending.
 }
 
--- a/rosemarylane/src/gateway/RequestRetries.h
+++ b/rosemarylane/src/gateway/RequestRetries.h
@@ -27,7 +27,8 @@
   /// @return whether another attempt may be made; it then counts as a retry.
   bool tryAcquire();
 
-  /// Keeps a retry that was acquired and not sent for the next `tryAcquire`.
+  /// Keeps the retry of an attempt that ended before anything was sent; the
+  /// next `tryAcquire` takes it.
   void recordUnsent() { ++Unsent; }
 
   /// Records that no attempt made so far can arrive at its target any more: the
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -28,14 +28,16 @@
 
 namespace {
 
-/// Times without progress after which another target is asked as well: until
-/// the response head, the first on streaming routes, the second on other
-/// routes, and until the next event of a stream. They apply only while the
-/// request can be retried, that is the route allows a request to run twice
-/// (`serving::Route::repeatable`) and attempts are left, and while another
-/// target has room. Otherwise the limit is that of the whole request.
+// Times without progress after which a standby attempt is made. They apply only
+// if the route allows a request to run twice (`serving::Route::repeatable`),
+// attempts and retries are left, and another target has room. Otherwise the
+// limit is that of the whole request.
+
+/// Until the response head, on streaming routes.
 constexpr milliseconds StreamHeadPatience{1500};
+/// Until the response head, on other routes.
 constexpr milliseconds BufferedHeadPatience{700};
+/// Until the next event of a stream.
 constexpr milliseconds StreamEventPatience{1100};
 /// Estimated time that an engine takes for one token of a response. Used for
 /// the expected duration of a request, for all models.
@@ -55,7 +57,7 @@
         Stream(*this->Caller, {[this] { recordEvents(); },
                                [this] { expectProgress(StreamEventPatience); },
                                [this] { recordFirstByte(); }}),
-        Silence(Context.Loop, [this] { return askAnother(); }),
+        Silence(Context.Loop, [this] { return startStandby(); }),
         Standbys(
             Context.Loop,
             {[this](TargetAttempt &Standby) { return openStandby(Standby); },
@@ -74,8 +76,9 @@
   serving::TargetRequirements requirements() const;
   /// Selects a target for the next attempt; may wait until one has room.
   asio::awaitable<std::unique_ptr<TargetAttempt>> nextAttempt();
-  /// Makes `Current`, whose response may have begun already, to its end.
-  asio::awaitable<SendResult> finishCurrent(bool HasBegun);
+  /// Runs `Current` to its end.
+  /// @param IsReady it was a standby that is ready, so it is not opened.
+  asio::awaitable<SendResult> finishCurrent(bool IsReady);
   asio::awaitable<SendResult> receive();
   asio::awaitable<SendResult> bufferResponse();
   asio::awaitable<SendResult> forwardStream();
@@ -87,18 +90,18 @@
 
   // Attempts beside one whose target is silent.
   /// @return whether another attempt may follow those in progress.
-  bool mayAskAnother() const;
+  bool mayStartStandby() const;
   /// Asks another target if this one is silent for longer than \p Patience, and
   /// the request may be sent once more.
   void expectProgress(milliseconds Patience);
   /// Sends the request to another target, if one can take it.
   /// @return whether it did.
-  bool askAnother();
+  bool startStandby();
   asio::awaitable<std::optional<SendResult>>
   openStandby(TargetAttempt &Standby);
-  /// Waits, without an attempt whose target may go on, until another one takes
-  /// over or all have ended.
-  asio::awaitable<void> settleStandbys();
+  /// Waits, after `Current` has ended, until a standby is ready or all have
+  /// ended.
+  asio::awaitable<void> awaitStandbys();
   void giveUpCurrent();
   void standbyEnded(TargetAttempt &Standby, SendResult Result);
 
@@ -123,6 +126,9 @@
       return milliseconds(0);
     return std::chrono::duration_cast<milliseconds>(Deadline - Clock::now());
   }
+  milliseconds headPatience() const {
+    return isStreaming() ? StreamHeadPatience : BufferedHeadPatience;
+  }
   bool isStreaming() const {
     return Admitted.Route->Kind == serving::RequestKind::Streaming;
   }
@@ -135,7 +141,8 @@
   CallerConnection::Request &Request;
   Clock::time_point StartedAt;
   Clock::time_point Deadline{};
-  /// When the last attempt began to be written; the epoch if it was not.
+  /// When `Current`, or the attempt before it, began to be written; the epoch
+  /// if it was not.
   Clock::time_point SentAt{};
 
   AdmittedRequest Admitted;
@@ -204,12 +211,13 @@
 asio::awaitable<void> RequestRun::sendToTargets() {
   for (;;) {
     Current = Standbys.takeReady();
-    bool HasBegun = Current != nullptr;
+    bool IsReady = Current != nullptr;
     if (!Current)
       Current = co_await nextAttempt();
     if (Caller->disconnected()) {
       if (Current)
-        Current->recordEnd(SendResult::Withheld);
+        recordAttemptEnd(*Current,
+                         IsReady ? SendResult::Unknown : SendResult::Withheld);
       co_return;
     }
     if (!Current) {
@@ -221,13 +229,13 @@
         co_await refuse(503, Wait.failureReason());
       co_return;
     }
-    SendResult AttemptResult = co_await finishCurrent(HasBegun);
+    SendResult AttemptResult = co_await finishCurrent(IsReady);
     if (Caller->disconnected() || IsFinished)
       co_return;
     if (AttemptResult == SendResult::Answered)
       Standbys.withdraw();
     else
-      co_await settleStandbys();
+      co_await awaitStandbys();
     if (Caller->disconnected())
       co_return;
     Outcome.recordResult(AttemptResult);
@@ -290,11 +298,11 @@
       TargetAttempt::Source{Context, Admitted, Request, Deadline}, Target);
 }
 
-asio::awaitable<SendResult> RequestRun::finishCurrent(bool HasBegun) {
+asio::awaitable<SendResult> RequestRun::finishCurrent(bool IsReady) {
   Log.recordAttemptBegun(Current->target(), Current->begunAt());
   std::optional<SendResult> Ended;
-  if (!HasBegun) {
-    expectProgress(isStreaming() ? StreamHeadPatience : BufferedHeadPatience);
+  if (!IsReady) {
+    expectProgress(headPatience());
     serving::TargetRequirements Demand = requirements();
     std::string ResumeAfter = Stream.resumeAfter();
     Ended = co_await Current->open(Demand, ResumeAfter);
@@ -304,8 +312,10 @@
   // While there are others, one of them may still arrive at its target.
   if (HasHead && Standbys.size() == 0)
     Retries.recordArrived();
-  if (!Ended)
+  if (!Ended) {
+    Current->setSilent(false);
     Ended = co_await receive();
+  }
   Silence.stop();
   Log.recordConnection(Current->send().reusedConnection());
   recordAttemptEnd(*Current, *Ended);
@@ -349,9 +359,12 @@
   // A caller that reads slowly is no silence of the target.
   Silence.stop();
   Standbys.withdraw();
+  // Otherwise `standbyEnded` does it.
+  if (Standbys.size() == 0)
+    Retries.recordArrived();
 }
 
-bool RequestRun::mayAskAnother() const {
+bool RequestRun::mayStartStandby() const {
   // `attemptCount` leaves out attempts that ended with `SendResult::NotSent`,
   // and those in progress.
   std::size_t InProgress = 1 + Standbys.size();
@@ -361,13 +374,13 @@
 }
 
 void RequestRun::expectProgress(milliseconds Patience) {
-  if (mayAskAnother())
+  if (mayStartStandby())
     Silence.expectWithin(Patience);
   else
     Silence.stop();
 }
 
-bool RequestRun::askAnother() {
+bool RequestRun::startStandby() {
   if (deadlinePassed() || Caller->disconnected())
     return false;
   if (!Retries.canAcquire())
@@ -380,7 +393,7 @@
   if (Current)
     Current->setSilent(true);
   Standbys.start(makeAttempt(*Target));
-  expectProgress(StreamHeadPatience);
+  expectProgress(headPatience());
   return true;
 }
 
@@ -410,10 +423,10 @@
   co_return SendResult::Unknown;
 }
 
-asio::awaitable<void> RequestRun::settleStandbys() {
+asio::awaitable<void> RequestRun::awaitStandbys() {
   if (Standbys.size() > 0)
-    expectProgress(StreamHeadPatience);
-  co_await Standbys.settle();
+    expectProgress(headPatience());
+  co_await Standbys.waitUntilReady();
   Silence.stop();
 }
 
@@ -427,14 +440,14 @@
       Result != SendResult::Withheld && Result != SendResult::NotSent;
   if (!WasSent && !Standby.isWithdrawn())
     Retries.recordUnsent();
-  else if (Current && Current->answerBegun() && Standbys.size() == 0)
+  else if (Standbys.size() == 0 && (!Current || Current->answerBegun()))
     Retries.recordArrived();
   recordAttemptEnd(Standby, Result);
   Outcome.recordResult(Result);
   Log.logStandbyEnd(Standby.target(), Result, Standby.isWithdrawn());
   bool IsBuffering = Current && Current->answerBegun() && !isStreaming();
   if (Current && !IsBuffering && !Standby.isWithdrawn())
-    expectProgress(milliseconds(0));
+    expectProgress(Current->isSilent() ? milliseconds(0) : StreamEventPatience);
 }
 
 asio::awaitable<SendResult> RequestRun::bufferResponse() {
--- a/rosemarylane/src/gateway/SilenceWatch.cpp
+++ b/rosemarylane/src/gateway/SilenceWatch.cpp
@@ -16,7 +16,7 @@
     if (Failed || Armed.expired())
       return;
     stop();
-    if (!TryAskAnother())
+    if (!TryStartStandby())
       expectWithin(RecheckPeriod);
   });
 }
--- a/rosemarylane/src/gateway/SilenceWatch.h
+++ b/rosemarylane/src/gateway/SilenceWatch.h
@@ -19,13 +19,13 @@
 /// thread of the event loop; no hook is called after `stop` or the destructor.
 class SilenceWatch {
 public:
-  /// Asks another target, if one can take the request now.
+  /// Starts an attempt at another target, if one can take the request now.
   /// @return whether it did. The watch has then ended, unless the hook has
   /// called `expectWithin`.
-  using AskAnother = std::function<bool()>;
+  using StartStandby = std::function<bool()>;
 
-  SilenceWatch(boost::asio::io_context &Loop, AskAnother TryAskAnother)
-      : Loop(Loop), TryAskAnother(std::move(TryAskAnother)) {}
+  SilenceWatch(boost::asio::io_context &Loop, StartStandby TryStartStandby)
+      : Loop(Loop), TryStartStandby(std::move(TryStartStandby)) {}
 
   /// Expects progress within \p Limit from now on; replaces what was expected
   /// before.
@@ -35,7 +35,7 @@
 
 private:
   boost::asio::io_context &Loop;
-  AskAnother TryAskAnother;
+  StartStandby TryStartStandby;
   /// A new one for each wait, so that the handler of an earlier wait, which may
   /// be queued already, finds that it is gone.
   std::shared_ptr<boost::asio::steady_timer> Timer;
--- a/rosemarylane/src/gateway/StandbyAttempts.cpp
+++ b/rosemarylane/src/gateway/StandbyAttempts.cpp
@@ -1,5 +1,7 @@
 #include "gateway/StandbyAttempts.h"
 
+#include "telemetry/Log.h"
+
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -24,10 +26,12 @@
   TargetAttempt &Attempt = *Started->Attempt;
   std::optional<SendResult> Ended = SendResult::Unknown;
   try {
-    Ended = co_await Observers.Open(Attempt);
-  } catch (const std::exception &) {
+    Ended = co_await ToCall.Open(Attempt);
+  } catch (const std::exception &E) {
     // Like an exchange that broke; the request goes on without it.
     Attempt.send().cancel();
+    telemetry::log(telemetry::Level::Error, "exception in a standby attempt",
+                   {{"error", std::string(E.what())}});
   }
   if (Ended || Attempt.isWithdrawn()) {
     end(Started, Ended.value_or(SendResult::Unknown));
@@ -35,14 +39,14 @@
   }
   Started->IsReady = true;
   Changed.cancel();
-  Observers.OnReady();
+  ToCall.OnReady();
 }
 
 void StandbyAttempts::end(Iterator Ended, SendResult Result) {
   std::unique_ptr<TargetAttempt> Attempt = std::move(Ended->Attempt);
   Entries.erase(Ended);
   Changed.cancel();
-  Observers.OnEnded(*Attempt, Result);
+  ToCall.OnEnded(*Attempt, Result);
 }
 
 bool StandbyAttempts::hasReady() const {
@@ -65,7 +69,7 @@
   co_await Changed.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-asio::awaitable<void> StandbyAttempts::settle() {
+asio::awaitable<void> StandbyAttempts::waitUntilReady() {
   while (!Entries.empty() && !hasReady())
     co_await waitForChange();
 }
--- a/rosemarylane/src/gateway/StandbyAttempts.h
+++ b/rosemarylane/src/gateway/StandbyAttempts.h
@@ -18,27 +18,29 @@
 ///
 /// A sound target may be silent for a second or two and go on, and the target
 /// that is asked in its place may refuse, fail or fall silent too. So the first
-/// attempt goes on until the response of another one has begun.
+/// attempt goes on until another one is ready: its response can take the place
+/// of that of the silent target, because the first event that goes on with the
+/// stream was read, or a whole answer below 500.
 ///
-/// `start` adds an attempt. Once the response of one has begun, `OnReady` is
-/// called and `takeReady` hands it over. Used on the thread of the event loop.
+/// `start` adds an attempt. Once one is ready, `OnReady` is called and
+/// `takeReady` hands it over. Used on the thread of the event loop.
 /// Await `finish` before the end: the attempts use what the hooks refer to.
 class StandbyAttempts {
 public:
   struct Hooks {
-    /// Sends the request and waits for the beginning of the response.
-    /// @return how the attempt ended; empty if its response has begun.
+    /// Sends the request and waits until the attempt is ready.
+    /// @return how the attempt ended; empty if it is ready.
     std::function<boost::asio::awaitable<std::optional<serving::SendResult>>(
         TargetAttempt &)>
         Open;
-    /// The response of an attempt has begun, so that it can take over.
+    /// An attempt is ready.
     std::function<void()> OnReady;
     /// An attempt has ended without taking over.
     std::function<void(TargetAttempt &, serving::SendResult)> OnEnded;
   };
 
-  StandbyAttempts(boost::asio::io_context &Loop, Hooks ToCall)
-      : Loop(Loop), Observers(std::move(ToCall)), Changed(Loop) {}
+  StandbyAttempts(boost::asio::io_context &Loop, Hooks Called)
+      : Loop(Loop), ToCall(std::move(Called)), Changed(Loop) {}
   StandbyAttempts(const StandbyAttempts &) = delete;
   StandbyAttempts &operator=(const StandbyAttempts &) = delete;
 
@@ -47,13 +49,13 @@
   /// @return the attempts that have not ended, those that are ready included.
   std::size_t size() const { return Entries.size(); }
 
-  /// @return an attempt whose response has begun, which is no longer one of
-  /// these; null if there is none.
+  /// @return a ready attempt, which is no longer one of these; null if there is
+  /// none.
   std::unique_ptr<TargetAttempt> takeReady();
   bool hasReady() const;
 
   /// Waits until an attempt is ready or all have ended.
-  boost::asio::awaitable<void> settle();
+  boost::asio::awaitable<void> waitUntilReady();
 
   /// Withdraws all attempts. `OnEnded` is called for each, now or later.
   void withdraw();
@@ -73,7 +75,7 @@
   boost::asio::awaitable<void> waitForChange();
 
   boost::asio::io_context &Loop;
-  Hooks Observers;
+  Hooks ToCall;
   std::list<Entry> Entries;
   /// Cancelled whenever an attempt becomes ready or ends.
   boost::asio::steady_timer Changed;
--- a/rosemarylane/src/gateway/StreamForward.cpp
+++ b/rosemarylane/src/gateway/StreamForward.cpp
@@ -37,8 +37,8 @@
     TargetSend::Result Received = co_await Attempt.next(Deadline, TimeLimit);
     if (Caller.disconnected())
       co_return Ended;
-    // Data may have been read just before; the target that takes over sends it
-    // again.
+    // Drop data read before the cancellation; the target that takes over sends
+    // it again.
     if (Attempt.isCancelled())
       Received = TargetSend::Result::Broken;
     if (Received == TargetSend::Result::End && brokeOffAtEnd(Attempt))
--- a/rosemarylane/src/gateway/TargetAttempt.cpp
+++ b/rosemarylane/src/gateway/TargetAttempt.cpp
@@ -76,10 +76,10 @@
   case TargetSend::Result::Data:
     break;
   }
-  co_return takeHead();
+  co_return classifyHead();
 }
 
-std::optional<SendResult> TargetAttempt::takeHead() {
+std::optional<SendResult> TargetAttempt::classifyHead() {
   From.Context.Limits->heard(Selected, Send.headerValues().RateLimit);
   if (Send.headerValues().NotRun) {
     // 421 (Misdirected Request): the target at this address was restarted or
@@ -113,8 +113,8 @@
   Feedback = About;
   if (GivenUp && Feedback == TargetFeedback::Broken)
     Feedback = TargetFeedback::Silent;
-  // The time limit came first.
-  if (IsSilent && Feedback == TargetFeedback::Abandoned)
+  // The deadline passed before another target took over.
+  if (IsSilent && deadlinePassed() && Feedback == TargetFeedback::Abandoned)
     Feedback = TargetFeedback::Silent;
 }
 
--- a/rosemarylane/src/gateway/TargetAttempt.h
+++ b/rosemarylane/src/gateway/TargetAttempt.h
@@ -18,7 +18,9 @@
 /// One attempt of a request at one selected target: what was sent, how it went,
 /// and what the load balancer is told about the target at its end.
 ///
-/// Call `open`, read the body from `send()`, then `recordEnd`. Used on the
+/// Call `open`, read the body from `send()`, then `recordEnd`. It can be ended
+/// before: `giveUp` counts the target as silent, `withdraw` says nothing about
+/// it. An attempt that `open` withholds has sent nothing. Used on the
 /// thread of the event loop. The constructor's arguments must outlive it, and
 /// it must outlive the coroutine that awaits `open`.
 class TargetAttempt {
@@ -42,7 +44,7 @@
   /// stay valid until the coroutine ends.
   /// @param ResumeAfter id of the event after which a stream goes on; empty
   /// for a new response.
-  /// @return how the attempt ended; empty if its response has begun.
+  /// @return how the attempt ended; empty if the head was read.
   boost::asio::awaitable<std::optional<serving::SendResult>>
   open(const serving::TargetRequirements &Demand,
        const std::string &ResumeAfter);
@@ -56,6 +58,7 @@
   /// Records whether the target has made no progress for so long that another
   /// one was asked.
   void setSilent(bool Silent) { IsSilent = Silent; }
+  bool isSilent() const { return IsSilent; }
 
   /// Tells the load balancer how the attempt ended.
   void recordEnd(serving::SendResult Result);
@@ -72,6 +75,7 @@
   const serving::SelectedTarget &target() const { return Selected; }
   TargetSend &send() { return Send; }
   const TargetSend &send() const { return Send; }
+  /// @return when the target was selected.
   Clock::time_point begunAt() const { return BegunAt; }
   /// @return when the request began to be written; the epoch if it was not.
   Clock::time_point sentAt() const { return SentAt; }
@@ -82,7 +86,7 @@
   /// @return what the target is told about the request.
   platform::TargetMarks marks(const std::string &ResumeAfter) const;
   /// Takes the head of the response that was read.
-  std::optional<serving::SendResult> takeHead();
+  std::optional<serving::SendResult> classifyHead();
   bool deadlinePassed() const { return Clock::now() >= From.Deadline; }
 
   Source From;
--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -88,6 +88,8 @@
 
 asio::awaitable<bool> TargetSend::connect(bool NewConnectionOnly,
                                           Clock::time_point Deadline) {
+  if (Cancelled)
+    co_return false;
   TcpStream = Context.TargetConnections.acquireIdle(
       Target.Id, core::BootClock::now(),
       NewConnectionOnly ? MaxIdleTimeNonRepeatable : MaxIdleTimeRepeatable);
@@ -115,7 +117,7 @@
   Message.target(Request.target());
   Message.body() = Request.body();
   Message.prepare_payload();
-  // For good: the target may leave the rest unread until after its response.
+  // Not undone after the response: the target may still leave the rest unread.
   if (Request.body().size() > MaxUnreadBodyBytes)
     tolerateUnreadBytes(TcpStream->socket());
   if (Request.body().size() > MaxAwaitedBodyBytes) {
@@ -265,7 +267,8 @@
 void TargetSend::release() {
   bool Reusable = IsComplete && !HasSkippedResponse && Response->keep_alive() &&
                   !Response->need_eof() && ConnectionBuffer.size() == 0 &&
-                  Outgoing && Outgoing->IsWritten;
+                  Outgoing && Outgoing->IsWritten &&
+                  Outgoing->Message.body().size() <= MaxUnreadBodyBytes;
   if (!Reusable)
     return cancel();
   resetOnClose(TcpStream->socket(), false);
--- a/rosemarylane/src/gateway/TargetSend.h
+++ b/rosemarylane/src/gateway/TargetSend.h
@@ -17,9 +17,10 @@
 
 namespace rosemarylane {
 
-/// One attempt to send a request to one target; a request that is retried has
-/// several. `Result` is what one call of `start` or `next` gave;
-/// `serving::SendResult` is the result of the whole attempt.
+/// The HTTP exchange of one attempt with its target: connection, request and
+/// response; a request that is retried has several. `Result` is what one call
+/// of `start` or `next` gave; `serving::SendResult` is the result of the whole
+/// attempt. `TargetAttempt` decides what it means for the target.
 ///
 /// Call `connect`, then `start` to write the request and read the head of the
 /// matching response, then `next` until it returns `Result::End`, then
@@ -104,7 +105,8 @@
   }
 
   /// Returns the connection to the pool if it can be reused, otherwise closes
-  /// it. One that carried a response to another request is not reused. Call
+  /// it. One that carried a response to another request is not reused, nor one
+  /// that no longer notices a dead host after a long body. Call
   /// this after `Result::End`.
   void release();
 
