A silent target stays in reserve when another one goes on first

Callers saw a begun stream end although a sound target would have gone on: the first target pauses for more than 1.1 s, the second one, asked beside it, sends its first event, and then breaks off, falls silent for good or ends inside an event. The mirror: the silent one goes on first, the second is reset, and the first then breaks off.

Cause: an event makes it likely, not certain, that the rest follows. The other attempt was reset at that event, with both attempts spent.

Change: whichever target has the next event goes on; the other one is paused, not reset, until the caller has the whole answer. Nothing more is sent to it. The events that the caller has got are dropped by their ids (`StreamPosition`); a target whose events end elsewhere, or whose weights have another version, doesn't go on. A paused target is read by one part at a time, and not at all once it has something that the caller has not. `TargetSend` can leave a read that is in progress and take it up again. The silence is reported to the load balancer when the target is put into reserve, as before at its reset. A standby without a head, whose retry still counts, is kept only while the budget has another retry. No third target is asked.

Plain answers: a standby is ready only with its whole answer below 500, and the first attempt goes on until then; unchanged.

--- a/libs/serving/include/serving/EventSequence.h
+++ b/libs/serving/include/serving/EventSequence.h
@@ -7,6 +7,16 @@
 
 namespace rosemarylane::serving {
 
+/// @return the size of the first event of \p Events, all of them complete, with
+/// the blank line at its end; comments before it are part of it.
+std::size_t firstEventSize(std::string_view Events);
+
+/// @return whether \p Events holds anything but comments and blank lines.
+bool holdsEvent(std::string_view Events);
+
+/// @return whether both ids are numbers and \p Id is the greater one.
+bool comesAfter(std::string_view Id, std::string_view Other);
+
 /// The ids of the server-sent events of one stream, in their order. Tells
 /// whether further events continue the stream. Value type; not thread-safe.
 class EventSequence {
--- a/libs/serving/include/serving/LoadBalancer.h
+++ b/libs/serving/include/serving/LoadBalancer.h
@@ -331,6 +331,10 @@
   void recordResult(const TargetId &Id, TargetFeedback Outcome,
                     core::BootTime Now);
 
+  /// Records that a selected target is silent, before the end of its request:
+  /// it is avoided like one that has ended with `TargetFeedback::Silent`.
+  void recordSilence(const TargetId &Id, core::BootTime Now);
+
   /// @return whether the target is registered, not leaving and not ejected.
   /// Evacuations and switches of versions are not considered.
   bool isHealthy(const TargetId &Id, core::BootTime Now) const;
--- a/libs/serving/src/EventSequence.cpp
+++ b/libs/serving/src/EventSequence.cpp
@@ -40,6 +40,33 @@
 
 } // namespace
 
+std::size_t firstEventSize(std::string_view Events) {
+  std::string_view Rest = Events;
+  bool InEvent = false;
+  while (!Rest.empty()) {
+    std::string_view Line = takeLine(Rest);
+    if (Line.empty() && InEvent)
+      return Events.size() - Rest.size();
+    InEvent = InEvent || (!Line.empty() && !Line.starts_with(':'));
+  }
+  return Events.size();
+}
+
+bool holdsEvent(std::string_view Events) {
+  while (!Events.empty()) {
+    std::string_view Line = takeLine(Events);
+    if (!Line.empty() && !Line.starts_with(':'))
+      return true;
+  }
+  return false;
+}
+
+bool comesAfter(std::string_view Id, std::string_view Other) {
+  auto Number = numberOf(Id);
+  auto Reference = numberOf(Other);
+  return Number && Reference && *Number > *Reference;
+}
+
 bool EventSequence::append(std::string_view Events) {
   bool Follows = true;
   bool InEvent = false;
--- a/libs/serving/src/LoadBalancer.cpp
+++ b/libs/serving/src/LoadBalancer.cpp
@@ -569,6 +569,14 @@
   }
 }
 
+void LoadBalancer::recordSilence(const TargetId &Id, core::BootTime Now) {
+  auto Found = Targets.find(Id);
+  if (Found == Targets.end())
+    return;
+  ++Found->second.ConsecutiveFailures;
+  eject(Found->second, Now);
+}
+
 bool LoadBalancer::isHealthy(const TargetId &Id, core::BootTime Now) const {
   auto Found = Targets.find(Id);
   return Found != Targets.end() &&
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -54,14 +54,14 @@
       : Context(Context), Caller(std::move(Caller)), Request(Request),
         StartedAt(Clock::now()), Quarantine(Context, Admitted, Request),
         Wait(Context, Admitted, Quarantine, StartedAt),
-        Stream(*this->Caller, {[this] { recordEvents(); },
-                               [this] { expectProgress(StreamEventPatience); },
-                               [this] { recordFirstByte(); }}),
+        Stream(*this->Caller,
+               {[this] { recordEvents(); }, [this] { recordWritten(); },
+                [this] { recordFirstByte(); }}),
         Silence(Context.Loop, [this] { return startStandby(); }),
         Standbys(
             Context.Loop,
             {[this](TargetAttempt &Standby) { return openStandby(Standby); },
-             [this] { giveUpCurrent(); },
+             [this] { standbyReady(); },
              [this](TargetAttempt &Standby, SendResult Result) {
                standbyEnded(Standby, Result);
              }}),
@@ -76,17 +76,28 @@
   serving::TargetRequirements requirements() const;
   /// Selects a target for the next attempt; may wait until one has room.
   asio::awaitable<std::unique_ptr<TargetAttempt>> nextAttempt();
-  /// Runs `Current` to its end.
+  /// Runs `Current` to its end, or until another attempt takes over.
   /// @param IsReady it was a standby that is ready, so it is not opened.
-  asio::awaitable<SendResult> finishCurrent(bool IsReady);
-  asio::awaitable<SendResult> receive();
+  /// @return how it ended; empty if it is in reserve now.
+  asio::awaitable<std::optional<SendResult>> finishCurrent(bool IsReady);
+  /// Decides what follows the attempts that have ended.
+  /// @return whether another one is made; otherwise the request has ended.
+  asio::awaitable<bool> mayGoOn();
+  /// Puts `Current`, which is paused, into reserve.
+  void reserveCurrent();
+  asio::awaitable<std::optional<SendResult>> receive();
   asio::awaitable<SendResult> bufferResponse();
-  asio::awaitable<SendResult> forwardStream();
+  /// @return how the attempt ended; empty if it was paused.
+  asio::awaitable<std::optional<SendResult>> forwardStream();
   asio::awaitable<void> forwardBuffered();
   std::unique_ptr<TargetAttempt>
   makeAttempt(const serving::SelectedTarget &Target);
   void recordAttemptEnd(TargetAttempt &Attempt, SendResult AttemptResult);
   void recordEvents();
+  void recordWritten();
+  /// Ends the retries that are open if all attempts have arrived.
+  /// @param HasArrived whether `Current`, if there is one, has.
+  void recordArrivals(bool HasArrived);
 
   // Attempts beside one whose target is silent.
   /// @return whether another attempt may follow those in progress.
@@ -99,10 +110,15 @@
   bool startStandby();
   asio::awaitable<std::optional<SendResult>>
   openStandby(TargetAttempt &Standby);
+  /// Sends the request, if that was not done, and reads the head.
+  asio::awaitable<std::optional<SendResult>>
+  openStandbyHead(TargetAttempt &Standby);
   /// Waits, after `Current` has ended, until a standby is ready or all have
   /// ended.
   asio::awaitable<void> awaitStandbys();
-  void giveUpCurrent();
+  /// Lets a standby that is ready go on with the response, if `Current` is
+  /// waited for.
+  void standbyReady();
   void standbyEnded(TargetAttempt &Standby, SendResult Result);
 
   // Final responses, logging and metrics.
@@ -229,56 +245,64 @@
         co_await refuse(503, Wait.failureReason());
       co_return;
     }
-    SendResult AttemptResult = co_await finishCurrent(IsReady);
+    std::optional<SendResult> Ended = co_await finishCurrent(IsReady);
     if (Caller->disconnected() || IsFinished)
       co_return;
-    if (AttemptResult == SendResult::Answered)
+    if (Ended == SendResult::Answered)
       Standbys.withdraw();
     else
       co_await awaitStandbys();
     if (Caller->disconnected())
       co_return;
-    Outcome.recordResult(AttemptResult);
+    if (Ended)
+      Outcome.recordResult(*Ended);
     if (!Stream.canResume()) {
       abortStream("stream broke off after an event without an id");
       co_return;
     }
-    if (AttemptResult != SendResult::Answered && Standbys.hasReady())
-      continue;
-    RetryDecision Next =
-        Outcome.next([&] { return !deadlinePassed() && Retries.tryAcquire(); });
-    if (Next == RetryDecision::Retry && deadlinePassed())
-      Next = Outcome.mayHaveRun() ? RetryDecision::ReportUnknownOutcome
-                                  : RetryDecision::Refuse;
-    switch (Next) {
-    case RetryDecision::Forward:
-      // If the caller already has the head of a stream, this is the response of
-      // a target that was asked to resume the stream, and cannot be forwarded.
-      if (!Stream.begun())
-        co_await forwardBuffered();
-      else
-        abortStream("target failed while going on with the stream");
-      co_return;
-    case RetryDecision::Retry:
-      if (AttemptResult != SendResult::Withheld)
-        Context.Metrics.requestSent(true);
+    if (Ended != SendResult::Answered && Standbys.hasReady())
       continue;
-    case RetryDecision::Refuse:
-      if (Stream.begun())
-        abortStream("target refused to go on with the stream");
-      else
-        co_await refuse(503, "targets refused");
+    bool GoesOn = co_await mayGoOn();
+    if (!GoesOn)
       co_return;
-    case RetryDecision::ReportUnknownOutcome:
-      if (Stream.begun())
-        abortStream("stream broke off");
-      else
-        co_await fail();
-      co_return;
-    }
+    if (Ended != SendResult::Withheld)
+      Context.Metrics.requestSent(true);
   }
 }
 
+asio::awaitable<bool> RequestRun::mayGoOn() {
+  RetryDecision Next =
+      Outcome.next([&] { return !deadlinePassed() && Retries.tryAcquire(); });
+  if (Next == RetryDecision::Retry && deadlinePassed())
+    Next = Outcome.mayHaveRun() ? RetryDecision::ReportUnknownOutcome
+                                : RetryDecision::Refuse;
+  switch (Next) {
+  case RetryDecision::Forward:
+    // If the caller already has the head of a stream, this is the response of
+    // a target that was asked to resume the stream, and cannot be forwarded.
+    if (!Stream.begun())
+      co_await forwardBuffered();
+    else
+      abortStream("target failed while going on with the stream");
+    co_return false;
+  case RetryDecision::Retry:
+    co_return true;
+  case RetryDecision::Refuse:
+    if (Stream.begun())
+      abortStream("target refused to go on with the stream");
+    else
+      co_await refuse(503, "targets refused");
+    co_return false;
+  case RetryDecision::ReportUnknownOutcome:
+    if (Stream.begun())
+      abortStream("stream broke off");
+    else
+      co_await fail();
+    co_return false;
+  }
+  co_return false;
+}
+
 serving::TargetRequirements RequestRun::requirements() const {
   serving::TargetRequirements Demand;
   Demand.Service = Admitted.Service;
@@ -298,32 +322,43 @@
       TargetAttempt::Source{Context, Admitted, Request, Deadline}, Target);
 }
 
-asio::awaitable<SendResult> RequestRun::finishCurrent(bool IsReady) {
+asio::awaitable<std::optional<SendResult>>
+RequestRun::finishCurrent(bool IsReady) {
   Log.recordAttemptBegun(Current->target(), Current->begunAt());
   std::optional<SendResult> Ended;
   if (!IsReady) {
     expectProgress(headPatience());
     serving::TargetRequirements Demand = requirements();
     std::string ResumeAfter = Stream.resumeAfter();
+    Current->position() = Stream.position();
     Ended = co_await Current->open(Demand, ResumeAfter);
   }
   SentAt = Current->sentAt();
-  bool HasHead = !Ended || *Ended == SendResult::Refused;
-  // While there are others, one of them may still arrive at its target.
-  if (HasHead && Standbys.size() == 0)
-    Retries.recordArrived();
-  if (!Ended) {
+  recordArrivals(Current->hasHead());
+  if (!Ended && !Current->send().isPaused()) {
     Current->setSilent(false);
     Ended = co_await receive();
   }
   Silence.stop();
+  if (!Ended) {
+    reserveCurrent();
+    co_return std::nullopt;
+  }
   Log.recordConnection(Current->send().reusedConnection());
   recordAttemptEnd(*Current, *Ended);
   Current.reset();
   co_return *Ended;
 }
 
-asio::awaitable<SendResult> RequestRun::receive() {
+void RequestRun::reserveCurrent() {
+  if (Current->isSilent() && Current->reportSilent())
+    Log.logFailedAttempt(
+        Current->target(),
+        {TargetFeedback::Silent, Current->sentAt(), Current->answerBegun()});
+  Standbys.start(std::move(Current));
+}
+
+asio::awaitable<std::optional<SendResult>> RequestRun::receive() {
   if (hasStream(*Current))
     co_return co_await forwardStream();
   Silence.stop();
@@ -358,9 +393,30 @@
   Current->setSilent(false);
   // A caller that reads slowly is no silence of the target.
   Silence.stop();
-  Standbys.withdraw();
-  // Otherwise `standbyEnded` does it.
-  if (Standbys.size() == 0)
+  // Without ids nothing tells what the others need not send again.
+  if (!Stream.canResume())
+    Standbys.withdraw();
+  // A retry that may still arrive is one that another request can't have.
+  if (!Retries.canAcquire())
+    Standbys.withdrawIf([](const TargetAttempt &A) { return !A.hasHead(); });
+  Standbys.recheck(
+      [this](TargetAttempt &A) { return Stream.isAhead(A.position()); });
+  // Otherwise `standbyEnded` or `openStandby` does it.
+  recordArrivals(true);
+}
+
+void RequestRun::recordWritten() {
+  expectProgress(StreamEventPatience);
+  // Whichever target has the next event goes on with the stream.
+  if (Standbys.hasReady())
+    (void)Current->pause();
+}
+
+void RequestRun::recordArrivals(bool HasArrived) {
+  bool AllArrived = HasArrived && Standbys.all([](const TargetAttempt &A) {
+    return A.hasHead();
+  });
+  if (AllArrived)
     Retries.recordArrived();
 }
 
@@ -398,20 +454,35 @@
 }
 
 asio::awaitable<std::optional<SendResult>>
-RequestRun::openStandby(TargetAttempt &Standby) {
+RequestRun::openStandbyHead(TargetAttempt &Standby) {
+  if (Standby.send().isPaused()) {
+    std::optional<SendResult> Ended = co_await Standby.reopen();
+    co_return Ended;
+  }
   serving::TargetRequirements Demand = requirements();
   std::string ResumeAfter = Stream.resumeAfter();
+  Standby.position() = Stream.position();
   std::optional<SendResult> Ended = co_await Standby.open(Demand, ResumeAfter);
-  if (Ended || Standby.isWithdrawn())
-    co_return Ended;
+  co_return Ended;
+}
+
+asio::awaitable<std::optional<SendResult>>
+RequestRun::openStandby(TargetAttempt &Standby) {
+  if (!Standby.hasHead()) {
+    std::optional<SendResult> Ended = co_await openStandbyHead(Standby);
+    if (Ended || Standby.isWithdrawn())
+      co_return Ended;
+    recordArrivals(!Current || Current->hasHead());
+  }
+  Standby.send().resume();
   std::optional<TargetFeedback> Fault;
   bool IsStream = hasStream(Standby);
   // An error is no better than what the silent target may still answer.
   if (!IsStream && (Standby.send().status() >= 500 || Stream.begun()))
     Fault = TargetFeedback::Failed;
   else if (IsStream)
-    Fault = co_await Stream.awaitContinuation(Standby.send(), Deadline,
-                                              Admitted.TimeLimit);
+    Fault = co_await Stream.awaitContinuation(
+        Standby.send(), Standby.position(), Deadline, Admitted.TimeLimit);
   else {
     Standby.setAnswerBegun();
     Fault = co_await BufferedAnswer::awaitWhole(Standby.send(), Deadline,
@@ -430,8 +501,17 @@
   Silence.stop();
 }
 
-void RequestRun::giveUpCurrent() {
-  if (Current)
+void RequestRun::standbyReady() {
+  if (!Current)
+    return;
+  bool IsForwarded = Current->hasHead() && hasStream(*Current);
+  bool MayBeReserved = isStreaming() && (IsForwarded || !Current->hasHead());
+  if (!MayBeReserved)
+    return Current->giveUp();
+  // Otherwise the caller's connection is waited for; see `recordWritten`.
+  if (IsForwarded && !Stream.isWaiting())
+    return;
+  if (!Current->pause())
     Current->giveUp();
 }
 
@@ -440,13 +520,15 @@
       Result != SendResult::Withheld && Result != SendResult::NotSent;
   if (!WasSent && !Standby.isWithdrawn())
     Retries.recordUnsent();
-  else if (Standbys.size() == 0 && (!Current || Current->answerBegun()))
-    Retries.recordArrived();
+  else
+    recordArrivals(!Current || Current->answerBegun());
   recordAttemptEnd(Standby, Result);
   Outcome.recordResult(Result);
   Log.logStandbyEnd(Standby.target(), Result, Standby.isWithdrawn());
   bool IsBuffering = Current && Current->answerBegun() && !isStreaming();
-  if (Current && !IsBuffering && !Standby.isWithdrawn())
+  bool IsWriting = Current && Current->hasHead() && hasStream(*Current) &&
+                   !Stream.isWaiting();
+  if (Current && !IsBuffering && !IsWriting && !Standby.isWithdrawn())
     expectProgress(Current->isSilent() ? milliseconds(0) : StreamEventPatience);
 }
 
@@ -458,10 +540,12 @@
   co_return Ended.Sent;
 }
 
-asio::awaitable<SendResult> RequestRun::forwardStream() {
+asio::awaitable<std::optional<SendResult>> RequestRun::forwardStream() {
   expectProgress(StreamEventPatience);
-  StreamForward::Result Ended =
-      co_await Stream.forward(Current->send(), Deadline, Admitted.TimeLimit);
+  StreamForward::Result Ended = co_await Stream.forward(
+      Current->send(), Current->position(), Deadline, Admitted.TimeLimit);
+  if (Ended.Paused)
+    co_return std::nullopt;
   Current->setFeedback(Ended.Feedback);
   if (Ended.Outcome)
     finish(Ended.Outcome, Ended.Status);
--- a/rosemarylane/src/gateway/StandbyAttempts.cpp
+++ b/rosemarylane/src/gateway/StandbyAttempts.cpp
@@ -15,7 +15,10 @@
 
 void StandbyAttempts::start(std::unique_ptr<TargetAttempt> Attempt) {
   Entries.push_back({std::move(Attempt)});
-  Iterator Started = std::prev(Entries.end());
+  spawn(std::prev(Entries.end()));
+}
+
+void StandbyAttempts::spawn(Iterator Started) {
   asio::co_spawn(
       Loop,
       [this, Started]() -> asio::awaitable<void> { co_await run(Started); },
@@ -74,9 +77,28 @@
     co_await waitForChange();
 }
 
-void StandbyAttempts::withdraw() {
+bool StandbyAttempts::all(
+    const std::function<bool(const TargetAttempt &)> &Holds) const {
+  return std::all_of(Entries.begin(), Entries.end(),
+                     [&](const Entry &E) { return Holds(*E.Attempt); });
+}
+
+void StandbyAttempts::recheck(
+    const std::function<bool(TargetAttempt &)> &IsReady) {
+  for (Iterator Next = Entries.begin(); Next != Entries.end(); ++Next) {
+    if (!Next->IsReady || IsReady(*Next->Attempt))
+      continue;
+    Next->IsReady = false;
+    spawn(Next);
+  }
+}
+
+void StandbyAttempts::withdrawIf(
+    const std::function<bool(const TargetAttempt &)> &Concerned) {
   for (auto Next = Entries.begin(); Next != Entries.end();) {
     Iterator Current = Next++;
+    if (!Concerned(*Current->Attempt))
+      continue;
     Current->Attempt->withdraw();
     // The coroutine of a ready attempt has ended.
     if (Current->IsReady)
@@ -84,6 +106,10 @@
   }
 }
 
+void StandbyAttempts::withdraw() {
+  withdrawIf([](const TargetAttempt &) { return true; });
+}
+
 asio::awaitable<void> StandbyAttempts::finish() {
   withdraw();
   while (!Entries.empty())
--- a/rosemarylane/src/gateway/StandbyAttempts.h
+++ b/rosemarylane/src/gateway/StandbyAttempts.h
@@ -22,13 +22,18 @@
 /// of that of the silent target, because the first event that goes on with the
 /// stream was read, or a whole answer below 500.
 ///
+/// The attempt that is then not the first any more stays as a reserve, and is
+/// ready again once it has something that the caller has not got: the one that
+/// is forwarded may still fail.
+///
 /// `start` adds an attempt. Once one is ready, `OnReady` is called and
 /// `takeReady` hands it over. Used on the thread of the event loop.
 /// Await `finish` before the end: the attempts use what the hooks refer to.
 class StandbyAttempts {
 public:
   struct Hooks {
-    /// Sends the request and waits until the attempt is ready.
+    /// Sends the request, if that was not done, and waits until the attempt is
+    /// ready. Called again after `recheck`.
     /// @return how the attempt ended; empty if it is ready.
     std::function<boost::asio::awaitable<std::optional<serving::SendResult>>(
         TargetAttempt &)>
@@ -54,9 +59,20 @@
   std::unique_ptr<TargetAttempt> takeReady();
   bool hasReady() const;
 
+  /// @return whether \p Holds for all attempts.
+  bool all(const std::function<bool(const TargetAttempt &)> &Holds) const;
+
+  /// Opens again the ready attempts for which \p IsReady does not hold any
+  /// more.
+  void recheck(const std::function<bool(TargetAttempt &)> &IsReady);
+
   /// Waits until an attempt is ready or all have ended.
   boost::asio::awaitable<void> waitUntilReady();
 
+  /// Withdraws the attempts for which \p Concerned holds. `OnEnded` is called
+  /// for each, now or later.
+  void withdrawIf(const std::function<bool(const TargetAttempt &)> &Concerned);
+
   /// Withdraws all attempts. `OnEnded` is called for each, now or later.
   void withdraw();
 
@@ -70,6 +86,7 @@
   };
   using Iterator = std::list<Entry>::iterator;
 
+  void spawn(Iterator Started);
   boost::asio::awaitable<void> run(Iterator Started);
   void end(Iterator Ended, serving::SendResult Result);
   boost::asio::awaitable<void> waitForChange();
--- a/rosemarylane/src/gateway/StreamForward.cpp
+++ b/rosemarylane/src/gateway/StreamForward.cpp
@@ -27,43 +27,50 @@
 } // namespace
 
 asio::awaitable<StreamForward::Result>
-StreamForward::forward(TargetSend &Attempt, Clock::time_point Deadline,
-                       milliseconds TimeLimit) {
+StreamForward::forward(TargetSend &Attempt, StreamPosition &At,
+                       Clock::time_point Deadline, milliseconds TimeLimit) {
   Splitter.beginResponse();
-  HasEvents = false;
-  bool Resumes = Begun;
   Result Ended;
   for (;;) {
-    TargetSend::Result Received = co_await Attempt.next(Deadline, TimeLimit);
-    if (Caller.disconnected())
-      co_return Ended;
-    // Drop data read before the cancellation; the target that takes over sends
-    // it again.
-    if (Attempt.isCancelled())
-      Received = TargetSend::Result::Broken;
-    if (Received == TargetSend::Result::End && brokeOffAtEnd(Attempt))
-      Received = TargetSend::Result::Broken;
-    bool AtEnd = Received == TargetSend::Result::End;
-    if (!AtEnd && Received != TargetSend::Result::Data) {
-      Ended.Feedback = feedbackOf(Received, Deadline);
-      Attempt.cancel();
-      co_return Ended;
+    if (At.ahead().empty() && !At.HasEnded) {
+      Waiting = true;
+      TargetSend::Result Received = co_await Attempt.next(Deadline, TimeLimit);
+      Waiting = false;
+      if (Caller.disconnected())
+        co_return Ended;
+      if (Received == TargetSend::Result::Paused) {
+        Ended.Paused = true;
+        co_return Ended;
+      }
+      // Drop data read before the cancellation; the target that takes over
+      // sends it again.
+      if (Attempt.isCancelled())
+        Received = TargetSend::Result::Broken;
+      auto Fault = take(Attempt, At, Received, Deadline);
+      if (Fault) {
+        Ended.Feedback = *Fault;
+        Attempt.cancel();
+        co_return Ended;
+      }
+      if (Attempt.isPaused()) {
+        Ended.Paused = true;
+        co_return Ended;
+      }
     }
-    std::string Events;
-    if (!AtEnd)
-      Events = Splitter.feed(Attempt.bodyData());
-    if (Resumes && isNoContinuation(Attempt, Splitter)) {
+    std::string Events = Splitter.feed(At.takeAhead());
+    if (Begun && Splitter.diverged()) {
       Ended.Feedback = TargetFeedback::Failed;
       Attempt.cancel();
       co_return Ended;
     }
+    At.moveTo(Splitter.lastEventId());
+    bool AtEnd = At.HasEnded;
     bool WasEvent = !Events.empty();
-    if (WasEvent) {
-      HasEvents = true;
+    if (WasEvent)
       Observers.OnEvents();
-    }
-    if (!Begun && (AtEnd || !Events.empty())) {
+    if (!Begun && (AtEnd || WasEvent)) {
       Begun = true;
+      At.HasBegunAnswer = true;
       Version = Attempt.headerValues().Version;
       Observers.OnFirstByte();
       platform::HttpFields Head = platform::callerFields(Attempt.head());
@@ -75,7 +82,7 @@
       }
     }
     bool Delivered = true;
-    if (!Events.empty()) {
+    if (WasEvent) {
       recordPause();
       Delivered = co_await Caller.writeChunk(std::move(Events));
     }
@@ -88,7 +95,7 @@
       break;
     if (WasEvent)
       Observers.OnWritten();
-    if (Splitter.pendingBytes() > MaxEventBytes) {
+    if (At.pendingBytes() > MaxEventBytes) {
       Ended.Feedback = TargetFeedback::Broken;
       Attempt.cancel();
       co_return Ended;
@@ -103,55 +110,69 @@
   co_return Ended;
 }
 
-bool StreamForward::brokeOffAtEnd(const TargetSend &Attempt) const {
+std::optional<TargetFeedback>
+StreamForward::take(const TargetSend &Attempt, StreamPosition &At,
+                    TargetSend::Result Received,
+                    Clock::time_point Deadline) const {
+  bool AtEnd = Received == TargetSend::Result::End;
+  if (!AtEnd && Received != TargetSend::Result::Data)
+    return feedbackOf(Received, Deadline);
+  if (!AtEnd)
+    At.feed(Attempt.bodyData());
+  At.dropUpTo(Splitter.lastEventId());
+  if (Begun && isNoContinuation(Attempt, At))
+    return TargetFeedback::Failed;
+  if (!AtEnd)
+    return std::nullopt;
+  bool IsShort = At.ahead().empty() && !At.isAt(Splitter.lastEventId());
+  if (IsShort || brokeOffAtEnd(Attempt, At))
+    return TargetFeedback::Broken;
+  At.HasEnded = true;
+  return std::nullopt;
+}
+
+bool StreamForward::brokeOffAtEnd(const TargetSend &Attempt,
+                                  const StreamPosition &At) const {
   // Without a length or chunks, the end of a connection on which nothing came
   // looks like that of a stream without events.
-  bool NothingCame = !HasEvents && Attempt.endsWithConnection();
-  return NothingCame || Splitter.insideEvent();
+  bool NothingCame = !At.hasEvents() && Attempt.endsWithConnection();
+  return NothingCame || At.insideEvent();
 }
 
 asio::awaitable<std::optional<TargetFeedback>>
-StreamForward::awaitContinuation(TargetSend &Attempt,
+StreamForward::awaitContinuation(TargetSend &Attempt, StreamPosition &At,
                                  Clock::time_point Deadline,
                                  milliseconds TimeLimit) const {
-  for (;;) {
-    TargetSend::Result Received =
-        co_await Attempt.readAhead(Deadline, TimeLimit);
-    bool AtEnd = Received == TargetSend::Result::End;
-    if (!AtEnd && Received != TargetSend::Result::Data)
-      co_return feedbackOf(Received, Deadline);
-    Continuation Found = checkAhead(Attempt, AtEnd);
-    if (Found == Continuation::Yes)
-      co_return std::nullopt;
-    if (Found == Continuation::No)
-      co_return TargetFeedback::Failed;
-    if (AtEnd || Attempt.dataAhead().size() > MaxEventBytes)
+  while (!isAhead(At)) {
+    TargetSend::Result Received = co_await Attempt.next(Deadline, TimeLimit);
+    auto Fault = take(Attempt, At, Received, Deadline);
+    if (Fault)
+      co_return Fault;
+    if (At.pendingBytes() > MaxEventBytes)
       co_return TargetFeedback::Broken;
   }
+  co_return std::nullopt;
 }
 
-StreamForward::Continuation StreamForward::checkAhead(const TargetSend &Attempt,
-                                                      bool AtEnd) const {
-  serving::EventSplitter Trial = Splitter;
-  Trial.beginResponse();
-  bool HasEvent = !Trial.feed(Attempt.dataAhead()).empty();
-  if (Begun && isNoContinuation(Attempt, Trial))
-    return Continuation::No;
-  bool GoesOn =
-      Begun ? Trial.lastEventId() != Splitter.lastEventId() : HasEvent;
-  // The stream may have nothing left to send but its end.
-  bool EndsWell = AtEnd && !Trial.insideEvent() &&
-                  (HasEvent || !Attempt.endsWithConnection());
-  return GoesOn || EndsWell ? Continuation::Yes : Continuation::Unknown;
+bool StreamForward::isAhead(StreamPosition &At) const {
+  At.dropUpTo(Splitter.lastEventId());
+  At.dropComments();
+  return !At.ahead().empty() || At.HasEnded;
 }
 
-bool StreamForward::isNoContinuation(
-    const TargetSend &Attempt, const serving::EventSplitter &Parsed) const {
+bool StreamForward::isNoContinuation(const TargetSend &Attempt,
+                                     const StreamPosition &At) const {
   namespace http_ = boost::beast::http;
+  if (At.HasBegunAnswer)
+    return At.diverged();
   auto Type = Attempt.head()[http_::field::content_type];
   bool IsOtherType =
       !Type.empty() && !boost::algorithm::istarts_with(Type, EventStreamType);
-  return IsOtherType || Parsed.diverged();
+  // A target that goes on was asked for the version that the stream began with;
+  // one that was asked before that was not.
+  bool IsOtherVersion =
+      At.isWhole() && Attempt.headerValues().Version != Version;
+  return IsOtherType || IsOtherVersion || At.diverged();
 }
 
 void StreamForward::recordPause() {
--- a/rosemarylane/src/gateway/StreamForward.h
+++ b/rosemarylane/src/gateway/StreamForward.h
@@ -2,6 +2,7 @@
 #define ROSEMARYLANE_GATEWAY_STREAM_FORWARD_H
 
 #include "gateway/CallerConnection.h"
+#include "gateway/StreamPosition.h"
 #include "gateway/TargetSend.h"
 #include "serving/EventSplitter.h"
 #include "serving/LoadBalancer.h"
@@ -43,24 +44,39 @@
     /// ended.
     const char *Outcome = nullptr;
     unsigned Status = 0;
+    /// The attempt was paused and can be forwarded again later.
+    bool Paused = false;
   };
 
   StreamForward(CallerConnection &Caller, Hooks ToCall)
       : Caller(Caller), Observers(std::move(ToCall)) {}
 
   /// Forwards the response of \p Attempt, whose head was read.
+  /// @param At how far the target has got; must stay valid until the coroutine
+  /// ends.
   /// @param TimeLimit time limit for the next part of the response.
   boost::asio::awaitable<Result> forward(TargetSend &Attempt,
+                                         StreamPosition &At,
                                          Clock::time_point Deadline,
                                          std::chrono::milliseconds TimeLimit);
 
-  /// Reads the response of \p Attempt ahead, until its first event shows that
-  /// `forward` can go on with it.
+  /// Reads the response of \p Attempt, which is not the one that is forwarded,
+  /// until it has what the caller has not got: an event or the end.
   /// @return what is wrong with the target; empty if the response is good.
   boost::asio::awaitable<std::optional<serving::TargetFeedback>>
-  awaitContinuation(TargetSend &Attempt, Clock::time_point Deadline,
+  awaitContinuation(TargetSend &Attempt, StreamPosition &At,
+                    Clock::time_point Deadline,
                     std::chrono::milliseconds TimeLimit) const;
 
+  /// @return whether the target still has what the caller has not got.
+  bool isAhead(StreamPosition &At) const;
+
+  /// @return where a target begins that is asked now.
+  StreamPosition position() const { return StreamPosition(Splitter); }
+
+  /// @return whether the target that is forwarded is waited for.
+  bool isWaiting() const { return Waiting; }
+
   /// @return whether the caller has been sent the head of the response.
   bool begun() const { return Begun; }
   /// @return whether the next target can be told where to go on, if the caller
@@ -77,26 +93,27 @@
   std::chrono::milliseconds longestPause() const { return LongestPause; }
 
 private:
+  /// Takes what was read from a target.
+  /// @return what is wrong with the target; empty if nothing is.
+  std::optional<serving::TargetFeedback> take(const TargetSend &Attempt,
+                                              StreamPosition &At,
+                                              TargetSend::Result Received,
+                                              Clock::time_point Deadline) const;
   /// @return whether a stream whose response has ended was broken off.
-  bool brokeOffAtEnd(const TargetSend &Attempt) const;
+  bool brokeOffAtEnd(const TargetSend &Attempt, const StreamPosition &At) const;
   /// @return whether the stream that the caller is getting cannot go on with
-  /// what the target has sent so far, of which \p Parsed has taken the body.
+  /// what the target has sent so far.
   bool isNoContinuation(const TargetSend &Attempt,
-                        const serving::EventSplitter &Parsed) const;
-  /// Whether the stream can go on with what a target has sent so far.
-  enum class Continuation { Unknown, Yes, No };
-  Continuation checkAhead(const TargetSend &Attempt, bool AtEnd) const;
+                        const StreamPosition &At) const;
   void recordPause();
 
   CallerConnection &Caller;
   Hooks Observers;
-  /// Splits a streamed response into server-sent events. Only complete events
-  /// are forwarded, so that another target can resume the stream after the
-  /// last.
+  /// The events that the caller has got. Only complete events are forwarded, so
+  /// that another target can go on after the last.
   serving::EventSplitter Splitter;
   bool Begun = false;
-  /// The target in use has sent at least one whole event.
-  bool HasEvents = false;
+  bool Waiting = false;
   std::uint64_t Version = 0;
   /// Longest time between two writes.
   std::chrono::milliseconds LongestPause{0};
--- a/rosemarylane/src/gateway/TargetAttempt.cpp
+++ b/rosemarylane/src/gateway/TargetAttempt.cpp
@@ -61,25 +61,39 @@
   SentAt = Clock::now();
   TargetSend::Result Result = co_await Send.start(
       From.Request, Fields, From.Admitted.HeaderValues.Id, HeadDeadline);
-  switch (Result) {
+  co_return classify(Result);
+}
+
+asio::awaitable<std::optional<SendResult>> TargetAttempt::reopen() {
+  Send.resume();
+  TargetSend::Result Result =
+      co_await Send.resumeHead(From.Admitted.HeaderValues.Id);
+  co_return classify(Result);
+}
+
+std::optional<SendResult> TargetAttempt::classify(TargetSend::Result Received) {
+  switch (Received) {
   case TargetSend::Result::NotSent:
-    co_return SendResult::NotSent;
+    return SendResult::NotSent;
   case TargetSend::Result::Broken:
   case TargetSend::Result::End:
     setFeedback(deadlinePassed() ? TargetFeedback::Abandoned
                                  : TargetFeedback::Broken);
-    co_return SendResult::Unknown;
+    return SendResult::Unknown;
   case TargetSend::Result::TimedOut:
     setFeedback(deadlinePassed() ? TargetFeedback::Abandoned
                                  : TargetFeedback::Silent);
-    co_return SendResult::Unknown;
+    return SendResult::Unknown;
+  case TargetSend::Result::Paused:
+    return std::nullopt;
   case TargetSend::Result::Data:
     break;
   }
-  co_return classifyHead();
+  return classifyHead();
 }
 
 std::optional<SendResult> TargetAttempt::classifyHead() {
+  HasHead = true;
   From.Context.Limits->heard(Selected, Send.headerValues().RateLimit);
   if (Send.headerValues().NotRun) {
     // 421 (Misdirected Request): the target at this address was restarted or
@@ -96,6 +110,15 @@
   return std::nullopt;
 }
 
+bool TargetAttempt::reportSilent() {
+  if (SilenceReported)
+    return false;
+  SilenceReported = true;
+  From.Context.Targets.recordSilence(Selected.Id, BootClock::now());
+  From.Context.TargetConnections.closeIdle(Selected.Id);
+  return true;
+}
+
 void TargetAttempt::giveUp() {
   GivenUp = true;
   Send.cancel();
@@ -116,6 +139,8 @@
   // The deadline passed before another target took over.
   if (IsSilent && deadlinePassed() && Feedback == TargetFeedback::Abandoned)
     Feedback = TargetFeedback::Silent;
+  if (SilenceReported && Feedback == TargetFeedback::Silent)
+    Feedback = TargetFeedback::Abandoned;
 }
 
 void TargetAttempt::recordEnd(SendResult Result) {
--- a/rosemarylane/src/gateway/TargetAttempt.h
+++ b/rosemarylane/src/gateway/TargetAttempt.h
@@ -4,6 +4,7 @@
 #include "gateway/Admission.h"
 #include "gateway/CallerConnection.h"
 #include "gateway/GatewayContext.h"
+#include "gateway/StreamPosition.h"
 #include "gateway/TargetSend.h"
 #include "serving/LoadBalancer.h"
 #include "serving/RequestOutcome.h"
@@ -49,6 +50,18 @@
   open(const serving::TargetRequirements &Demand,
        const std::string &ResumeAfter);
 
+  /// Goes on waiting for the head, after `pause`.
+  boost::asio::awaitable<std::optional<serving::SendResult>> reopen();
+
+  /// Ends the wait of `open`, or of the reader of the body, because another
+  /// target goes on with the response first. The attempt stays in reserve:
+  /// nothing more is sent to its target, and its connection stays open.
+  /// @return whether it could; otherwise nothing is done.
+  bool pause() { return Send.pause(); }
+  /// Reports to the load balancer that the target is silent, once.
+  /// @return whether this was the first time.
+  bool reportSilent();
+
   /// Ends the attempt because its target is silent and another one answers.
   void giveUp();
   /// Ends the attempt because it isn't needed; says nothing about its target.
@@ -72,6 +85,11 @@
   void setAnswerBegun() { AnswerBegun = true; }
   bool answerBegun() const { return AnswerBegun; }
 
+  /// @return whether the head of the response was read.
+  bool hasHead() const { return HasHead; }
+  /// How far the target has got with a stream.
+  StreamPosition &position() { return Position; }
+
   const serving::SelectedTarget &target() const { return Selected; }
   TargetSend &send() { return Send; }
   const TargetSend &send() const { return Send; }
@@ -85,6 +103,9 @@
   Clock::time_point headDeadline() const;
   /// @return what the target is told about the request.
   platform::TargetMarks marks(const std::string &ResumeAfter) const;
+  /// @return how the attempt ended, after `start` or `resumeHead`; empty if the
+  /// head was read or the wait was paused.
+  std::optional<serving::SendResult> classify(TargetSend::Result Received);
   /// Takes the head of the response that was read.
   std::optional<serving::SendResult> classifyHead();
   bool deadlinePassed() const { return Clock::now() >= From.Deadline; }
@@ -99,6 +120,9 @@
   bool IsSilent = false;
   bool GivenUp = false;
   bool Withdrawn = false;
+  bool HasHead = false;
+  bool SilenceReported = false;
+  StreamPosition Position;
 };
 
 } // namespace rosemarylane
--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -38,6 +38,9 @@
 /// and late ones to earlier requests. The timeout alone is no limit, as it does
 /// not fire while bytes can be read without a wait.
 constexpr std::size_t MaxSkippedBytes = 1 << 20;
+/// Limit of the bytes that are kept until they can be parsed. The parser itself
+/// limits only the head, not the extension of a chunk or the trailer.
+constexpr std::size_t MaxUnparsedBytes = 64 << 10;
 
 } // namespace
 
@@ -63,10 +66,40 @@
   bool IsWritten = false;
 };
 
+struct TargetSend::Channel {
+  explicit Channel(asio::io_context &Loop) : Changed(Loop) {}
+
+  /// Records the end of the read in progress.
+  void endRead(boost::system::error_code Failed, std::size_t Bytes) {
+    ErrorCode = Failed;
+    BytesRead = Bytes;
+    IsReading = false;
+    Changed.cancel();
+  }
+
+  TargetPool::ConnectionPtr TcpStream;
+  /// Bytes received on the connection that are not parsed yet.
+  boost::beast::flat_buffer Buffer{MaxUnparsedBytes};
+  std::optional<Parser> Response;
+  std::string BodyBuffer;
+  /// Cancelled when the read has ended, or is not waited for any more.
+  asio::steady_timer Changed;
+  bool IsReading = false;
+  /// A read was begun whose result was not taken yet.
+  bool HasRead = false;
+  boost::system::error_code ErrorCode;
+  std::size_t BytesRead = 0;
+};
+
 TargetSend::TargetSend(GatewayContext &Context, serving::SelectedTarget Target)
-    : Context(Context), Target(std::move(Target)) {}
+    : Context(Context), Target(std::move(Target)),
+      Wire(std::make_shared<Channel>(Context.Loop)) {}
 
-TargetSend::~TargetSend() = default;
+TargetSend::~TargetSend() {
+  // Otherwise the read would keep the connection open.
+  if (Wire->IsReading)
+    cancel();
+}
 
 asio::awaitable<TargetSend::Result>
 TargetSend::start(const CallerConnection::Request &Request,
@@ -75,8 +108,8 @@
   IsHeadRequest = Request.method() == http_::verb::head;
   if (Cancelled || Clock::now() >= HeadDeadline)
     co_return Result::NotSent;
-  TcpStream->expires_at(HeadDeadline);
-  resetOnClose(TcpStream->socket(), true);
+  Wire->TcpStream->expires_at(HeadDeadline);
+  resetOnClose(Wire->TcpStream->socket(), true);
   // Read the response even if the write failed: the target may have refused the
   // request before it had read all of it.
   co_await write(Request, Fields);
@@ -90,19 +123,19 @@
                                           Clock::time_point Deadline) {
   if (Cancelled)
     co_return false;
-  TcpStream = Context.TargetConnections.acquireIdle(
+  Wire->TcpStream = Context.TargetConnections.acquireIdle(
       Target.Id, core::BootClock::now(),
       NewConnectionOnly ? MaxIdleTimeNonRepeatable : MaxIdleTimeRepeatable);
-  ReusedConnection = TcpStream != nullptr;
+  ReusedConnection = Wire->TcpStream != nullptr;
   if (ReusedConnection)
     co_return true;
   auto Remaining =
       std::chrono::duration_cast<milliseconds>(Deadline - Clock::now());
   if (Remaining <= milliseconds(0))
     co_return false;
-  TcpStream = Context.TargetConnections.create();
+  Wire->TcpStream = Context.TargetConnections.create();
   bool Connected = co_await TargetPool::connect(
-      *TcpStream, Target.Address, std::min(Remaining, ConnectTimeout));
+      *Wire->TcpStream, Target.Address, std::min(Remaining, ConnectTimeout));
   co_return Connected && !Cancelled;
 }
 
@@ -119,17 +152,17 @@
   Message.prepare_payload();
   // Not undone after the response: the target may still leave the rest unread.
   if (Request.body().size() > MaxUnreadBodyBytes)
-    tolerateUnreadBytes(TcpStream->socket());
+    tolerateUnreadBytes(Wire->TcpStream->socket());
   if (Request.body().size() > MaxAwaitedBodyBytes) {
     auto OnWritten = [Pending = Outgoing](boost::system::error_code ErrorCode,
                                           std::size_t) {
       Pending->IsWritten = !ErrorCode;
     };
-    http_::async_write(*TcpStream, Message, std::move(OnWritten));
+    http_::async_write(*Wire->TcpStream, Message, std::move(OnWritten));
     co_return;
   }
   auto [ErrorCode, BytesWritten] =
-      co_await http_::async_write(*TcpStream, Message, Await);
+      co_await http_::async_write(*Wire->TcpStream, Message, Await);
   Outgoing->IsWritten = !ErrorCode;
 }
 
@@ -139,20 +172,66 @@
 }
 
 void TargetSend::resetParser(bool HasNoBody) {
-  Response.emplace();
-  Response->body_limit(boost::none);
-  Response->skip(HasNoBody);
+  Wire->Response.emplace();
+  Wire->Response->body_limit(boost::none);
+  Wire->Response->skip(HasNoBody);
+}
+
+asio::awaitable<TargetSend::Result>
+TargetSend::resumeHead(const std::string &Id) {
+  Result HeadResult = co_await readHead(Id);
+  co_return HeadResult;
+}
+
+void TargetSend::beginReadHead() {
+  resetParser(IsHeadRequest);
+  Wire->HasRead = Wire->IsReading = true;
+  http_::async_read_header(*Wire->TcpStream, Wire->Buffer, *Wire->Response,
+                           [Own = Wire](auto Failed, std::size_t Bytes) {
+                             Own->endRead(Failed, Bytes);
+                           });
+}
+
+void TargetSend::beginReadPart(Clock::time_point Until) {
+  Wire->TcpStream->expires_at(Until);
+  Wire->BodyBuffer.resize(BodyBufferBytes);
+  auto &Body = Wire->Response->get().body();
+  Body.data = Wire->BodyBuffer.data();
+  Body.size = Wire->BodyBuffer.size();
+  Body.more = true;
+  Wire->HasRead = Wire->IsReading = true;
+  http_::async_read_some(*Wire->TcpStream, Wire->Buffer, *Wire->Response,
+                         [Own = Wire](auto Failed, std::size_t Bytes) {
+                           Own->endRead(Failed, Bytes);
+                         });
+}
+
+asio::awaitable<bool> TargetSend::readEnded() {
+  while (Wire->IsReading && !Paused) {
+    Wire->Changed.expires_at(asio::steady_timer::time_point::max());
+    co_await Wire->Changed.async_wait(Await);
+  }
+  if (Wire->IsReading)
+    co_return false;
+  Wire->HasRead = false;
+  co_return true;
 }
 
 asio::awaitable<TargetSend::Result>
 TargetSend::readHead(const std::string &Id) {
+  MayPause = true;
   for (;;) {
-    resetParser(IsHeadRequest);
-    auto [ErrorCode, BytesRead] = co_await http_::async_read_header(
-        *TcpStream, ConnectionBuffer, *Response, Await);
-    if (ErrorCode)
-      co_return resultOf(ErrorCode);
-    SkippedBytes += BytesRead;
+    if (!Wire->HasRead) {
+      if (Paused)
+        co_return Result::Paused;
+      beginReadHead();
+    }
+    bool Ended = co_await readEnded();
+    if (!Ended)
+      co_return Result::Paused;
+    if (Wire->ErrorCode)
+      co_return resultOf(Wire->ErrorCode);
+    SkippedBytes += Wire->BytesRead;
     if (SkippedBytes > MaxSkippedBytes)
       co_return Result::Broken;
     if (isInterim(status()))
@@ -183,14 +262,14 @@
 }
 
 asio::awaitable<bool> TargetSend::discardBody() {
-  if (Response->need_eof())
+  if (Wire->Response->need_eof())
     co_return false;
-  BodyBuffer.resize(BodyBufferBytes);
-  while (!Response->is_done()) {
-    Response->get().body().data = BodyBuffer.data();
-    Response->get().body().size = BodyBuffer.size();
+  Wire->BodyBuffer.resize(BodyBufferBytes);
+  while (!Wire->Response->is_done()) {
+    Wire->Response->get().body().data = Wire->BodyBuffer.data();
+    Wire->Response->get().body().size = Wire->BodyBuffer.size();
     auto [ErrorCode, BytesRead] = co_await http_::async_read_some(
-        *TcpStream, ConnectionBuffer, *Response, Await);
+        *Wire->TcpStream, Wire->Buffer, *Wire->Response, Await);
     if (ErrorCode && ErrorCode != http_::error::need_buffer)
       co_return false;
     SkippedBytes += BytesRead;
@@ -203,8 +282,7 @@
 asio::awaitable<TargetSend::Result> TargetSend::next(Clock::time_point Deadline,
                                                      milliseconds Timeout) {
   if (!DataAhead.empty()) {
-    BodyBuffer = std::exchange(DataAhead, {});
-    BodyDataSize = BodyBuffer.size();
+    Part = std::exchange(DataAhead, {});
     co_return Result::Data;
   }
   Result Received = co_await readPart(Deadline, Timeout);
@@ -221,33 +299,43 @@
 
 asio::awaitable<TargetSend::Result>
 TargetSend::readPart(Clock::time_point Deadline, milliseconds Timeout) {
-  BodyDataSize = 0;
-  BodyBuffer.resize(BodyBufferBytes);
-  while (BodyDataSize == 0) {
-    if (Response->is_done()) {
-      IsComplete = true;
-      ConnectionLost = endsWithConnection();
-      co_return Result::End;
+  Part.clear();
+  while (Part.empty()) {
+    if (!Wire->HasRead) {
+      if (Wire->Response->is_done()) {
+        IsComplete = true;
+        ConnectionLost = endsWithConnection();
+        co_return Result::End;
+      }
+      if (Cancelled)
+        co_return Result::Broken;
+      if (Paused)
+        co_return Result::Paused;
+      // The timeout of the connection does not fire while bytes can be read
+      // without a wait.
+      if (Clock::now() >= Deadline)
+        co_return Result::TimedOut;
+      beginReadPart(std::min(Deadline, Clock::now() + Timeout));
     }
-    if (Cancelled)
-      co_return Result::Broken;
-    // The timeout of the connection does not fire while bytes can be read
-    // without a wait.
-    if (Clock::now() >= Deadline)
-      co_return Result::TimedOut;
-    TcpStream->expires_at(std::min(Deadline, Clock::now() + Timeout));
-    Response->get().body().data = BodyBuffer.data();
-    Response->get().body().size = BodyBuffer.size();
-    Response->get().body().more = true;
-    auto [ErrorCode, BytesRead] = co_await http_::async_read_some(
-        *TcpStream, ConnectionBuffer, *Response, Await);
-    if (ErrorCode && ErrorCode != http_::error::need_buffer)
-      co_return resultOf(ErrorCode);
-    BodyDataSize = BodyBuffer.size() - Response->get().body().size;
+    bool Ended = co_await readEnded();
+    if (!Ended)
+      co_return Result::Paused;
+    if (Wire->ErrorCode && Wire->ErrorCode != http_::error::need_buffer)
+      co_return resultOf(Wire->ErrorCode);
+    std::size_t Left = Wire->Response->get().body().size;
+    Part.assign(Wire->BodyBuffer, 0, Wire->BodyBuffer.size() - Left);
   }
   co_return Result::Data;
 }
 
+bool TargetSend::pause() {
+  if (!MayPause || Cancelled)
+    return false;
+  Paused = true;
+  Wire->Changed.cancel();
+  return true;
+}
+
 void TargetSend::recordStatements() {
   core::BootTime Now = core::BootClock::now();
   if (HeaderValues.Leaving)
@@ -258,20 +346,26 @@
                                 Now);
 }
 
-unsigned TargetSend::status() const { return Response->get().result_int(); }
+unsigned TargetSend::status() const {
+  return Wire->Response->get().result_int();
+}
+
+bool TargetSend::endsWithConnection() const {
+  return Wire->Response->need_eof();
+}
 
 const platform::HttpFields &TargetSend::head() const {
-  return Response->get().base();
+  return Wire->Response->get().base();
 }
 
 void TargetSend::release() {
-  bool Reusable = IsComplete && !HasSkippedResponse && Response->keep_alive() &&
-                  !Response->need_eof() && ConnectionBuffer.size() == 0 &&
-                  Outgoing && Outgoing->IsWritten &&
+  bool Reusable = IsComplete && !HasSkippedResponse &&
+                  Wire->Response->keep_alive() && !Wire->Response->need_eof() &&
+                  Wire->Buffer.size() == 0 && Outgoing && Outgoing->IsWritten &&
                   Outgoing->Message.body().size() <= MaxUnreadBodyBytes;
   if (!Reusable)
     return cancel();
-  resetOnClose(TcpStream->socket(), false);
+  resetOnClose(Wire->TcpStream->socket(), false);
   returnToPool();
 }
 
@@ -285,8 +379,8 @@
 void TargetSend::returnToPool() {
   if (Context.Targets.isLeaving(Target.incarnation()))
     return cancel();
-  TcpStream->expires_never();
-  Context.TargetConnections.release(Target.Id, std::move(TcpStream),
+  Wire->TcpStream->expires_never();
+  Context.TargetConnections.release(Target.Id, std::move(Wire->TcpStream),
                                     core::BootClock::now(),
                                     HeaderValues.KeepFor);
 }
@@ -294,8 +388,8 @@
 void TargetSend::cancel() {
   Cancelled = true;
   boost::system::error_code Ignored; // The connection is unusable either way.
-  if (TcpStream)
-    TcpStream->socket().close(Ignored);
+  if (Wire->TcpStream)
+    Wire->TcpStream->socket().close(Ignored);
 }
 
 } // namespace rosemarylane
--- a/rosemarylane/src/gateway/TargetSend.h
+++ b/rosemarylane/src/gateway/TargetSend.h
@@ -7,7 +7,6 @@
 #include "serving/LoadBalancer.h"
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <chrono>
@@ -49,6 +48,8 @@
     Broken,
     /// Nothing was received before the timeout.
     TimedOut,
+    /// `pause` was called; the exchange goes on, and can be read again.
+    Paused,
   };
 
   TargetSend(GatewayContext &Context, serving::SelectedTarget Target);
@@ -75,6 +76,9 @@
                                        const std::string &Id,
                                        Clock::time_point HeadDeadline);
 
+  /// Goes on reading the head, after `start` or this one has returned `Paused`.
+  boost::asio::awaitable<Result> resumeHead(const std::string &Id);
+
   /// Reads the next part of the body into `bodyData()`.
   /// @param Timeout time limit for this part.
   boost::asio::awaitable<Result> next(Clock::time_point Deadline,
@@ -90,7 +94,7 @@
   unsigned status() const;
   /// @return whether the response has neither a length nor chunks, so that it
   /// ends with its connection.
-  bool endsWithConnection() const { return Response->need_eof(); }
+  bool endsWithConnection() const;
   const platform::HttpFields &head() const;
   /// @return the values parsed from the header fields of the response.
   const platform::AnswerMarks &headerValues() const { return HeaderValues; }
@@ -100,9 +104,16 @@
   /// @return whether the request was sent on a pooled connection.
   bool reusedConnection() const { return ReusedConnection; }
 
-  std::string_view bodyData() const {
-    return {BodyBuffer.data(), BodyDataSize};
-  }
+  std::string_view bodyData() const { return Part; }
+
+  /// Ends the wait for the target without ending the exchange: `start`, `next`
+  /// and `readAhead` return `Paused` unless they have a result. What arrives
+  /// later is not lost, and no more than one part of it is read.
+  /// @return whether the request was sent; otherwise nothing is done.
+  bool pause();
+  bool isPaused() const { return Paused; }
+  /// Allows reading again.
+  void resume() { Paused = false; }
 
   /// Returns the connection to the pool if it can be reused, otherwise closes
   /// it. One that carried a response to another request is not reused, nor one
@@ -120,12 +131,19 @@
 
 private:
   struct PendingWrite;
+  struct Channel;
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
   boost::asio::awaitable<void> write(const CallerConnection::Request &Request,
                                      const platform::HttpFields &Fields);
   boost::asio::awaitable<Result> readHead(const std::string &Id);
+  /// Begins to read the head, or a part of the body.
+  void beginReadHead();
+  void beginReadPart(Clock::time_point Until);
+  /// Waits for the end of the read in progress.
+  /// @return whether it has ended; otherwise `pause` was called.
+  boost::asio::awaitable<bool> readEnded();
   /// @return whether the response whose head was read is that of the request
   /// \p Id.
   bool answers(const std::string &Id) const;
@@ -140,20 +158,15 @@
 
   GatewayContext &Context;
   serving::SelectedTarget Target;
-  TargetPool::ConnectionPtr TcpStream;
-  /// Limit of the bytes that are kept until they can be parsed. The parser
-  /// itself limits only the head, not the extension of a chunk or the trailer.
-  static constexpr std::size_t MaxUnparsedBytes = 64 << 10;
-  /// Bytes received on the connection that are not parsed yet.
-  boost::beast::flat_buffer ConnectionBuffer{MaxUnparsedBytes};
-  std::optional<Parser> Response;
+  /// The connection and what is read from it. A read in progress keeps it
+  /// alive.
+  std::shared_ptr<Channel> Wire;
   /// Bytes read so far for responses that were skipped, and for the head.
   std::size_t SkippedBytes = 0;
   platform::AnswerMarks HeaderValues;
   std::shared_ptr<PendingWrite> Outgoing;
-  /// The last part of the body; its first `BodyDataSize` bytes are valid.
-  std::string BodyBuffer;
-  std::size_t BodyDataSize = 0;
+  /// The last part of the body.
+  std::string Part;
   std::string DataAhead;
   bool ReusedConnection = false;
   bool ConnectionLost = false;
@@ -162,6 +175,9 @@
   bool IsHeadRequest = false;
   bool IsComplete = false;
   bool Cancelled = false;
+  bool Paused = false;
+  /// The request was written, so that reads may be paused.
+  bool MayPause = false;
 };
 
 } // namespace rosemarylane
