CONFIG: the era of the store is read from its answers and logged

`section adopted` and `targets changed` name it, `store restored` and `section refused as older` are new. No decision changes.

--- a/rosemarylane/src/node/RegistryChange.cpp
+++ b/rosemarylane/src/node/RegistryChange.cpp
@@ -3,6 +3,7 @@
 #include "platform/Records.h"
 #include "telemetry/Log.h"
 
+#include <cstdint>
 #include <map>
 
 namespace rosemarylane {
@@ -81,12 +82,13 @@
   return Change;
 }
 
-void logRegistryChange(const RegistryChange &Change, std::int64_t StoreRevision,
+void logRegistryChange(const RegistryChange &Change, serving::StorePosition At,
                        const std::string &Source) {
   if (Change.empty())
     return;
   telemetry::log(telemetry::Level::Info, "targets changed",
-                 {{"store_revision", StoreRevision},
+                 {{"era", std::int64_t(At.Era)},
+                  {"store_revision", At.Revision},
                   {"source", Source},
                   {"added", namesOf(Change.Added).text()},
                   {"added_count", std::int64_t(Change.Added.size())},
@@ -100,14 +102,15 @@
 
 void logRetainedEntries(const StoreSection::Items &Read,
                         const StoreSection::Items &Retained,
-                        std::int64_t StoreRevision) {
+                        serving::StorePosition At) {
   NameList Names;
   for (const auto &[Key, Item] : Retained)
     if (!Read.contains(Key))
       Names.add(Key);
   if (Names.count() > 0)
     telemetry::log(telemetry::Level::Info, "registry entries retained",
-                   {{"store_revision", StoreRevision},
+                   {{"era", std::int64_t(At.Era)},
+                    {"store_revision", At.Revision},
                     {"count", Names.count()},
                     {"entries", Names.text()}});
 }
--- a/rosemarylane/src/node/RegistryChange.h
+++ b/rosemarylane/src/node/RegistryChange.h
@@ -2,9 +2,9 @@
 #define ROSEMARYLANE_NODE_REGISTRY_CHANGE_H
 
 #include "serving/RegisteredTarget.h"
+#include "serving/StorePosition.h"
 #include "serving/StoreSection.h"
 
-#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -34,14 +34,14 @@
 
 /// Logs \p Change as one line, which names a limited number of targets.
 /// @param Source `store`, the IP address of the peer, or `retention ended`.
-void logRegistryChange(const RegistryChange &Change, std::int64_t StoreRevision,
+void logRegistryChange(const RegistryChange &Change, serving::StorePosition At,
                        const std::string &Source);
 
 /// Logs which entries \p Read does not hold and \p Retained does, if any, as
 /// one line that names a limited number of them.
 void logRetainedEntries(const serving::StoreSection::Items &Read,
                         const serving::StoreSection::Items &Retained,
-                        std::int64_t StoreRevision);
+                        serving::StorePosition At);
 
 } // namespace rosemarylane
 
--- a/rosemarylane/src/node/SectionCopies.h
+++ b/rosemarylane/src/node/SectionCopies.h
@@ -4,10 +4,10 @@
 #include "core/BootClock.h"
 #include "platform/Records.h"
 #include "serving/SectionCopy.h"
+#include "serving/StorePosition.h"
 
 #include <algorithm>
 #include <chrono>
-#include <cstdint>
 #include <optional>
 
 namespace rosemarylane {
@@ -20,7 +20,7 @@
 /// A complete read of one section: of the store, or of a peer's copy.
 struct SectionRead {
   serving::StoreSection::Items Items;
-  std::int64_t StoreRevision = 0;
+  serving::StorePosition At;
   /// When the read of the store was sent, in local time.
   core::BootTime ConfirmedAt{};
 };
--- a/rosemarylane/src/node/SectionLog.cpp
+++ b/rosemarylane/src/node/SectionLog.cpp
@@ -11,6 +11,7 @@
 using core::BootClock;
 using core::BootTime;
 using platform::Section;
+using serving::StorePosition;
 using std::chrono::milliseconds;
 
 namespace {
@@ -51,4 +52,27 @@
                   {"error", Error.Detail}});
 }
 
+void logStoreRestored(Section Which, StorePosition Before, StorePosition After,
+                      std::size_t Retained, std::size_t HeldBack) {
+  telemetry::log(telemetry::Level::Warning, "store restored",
+                 {{"section", std::string(nameOf(Which))},
+                  {"era_before", std::int64_t(Before.Era)},
+                  {"store_revision_before", Before.Revision},
+                  {"era", std::int64_t(After.Era)},
+                  {"store_revision", After.Revision},
+                  {"retained", std::int64_t(Retained)},
+                  {"held_back", std::int64_t(HeldBack)}});
+}
+
+void logRefusedRead(Section Which, const std::string &Source,
+                    StorePosition Known, StorePosition Read) {
+  telemetry::log(telemetry::Level::Warning, "section refused as older",
+                 {{"section", std::string(nameOf(Which))},
+                  {"source", Source},
+                  {"era", std::int64_t(Read.Era)},
+                  {"store_revision", Read.Revision},
+                  {"known_era", std::int64_t(Known.Era)},
+                  {"known_store_revision", Known.Revision}});
+}
+
 } // namespace rosemarylane
--- a/rosemarylane/src/node/SectionLog.h
+++ b/rosemarylane/src/node/SectionLog.h
@@ -5,7 +5,9 @@
 #include "http/Error.h"
 #include "node/HttpClient.h"
 #include "platform/Records.h"
+#include "serving/StorePosition.h"
 
+#include <cstddef>
 #include <functional>
 #include <string>
 
@@ -26,6 +28,19 @@
 void logFailedRead(platform::Section Which, const std::string &Source,
                    const http::Error &Error);
 
+/// Logs that the store has come back from an older copy.
+/// @param Retained items that this process keeps although the store does not
+/// show them.
+/// @param HeldBack items that the store shows and that this process does not
+/// use.
+void logStoreRestored(platform::Section Which, serving::StorePosition Before,
+                      serving::StorePosition After, std::size_t Retained,
+                      std::size_t HeldBack);
+
+/// Logs that a read is refused, as it is older than this process's copy.
+void logRefusedRead(platform::Section Which, const std::string &Source,
+                    serving::StorePosition Known, serving::StorePosition Read);
+
 } // namespace rosemarylane
 
 #endif // ROSEMARYLANE_NODE_SECTION_LOG_H
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -33,6 +33,8 @@
 
 constexpr milliseconds TickPeriod{100};
 constexpr milliseconds WatchRetryDelay{500};
+/// Minimum time between two log lines about refused reads of one section.
+constexpr milliseconds RefusalLogPeriod{10'000};
 
 /// @return \p Age in milliseconds for the log, or -1 if absent.
 std::int64_t countOf(std::optional<milliseconds> Age) {
@@ -47,6 +49,10 @@
   /// A change was reported while a read was in progress.
   bool ReadAgain = false;
   bool LastFailed = false;
+  /// Position of the last read that was not older than those before.
+  serving::StorePosition Last;
+  /// When the last refused read was logged.
+  std::optional<BootTime> RefusalLoggedAt;
 };
 
 } // namespace
@@ -229,8 +235,7 @@
       auto Unchanged =
           co_await Reader.confirmOperators(Copies.Operators.section());
       if (Unchanged) {
-        Copies.Operators.confirm(Unchanged->StoreRevision,
-                                 Unchanged->ReadSentAt);
+        Copies.Operators.confirm(Unchanged->At.Revision, Unchanged->ReadSentAt);
         co_return true;
       }
     }
@@ -317,19 +322,21 @@
     SectionCopy &Copy = Copies.of(Which);
     BootTime Now = BootClock::now();
     std::size_t RetainedBefore = Copy.retainedCount();
-    auto Change = Copy.adopt(std::move(Read.Items), Read.StoreRevision,
+    noteRead(Which, Read.At, Source, Now);
+    auto Change = Copy.adopt(std::move(Read.Items), Read.At.Revision,
                              Read.ConfirmedAt, Now);
     if (!Change)
       return;
     const StoreSection &Known = Copy.section();
     telemetry::log(telemetry::Level::Info, "section adopted",
                    {{"section", std::string(nameOf(Which))},
-                    {"store_revision", Read.StoreRevision},
+                    {"era", std::int64_t(Read.At.Era)},
+                    {"store_revision", Read.At.Revision},
                     {"source", Source},
                     {"items", std::int64_t(Known.items().size())},
                     {"age_ms", countOf(Known.staleness(Now))}});
     if (Copy.retainedCount() > RetainedBefore)
-      logRetainedEntries(Known.items(), Copy.items(), Read.StoreRevision);
+      logRetainedEntries(Known.items(), Copy.items(), Read.At);
     if (Which == Section::Registry) {
       registryChanged(Source);
     } else {
@@ -340,12 +347,37 @@
     Queries.announceChange(Now);
   }
 
+  /// Logs a read of a new era of the store, or one that is refused.
+  void noteRead(Section Which, serving::StorePosition At,
+                const std::string &Source, BootTime Now) {
+    SectionReads &Reads = readsOf(Which);
+    serving::StorePosition Known{Reads.Last.Era,
+                                 Copies.of(Which).section().at()};
+    bool EraRises = Known.Era != 0 && At.Era > Known.Era;
+    if (EraRises)
+      logStoreRestored(Which, Known, At, Copies.of(Which).retainedCount(), 0);
+    if (At.Revision < Known.Revision)
+      logRefusal(Which, At, Known, Source, Now);
+    Reads.Last = std::max(Reads.Last, At);
+  }
+
+  void logRefusal(Section Which, serving::StorePosition At,
+                  serving::StorePosition Known, const std::string &Source,
+                  BootTime Now) {
+    std::optional<BootTime> &LoggedAt = readsOf(Which).RefusalLoggedAt;
+    if (LoggedAt && Now - *LoggedAt < RefusalLogPeriod)
+      return;
+    LoggedAt = Now;
+    logRefusedRead(Which, Source, Known, At);
+  }
+
   /// Passes on the registry as this process acts on it.
   /// @param Source what has changed it; for the log.
   void registryChanged(const std::string &Source) {
     StoreSection::Items Items = Copies.Registry.items();
     logRegistryChange(compareRegistries(LastRegistry, Items),
-                      Copies.Registry.section().at(), Source);
+                      {RegistryReads.Last.Era, Copies.Registry.section().at()},
+                      Source);
     LastRegistry = std::move(Items);
     if (Callbacks.OnRegistryChanged)
       Callbacks.OnRegistryChanged(LastRegistry);
--- a/rosemarylane/src/node/StoreReader.cpp
+++ b/rosemarylane/src/node/StoreReader.cpp
@@ -66,8 +66,8 @@
     }
     // The revision of the first page is used for all. Later pages may contain
     // newer items; the next read finds any changes made in between.
-    if (Result.StoreRevision == 0)
-      Result.StoreRevision = Page->At;
+    if (!Result.At.known())
+      Result.At = Page->At;
     Result.Items.merge(Page->Items);
     After = Page->LastKey;
     if (!Page->More || After.empty())
@@ -120,7 +120,7 @@
   if (!Answer)
     co_return Answer.error().What == http::Error::Kind::Malformed;
   auto Changed = platform::decodeWatch(*Answer);
-  co_return Changed &&*Changed;
+  co_return Changed && Changed->Changed;
 }
 
 } // namespace rosemarylane
--- a/rosemarylane/src/node/StoreReader.h
+++ b/rosemarylane/src/node/StoreReader.h
@@ -32,7 +32,7 @@
 
   /// That the items of the operators section were unchanged.
   struct Confirmation {
-    std::int64_t StoreRevision = 0;
+    serving::StorePosition At;
     /// When the confirming read was sent.
     core::BootTime ReadSentAt{};
   };
