CONFIG: positions in the store compare by era first

Cause: the revision alone decided which copy is newer, what a peer fetches, whether nothing has changed and how old a proof is.

Change: StoreSection, SectionCopy, summaries, watches and the section summary on the wire hold a StorePosition. A confirmation counts only if question, answer and copy are of one era; a watch that is answered in another era is a change; pages of two eras are no read. A peer's later era of the same items is taken over without a fetch; the items' revisions are then unknown, and the section is read instead of confirmed, as revision 0 would ask whether the key is absent. Compressed values for peers were cached by revision, which is given out again; they are dropped with each change. The field is new, so both releases understand each other; one that names no era counts as era 0.

--- a/libs/serving/include/serving/SectionCopy.h
+++ b/libs/serving/include/serving/SectionCopy.h
@@ -7,7 +7,6 @@
 #include "serving/StoreSection.h"
 
 #include <cstddef>
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -49,14 +48,17 @@
   /// `StoreSection::adopt`.
   /// @param ConfirmedAt when the read was sent, in local time.
   /// @return the change, or nothing if the section did not change.
-  std::optional<Change> adopt(StoreSection::Items Read,
-                              std::int64_t StoreRevision,
+  std::optional<Change> adopt(StoreSection::Items Read, StorePosition At,
                               core::BootTime ConfirmedAt, core::BootTime Now);
 
-  /// Records that the store holds the same items at \p StoreRevision; see
+  /// Records that the store holds the same items at \p At; see
   /// `StoreSection::confirm`.
-  void confirm(std::int64_t StoreRevision, core::BootTime ReadSentAt) {
-    Read.confirm(StoreRevision, ReadSentAt);
+  bool confirm(StorePosition At, core::BootTime ReadSentAt) {
+    return Read.confirm(At, ReadSentAt);
+  }
+  bool confirm(const StoreSection::Question &Asked, StorePosition At,
+               core::BootTime ReadSentAt) {
+    return Read.confirm(Asked, At, ReadSentAt);
   }
 
   /// Compares the section with a peer's summary; see
@@ -91,7 +93,7 @@
   };
 
   void assumeChangesAfter(core::BootTime OutageEnd,
-                          const StoreSection::Items &Before);
+                          const StoreSection::Items &Before, bool SameEra);
 
   Missing MeaningOfMissing;
   StoreSection Read;
--- a/libs/serving/src/SectionCopy.cpp
+++ b/libs/serving/src/SectionCopy.cpp
@@ -5,7 +5,7 @@
 namespace rosemarylane::serving {
 
 std::optional<SectionCopy::Change>
-SectionCopy::adopt(StoreSection::Items NewItems, std::int64_t StoreRevision,
+SectionCopy::adopt(StoreSection::Items NewItems, StorePosition At,
                    core::BootTime ConfirmedAt, core::BootTime Now) {
   Change Result;
   if (auto Staleness = Read.staleness(Now)) {
@@ -16,20 +16,21 @@
                        Result.UnchangedAt &&
                        Outage.mayHaveLapsed(*Result.UnchangedAt, ConfirmedAt);
   bool OutageAssumed = Result.CountdownStart != Result.UnchangedAt;
+  bool SameEra = At.Era == Read.at().Era;
   StoreSection::Items Before;
   if (MayHaveLapsed || OutageAssumed)
     Before = Read.items();
-  if (!Read.adopt(std::move(NewItems), StoreRevision, ConfirmedAt,
-                  Result.UnchangedAt))
+  if (!Read.adopt(std::move(NewItems), At, ConfirmedAt, Result.UnchangedAt))
     return std::nullopt;
   if (MayHaveLapsed)
     Lapsed.retainMissing(Before, Read.items(), ConfirmedAt);
   std::erase_if(AssumedChanges, [&](const auto &Entry) {
     auto Known = Read.items().find(Entry.first);
-    return Known == Read.items().end() || Known->second != Entry.second.Item;
+    return Known == Read.items().end() ||
+           !Known->second.sameWriting(Entry.second.Item, SameEra);
   });
   if (OutageAssumed)
-    assumeChangesAfter(*Result.CountdownStart, Before);
+    assumeChangesAfter(*Result.CountdownStart, Before, SameEra);
   expire(Now);
   return Result;
 }
@@ -40,10 +41,11 @@
 }
 
 void SectionCopy::assumeChangesAfter(core::BootTime OutageEnd,
-                                     const StoreSection::Items &Before) {
+                                     const StoreSection::Items &Before,
+                                     bool SameEra) {
   for (const auto &[Key, Item] : Read.items()) {
     auto Known = Before.find(Key);
-    if (Known == Before.end() || Known->second != Item)
+    if (Known == Before.end() || !Known->second.sameWriting(Item, SameEra))
       AssumedChanges.insert_or_assign(Key, AssumedChange{Item, OutageEnd});
   }
 }
--- a/libs/serving/src/StoreSection.cpp
+++ b/libs/serving/src/StoreSection.cpp
@@ -17,40 +17,55 @@
 
 } // namespace
 
-bool StoreSection::adopt(Items Read, std::int64_t StoreRevision,
+bool StoreSection::adopt(Items Read, StorePosition At,
                          core::BootTime ReadSentAt,
                          std::optional<core::BootTime> UnchangedAt) {
-  if (known() && StoreRevision < ReadRevision)
+  if (known() && At < Position)
     return false;
+  bool SameEra = At.Era == Position.Era;
   // A read of several pages is no snapshot: of two reads that differ at one
   // revision, the later one is newer.
   bool ConfirmedLater = !ConfirmedAt || ReadSentAt > *ConfirmedAt;
-  if (known() && StoreRevision == ReadRevision && Read != Current &&
+  if (known() && At == Position && !sameWritings(Read, SameEra) &&
       !ConfirmedLater)
     return false;
-  bool TimesImproved = mergeChangeTimes(Read, UnchangedAt);
-  bool Changed = !known() || Read != Current || TimesImproved;
-  if (Changed) {
-    Current = std::move(Read);
+  bool TimesImproved = mergeKnown(Read, SameEra, UnchangedAt);
+  bool Changed = !known() || !sameWritings(Read, SameEra) || TimesImproved;
+  Current = std::move(Read);
+  if (Changed)
     ItemsDigest = digestOf(Current);
-  }
-  ReadRevision = StoreRevision;
-  if (!ConfirmedAt || ReadSentAt > *ConfirmedAt)
+  Position = At;
+  // Nothing that was read in an earlier era says how fresh this one is.
+  if (!SameEra || ConfirmedLater)
     ConfirmedAt = ReadSentAt;
   return Changed;
 }
 
-/// Raises each item's `ChangedAfter` in \p Read where a later one is known
-/// locally: that of the current copy if the item is unchanged, otherwise
-/// \p UnchangedAt.
+/// @return whether \p Read holds the items of the current copy, as
+/// `StoredItem::sameWriting` tells.
+bool StoreSection::sameWritings(const Items &Read, bool SameEra) const {
+  return std::equal(Read.begin(), Read.end(), Current.begin(), Current.end(),
+                    [&](const auto &A, const auto &B) {
+                      return A.first == B.first &&
+                             A.second.sameWriting(B.second, SameEra);
+                    });
+}
+
+/// Adds to \p Read what this copy knows of the same items: their revisions, if
+/// \p Read is a peer's and lacks them. Raises each item's `ChangedAfter` in \p
+/// Read where a later one is known locally: that of the current copy if the
+/// item is unchanged, otherwise \p UnchangedAt.
 /// @return whether \p Read has a later `ChangedAfter` than the current copy for
 /// an item that both hold.
-bool StoreSection::mergeChangeTimes(
-    Items &Read, std::optional<core::BootTime> UnchangedAt) const {
+bool StoreSection::mergeKnown(Items &Read, bool SameEra,
+                              std::optional<core::BootTime> UnchangedAt) const {
   bool Improved = false;
   for (auto &[Key, Item] : Read) {
     auto Local = Current.find(Key);
-    bool Same = Local != Current.end() && Local->second == Item;
+    bool Same =
+        Local != Current.end() && Local->second.sameWriting(Item, SameEra);
+    if (Same && SameEra && Item.Revision == 0)
+      Item.Revision = Local->second.Revision;
     std::optional<core::BootTime> Known =
         Same ? Local->second.ChangedAfter : UnchangedAt;
     Improved |=
@@ -67,29 +82,57 @@
   });
 }
 
-void StoreSection::confirm(std::int64_t StoreRevision,
-                           core::BootTime ReadSentAt) {
-  ReadRevision = std::max(ReadRevision, StoreRevision);
+std::optional<StoreSection::Question> StoreSection::question() const {
+  bool Complete = known() && std::none_of(Current.begin(), Current.end(),
+                                          [](const auto &Entry) {
+                                            return Entry.second.Revision == 0;
+                                          });
+  if (!Complete)
+    return std::nullopt;
+  return Question{Position.Era, ItemsDigest};
+}
+
+bool StoreSection::confirm(StorePosition At, core::BootTime ReadSentAt) {
+  if (!known() || At.Era != Position.Era)
+    return false;
+  Position = std::max(Position, At);
   if (!ConfirmedAt || ReadSentAt > *ConfirmedAt)
     ConfirmedAt = ReadSentAt;
+  return true;
+}
+
+bool StoreSection::confirm(const Question &Asked, StorePosition At,
+                           core::BootTime ReadSentAt) {
+  bool Answered = Asked.Era == At.Era && Asked.Digest == ItemsDigest;
+  return Answered && confirm(At, ReadSentAt);
+}
+
+/// Takes over the position of a later era that holds the same items.
+void StoreSection::takePosition(StorePosition At) {
+  Position = At;
+  for (auto &[Key, Item] : Current)
+    Item.Revision = 0;
 }
 
 StoreSection::Comparison
 StoreSection::compareAndConfirm(const Summary &PeerSummary,
                                 core::BootTime QueriedAt) {
-  if (PeerSummary.At == 0)
+  if (!PeerSummary.At.known())
     return Comparison::LocalNewer;
-  if (known() && PeerSummary.Digest == ItemsDigest) {
+  bool SameItems = known() && PeerSummary.Digest == ItemsDigest;
+  if (SameItems && PeerSummary.At.Era >= Position.Era) {
+    if (PeerSummary.At.Era > Position.Era)
+      takePosition(PeerSummary.At);
     if (PeerSummary.Staleness)
       confirm(PeerSummary.At, QueriedAt - *PeerSummary.Staleness);
     return Comparison::Same;
   }
-  return PeerSummary.At > ReadRevision ? Comparison::PeerNewer
-                                       : Comparison::LocalNewer;
+  return PeerSummary.At > Position ? Comparison::PeerNewer
+                                   : Comparison::LocalNewer;
 }
 
 StoreSection::Summary StoreSection::summary(core::BootTime Now) const {
-  return {ReadRevision, ItemsDigest, staleness(Now),
+  return {Position, ItemsDigest, staleness(Now),
           known() && !lacksChangeTimes()};
 }
 
--- a/libs/serving/tests/SectionCopyTest.cpp
+++ b/libs/serving/tests/SectionCopyTest.cpp
@@ -17,13 +17,16 @@
 
 core::BootTime at(int Ms) { return Start + milliseconds(Ms); }
 
+/// @return a position in a store that was never restored.
+StorePosition rev(std::int64_t Revision) { return {1, Revision}; }
+
 StoreSection::Items entry(const std::string &Key, const std::string &Value) {
   return {{Key, {Value, 0}}};
 }
 
 SectionCopy registryWith(const StoreSection::Items &Items) {
   SectionCopy Copy(SectionCopy::Missing::MayHaveLapsed);
-  Copy.adopt(Items, 5, Start, Start);
+  Copy.adopt(Items, rev(5), Start, Start);
   return Copy;
 }
 
@@ -44,7 +47,7 @@
 BOOST_AUTO_TEST_CASE(what_a_process_retains_is_not_passed_on) {
   SectionCopy Copy = registryWith(entry("t", "ready"));
   failReads(Copy, 500, 4500);
-  BOOST_REQUIRE(Copy.adopt({}, 9, at(5000), at(5000)));
+  BOOST_REQUIRE(Copy.adopt({}, rev(9), at(5000), at(5000)));
   BOOST_TEST(Copy.items().size() == 1);
   BOOST_TEST(Copy.section().items().empty());
 }
@@ -52,12 +55,12 @@
 BOOST_AUTO_TEST_CASE(entries_that_lapsed_with_the_store_are_kept_for_a_while) {
   SectionCopy Copy = registryWith(entry("t", "ready"));
   failReads(Copy, 500, 4500);
-  Copy.adopt({}, 9, at(5000), at(5000));
+  Copy.adopt({}, rev(9), at(5000), at(5000));
   BOOST_TEST(Copy.items().size() == 1);
   // A later read that still doesn't show the entry does not prolong the time.
-  Copy.adopt(entry("other", "ready"), 10, at(5900), at(5900));
+  Copy.adopt(entry("other", "ready"), rev(10), at(5900), at(5900));
   BOOST_TEST(Copy.items().size() == 2);
-  Copy.confirm(11, at(6800));
+  Copy.confirm(rev(11), at(6800));
   BOOST_TEST(!Copy.expire(at(7199)));
   BOOST_TEST(Copy.expire(at(7200)));
   BOOST_TEST(Copy.items().size() == 1);
@@ -68,12 +71,12 @@
 BOOST_AUTO_TEST_CASE(lapsed_entries_are_kept_through_a_second_outage) {
   SectionCopy Copy = registryWith(entry("t", "ready"));
   failReads(Copy, 500, 4500);
-  Copy.adopt({}, 9, at(5000), at(5000));
-  Copy.confirm(10, at(5900));
+  Copy.adopt({}, rev(9), at(5000), at(5000));
+  Copy.confirm(rev(10), at(5900));
   BOOST_TEST(!Copy.expire(at(9000)));
   BOOST_TEST(Copy.items().size() == 1);
   // Back again, and the target has not registered.
-  Copy.confirm(11, at(9100));
+  Copy.confirm(rev(11), at(9100));
   BOOST_TEST(Copy.expire(at(9200)));
   BOOST_TEST(Copy.items().empty());
 }
@@ -83,24 +86,24 @@
 BOOST_AUTO_TEST_CASE(time_that_an_answer_takes_is_no_outage) {
   SectionCopy Copy = registryWith(entry("t", "ready"));
   Copy.outage().recordPeerFailure(at(1200));
-  Copy.adopt({}, 9, at(1500), at(2600));
+  Copy.adopt({}, rev(9), at(1500), at(2600));
   BOOST_TEST(Copy.items().empty());
 }
 
 BOOST_AUTO_TEST_CASE(an_entry_that_is_registered_again_is_the_new_one) {
   SectionCopy Copy = registryWith(entry("t", "ready"));
   failReads(Copy, 500, 4500);
-  Copy.adopt({}, 9, at(5000), at(5000));
-  Copy.adopt(entry("t", "draining"), 10, at(5500), at(5500));
+  Copy.adopt({}, rev(9), at(5000), at(5000));
+  Copy.adopt(entry("t", "draining"), rev(10), at(5500), at(5500));
   BOOST_TEST(Copy.items().at("t").Value == "draining");
   // It leaves while the store answers.
-  Copy.adopt({}, 11, at(6400), at(6400));
+  Copy.adopt({}, rev(11), at(6400), at(6400));
   BOOST_TEST(Copy.items().empty());
 }
 
 BOOST_AUTO_TEST_CASE(an_entry_missing_while_the_store_answers_is_dropped) {
   SectionCopy Copy = registryWith(entry("t", "ready"));
-  Copy.adopt({}, 9, at(900), at(900));
+  Copy.adopt({}, rev(9), at(900), at(900));
   BOOST_TEST(Copy.items().empty());
 }
 
@@ -108,7 +111,7 @@
   SectionCopy Copy = registryWith(entry("t", "ready"));
   failReads(Copy, 500, 4500);
   Copy.outage().recordPossiblePartition(at(2100));
-  Copy.adopt({}, 9, at(5000), at(5000));
+  Copy.adopt({}, rev(9), at(5000), at(5000));
   BOOST_TEST(Copy.items().empty());
 }
 
@@ -117,7 +120,7 @@
 BOOST_AUTO_TEST_CASE(an_entry_missing_after_a_freeze_is_gone) {
   SectionCopy Copy = registryWith(entry("t", "ready"));
   Copy.outage().recordReadFailure(at(900));
-  Copy.adopt({}, 9, at(6000), at(6000));
+  Copy.adopt({}, rev(9), at(6000), at(6000));
   BOOST_TEST(Copy.items().empty());
 }
 
@@ -126,7 +129,7 @@
   SectionCopy Copy = registryWith(entry("t", "ready"));
   Copy.outage().recordReadFailure(at(900));
   Copy.outage().recordPeerFailure(at(1500));
-  Copy.adopt({}, 9, at(1900), at(1900));
+  Copy.adopt({}, rev(9), at(1900), at(1900));
   BOOST_TEST(Copy.items().empty());
 }
 
@@ -135,7 +138,7 @@
   for (int Ms = 1000; Ms <= 4500; Ms += 100)
     Copy.outage().recordPeerFailure(at(Ms));
   // The reader's copy of the first read after the outage.
-  Copy.adopt({}, 9, at(4900), at(5000));
+  Copy.adopt({}, rev(9), at(4900), at(5000));
   BOOST_TEST(Copy.items().size() == 1);
 }
 
@@ -144,10 +147,10 @@
   SectionCopy Copy = registryWith(entry("t", "ready"));
   failReads(Copy, 500, 4500);
   StoreSection Peer;
-  Peer.adopt({}, 7, at(1500), std::nullopt);
+  Peer.adopt({}, rev(7), at(1500), std::nullopt);
   auto Result = Copy.compareAndConfirm(Peer.summary(at(1600)), at(1600));
   BOOST_TEST((Result == StoreSection::Comparison::PeerNewer));
-  auto Change = Copy.adopt({}, 9, at(5000), at(5000));
+  auto Change = Copy.adopt({}, rev(9), at(5000), at(5000));
   BOOST_TEST(Copy.items().empty());
   BOOST_REQUIRE(Change);
   BOOST_TEST((Change->CountdownStart == Start));
@@ -159,10 +162,10 @@
   SectionCopy Copy = registryWith(entry("t", "ready"));
   failReads(Copy, 500, 4500);
   StoreSection Peer;
-  Peer.adopt({}, 9, at(5000), std::nullopt);
+  Peer.adopt({}, rev(9), at(5000), std::nullopt);
   Copy.compareAndConfirm(Peer.summary(at(5050)), at(5050));
   Copy.outage().recordReadFailure(at(5060));
-  auto Change = Copy.adopt({}, 9, at(5000), at(5100));
+  auto Change = Copy.adopt({}, rev(9), at(5000), at(5100));
   BOOST_TEST(Copy.items().size() == 1);
   BOOST_REQUIRE(Change);
   BOOST_TEST((Change->CountdownStart == at(4500)));
@@ -172,15 +175,15 @@
 // item had changed, also if one of them was only assumed.
 BOOST_AUTO_TEST_CASE(an_assumed_outage_moves_a_countdown_in_this_process_only) {
   SectionCopy Copy(SectionCopy::Missing::Gone);
-  Copy.adopt({{"version", {"1", 3}}}, 5, Start, Start);
+  Copy.adopt({{"version", {"1", 3}}}, rev(5), Start, Start);
   failReads(Copy, 500, 4500);
-  auto Change = Copy.adopt({{"version", {"2", 8}}}, 9, at(5000), at(5000));
+  auto Change = Copy.adopt({{"version", {"2", 8}}}, rev(9), at(5000), at(5000));
   BOOST_REQUIRE(Change);
   BOOST_TEST((Change->CountdownStart == at(4500)));
   BOOST_TEST((Copy.items().at("version").ChangedAfter == at(4500)));
   BOOST_TEST((Copy.section().items().at("version").ChangedAfter == Start));
   // The next change without an outage is counted from its own confirmation.
-  Copy.adopt({{"version", {"3", 11}}}, 12, at(5900), at(5900));
+  Copy.adopt({{"version", {"3", 11}}}, rev(12), at(5900), at(5900));
   BOOST_TEST((Copy.items().at("version").ChangedAfter == at(5000)));
 }
 
@@ -214,7 +217,7 @@
       return;
     }
     if (*rc::gen::arbitrary<bool>()) {
-      Copies[One].adopt(Held, Revision, Now, Now);
+      Copies[One].adopt(Held, rev(Revision), Now, Now);
       return;
     }
     int Other = *rc::gen::inRange(0, Processes);
@@ -258,7 +261,7 @@
       for (const SectionCopy &Copy : All.Copies)
         if (Copy.section().known())
           RC_ASSERT(Copy.section().items() ==
-                    All.History.at(Copy.section().at()));
+                    All.History.at(Copy.section().at().Revision));
     }
   }));
 }
--- a/libs/serving/tests/StoreSectionTest.cpp
+++ b/libs/serving/tests/StoreSectionTest.cpp
@@ -11,6 +11,9 @@
 
 const core::BootTime Start = core::BootTime(std::chrono::hours(1));
 
+/// @return a position in a store that was never restored.
+StorePosition rev(std::int64_t Revision) { return {1, Revision}; }
+
 StoreSection::Items items(const std::string &Value, std::int64_t Revision) {
   return {{"a", {Value, Revision}}};
 }
@@ -21,8 +24,8 @@
 
 BOOST_AUTO_TEST_CASE(never_goes_back_to_an_older_read) {
   StoreSection Section;
-  Section.adopt(items("new", 9), 10, Start);
-  BOOST_TEST(!Section.adopt(items("old", 3), 5, Start + milliseconds(50)));
+  Section.adopt(items("new", 9), rev(10), Start);
+  BOOST_TEST(!Section.adopt(items("old", 3), rev(5), Start + milliseconds(50)));
   BOOST_TEST(Section.items().at("a").Value == "new");
 }
 
@@ -30,11 +33,11 @@
 // read replaced that read, because both had one store revision.
 BOOST_AUTO_TEST_CASE(a_copy_at_the_same_revision_does_not_undo_a_later_read) {
   StoreSection Section;
-  Section.adopt(items("read", 9), 10, Start + milliseconds(40));
-  BOOST_TEST(!Section.adopt(items("copy", 9), 10, Start));
+  Section.adopt(items("read", 9), rev(10), Start + milliseconds(40));
+  BOOST_TEST(!Section.adopt(items("copy", 9), rev(10), Start));
   BOOST_TEST(Section.items().at("a").Value == "read");
-  BOOST_TEST(
-      Section.adopt(items("later read", 9), 10, Start + milliseconds(900)));
+  BOOST_TEST(Section.adopt(items("later read", 9), rev(10),
+                           Start + milliseconds(900)));
 }
 
 // Guards against processes that restart while a version is named: they read the
@@ -42,33 +45,33 @@
 BOOST_AUTO_TEST_CASE(
     a_started_process_learns_from_a_peer_when_an_item_changed) {
   StoreSection Old;
-  Old.adopt(items("1", 3), 5, Start);
+  Old.adopt(items("1", 3), rev(5), Start);
   auto Later = Start + milliseconds(2000);
   auto Unchanged = Later - milliseconds(500);
-  Old.adopt(items("2", 9), 10, Later, Unchanged);
+  Old.adopt(items("2", 9), rev(10), Later, Unchanged);
   BOOST_TEST((Old.items().at("a").ChangedAfter == Unchanged));
 
   StoreSection Started;
-  Started.adopt(items("2", 9), 10, Later);
+  Started.adopt(items("2", 9), rev(10), Later);
   BOOST_TEST(Started.lacksChangeTimes());
   // The same items with known change times count as a change, once.
-  BOOST_TEST(Started.adopt(Old.items(), 10, Later));
+  BOOST_TEST(Started.adopt(Old.items(), rev(10), Later));
   BOOST_TEST((Started.items().at("a").ChangedAfter == Unchanged));
   BOOST_TEST(!Started.lacksChangeTimes());
-  BOOST_TEST(!Started.adopt(Old.items(), 10, Later));
+  BOOST_TEST(!Started.adopt(Old.items(), rev(10), Later));
   // The next read of the store keeps the change times.
-  Started.adopt(items("2", 9), 11, Later + milliseconds(900));
+  Started.adopt(items("2", 9), rev(11), Later + milliseconds(900));
   BOOST_TEST(!Started.lacksChangeTimes());
 }
 
 BOOST_AUTO_TEST_CASE(the_later_of_two_change_times_is_kept) {
   auto Later = Start + milliseconds(2000);
   StoreSection Partitioned;
-  Partitioned.adopt(items("1", 3), 5, Start);
-  Partitioned.adopt(items("2", 9), 10, Later, Start);
+  Partitioned.adopt(items("1", 3), rev(5), Start);
+  Partitioned.adopt(items("2", 9), rev(10), Later, Start);
   StoreSection::Items Known = items("2", 9);
   Known.at("a").ChangedAfter = Start + milliseconds(1200);
-  BOOST_TEST(Partitioned.adopt(Known, 10, Later));
+  BOOST_TEST(Partitioned.adopt(Known, rev(10), Later));
   BOOST_TEST(
       (Partitioned.items().at("a").ChangedAfter == Start + milliseconds(1200)));
 }
@@ -76,8 +79,8 @@
 BOOST_AUTO_TEST_CASE(an_older_read_of_a_peer_confirms_nothing) {
   StoreSection Local;
   StoreSection Peer;
-  Local.adopt(items("new", 9), 10, Start);
-  Peer.adopt(items("old", 3), 5, Start + milliseconds(500));
+  Local.adopt(items("new", 9), rev(10), Start);
+  Peer.adopt(items("old", 3), rev(5), Start + milliseconds(500));
   auto Comparison =
       Local.compareAndConfirm(Peer.summary(Start + milliseconds(500)), Start);
   BOOST_TEST((Comparison == StoreSection::Comparison::LocalNewer));
@@ -89,8 +92,8 @@
   // counted from the time of the query.
   StoreSection Local;
   StoreSection Peer;
-  Local.adopt(items("x", 3), 5, Start);
-  Peer.adopt(items("x", 3), 5, Start + milliseconds(100));
+  Local.adopt(items("x", 3), rev(5), Start);
+  Peer.adopt(items("x", 3), rev(5), Start + milliseconds(100));
   auto Summary = Peer.summary(Start + milliseconds(300));
   Local.compareAndConfirm(Summary, /*QueriedAt=*/Start + milliseconds(290));
   auto Age = Local.staleness(Start + milliseconds(700));
@@ -109,7 +112,8 @@
       auto &One = Processes[*rc::gen::inRange<std::size_t>(0, 3)];
       if (*rc::gen::arbitrary<bool>()) {
         bool Old = Now < Changed;
-        One.adopt(items(Old ? "old" : "new", Old ? 1 : 2), Old ? 1 : 2, Now);
+        One.adopt(items(Old ? "old" : "new", Old ? 1 : 2), rev(Old ? 1 : 2),
+                  Now);
       } else {
         auto &Other = Processes[*rc::gen::inRange<std::size_t>(0, 3)];
         auto Asked = Now - milliseconds(*rc::gen::inRange(0, 50));
--- a/rosemarylane/src/node/SectionFetch.cpp
+++ b/rosemarylane/src/node/SectionFetch.cpp
@@ -54,7 +54,7 @@
   for (const wire::SectionItem &Item : Theirs.items())
     if (!decodeItem(Item, Sent, Read.Items[Item.key()]))
       return std::nullopt;
-  Read.At.Revision = Theirs.summary().at();
+  Read.At = {Theirs.summary().era(), Theirs.summary().at()};
   Read.ConfirmedAt = Sent - milliseconds(Theirs.summary().proof_age_ms());
   return Read;
 }
--- a/rosemarylane/src/node/SectionMessages.cpp
+++ b/rosemarylane/src/node/SectionMessages.cpp
@@ -12,7 +12,8 @@
 }
 
 void toWire(const StoreSection::Summary &From, wire::SectionSummary &To) {
-  To.set_at(From.At);
+  To.set_at(From.At.Revision);
+  To.set_era(From.At.Era);
   To.set_digest(From.Digest);
   To.set_proof_age_ms(From.Staleness ? From.Staleness->count() : -1);
   To.set_knows_times(From.HasChangeTimes);
@@ -20,7 +21,7 @@
 
 StoreSection::Summary fromWire(const wire::SectionSummary &From) {
   StoreSection::Summary To;
-  To.At = From.at();
+  To.At = {From.era(), From.at()};
   To.Digest = From.digest();
   To.HasChangeTimes = From.knows_times();
   if (From.proof_age_ms() >= 0)
--- a/rosemarylane/src/node/SectionServer.cpp
+++ b/rosemarylane/src/node/SectionServer.cpp
@@ -31,10 +31,10 @@
 const std::string &
 SectionServer::compressedValue(const std::string &Key,
                                const serving::StoredItem &Item) {
-  CompressedItem &Known = CompressedItems[Key];
-  if (Known.Bytes.empty() || Known.Revision != Item.Revision)
-    Known = {Item.Revision, wire::compress(Item.Value)};
-  return Known.Bytes;
+  std::string &Known = CompressedItems[Key];
+  if (Known.empty())
+    Known = wire::compress(Item.Value);
+  return Known;
 }
 
 std::optional<http::Response> SectionServer::answer(std::string_view Path,
@@ -50,8 +50,7 @@
   for (const auto &[Key, Item] : Which->items()) {
     wire::SectionItem *Copy = Body.add_items();
     Copy->set_key(Key);
-    // Revisions of the registry's items are not known.
-    if (Compressed && Item.Revision != 0 &&
+    if (Compressed && Which == &Copies.Operators.section() &&
         Item.Value.size() >= MinCompressedBytes) {
       Copy->set_compressed_value(compressedValue(Key, Item));
       Copy->set_value_bytes(Item.Value.size());
--- a/rosemarylane/src/node/SectionServer.h
+++ b/rosemarylane/src/node/SectionServer.h
@@ -5,7 +5,6 @@
 #include "http/Message.h"
 #include "node/SectionCopies.h"
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -30,18 +29,13 @@
   void dropCompressed() { CompressedItems.clear(); }
 
 private:
-  struct CompressedItem {
-    std::int64_t Revision = 0;
-    std::string Bytes;
-  };
-
   const serving::StoreSection *sectionAt(std::string_view Path) const;
   const std::string &compressedValue(const std::string &Key,
                                      const serving::StoredItem &Item);
 
   const SectionCopies &Copies;
-  /// Large values as last served to peers, by key.
-  std::map<std::string, CompressedItem> CompressedItems;
+  /// Large values of the operators section as last served to peers, by key.
+  std::map<std::string, std::string> CompressedItems;
 };
 
 } // namespace rosemarylane
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -49,8 +49,6 @@
   /// A change was reported while a read was in progress.
   bool ReadAgain = false;
   bool LastFailed = false;
-  /// Position of the last read that was not older than those before.
-  serving::StorePosition Last;
   /// When the last refused read was logged.
   std::optional<BootTime> RefusalLoggedAt;
 };
@@ -204,7 +202,7 @@
   }
 
   asio::awaitable<void> watch() {
-    std::int64_t Known = Copies.Operators.section().at();
+    serving::StorePosition Known = Copies.Operators.section().at();
     bool Changed = co_await Reader.watchOperators(Known);
     if (Changed) {
       if (OperatorsReads.InProgress)
@@ -234,10 +232,12 @@
     if (Which == Section::Operators) {
       auto Unchanged =
           co_await Reader.confirmOperators(Copies.Operators.section());
-      if (Unchanged) {
-        Copies.Operators.confirm(Unchanged->At.Revision, Unchanged->ReadSentAt);
+      // A peer's copy may have replaced the section during the request.
+      bool Counts =
+          Unchanged && Copies.Operators.confirm(Unchanged->Asked, Unchanged->At,
+                                                Unchanged->ReadSentAt);
+      if (Counts)
         co_return true;
-      }
     }
     auto Read = co_await Reader.read(Which);
     if (!Read)
@@ -280,18 +280,28 @@
       return;
     using Comparison = StoreSection::Comparison;
     StoreSection::Summary Theirs = fromWire(Reply.operators());
-    Comparison Result = Copies.Operators.compareAndConfirm(Theirs, *Sent);
+    Comparison Result = compare(Section::Operators, Theirs, *Sent);
     // A process that has just started does not know when its items last
     // changed, but the peer may know.
     bool KnowsMore = Result == Comparison::Same && Theirs.HasChangeTimes &&
                      Copies.Operators.section().lacksChangeTimes();
     if (Result == Comparison::PeerNewer || KnowsMore)
       fetch(Section::Operators, From.Ip, Reply.compresses());
-    if (Copies.Registry.compareAndConfirm(fromWire(Reply.registry()), *Sent) ==
+    if (compare(Section::Registry, fromWire(Reply.registry()), *Sent) ==
         Comparison::PeerNewer)
       fetch(Section::Registry, From.Ip, Reply.compresses());
   }
 
+  StoreSection::Comparison compare(Section Which,
+                                   const StoreSection::Summary &Theirs,
+                                   BootTime QueriedAt) {
+    SectionCopy &Copy = Copies.of(Which);
+    serving::StorePosition Before = Copy.section().at();
+    auto Result = Copy.compareAndConfirm(Theirs, QueriedAt);
+    logIfRestored(Which, Before);
+    return Result;
+  }
+
   void fetch(Section Which, const std::string &Ip, bool Compressed) {
     if (!Fetching.insert(Which).second)
       return;
@@ -322,9 +332,12 @@
     SectionCopy &Copy = Copies.of(Which);
     BootTime Now = BootClock::now();
     std::size_t RetainedBefore = Copy.retainedCount();
-    noteRead(Which, Read.At, Source, Now);
-    auto Change = Copy.adopt(std::move(Read.Items), Read.At.Revision,
-                             Read.ConfirmedAt, Now);
+    serving::StorePosition Before = Copy.section().at();
+    if (Read.At < Before)
+      logRefusal(Which, Read.At, Source, Now);
+    auto Change =
+        Copy.adopt(std::move(Read.Items), Read.At, Read.ConfirmedAt, Now);
+    logIfRestored(Which, Before);
     if (!Change)
       return;
     const StoreSection &Known = Copy.section();
@@ -347,28 +360,21 @@
     Queries.announceChange(Now);
   }
 
-  /// Logs a read of a new era of the store, or one that is refused.
-  void noteRead(Section Which, serving::StorePosition At,
-                const std::string &Source, BootTime Now) {
-    SectionReads &Reads = readsOf(Which);
-    serving::StorePosition Known{Reads.Last.Era,
-                                 Copies.of(Which).section().at()};
-    bool EraRises = Known.Era != 0 && At.Era > Known.Era;
-    if (EraRises)
-      logStoreRestored(Which, Known, At, Copies.of(Which).retainedCount(), 0);
-    if (At.Revision < Known.Revision)
-      logRefusal(Which, At, Known, Source, Now);
-    Reads.Last = std::max(Reads.Last, At);
+  /// Logs if the era of a section has risen since it was at \p Before.
+  void logIfRestored(Section Which, serving::StorePosition Before) {
+    const SectionCopy &Copy = Copies.of(Which);
+    serving::StorePosition After = Copy.section().at();
+    if (Before.Era != 0 && After.Era != Before.Era)
+      logStoreRestored(Which, Before, After, Copy.retainedCount(), 0);
   }
 
   void logRefusal(Section Which, serving::StorePosition At,
-                  serving::StorePosition Known, const std::string &Source,
-                  BootTime Now) {
+                  const std::string &Source, BootTime Now) {
     std::optional<BootTime> &LoggedAt = readsOf(Which).RefusalLoggedAt;
     if (LoggedAt && Now - *LoggedAt < RefusalLogPeriod)
       return;
     LoggedAt = Now;
-    logRefusedRead(Which, Source, Known, At);
+    logRefusedRead(Which, Source, Copies.of(Which).section().at(), At);
   }
 
   /// Passes on the registry as this process acts on it.
@@ -376,8 +382,7 @@
   void registryChanged(const std::string &Source) {
     StoreSection::Items Items = Copies.Registry.items();
     logRegistryChange(compareRegistries(LastRegistry, Items),
-                      {RegistryReads.Last.Era, Copies.Registry.section().at()},
-                      Source);
+                      Copies.Registry.section().at(), Source);
     LastRegistry = std::move(Items);
     if (Callbacks.OnRegistryChanged)
       Callbacks.OnRegistryChanged(LastRegistry);
--- a/rosemarylane/src/node/StoreReader.cpp
+++ b/rosemarylane/src/node/StoreReader.cpp
@@ -23,6 +23,8 @@
 
 /// Timeout of whole HTTP exchanges, including the connection setup.
 constexpr milliseconds StoreTimeout{600};
+/// How often a section is read anew because its pages are of two eras.
+constexpr int MaxReadAttempts = 3;
 /// Limit of the body of a notice that something has changed. The notice holds
 /// the changed items, which are read from the section instead.
 constexpr std::size_t MaxNoticeBytes = 16 << 10;
@@ -44,6 +46,21 @@
 }
 
 asio::awaitable<std::optional<SectionRead>> StoreReader::read(Section Which) {
+  for (int Attempt = 0; Attempt < MaxReadAttempts; ++Attempt) {
+    auto Result = co_await readPages(Which);
+    bool WasRestored = Result && !Result->At.known();
+    if (!WasRestored)
+      co_return Result;
+  }
+  logWarning("the store was restored during each read of a section",
+             nameOf(Which));
+  co_return std::nullopt;
+}
+
+/// @return nothing if a page could not be read; an unknown position if the
+/// pages are of two eras, and so of no read.
+asio::awaitable<std::optional<SectionRead>>
+StoreReader::readPages(Section Which) {
   SectionRead Result;
   std::string After;
   BootTime Sent = BootClock::now();
@@ -68,6 +85,8 @@
     // newer items; the next read finds any changes made in between.
     if (!Result.At.known())
       Result.At = Page->At;
+    if (Page->At.Era != Result.At.Era)
+      co_return SectionRead{};
     Result.Items.merge(Page->Items);
     After = Page->LastKey;
     if (!Page->More || After.empty())
@@ -79,7 +98,8 @@
 
 asio::awaitable<std::optional<StoreReader::Confirmation>>
 StoreReader::confirmOperators(const StoreSection &Known) {
-  if (!Known.known())
+  std::optional<StoreSection::Question> Asked = Known.question();
+  if (!Asked)
     co_return std::nullopt;
   std::vector<core::FailureDomainId> Domains;
   for (const auto &[Domain, Region] : Settings.RegionOf)
@@ -91,7 +111,6 @@
   Call.Request = platform::confirmRequest(Keys, Known.items());
   Call.Timeout = StoreTimeout;
   Call.MaxBodyBytes = MaxNoticeBytes;
-  std::uint64_t Digest = Known.digest();
   BootTime Sent = BootClock::now();
   auto Answer = co_await exchange(std::move(Call));
   if (!Answer)
@@ -103,24 +122,27 @@
                Confirmed.error().text());
     co_return std::nullopt;
   }
-  // A peer's copy may have replaced the section during the request.
-  if (!Confirmed->Unchanged || Digest != Known.digest())
+  if (!Confirmed->Unchanged)
     co_return std::nullopt;
-  co_return Confirmation{Confirmed->At, Sent};
+  co_return Confirmation{*Asked, Confirmed->At, Sent};
 }
 
-asio::awaitable<bool> StoreReader::watchOperators(std::int64_t After) {
+asio::awaitable<bool>
+StoreReader::watchOperators(serving::StorePosition After) {
   HttpClient::Call Call;
   Call.Request =
-      platform::watchRequest(Section::Operators, After, WatchDuration);
+      platform::watchRequest(Section::Operators, After.Revision, WatchDuration);
   Call.Timeout = WatchTimeout;
   Call.MaxBodyBytes = MaxNoticeBytes;
   auto Answer = co_await exchange(std::move(Call));
   // A notice over the limit is one, too.
   if (!Answer)
     co_return Answer.error().What == http::Error::Kind::Malformed;
-  auto Changed = platform::decodeWatch(*Answer);
-  co_return Changed && Changed->Changed;
+  auto Notice = platform::decodeWatch(*Answer);
+  if (!Notice)
+    co_return false;
+  bool WasRestored = Notice->Era != After.Era;
+  co_return WasRestored || Notice->Changed;
 }
 
 } // namespace rosemarylane
--- a/rosemarylane/src/node/StoreReader.h
+++ b/rosemarylane/src/node/StoreReader.h
@@ -25,31 +25,37 @@
   StoreReader(HttpClient &Client, const NodeSettings &Settings)
       : Client(Client), Settings(Settings) {}
 
-  /// Reads all pages of a section.
+  /// Reads all pages of a section, from the start again if the store was
+  /// restored in between.
   /// @return nothing if a page could not be read; the reason is logged.
   boost::asio::awaitable<std::optional<SectionRead>>
   read(platform::Section Which);
 
   /// That the items of the operators section were unchanged.
   struct Confirmation {
+    serving::StoreSection::Question Asked;
     serving::StorePosition At;
     /// When the confirming read was sent.
     core::BootTime ReadSentAt{};
   };
 
-  /// Asks whether \p Known is still what the store holds.
+  /// Asks whether \p Known is still what the store holds. The answer is to be
+  /// passed to `serving::SectionCopy::confirm`.
   /// @return nothing if an item has changed, or this is not known.
   boost::asio::awaitable<std::optional<Confirmation>>
   confirmOperators(const serving::StoreSection &Known);
 
-  /// Waits for a change of the operators section after a store revision.
-  /// @return whether something has changed; false also if the request failed.
-  boost::asio::awaitable<bool> watchOperators(std::int64_t After);
+  /// Waits for a change of the operators section after a store position.
+  /// @return whether something has changed, or the store was restored; false
+  /// also if the request failed.
+  boost::asio::awaitable<bool> watchOperators(serving::StorePosition After);
 
   /// @return number of requests sent so far.
   std::uint64_t requestCount() const { return Requests; }
 
 private:
+  boost::asio::awaitable<std::optional<SectionRead>>
+  readPages(platform::Section Which);
   boost::asio::awaitable<core::Result<http::Response, http::Error>>
   exchange(HttpClient::Call Call);
 
