CONFIG: a running process keeps what a restored store lacks

Change, in the process alone (SectionCopy::items; peers are told what the store holds): RetainedRecords keeps a configuration or named version until the store shows one at least as new (platform::recordOrder), and an evacuation until a read that was sent 2.2 s after the era was first seen doesn't show it. LapsedEntries keeps missing registry entries as after an outage. ReturnedEntries holds back entries that had vanished, or whose incarnation was replaced, until a read sent 3 s after the era was first seen still shows them. EraSightings holds when an era was first seen; processes pass its age on in the section summary.

--- a/libs/serving/include/serving/LapsedEntries.h
+++ b/libs/serving/include/serving/LapsedEntries.h
@@ -11,13 +11,14 @@
 namespace rosemarylane::serving {
 
 /// Registry entries that the store does not show, but whose leases may have
-/// expired only because the store was down.
+/// expired only because the store was down, or that a restored store lacks.
 ///
 /// While the store is down its leases expire, so the first read after its
 /// return shows an empty registry although every target still serves. A process
 /// that knew the entries retains them until their targets have had time to
 /// register again. `StoreOutage::mayHaveLapsed` decides whether that is
-/// assumed.
+/// assumed. A restored store (see `StorePosition`) lacks the entries that were
+/// written after the copy was made; they are retained in the same way.
 ///
 /// What is retained is an assumption of one process. It is kept apart from the
 /// `StoreSection`, which peers copy, and never leaves the process. Has no clock
@@ -38,6 +39,13 @@
                      const StoreSection::Items &Registered,
                      core::BootTime ReadAt);
 
+  /// Retains the entries of \p Before that are missing from \p Registered since
+  /// the store was restored, also those that were retained already.
+  /// @param EraSeenAt when the new era was first seen.
+  void retainThroughRestore(const StoreSection::Items &Before,
+                            const StoreSection::Items &Registered,
+                            core::BootTime EraSeenAt);
+
   /// Drops entries that are registered again, or whose time is over and that
   /// are still missing from a read near its end. If the store is down again by
   /// then, their targets have not had that time.
--- a/libs/serving/include/serving/SectionCopy.h
+++ b/libs/serving/include/serving/SectionCopy.h
@@ -2,11 +2,16 @@
 #define ROSEMARYLANE_SERVING_SECTION_COPY_H
 
 #include "core/BootClock.h"
+#include "serving/EraSightings.h"
 #include "serving/LapsedEntries.h"
+#include "serving/RecordOrder.h"
+#include "serving/RetainedRecords.h"
+#include "serving/ReturnedEntries.h"
 #include "serving/StoreOutage.h"
 #include "serving/StoreSection.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -21,7 +26,10 @@
 /// not change during it, are part of `items` alone, on which only this process
 /// acts. A peer that was connected all the
 /// while is therefore never overruled by what a process that was partitioned
-/// assumes. Value type without a clock of its own; not thread-safe.
+/// assumes. When the store was restored from an older copy, `section` holds
+/// what the store holds now, and `items` also what this process knew to be
+/// newer; see `RetainedRecords`, `LapsedEntries` and `ReturnedEntries`. Value
+/// type without a clock of its own; not thread-safe.
 class SectionCopy {
 public:
   /// What an item means that the section held before and no longer shows.
@@ -41,8 +49,16 @@
     std::optional<core::BootTime> UnchangedAt;
   };
 
-  explicit SectionCopy(Missing MeaningOfMissing)
-      : MeaningOfMissing(MeaningOfMissing) {}
+  /// @param Order which of two records of one key is newer; without it, no
+  /// record has an order.
+  explicit SectionCopy(Missing MeaningOfMissing, RecordOrder Order = {})
+      : MeaningOfMissing(MeaningOfMissing), Records(Order), Returned(Order) {}
+
+  /// Records that somebody had seen an era of the store by \p SeenAt, in local
+  /// time. To be called before `adopt` if that is known.
+  void recordEra(std::uint64_t Era, core::BootTime SeenAt) {
+    Sightings.record(Era, SeenAt);
+  }
 
   /// Adopts a complete read of the store, or a peer's copy of one; see
   /// `StoreSection::adopt`.
@@ -63,27 +79,34 @@
 
   /// Compares the section with a peer's summary; see
   /// `StoreSection::compareAndConfirm`.
+  /// @param Now when the summary arrived.
   StoreSection::Comparison
   compareAndConfirm(const StoreSection::Summary &PeerSummary,
-                    core::BootTime QueriedAt);
+                    core::BootTime QueriedAt, core::BootTime Now);
+
+  /// @return what peers compare with theirs.
+  StoreSection::Summary summary(core::BootTime Now) const;
 
   /// What tells an outage of the store from a partition of this process.
   StoreOutage &outage() { return Outage; }
 
-  /// Drops assumptions whose time is over.
+  /// Drops assumptions whose time is over. To be called regularly.
   /// @return whether `items` has changed.
   bool expire(core::BootTime Now);
 
   /// @return what the store is known to have held; peers may copy it.
   const StoreSection &section() const { return Read; }
 
-  /// @return the items on which this process acts: those of `section` and
-  /// those that it retains. Where an outage is assumed before a change,
-  /// `ChangedAfter` is when it ended.
+  /// @return the items on which this process acts: those of `section` that it
+  /// does not hold back, and those that it retains. Where an outage is assumed
+  /// before a change, `ChangedAfter` is when it ended.
   StoreSection::Items items() const;
 
   /// @return the number of items that are retained.
-  std::size_t retainedCount() const { return Lapsed.size(); }
+  std::size_t retainedCount() const { return Lapsed.size() + Records.size(); }
+
+  /// @return the number of items of `section` that are not used.
+  std::size_t heldBackCount() const { return Returned.size(); }
 
 private:
   /// An item that changed after an assumed outage.
@@ -92,13 +115,17 @@
     core::BootTime ChangedAfter;
   };
 
+  void storeRestored(const StoreSection::Items &Acted, core::BootTime Now);
   void assumeChangesAfter(core::BootTime OutageEnd,
                           const StoreSection::Items &Before, bool SameEra);
 
   Missing MeaningOfMissing;
   StoreSection Read;
   StoreOutage Outage;
+  EraSightings Sightings;
   LapsedEntries Lapsed;
+  RetainedRecords Records;
+  ReturnedEntries Returned;
   std::map<std::string, AssumedChange> AssumedChanges;
 };
 
--- a/libs/serving/include/serving/StoreSection.h
+++ b/libs/serving/include/serving/StoreSection.h
@@ -60,6 +60,9 @@
     std::optional<std::chrono::milliseconds> Staleness;
     /// `ChangedAfter` is known for all items.
     bool HasChangeTimes = false;
+    /// Time since the era of `At` was first seen (see `EraSightings`); a
+    /// section by itself does not know it.
+    std::optional<std::chrono::milliseconds> EraAge;
   };
 
   enum class Comparison { Same, PeerNewer, LocalNewer };
--- a/libs/serving/src/SectionCopy.cpp
+++ b/libs/serving/src/SectionCopy.cpp
@@ -7,6 +7,7 @@
 std::optional<SectionCopy::Change>
 SectionCopy::adopt(StoreSection::Items NewItems, StorePosition At,
                    core::BootTime ConfirmedAt, core::BootTime Now) {
+  Sightings.record(At.Era, Now);
   Change Result;
   if (auto Staleness = Read.staleness(Now)) {
     Result.UnchangedAt = Now - *Staleness;
@@ -17,13 +18,23 @@
                        Outage.mayHaveLapsed(*Result.UnchangedAt, ConfirmedAt);
   bool OutageAssumed = Result.CountdownStart != Result.UnchangedAt;
   bool SameEra = At.Era == Read.at().Era;
-  StoreSection::Items Before;
-  if (MayHaveLapsed || OutageAssumed)
-    Before = Read.items();
-  if (!Read.adopt(std::move(NewItems), At, ConfirmedAt, Result.UnchangedAt))
+  bool IsRestored = Read.known() && At.Era > Read.at().Era;
+  StoreSection::Items Before = Read.items();
+  StoreSection::Items Acted;
+  if (IsRestored)
+    Acted = items();
+  bool Changed =
+      Read.adopt(std::move(NewItems), At, ConfirmedAt, Result.UnchangedAt);
+  if (IsRestored)
+    storeRestored(Acted, Now);
+  if (!Changed)
     return std::nullopt;
   if (MayHaveLapsed)
     Lapsed.retainMissing(Before, Read.items(), ConfirmedAt);
+  if (SameEra) {
+    Records.update(Read.items());
+    Returned.recordChange(Before, Read.items(), Now);
+  }
   std::erase_if(AssumedChanges, [&](const auto &Entry) {
     auto Known = Read.items().find(Entry.first);
     return Known == Read.items().end() ||
@@ -35,9 +46,29 @@
   return Result;
 }
 
+/// Keeps what this process acted on, where the store from an older copy shows
+/// less.
+void SectionCopy::storeRestored(const StoreSection::Items &Acted,
+                                core::BootTime Now) {
+  if (MeaningOfMissing == Missing::Gone) {
+    Records.storeRestored(Acted, Read.items());
+    return;
+  }
+  Returned.storeRestored(Acted, Read.items(), Now);
+  core::BootTime SeenAt = Sightings.firstSeen(Read.at().Era).value_or(Now);
+  Lapsed.retainThroughRestore(Acted, Returned.usable(Read.items()), SeenAt);
+}
+
 bool SectionCopy::expire(core::BootTime Now) {
   auto Staleness = Read.staleness(Now);
-  return Staleness && Lapsed.expire(Read.items(), Now - *Staleness, Now);
+  if (!Staleness)
+    return false;
+  core::BootTime ConfirmedAt = Now - *Staleness;
+  bool Changed = Records.expire(Read.at(), ConfirmedAt, Sightings);
+  Changed |= Returned.expire(Read.items(), Read.at(), ConfirmedAt, Sightings);
+  if (!Lapsed.empty())
+    Changed |= Lapsed.expire(Returned.usable(Read.items()), ConfirmedAt, Now);
+  return Changed;
 }
 
 void SectionCopy::assumeChangesAfter(core::BootTime OutageEnd,
@@ -51,7 +82,7 @@
 }
 
 StoreSection::Items SectionCopy::items() const {
-  StoreSection::Items Result = Lapsed.joinedWith(Read.items());
+  StoreSection::Items Result = Returned.usable(Read.items());
   for (const auto &[Key, Change] : AssumedChanges) {
     auto Found = Result.find(Key);
     if (Found == Result.end())
@@ -60,16 +91,35 @@
     if (!ChangedAfter || *ChangedAfter < Change.ChangedAfter)
       ChangedAfter = Change.ChangedAfter;
   }
-  return Result;
+  Records.applyTo(Result);
+  return Lapsed.empty() ? Result : Lapsed.joinedWith(Result);
 }
 
 StoreSection::Comparison
 SectionCopy::compareAndConfirm(const StoreSection::Summary &PeerSummary,
-                               core::BootTime QueriedAt) {
+                               core::BootTime QueriedAt, core::BootTime Now) {
+  StorePosition Theirs = PeerSummary.At;
+  if (Theirs.known())
+    Sightings.record(Theirs.Era, Now - PeerSummary.EraAge.value_or(
+                                           std::chrono::milliseconds(0)));
+  bool TakesEra = Read.known() && Theirs.known() &&
+                  Theirs.Era > Read.at().Era &&
+                  PeerSummary.Digest == Read.digest();
+  StoreSection::Items Acted;
+  if (TakesEra)
+    Acted = items();
   auto Result = Read.compareAndConfirm(PeerSummary, QueriedAt);
+  if (TakesEra)
+    storeRestored(Acted, Now);
   if (Result == StoreSection::Comparison::PeerNewer && PeerSummary.Staleness)
     Outage.recordPeerAnswer(QueriedAt - *PeerSummary.Staleness);
   return Result;
 }
 
+StoreSection::Summary SectionCopy::summary(core::BootTime Now) const {
+  StoreSection::Summary Result = Read.summary(Now);
+  Result.EraAge = Sightings.age(Result.At.Era, Now);
+  return Result;
+}
+
 } // namespace rosemarylane::serving
--- a/libs/serving/src/StoreSection.cpp
+++ b/libs/serving/src/StoreSection.cpp
@@ -132,8 +132,8 @@
 }
 
 StoreSection::Summary StoreSection::summary(core::BootTime Now) const {
-  return {Position, ItemsDigest, staleness(Now),
-          known() && !lacksChangeTimes()};
+  return {Position, ItemsDigest, staleness(Now), known() && !lacksChangeTimes(),
+          std::nullopt};
 }
 
 std::optional<std::chrono::milliseconds>
--- /dev/null
+++ b/libs/serving/tests/RestoredItemsTest.cpp
@@ -0,0 +1,267 @@
+#include "serving/SectionCopy.h"
+
+#include <boost/test/unit_test.hpp>
+#include <charconv>
+
+using namespace rosemarylane;
+using namespace rosemarylane::serving;
+using std::chrono::milliseconds;
+
+// What a process acts on after the store came back from an older copy.
+
+namespace {
+
+const core::BootTime Start = core::BootTime(std::chrono::hours(1));
+
+core::BootTime at(int Ms) { return Start + milliseconds(Ms); }
+
+/// The number before a slash, as in `12/draining`; other values have no order.
+std::optional<std::uint64_t> orderOf(const std::string &,
+                                     const std::string &Value) {
+  std::uint64_t Place = 0;
+  auto Read = std::from_chars(Value.data(), Value.data() + Value.size(), Place);
+  if (Read.ec != std::errc())
+    return std::nullopt;
+  return Place;
+}
+
+using Values = std::map<std::string, std::string>;
+
+StoreSection::Items items(const Values &Held, std::int64_t Revision = 1) {
+  StoreSection::Items Result;
+  for (const auto &[Key, Value] : Held)
+    Result[Key] = {Value, Revision};
+  return Result;
+}
+
+Values valuesOf(const StoreSection::Items &Items) {
+  Values Result;
+  for (const auto &[Key, Item] : Items)
+    Result[Key] = Item.Value;
+  return Result;
+}
+
+SectionCopy operatorsWith(const Values &Held) {
+  SectionCopy Copy(SectionCopy::Missing::Gone, orderOf);
+  Copy.adopt(items(Held), {1, 17}, Start, Start);
+  return Copy;
+}
+
+SectionCopy registryWith(const Values &Held) {
+  SectionCopy Copy(SectionCopy::Missing::MayHaveLapsed, orderOf);
+  Copy.adopt(items(Held), {1, 17}, Start, Start);
+  return Copy;
+}
+
+/// A read of the store, sent 10 ms before it arrives.
+void read(SectionCopy &Copy, const Values &Held, StorePosition At, int Ms) {
+  Copy.adopt(items(Held), At, at(Ms - 10), at(Ms));
+  Copy.expire(at(Ms));
+}
+
+void check(const SectionCopy &Copy, const Values &Expected) {
+  BOOST_TEST((valuesOf(Copy.items()) == Expected));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(restored_items)
+
+// Guards against CONFIG: the older copy would put an older configuration into
+// force.
+BOOST_AUTO_TEST_CASE(a_running_process_never_goes_back) {
+  SectionCopy Copy = operatorsWith({{"config", "12"}, {"version", "5"}});
+  read(Copy, {{"config", "11"}}, {2, 15}, 2000);
+  check(Copy, {{"config", "12"}, {"version", "5"}});
+  // Whatever the time; the store has not said anything newer.
+  read(Copy, {{"config", "11"}}, {2, 16}, 60'000);
+  check(Copy, {{"config", "12"}, {"version", "5"}});
+  read(Copy, {{"config", "13"}, {"version", "5"}}, {2, 18}, 61'000);
+  check(Copy, {{"config", "13"}, {"version", "5"}});
+  BOOST_TEST(Copy.retainedCount() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(peers_are_told_what_the_store_holds) {
+  SectionCopy Copy = operatorsWith({{"config", "12"}});
+  read(Copy, {{"config", "11"}}, {2, 15}, 2000);
+  BOOST_TEST((valuesOf(Copy.section().items()) == Values{{"config", "11"}}));
+}
+
+BOOST_AUTO_TEST_CASE(a_record_that_cannot_be_read_replaces_none) {
+  SectionCopy Copy = operatorsWith({{"config", "12"}});
+  read(Copy, {{"config", "torn"}}, {2, 15}, 2000);
+  check(Copy, {{"config", "12"}});
+}
+
+BOOST_AUTO_TEST_CASE(what_is_retained_stays_through_a_second_restore) {
+  SectionCopy Copy = operatorsWith({{"config", "12"}, {"evacuate", "yes"}});
+  read(Copy, {{"config", "11"}}, {2, 15}, 2000);
+  read(Copy, {{"config", "10"}}, {3, 12}, 4000);
+  check(Copy, {{"config", "12"}, {"evacuate", "yes"}});
+  read(Copy, {{"config", "10"}}, {3, 12}, 6210);
+  check(Copy, {{"config", "12"}});
+}
+
+// An evacuation is lost with the restore, and written again two seconds later.
+BOOST_AUTO_TEST_CASE(a_lost_evacuation_is_kept_until_it_is_written_again) {
+  SectionCopy Copy = operatorsWith({{"evacuate", "yes"}});
+  read(Copy, {}, {2, 15}, 2000);
+  read(Copy, {}, {2, 15}, 4100);
+  check(Copy, {{"evacuate", "yes"}});
+  read(Copy, {{"evacuate", "yes"}}, {2, 16}, 4200);
+  BOOST_TEST(Copy.retainedCount() == 0);
+  read(Copy, {}, {2, 17}, 5000);
+  check(Copy, {});
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_evacuation_ends_with_the_time_to_write_it_again) {
+  SectionCopy Copy = operatorsWith({{"evacuate", "yes"}});
+  read(Copy, {}, {2, 15}, 2000);
+  // Sent 10 ms before the end of that time.
+  read(Copy, {}, {2, 15}, 4200);
+  check(Copy, {{"evacuate", "yes"}});
+  // Time alone tells nothing while the store is away.
+  BOOST_TEST(!Copy.expire(at(9000)));
+  BOOST_TEST(Copy.confirm({2, 16}, at(9100)));
+  BOOST_TEST(Copy.expire(at(9110)));
+  check(Copy, {});
+}
+
+// A process that was cut off hears of the new era late; the others know when it
+// began.
+BOOST_AUTO_TEST_CASE(the_first_sighting_by_anybody_counts) {
+  SectionCopy Copy = operatorsWith({{"evacuate", "yes"}});
+  Copy.recordEra(2, at(1000));
+  read(Copy, {}, {2, 15}, 3300);
+  check(Copy, {});
+}
+
+BOOST_AUTO_TEST_CASE(an_evacuation_that_came_back_is_obeyed) {
+  SectionCopy Copy = operatorsWith({});
+  read(Copy, {{"evacuate", "yes"}}, {2, 15}, 2000);
+  check(Copy, {{"evacuate", "yes"}});
+  read(Copy, {}, {2, 16}, 3000);
+  check(Copy, {});
+}
+
+// Targets that registered after the copy was made are missing until they do so
+// again; the store needn't have been away for long.
+BOOST_AUTO_TEST_CASE(entries_that_the_older_copy_lacks_are_kept_for_a_while) {
+  SectionCopy Copy = registryWith({{"a", "100/ready"}, {"b", "100/ready"}});
+  read(Copy, {{"a", "100/ready"}}, {2, 15}, 700);
+  check(Copy, {{"a", "100/ready"}, {"b", "100/ready"}});
+  read(Copy, {{"a", "100/ready"}}, {2, 16}, 2890);
+  check(Copy, {{"a", "100/ready"}, {"b", "100/ready"}});
+  read(Copy, {{"a", "100/ready"}}, {2, 17}, 3000);
+  check(Copy, {{"a", "100/ready"}});
+}
+
+BOOST_AUTO_TEST_CASE(a_process_that_hears_late_of_a_restore_retains_nothing) {
+  SectionCopy Copy = registryWith({{"a", "100/ready"}});
+  Copy.recordEra(2, at(5000));
+  read(Copy, {}, {2, 15}, 9000);
+  check(Copy, {});
+}
+
+// Guards against DRAIN and HOME: a target that left was back with the older
+// copy, and was sent requests.
+BOOST_AUTO_TEST_CASE(an_entry_that_had_vanished_is_held_back) {
+  SectionCopy Copy = registryWith({{"a", "100/ready"}});
+  read(Copy, {}, {1, 18}, 900);
+  read(Copy, {{"a", "100/draining"}}, {2, 15}, 2000);
+  check(Copy, {});
+  BOOST_TEST(Copy.heldBackCount() == 1);
+  read(Copy, {{"a", "100/draining"}}, {2, 16}, 4900);
+  check(Copy, {});
+  read(Copy, {}, {2, 17}, 5100);
+  check(Copy, {});
+  BOOST_TEST(Copy.heldBackCount() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_held_back_entry_that_somebody_keeps_is_usable) {
+  SectionCopy Copy = registryWith({{"a", "100/ready"}});
+  read(Copy, {}, {1, 18}, 900);
+  read(Copy, {{"a", "100/ready"}}, {2, 15}, 2000);
+  read(Copy, {{"a", "100/ready"}}, {2, 16}, 5000);
+  check(Copy, {});
+  read(Copy, {{"a", "100/ready"}}, {2, 17}, 5010);
+  check(Copy, {{"a", "100/ready"}});
+}
+
+BOOST_AUTO_TEST_CASE(a_new_incarnation_is_usable_at_once) {
+  SectionCopy Copy = registryWith({{"a", "100/ready"}});
+  read(Copy, {}, {1, 18}, 900);
+  read(Copy, {{"a", "100/ready"}}, {2, 15}, 2000);
+  read(Copy, {{"a", "200/ready"}}, {2, 16}, 2900);
+  check(Copy, {{"a", "200/ready"}});
+}
+
+BOOST_AUTO_TEST_CASE(an_earlier_incarnation_does_not_replace_a_later_one) {
+  SectionCopy Copy = registryWith({{"a", "100/ready"}});
+  read(Copy, {{"a", "200/ready"}}, {1, 18}, 900);
+  read(Copy, {{"a", "100/ready"}}, {2, 15}, 2000);
+  check(Copy, {{"a", "200/ready"}});
+  read(Copy, {{"a", "200/ready"}}, {2, 16}, 2900);
+  check(Copy, {{"a", "200/ready"}});
+  BOOST_TEST(Copy.retainedCount() == 0);
+  BOOST_TEST(Copy.heldBackCount() == 0);
+}
+
+// Leases ended with an outage, and the copy still has them: those targets live.
+BOOST_AUTO_TEST_CASE(an_entry_that_is_retained_is_not_held_back) {
+  SectionCopy Copy = registryWith({{"a", "100/ready"}});
+  for (int Ms = 500; Ms <= 4500; Ms += 500)
+    Copy.outage().recordReadFailure(at(Ms));
+  read(Copy, {}, {1, 18}, 5000);
+  check(Copy, {{"a", "100/ready"}});
+  read(Copy, {{"a", "100/ready"}}, {2, 15}, 5500);
+  check(Copy, {{"a", "100/ready"}});
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_registered_again_is_not_held_back) {
+  SectionCopy Copy = registryWith({{"a", "100/ready"}});
+  read(Copy, {}, {1, 18}, 900);
+  read(Copy, {{"a", "100/ready"}}, {1, 19}, 1800);
+  read(Copy, {{"a", "100/ready"}}, {2, 15}, 2700);
+  check(Copy, {{"a", "100/ready"}});
+}
+
+// The second copy is older than the first.
+BOOST_AUTO_TEST_CASE(an_entry_that_a_restore_took_away_is_held_back_later) {
+  SectionCopy Copy = registryWith({{"a", "100/ready"}});
+  read(Copy, {}, {2, 15}, 1000);
+  read(Copy, {}, {2, 16}, 3300);
+  check(Copy, {});
+  read(Copy, {{"a", "100/ready"}}, {3, 14}, 5000);
+  check(Copy, {});
+}
+
+// A peer's copy of the same items in a later era: nobody retains less for it.
+BOOST_AUTO_TEST_CASE(an_era_taken_over_from_a_peer_keeps_what_is_retained) {
+  SectionCopy Copy = operatorsWith({{"config", "12"}, {"evacuate", "yes"}});
+  read(Copy, {{"config", "11"}}, {2, 15}, 2000);
+  SectionCopy Peer = operatorsWith({{"config", "11"}});
+  read(Peer, {{"config", "11"}}, {3, 14}, 4000);
+  Copy.compareAndConfirm(Peer.summary(at(4100)), at(4050), at(4110));
+  BOOST_TEST((Copy.section().at() == StorePosition{3, 14}));
+  check(Copy, {{"config", "12"}, {"evacuate", "yes"}});
+  Copy.compareAndConfirm(Peer.summary(at(6000)), at(6000), at(6000));
+  read(Copy, {{"config", "11"}}, {3, 15}, 6211);
+  check(Copy, {{"config", "12"}});
+}
+
+BOOST_AUTO_TEST_CASE(the_age_of_a_sighting_is_never_overstated) {
+  EraSightings Sightings;
+  Sightings.record(2, at(1000));
+  Sightings.record(2, at(1500));
+  BOOST_TEST((Sightings.firstSeen(2) == at(1000)));
+  auto Now = at(2000) + std::chrono::microseconds(700);
+  BOOST_TEST(Sightings.age(2, Now)->count() == 1000);
+  BOOST_TEST(!Sightings.age(3, Now));
+  BOOST_TEST(!Sightings.isRewritten(2, at(3199)));
+  BOOST_TEST(Sightings.isRewritten(2, at(3200)));
+  BOOST_TEST(!Sightings.isRewritten(3, at(9000)));
+  BOOST_TEST(Sightings.isRewritten(0, at(0)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/serving/tests/SectionCopyTest.cpp
+++ b/libs/serving/tests/SectionCopyTest.cpp
@@ -148,7 +148,8 @@
   failReads(Copy, 500, 4500);
   StoreSection Peer;
   Peer.adopt({}, rev(7), at(1500), std::nullopt);
-  auto Result = Copy.compareAndConfirm(Peer.summary(at(1600)), at(1600));
+  auto Result =
+      Copy.compareAndConfirm(Peer.summary(at(1600)), at(1600), at(1600));
   BOOST_TEST((Result == StoreSection::Comparison::PeerNewer));
   auto Change = Copy.adopt({}, rev(9), at(5000), at(5000));
   BOOST_TEST(Copy.items().empty());
@@ -163,7 +164,7 @@
   failReads(Copy, 500, 4500);
   StoreSection Peer;
   Peer.adopt({}, rev(9), at(5000), std::nullopt);
-  Copy.compareAndConfirm(Peer.summary(at(5050)), at(5050));
+  Copy.compareAndConfirm(Peer.summary(at(5050)), at(5050), at(5050));
   Copy.outage().recordReadFailure(at(5060));
   auto Change = Copy.adopt({}, rev(9), at(5000), at(5100));
   BOOST_TEST(Copy.items().size() == 1);
@@ -228,7 +229,7 @@
   static void copy(const SectionCopy &From, SectionCopy &To,
                    core::BootTime Now) {
     auto Summary = From.section().summary(Now);
-    if (To.compareAndConfirm(Summary, Now) ==
+    if (To.compareAndConfirm(Summary, Now, Now) ==
         StoreSection::Comparison::PeerNewer)
       To.adopt(From.section().items(), Summary.At, Now - *Summary.Staleness,
                Now);
--- a/rosemarylane/src/node/PeerQueries.cpp
+++ b/rosemarylane/src/node/PeerQueries.cpp
@@ -38,8 +38,8 @@
   wire::Ask *Ask = Message.mutable_ask();
   Ask->set_number(++LastNumber);
   Ask->set_changed(AnnouncesChange);
-  toWire(Copies.Operators.section().summary(Now), *Ask->mutable_operators());
-  toWire(Copies.Registry.section().summary(Now), *Ask->mutable_registry());
+  toWire(Copies.Operators.summary(Now), *Ask->mutable_operators());
+  toWire(Copies.Registry.summary(Now), *Ask->mutable_registry());
   SentAt.emplace(LastNumber, Now);
   Socket.send(Ip, std::move(Message));
 }
@@ -121,8 +121,8 @@
   wire::NodeMessage Message;
   wire::Reply *Reply = Message.mutable_reply();
   Reply->set_number(Query.number());
-  toWire(Copies.Operators.section().summary(Now), *Reply->mutable_operators());
-  toWire(Copies.Registry.section().summary(Now), *Reply->mutable_registry());
+  toWire(Copies.Operators.summary(Now), *Reply->mutable_operators());
+  toWire(Copies.Registry.summary(Now), *Reply->mutable_registry());
   Reply->set_reading(Reading);
   Reply->set_compresses(true);
   for (const auto &[Known, Entry] : Peers.entries()) {
--- a/rosemarylane/src/node/SectionCopies.h
+++ b/rosemarylane/src/node/SectionCopies.h
@@ -23,13 +23,17 @@
   serving::StorePosition At;
   /// When the read of the store was sent, in local time.
   core::BootTime ConfirmedAt{};
+  /// When the era of `At` had been seen by somebody, in local time.
+  core::BootTime EraSeenAt{};
 };
 
 /// What this process knows of the two sections of the store. Value type; not
 /// thread-safe.
 struct SectionCopies {
-  serving::SectionCopy Operators{serving::SectionCopy::Missing::Gone};
-  serving::SectionCopy Registry{serving::SectionCopy::Missing::MayHaveLapsed};
+  serving::SectionCopy Operators{serving::SectionCopy::Missing::Gone,
+                                 platform::recordOrder};
+  serving::SectionCopy Registry{serving::SectionCopy::Missing::MayHaveLapsed,
+                                platform::recordOrder};
 
   serving::SectionCopy &of(platform::Section Which) {
     return Which == platform::Section::Operators ? Operators : Registry;
--- a/rosemarylane/src/node/SectionFetch.cpp
+++ b/rosemarylane/src/node/SectionFetch.cpp
@@ -56,6 +56,10 @@
       return std::nullopt;
   Read.At = {Theirs.summary().era(), Theirs.summary().at()};
   Read.ConfirmedAt = Sent - milliseconds(Theirs.summary().proof_age_ms());
+  Read.EraSeenAt = BootClock::now();
+  // Counted from the arrival, so that the age is not overstated.
+  if (Theirs.summary().has_era_age_ms())
+    Read.EraSeenAt -= milliseconds(Theirs.summary().era_age_ms());
   return Read;
 }
 
--- a/rosemarylane/src/node/SectionServer.cpp
+++ b/rosemarylane/src/node/SectionServer.cpp
@@ -10,7 +10,6 @@
 
 using core::BootTime;
 using platform::Section;
-using serving::StoreSection;
 
 namespace {
 
@@ -19,11 +18,12 @@
 
 } // namespace
 
-const StoreSection *SectionServer::sectionAt(std::string_view Path) const {
+const serving::SectionCopy *
+SectionServer::sectionAt(std::string_view Path) const {
   if (Path == pathOf(Section::Operators))
-    return &Copies.Operators.section();
+    return &Copies.Operators;
   if (Path == pathOf(Section::Registry))
-    return &Copies.Registry.section();
+    return &Copies.Registry;
   return nullptr;
 }
 
@@ -42,15 +42,15 @@
   bool Compressed = Path.ends_with(CompressedSuffix);
   if (Compressed)
     Path.remove_suffix(CompressedSuffix.size());
-  const StoreSection *Which = sectionAt(Path);
+  const serving::SectionCopy *Which = sectionAt(Path);
   if (!Which)
     return std::nullopt;
   wire::Section Body;
   toWire(Which->summary(Now), *Body.mutable_summary());
-  for (const auto &[Key, Item] : Which->items()) {
+  for (const auto &[Key, Item] : Which->section().items()) {
     wire::SectionItem *Copy = Body.add_items();
     Copy->set_key(Key);
-    if (Compressed && Which == &Copies.Operators.section() &&
+    if (Compressed && Which == &Copies.Operators &&
         Item.Value.size() >= MinCompressedBytes) {
       Copy->set_compressed_value(compressedValue(Key, Item));
       Copy->set_value_bytes(Item.Value.size());
@@ -64,7 +64,7 @@
               .count());
   }
   http::Response Answer;
-  Answer.Head.Status = Which->known() ? 200 : 503;
+  Answer.Head.Status = Which->section().known() ? 200 : 503;
   Answer.Body = Body.SerializeAsString();
   return Answer;
 }
--- a/rosemarylane/src/node/SectionServer.h
+++ b/rosemarylane/src/node/SectionServer.h
@@ -29,7 +29,7 @@
   void dropCompressed() { CompressedItems.clear(); }
 
 private:
-  const serving::StoreSection *sectionAt(std::string_view Path) const;
+  const serving::SectionCopy *sectionAt(std::string_view Path) const;
   const std::string &compressedValue(const std::string &Key,
                                      const serving::StoredItem &Item);
 
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -112,6 +112,8 @@
     recordReachability(Now);
     if (Copies.Registry.expire(Now))
       registryChanged("retention ended");
+    if (Copies.Operators.expire(Now))
+      operatorsChanged(confirmedAt(Section::Operators, Now));
     Queries.endLateQueries(Now);
     std::size_t Rank = Peers.storeReaderRank(Now);
     // Only the operators section is large enough that further copies of it
@@ -297,7 +299,7 @@
                                    BootTime QueriedAt) {
     SectionCopy &Copy = Copies.of(Which);
     serving::StorePosition Before = Copy.section().at();
-    auto Result = Copy.compareAndConfirm(Theirs, QueriedAt);
+    auto Result = Copy.compareAndConfirm(Theirs, QueriedAt, BootClock::now());
     logIfRestored(Which, Before);
     return Result;
   }
@@ -335,6 +337,7 @@
     serving::StorePosition Before = Copy.section().at();
     if (Read.At < Before)
       logRefusal(Which, Read.At, Source, Now);
+    Copy.recordEra(Read.At.Era, Read.EraSeenAt);
     auto Change =
         Copy.adopt(std::move(Read.Items), Read.At, Read.ConfirmedAt, Now);
     logIfRestored(Which, Before);
@@ -348,14 +351,13 @@
                     {"source", Source},
                     {"items", std::int64_t(Known.items().size())},
                     {"age_ms", countOf(Known.staleness(Now))}});
-    if (Copy.retainedCount() > RetainedBefore)
+    if (Which == Section::Registry && Copy.retainedCount() > RetainedBefore)
       logRetainedEntries(Known.items(), Copy.items(), Read.At);
     if (Which == Section::Registry) {
       registryChanged(Source);
     } else {
       Server.dropCompressed();
-      if (Callbacks.OnOperatorsChanged)
-        Callbacks.OnOperatorsChanged(Copy.items(), Change->CountdownStart);
+      operatorsChanged(Change->CountdownStart);
     }
     Queries.announceChange(Now);
   }
@@ -365,7 +367,8 @@
     const SectionCopy &Copy = Copies.of(Which);
     serving::StorePosition After = Copy.section().at();
     if (Before.Era != 0 && After.Era != Before.Era)
-      logStoreRestored(Which, Before, After, Copy.retainedCount(), 0);
+      logStoreRestored(Which, Before, After, Copy.retainedCount(),
+                       Copy.heldBackCount());
   }
 
   void logRefusal(Section Which, serving::StorePosition At,
@@ -377,6 +380,20 @@
     logRefusedRead(Which, Source, Copies.of(Which).section().at(), At);
   }
 
+  /// @return when a section was last confirmed; absent before the first read.
+  std::optional<BootTime> confirmedAt(Section Which, BootTime Now) {
+    auto Staleness = Copies.of(Which).section().staleness(Now);
+    if (!Staleness)
+      return std::nullopt;
+    return Now - *Staleness;
+  }
+
+  /// Passes on the operators' records as this process acts on them.
+  void operatorsChanged(std::optional<BootTime> CountdownStart) {
+    if (Callbacks.OnOperatorsChanged)
+      Callbacks.OnOperatorsChanged(Copies.Operators.items(), CountdownStart);
+  }
+
   /// Passes on the registry as this process acts on it.
   /// @param Source what has changed it; for the log.
   void registryChanged(const std::string &Source) {
--- a/rosemarylane/src/node/StoreReader.cpp
+++ b/rosemarylane/src/node/StoreReader.cpp
@@ -83,8 +83,10 @@
     }
     // The revision of the first page is used for all. Later pages may contain
     // newer items; the next read finds any changes made in between.
-    if (!Result.At.known())
+    if (!Result.At.known()) {
       Result.At = Page->At;
+      Result.EraSeenAt = BootClock::now();
+    }
     if (Page->At.Era != Result.At.Era)
       co_return SectionRead{};
     Result.Items.merge(Page->Items);
