CONFIG: a read soon after a restore proves no key

What callers would see: a key that an acknowledged configuration takes away works again, as the older copy confirms the configuration before it.

Change: beside the section's staleness, which decides who reads when, there is an age of the proof (SectionCopy::proofAge). A read of a new era proves nothing until it is sent 2.2 s after the era was first seen by anybody; until then the proof of the era before ages on. Admission, readiness and the request log take that age. A process that has just started takes its own first answer for the first sighting unless a peer knows an earlier one; so a fleet that starts as a whole has no proof for 2.2 s, if the store tells its era.

--- a/libs/serving/include/serving/SectionCopy.h
+++ b/libs/serving/include/serving/SectionCopy.h
@@ -10,6 +10,7 @@
 #include "serving/StoreOutage.h"
 #include "serving/StoreSection.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -102,6 +103,16 @@
   /// before a change, `ChangedAfter` is when it ended.
   StoreSection::Items items() const;
 
+  /// @return the time since it was last proved, rounded up, that nothing was
+  /// acknowledged that `items` lacks; absent before the first proof.
+  ///
+  /// Differs from the staleness of `section` after the store was restored: a
+  /// read of a new era proves nothing until what was lost has had time to be
+  /// written again, as it may lack a change that was acknowledged. Until then
+  /// the proof of the era before ages on. A process that has just started
+  /// can't tell a new era from an old one, unless a peer knows.
+  std::optional<std::chrono::milliseconds> proofAge(core::BootTime Now) const;
+
   /// @return the number of items that are retained.
   std::size_t retainedCount() const { return Lapsed.size() + Records.size(); }
 
@@ -115,6 +126,7 @@
     core::BootTime ChangedAfter;
   };
 
+  std::optional<core::BootTime> provenAt() const;
   void storeRestored(const StoreSection::Items &Acted, core::BootTime Now);
   void assumeChangesAfter(core::BootTime OutageEnd,
                           const StoreSection::Items &Before, bool SameEra);
@@ -123,6 +135,8 @@
   StoreSection Read;
   StoreOutage Outage;
   EraSightings Sightings;
+  /// The last proof of the eras before.
+  std::optional<core::BootTime> EarlierProof;
   LapsedEntries Lapsed;
   RetainedRecords Records;
   ReturnedEntries Returned;
--- a/libs/serving/include/serving/StoreSection.h
+++ b/libs/serving/include/serving/StoreSection.h
@@ -128,6 +128,9 @@
   bool known() const { return Position.known(); }
   std::uint64_t digest() const { return ItemsDigest; }
 
+  /// @return when the last confirming read was sent; absent before the first.
+  std::optional<core::BootTime> confirmedAt() const { return ConfirmedAt; }
+
   /// @return the time since the items were last confirmed, rounded up; absent
   /// before the first read.
   std::optional<std::chrono::milliseconds> staleness(core::BootTime Now) const;
--- a/libs/serving/src/SectionCopy.cpp
+++ b/libs/serving/src/SectionCopy.cpp
@@ -21,8 +21,10 @@
   bool IsRestored = Read.known() && At.Era > Read.at().Era;
   StoreSection::Items Before = Read.items();
   StoreSection::Items Acted;
-  if (IsRestored)
+  if (IsRestored) {
     Acted = items();
+    EarlierProof = provenAt();
+  }
   bool Changed =
       Read.adopt(std::move(NewItems), At, ConfirmedAt, Result.UnchangedAt);
   if (IsRestored)
@@ -106,8 +108,10 @@
                   Theirs.Era > Read.at().Era &&
                   PeerSummary.Digest == Read.digest();
   StoreSection::Items Acted;
-  if (TakesEra)
+  if (TakesEra) {
     Acted = items();
+    EarlierProof = provenAt();
+  }
   auto Result = Read.compareAndConfirm(PeerSummary, QueriedAt);
   if (TakesEra)
     storeRestored(Acted, Now);
@@ -116,6 +120,21 @@
   return Result;
 }
 
+std::optional<core::BootTime> SectionCopy::provenAt() const {
+  auto ConfirmedAt = Read.confirmedAt();
+  bool Proves =
+      ConfirmedAt && Sightings.isRewritten(Read.at().Era, *ConfirmedAt);
+  return Proves ? ConfirmedAt : EarlierProof;
+}
+
+std::optional<std::chrono::milliseconds>
+SectionCopy::proofAge(core::BootTime Now) const {
+  auto Proven = provenAt();
+  if (!Proven)
+    return std::nullopt;
+  return std::chrono::ceil<std::chrono::milliseconds>(Now - *Proven);
+}
+
 StoreSection::Summary SectionCopy::summary(core::BootTime Now) const {
   StoreSection::Summary Result = Read.summary(Now);
   Result.EraAge = Sightings.age(Result.At.Era, Now);
--- a/libs/serving/tests/RestoredItemsTest.cpp
+++ b/libs/serving/tests/RestoredItemsTest.cpp
@@ -250,6 +250,44 @@
   check(Copy, {{"config", "12"}});
 }
 
+// Guards against CONFIG (keys): a key is taken away, the store loses that, and
+// a process that never heard of it reads the older copy.
+BOOST_AUTO_TEST_CASE(a_read_soon_after_a_restore_proves_nothing) {
+  SectionCopy Copy = operatorsWith({{"config", "12"}});
+  Copy.recordEra(1, at(-5000));
+  BOOST_TEST(Copy.proofAge(at(500))->count() == 500);
+  read(Copy, {{"config", "12"}}, {2, 15}, 2000);
+  BOOST_TEST(Copy.proofAge(at(2000))->count() == 2000);
+  BOOST_TEST(Copy.section().staleness(at(2000))->count() == 10);
+  // Sent 10 ms before the end of the time to write again.
+  read(Copy, {{"config", "12"}}, {2, 15}, 4200);
+  BOOST_TEST(Copy.proofAge(at(4200))->count() == 4200);
+  BOOST_TEST(Copy.confirm({2, 15}, at(4200)));
+  BOOST_TEST(Copy.proofAge(at(4210))->count() == 10);
+  // The next restore before that time is over.
+  read(Copy, {{"config", "12"}}, {3, 15}, 5000);
+  read(Copy, {{"config", "12"}}, {4, 15}, 6000);
+  BOOST_TEST(Copy.proofAge(at(6000))->count() == 1800);
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_process_that_has_just_started_waits_for_its_first_proof) {
+  SectionCopy Copy(SectionCopy::Missing::Gone, orderOf);
+  read(Copy, {{"config", "12"}}, {7, 15}, 0);
+  BOOST_TEST(!Copy.proofAge(at(100)));
+  // A peer has known this era for long.
+  SectionCopy Peer(SectionCopy::Missing::Gone, orderOf);
+  read(Peer, {{"config", "12"}}, {7, 15}, -60'000);
+  Copy.compareAndConfirm(Peer.summary(at(100)), at(90), at(110));
+  BOOST_TEST(Copy.proofAge(at(110))->count() == 120);
+}
+
+BOOST_AUTO_TEST_CASE(a_store_that_tells_no_era_proves_at_once) {
+  SectionCopy Copy(SectionCopy::Missing::Gone, orderOf);
+  read(Copy, {{"config", "12"}}, {0, 15}, 100);
+  BOOST_TEST(Copy.proofAge(at(100))->count() == 10);
+}
+
 BOOST_AUTO_TEST_CASE(the_age_of_a_sighting_is_never_overstated) {
   EraSightings Sightings;
   Sightings.record(2, at(1000));
--- a/rosemarylane/src/gateway/Admission.cpp
+++ b/rosemarylane/src/gateway/Admission.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 /// Allowance for the time between the check of a key and the arrival of the
-/// request at its target. Added to the age of the store's last confirmation of
-/// the configuration.
+/// request at its target. Added to the age of the proof that the configuration
+/// is current.
 constexpr milliseconds ConfirmationAgeMargin{700};
 
 /// @return the regions that both lists allow; an empty list allows all.
@@ -68,7 +68,7 @@
   Result.Priority = Route.Priority;
   Result.AllowedRegions = Route.AllowedRegions;
   if (Result.Config->requiresApiKeys() && !Route.Anonymous) {
-    auto ConfirmationAge = Context.Follower->operatorsStaleness();
+    auto ConfirmationAge = Context.Follower->operatorsProofAge();
     const ServiceObjectives &Objectives = Context.Settings.Objectives;
     bool IsRecentlyConfirmed =
         ConfirmationAge && *ConfirmationAge + ConfirmationAgeMargin <
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -41,10 +41,11 @@
 /// Fraction of the grace period after which the process exits even if requests
 /// are in progress.
 constexpr double DrainFractionOfGracePeriod = 0.9;
-/// The gateway reports not ready once the store's last confirmation of the
-/// operators' section is older than this fraction of the key revocation time,
-/// so that callers are sent elsewhere before their requests are refused.
-/// `StoreFollower::operatorsStaleness` returns the age of that confirmation.
+/// The gateway reports not ready once the proof that its copy of the
+/// operators' section is current is older than this fraction of the key
+/// revocation time, so that callers are sent elsewhere before their requests
+/// are refused. `StoreFollower::operatorsProofAge` returns the age of that
+/// proof.
 constexpr double MaxReadyConfirmationAgeFraction = 0.7;
 serving::LoadBalancerSettings
 loadBalancerSettings(const NodeSettings &Settings) {
@@ -309,7 +310,7 @@
     return false;
   if (!Context.Config->requiresApiKeys() || !Settings.Objectives.FailClosed)
     return true;
-  auto ConfirmationAge = Follower->operatorsStaleness();
+  auto ConfirmationAge = Follower->operatorsProofAge();
   return ConfirmationAge &&
          ConfirmationAge->count() <
              static_cast<double>(
@@ -446,7 +447,7 @@
         {{"count", IdleClosed}, {"limit_ms", std::int64_t(IdleLimit.count())}});
   if (ready() != WasReady) {
     WasReady = !WasReady;
-    auto ConfirmationAge = Follower->operatorsStaleness();
+    auto ConfirmationAge = Follower->operatorsProofAge();
     telemetry::log(telemetry::Level::Info, WasReady ? "ready" : "not ready",
                    {{"proof_age_ms", ConfirmationAge ? ConfirmationAge->count()
                                                      : std::int64_t(-1)}});
--- a/rosemarylane/src/gateway/RequestLog.cpp
+++ b/rosemarylane/src/gateway/RequestLog.cpp
@@ -72,7 +72,7 @@
 
 void RequestLog::logEnd(const End &Ended) const {
   std::uint64_t Version = Context.Config ? Context.Config->Version : 0;
-  auto ConfirmationAge = Context.Follower->operatorsStaleness();
+  auto ConfirmationAge = Context.Follower->operatorsProofAge();
   telemetry::log(
       telemetry::Level::Info, "request ended",
       {{"id", Admitted.HeaderValues.Id},
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -223,10 +223,10 @@
     StoreReachable = Reachable;
     Peers.setStoreLost(!Reachable);
     Socket.setStoreLost(!Reachable);
-    telemetry::log(
-        telemetry::Level::Warning, Reachable ? "store regained" : "store lost",
-        {{"proof_age_ms",
-          countOf(Copies.Operators.section().staleness(BootClock::now()))}});
+    telemetry::log(telemetry::Level::Warning,
+                   Reachable ? "store regained" : "store lost",
+                   {{"proof_age_ms",
+                     countOf(Copies.Operators.proofAge(BootClock::now()))}});
   }
 
   /// @return whether the store answered with what it holds.
@@ -429,8 +429,8 @@
   return S->Server.answer(Path, BootClock::now());
 }
 
-std::optional<milliseconds> StoreFollower::operatorsStaleness() const {
-  return S->Copies.Operators.section().staleness(BootClock::now());
+std::optional<milliseconds> StoreFollower::operatorsProofAge() const {
+  return S->Copies.Operators.proofAge(BootClock::now());
 }
 
 std::optional<milliseconds> StoreFollower::registryStaleness() const {
--- a/rosemarylane/src/node/StoreFollower.h
+++ b/rosemarylane/src/node/StoreFollower.h
@@ -67,11 +67,13 @@
   /// @return the response, or nothing if the path is not that of a section.
   std::optional<http::Response> answer(const std::string &Path) const;
 
-  /// @return the time since the operators section was last confirmed; absent
-  /// before the first read.
-  std::optional<std::chrono::milliseconds> operatorsStaleness() const;
+  /// @return the age of the proof that no operators' record was acknowledged
+  /// that this process lacks; absent before the first. See
+  /// `serving::SectionCopy::proofAge`.
+  std::optional<std::chrono::milliseconds> operatorsProofAge() const;
 
-  /// The same for the registry.
+  /// @return the time since the registry was last confirmed; absent before the
+  /// first read.
   std::optional<std::chrono::milliseconds> registryStaleness() const;
 
   const serving::PeerTable &peers() const;
