CONFIG: a version that is written again after a restore was named before

What callers would see: requests on an older version after its successor is in force, as the countdown began anew with the second writing.

Change: a section remembers by digest what earlier eras held and when it had changed (EarlierWritings); the same value keeps the time of its first writing, also against a peer that knows only of the second, and an outage that is assumed does not move it.

--- a/libs/serving/include/serving/StoreSection.h
+++ b/libs/serving/include/serving/StoreSection.h
@@ -2,6 +2,7 @@
 #define ROSEMARYLANE_SERVING_STORE_SECTION_H
 
 #include "core/BootClock.h"
+#include "serving/EarlierWritings.h"
 #include "serving/StorePosition.h"
 
 #include <chrono>
@@ -75,7 +76,8 @@
   /// @param UnchangedAt latest local time at which the store was known to hold
   /// the items that this copy has before the call; absent if unknown. Each
   /// item that \p Read shows changed gets it as `ChangedAfter`, unless \p Read
-  /// itself has a later one.
+  /// itself has a later one. What an earlier era held already keeps the time of
+  /// its first writing.
   /// @return whether this copy's items changed, or \p Read has a later
   /// `ChangedAfter` for an unchanged item.
   bool adopt(Items Read, StorePosition At, core::BootTime ReadSentAt,
@@ -128,6 +130,12 @@
   bool known() const { return Position.known(); }
   std::uint64_t digest() const { return ItemsDigest; }
 
+  /// @return whether an earlier era held \p Value.
+  bool heldInEarlierEra(const std::string &Key,
+                        const std::string &Value) const {
+    return Earlier.contains(Key, Value);
+  }
+
   /// @return when the last confirming read was sent; absent before the first.
   std::optional<core::BootTime> confirmedAt() const { return ConfirmedAt; }
 
@@ -145,6 +153,7 @@
   StorePosition Position;
   std::uint64_t ItemsDigest = 0;
   std::optional<core::BootTime> ConfirmedAt;
+  EarlierWritings Earlier;
 };
 
 } // namespace rosemarylane::serving
--- a/libs/serving/src/SectionCopy.cpp
+++ b/libs/serving/src/SectionCopy.cpp
@@ -78,7 +78,10 @@
                                      bool SameEra) {
   for (const auto &[Key, Item] : Read.items()) {
     auto Known = Before.find(Key);
-    if (Known == Before.end() || !Known->second.sameWriting(Item, SameEra))
+    bool Changed =
+        Known == Before.end() || !Known->second.sameWriting(Item, SameEra);
+    // What is written again after a restore was named before.
+    if (Changed && !Read.heldInEarlierEra(Key, Item.Value))
       AssumedChanges.insert_or_assign(Key, AssumedChange{Item, OutageEnd});
   }
 }
--- a/libs/serving/src/StoreSection.cpp
+++ b/libs/serving/src/StoreSection.cpp
@@ -29,6 +29,9 @@
   if (known() && At == Position && !sameWritings(Read, SameEra) &&
       !ConfirmedLater)
     return false;
+  if (!SameEra && ConfirmedAt)
+    for (const auto &[Key, Item] : Current)
+      Earlier.remember(Key, Item.Value, Item.ChangedAfter, *ConfirmedAt);
   bool TimesImproved = mergeKnown(Read, SameEra, UnchangedAt);
   bool Changed = !known() || !sameWritings(Read, SameEra) || TimesImproved;
   Current = std::move(Read);
@@ -66,8 +69,11 @@
         Local != Current.end() && Local->second.sameWriting(Item, SameEra);
     if (Same && SameEra && Item.Revision == 0)
       Item.Revision = Local->second.Revision;
+    Item.ChangedAfter = Earlier.ofFirst(Key, Item.Value, Item.ChangedAfter);
     std::optional<core::BootTime> Known =
-        Same ? Local->second.ChangedAfter : UnchangedAt;
+        Same ? Local->second.ChangedAfter
+             : std::max(Earlier.changedAfter(Key, Item.Value),
+                        Earlier.ofFirst(Key, Item.Value, UnchangedAt));
     Improved |=
         Same && Item.ChangedAfter && (!Known || *Known < *Item.ChangedAfter);
     if (Known && (!Item.ChangedAfter || *Item.ChangedAfter < *Known))
--- a/libs/serving/tests/RestoredItemsTest.cpp
+++ b/libs/serving/tests/RestoredItemsTest.cpp
@@ -288,6 +288,50 @@
   BOOST_TEST(Copy.proofAge(at(100))->count() == 10);
 }
 
+// Guards against VERSION: a version that the store lost is written again, and
+// its countdown would begin anew.
+BOOST_AUTO_TEST_CASE(a_version_that_is_named_again_was_named_before) {
+  SectionCopy Copy = operatorsWith({{"version", "4"}});
+  read(Copy, {{"version", "5"}}, {1, 18}, 900);
+  BOOST_TEST((Copy.items().at("version").ChangedAfter == Start));
+  read(Copy, {{"version", "4"}}, {2, 15}, 2000);
+  BOOST_TEST((Copy.items().at("version").ChangedAfter == Start));
+  read(Copy, {{"version", "4"}}, {2, 16}, 2900);
+  Copy.adopt({{"version", {"5", 17}}}, {2, 17}, at(3800), at(3800));
+  BOOST_TEST(Copy.retainedCount() == 0);
+  BOOST_TEST((Copy.items().at("version").ChangedAfter == Start));
+  BOOST_TEST((Copy.section().items().at("version").ChangedAfter == Start));
+  // Once more, at a later revision of the same era.
+  Copy.adopt({{"version", {"5", 18}}}, {2, 18}, at(4700), at(4700));
+  BOOST_TEST((Copy.items().at("version").ChangedAfter == Start));
+  Copy.adopt({{"version", {"6", 19}}}, {2, 19}, at(5600), at(5600));
+  BOOST_TEST((Copy.items().at("version").ChangedAfter == at(4700)));
+}
+
+BOOST_AUTO_TEST_CASE(an_outage_after_the_restore_puts_no_version_off) {
+  SectionCopy Copy = operatorsWith({{"version", "5"}});
+  read(Copy, {}, {2, 15}, 900);
+  for (int Ms = 1000; Ms <= 5000; Ms += 500)
+    Copy.outage().recordReadFailure(at(Ms));
+  Copy.adopt(items({{"version", "5"}}, 16), {2, 16}, at(5100), at(5100));
+  BOOST_TEST(!Copy.items().at("version").ChangedAfter);
+}
+
+// A peer that was cut off at the first naming knows only of the second one.
+BOOST_AUTO_TEST_CASE(a_peer_that_missed_the_naming_does_not_put_it_off) {
+  SectionCopy Copy = operatorsWith({{"version", "4"}});
+  read(Copy, {{"version", "5"}}, {1, 18}, 900);
+  read(Copy, {{"version", "4"}}, {2, 15}, 2000);
+  StoreSection::Items Theirs = items({{"version", "5"}}, 17);
+  Theirs.at("version").ChangedAfter = at(2900);
+  Copy.adopt(Theirs, {2, 17}, at(3800), at(3900));
+  BOOST_TEST((Copy.items().at("version").ChangedAfter == Start));
+  // One that knows better of the first naming is believed.
+  Theirs.at("version").ChangedAfter = at(700);
+  Copy.adopt(Theirs, {2, 18}, at(3900), at(4000));
+  BOOST_TEST((Copy.items().at("version").ChangedAfter == at(700)));
+}
+
 BOOST_AUTO_TEST_CASE(the_age_of_a_sighting_is_never_overstated) {
   EraSightings Sightings;
   Sightings.record(2, at(1000));
