A begun stream waits for a target that may serve it

Callers saw a begun stream end in the instant in which its target broke off, with seconds left, because no other one might serve it just then: not yet registered, or in an evacuated failure domain.

Cause: the wait for a target ends at once if none may get the request at all. For a new request that is right, its caller gets a refusal; a begun stream has no refusal, only a cut.

Change: a begun stream looks again every 50 ms until its deadline, its caller's leaving or a full answer. It waits outside the queue, so it takes no place from new requests. What a target must be is unchanged: the same service, the version that the stream began with, not leaving, not in an evacuated domain, not asked before; so nothing is sent to whoever may not serve.

Limits: the stream ends at its deadline, and is not sent again once its caller has left.

--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -219,6 +219,12 @@
   auto Entry = Stream.begun() ? serving::QueueEntry::Always
                               : serving::QueueEntry::IfNotFull;
   auto Target = co_await Wait.acquire(Demand, QueueDeadline, Entry);
+  while (!Target && Stream.begun()) {
+    bool LooksAgain = co_await Wait.awaitUsableTarget(Deadline);
+    if (!LooksAgain)
+      break;
+    Target = co_await Wait.acquire(Demand, QueueDeadline, Entry);
+  }
   if (!Target)
     co_return nullptr;
   co_return makeAttempt(*Target);
--- a/rosemarylane/src/gateway/TargetWait.cpp
+++ b/rosemarylane/src/gateway/TargetWait.cpp
@@ -1,5 +1,6 @@
 #include "gateway/TargetWait.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -11,6 +12,14 @@
 using serving::SelectionFailure;
 using std::chrono::milliseconds;
 
+namespace {
+
+/// Time after which a target is looked for again while none may get a request:
+/// configurations, registrations and evacuations change that, and time alone.
+constexpr milliseconds RecheckPeriod{50};
+
+} // namespace
+
 const char *TargetWait::failureReason() const {
   if (Quarantine.isRefused())
     return "such requests crash targets";
@@ -107,4 +116,15 @@
   co_return Chosen;
 }
 
+asio::awaitable<bool> TargetWait::awaitUsableTarget(Clock::time_point Until) {
+  bool MayChange =
+      Failure == SelectionFailure::Unavailable && !Quarantine.isRefused();
+  // Outside the queue, so that it holds up no other request.
+  if (MayChange && !Cancelled && Clock::now() < Until) {
+    Timer.expires_at(std::min(Until, Clock::now() + RecheckPeriod));
+    co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  co_return MayChange && !Cancelled && Clock::now() < Until;
+}
+
 } // namespace rosemarylane
--- a/rosemarylane/src/gateway/TargetWait.h
+++ b/rosemarylane/src/gateway/TargetWait.h
@@ -49,8 +49,17 @@
     return selectAndReserve(Demand);
   }
 
+  /// Waits, if `acquire` found no target that may get the request at all, until
+  /// it is worth looking again.
+  /// @param Until when to stop waiting.
+  /// @return whether to call `acquire` again.
+  boost::asio::awaitable<bool> awaitUsableTarget(Clock::time_point Until);
+
   /// Ends the wait in progress.
-  void cancel() { Timer.cancel(); }
+  void cancel() {
+    Cancelled = true;
+    Timer.cancel();
+  }
 
   /// @return why no target was acquired.
   const char *failureReason() const;
@@ -73,6 +82,7 @@
   boost::asio::steady_timer Timer;
   serving::SelectionFailure Failure = serving::SelectionFailure::Unavailable;
   std::chrono::milliseconds QueueTime{0};
+  bool Cancelled = false;
 };
 
 } // namespace rosemarylane
