A last answer is not reset by bytes that follow its request

Callers saw a last answer (`Connection: close`) end early when they had sent further bytes and read slowly: 4,096 of 900 KB arrived.

Cause: the socket was closed with bytes unread, which resets the connection and drops what the caller's host has not taken yet. The class is the one of the refusals that did not arrive: an answer is taken for delivered once it is written.

--- a/rosemarylane/src/gateway/CallerConnection.cpp
+++ b/rosemarylane/src/gateway/CallerConnection.cpp
@@ -107,6 +107,10 @@
     IsHandling = false;
     stopWatching();
   } while (KeepAlive && !Disconnected);
+  // Closing the socket with bytes unread would reset the connection under the
+  // answer.
+  if (!Disconnected && isOpen())
+    co_await discardInput();
 }
 
 asio::awaitable<bool> CallerConnection::awaitRequest() {
