A request that has come behind an answer is served after SIGTERM too

Callers saw a whole request get neither an answer nor a refusal: it arrived on a connection whose answer had begun before SIGTERM, with a head that keeps the connection open, and that answer ended after the gateway had stopped accepting.

Cause: `drain` closed the connection after the answer in progress, whatever had arrived by then.

--- a/rosemarylane/src/gateway/CallerConnection.cpp
+++ b/rosemarylane/src/gateway/CallerConnection.cpp
@@ -106,7 +106,7 @@
     co_await runRequest(Context, shared_from_this(), CurrentRequest);
     IsHandling = false;
     stopWatching();
-  } while (KeepAlive && !Disconnected);
+  } while (KeepAlive && !Disconnected && !endsDrained());
   // Closing the socket with bytes unread would reset the connection under the
   // answer.
   if (!Disconnected && isOpen())
@@ -320,8 +320,14 @@
   return Caller.address().to_string() + ":" + std::to_string(Caller.port());
 }
 
+bool CallerConnection::endsDrained() {
+  // The head of an answer that began before the process was told to stop has
+  // kept the connection open, so the next request may be here already.
+  return Drained && Buffer.size() == 0 && isIdle(TcpStream.socket());
+}
+
 void CallerConnection::drain() {
-  KeepAlive = false;
+  Drained = true;
   if (IsIdle && isOpen() && isIdle(TcpStream.socket()))
     abort();
 }
--- a/rosemarylane/src/gateway/CallerConnection.h
+++ b/rosemarylane/src/gateway/CallerConnection.h
@@ -93,6 +93,9 @@
   boost::asio::awaitable<void> discardInput();
   std::string callerAddress() const;
   void watchForDisconnect();
+  /// @return whether the connection ends although the last answer has kept it
+  /// open: it is drained and nothing more has arrived.
+  bool endsDrained();
   void stopWatching();
 
   GatewayContext &Context;
@@ -106,6 +109,8 @@
   bool IsHandling = false;
   bool Disconnected = false;
   bool KeepAlive = true;
+  /// `drain` was called.
+  bool Drained = false;
   /// Incremented for each request, and again at its end, so that a disconnect
   /// is attributed only to the request in progress.
   std::uint64_t WatchId = 0;
