--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -33,6 +33,8 @@
 
 constexpr milliseconds TickPeriod{100};
 constexpr milliseconds WatchRetryDelay{500};
+/// Minimum time between two log lines about refused reads of one section.
+constexpr milliseconds RefusalLogPeriod{10'000};
 
 /// @return \p Age in milliseconds for the log, or -1 if absent.
 std::int64_t countOf(std::optional<milliseconds> Age) {
@@ -47,6 +49,8 @@
   /// A change was reported while a read was in progress.
   bool ReadAgain = false;
   bool LastFailed = false;
+  /// When the last refused read was logged.
+  std::optional<BootTime> RefusalLoggedAt;
 };
 
 } // namespace
@@ -108,6 +112,8 @@
     recordReachability(Now);
     if (Copies.Registry.expire(Now))
       registryChanged("retention ended");
+    if (Copies.Operators.expire(Now))
+      operatorsChanged(confirmedAt(Section::Operators, Now));
     Queries.endLateQueries(Now);
     std::size_t Rank = Peers.storeReaderRank(Now);
     // Only the operators section is large enough that further copies of it
@@ -198,7 +204,7 @@
   }
 
   asio::awaitable<void> watch() {
-    std::int64_t Known = Copies.Operators.section().at();
+    serving::StorePosition Known = Copies.Operators.section().at();
     bool Changed = co_await Reader.watchOperators(Known);
     if (Changed) {
       if (OperatorsReads.InProgress)
@@ -228,11 +234,12 @@
     if (Which == Section::Operators) {
       auto Unchanged =
           co_await Reader.confirmOperators(Copies.Operators.section());
-      if (Unchanged) {
-        Copies.Operators.confirm(Unchanged->StoreRevision,
-                                 Unchanged->ReadSentAt);
+      // A peer's copy may have replaced the section during the request.
+      bool Counts =
+          Unchanged && Copies.Operators.confirm(Unchanged->Asked, Unchanged->At,
+                                                Unchanged->ReadSentAt);
+      if (Counts)
         co_return true;
-      }
     }
     auto Read = co_await Reader.read(Which);
     if (!Read)
@@ -275,18 +282,28 @@
       return;
     using Comparison = StoreSection::Comparison;
     StoreSection::Summary Theirs = fromWire(Reply.operators());
-    Comparison Result = Copies.Operators.compareAndConfirm(Theirs, *Sent);
+    Comparison Result = compare(Section::Operators, Theirs, *Sent);
     // A process that has just started does not know when its items last
     // changed, but the peer may know.
     bool KnowsMore = Result == Comparison::Same && Theirs.HasChangeTimes &&
                      Copies.Operators.section().lacksChangeTimes();
     if (Result == Comparison::PeerNewer || KnowsMore)
       fetch(Section::Operators, From.Ip, Reply.compresses());
-    if (Copies.Registry.compareAndConfirm(fromWire(Reply.registry()), *Sent) ==
+    if (compare(Section::Registry, fromWire(Reply.registry()), *Sent) ==
         Comparison::PeerNewer)
       fetch(Section::Registry, From.Ip, Reply.compresses());
   }
 
+  StoreSection::Comparison compare(Section Which,
+                                   const StoreSection::Summary &Theirs,
+                                   BootTime QueriedAt) {
+    SectionCopy &Copy = Copies.of(Which);
+    serving::StorePosition Before = Copy.section().at();
+    auto Result = Copy.compareAndConfirm(Theirs, QueriedAt, BootClock::now());
+    logIfRestored(Which, Before);
+    return Result;
+  }
+
   void fetch(Section Which, const std::string &Ip, bool Compressed) {
     if (!Fetching.insert(Which).second)
       return;
@@ -317,29 +334,66 @@
     SectionCopy &Copy = Copies.of(Which);
     BootTime Now = BootClock::now();
     std::size_t RetainedBefore = Copy.retainedCount();
-    auto Change = Copy.adopt(std::move(Read.Items), Read.StoreRevision,
-                             Read.ConfirmedAt, Now);
+    serving::StorePosition Before = Copy.section().at();
+    if (Read.At < Before)
+      logRefusal(Which, Read.At, Source, Now);
+    Copy.recordEra(Read.At.Era, Read.EraSeenAt);
+    auto Change =
+        Copy.adopt(std::move(Read.Items), Read.At, Read.ConfirmedAt, Now);
+    logIfRestored(Which, Before);
     if (!Change)
       return;
     const StoreSection &Known = Copy.section();
     telemetry::log(telemetry::Level::Info, "section adopted",
                    {{"section", std::string(nameOf(Which))},
-                    {"store_revision", Read.StoreRevision},
+                    {"era", std::int64_t(Read.At.Era)},
+                    {"store_revision", Read.At.Revision},
                     {"source", Source},
                     {"items", std::int64_t(Known.items().size())},
                     {"age_ms", countOf(Known.staleness(Now))}});
-    if (Copy.retainedCount() > RetainedBefore)
-      logRetainedEntries(Known.items(), Copy.items(), Read.StoreRevision);
+    if (Which == Section::Registry && Copy.retainedCount() > RetainedBefore)
+      logRetainedEntries(Known.items(), Copy.items(), Read.At);
     if (Which == Section::Registry) {
       registryChanged(Source);
     } else {
       Server.dropCompressed();
-      if (Callbacks.OnOperatorsChanged)
-        Callbacks.OnOperatorsChanged(Copy.items(), Change->CountdownStart);
+      operatorsChanged(Change->CountdownStart);
     }
     Queries.announceChange(Now);
   }
 
+  /// Logs if the era of a section has risen since it was at \p Before.
+  void logIfRestored(Section Which, serving::StorePosition Before) {
+    const SectionCopy &Copy = Copies.of(Which);
+    serving::StorePosition After = Copy.section().at();
+    if (Before.Era != 0 && After.Era != Before.Era)
+      logStoreRestored(Which, Before, After, Copy.retainedCount(),
+                       Copy.heldBackCount());
+  }
+
+  void logRefusal(Section Which, serving::StorePosition At,
+                  const std::string &Source, BootTime Now) {
+    std::optional<BootTime> &LoggedAt = readsOf(Which).RefusalLoggedAt;
+    if (LoggedAt && Now - *LoggedAt < RefusalLogPeriod)
+      return;
+    LoggedAt = Now;
+    logRefusedRead(Which, Source, Copies.of(Which).section().at(), At);
+  }
+
+  /// @return when a section was last confirmed; absent before the first read.
+  std::optional<BootTime> confirmedAt(Section Which, BootTime Now) {
+    auto Staleness = Copies.of(Which).section().staleness(Now);
+    if (!Staleness)
+      return std::nullopt;
+    return Now - *Staleness;
+  }
+
+  /// Passes on the operators' records as this process acts on them.
+  void operatorsChanged(std::optional<BootTime> CountdownStart) {
+    if (Callbacks.OnOperatorsChanged)
+      Callbacks.OnOperatorsChanged(Copies.Operators.items(), CountdownStart);
+  }
+
   /// Passes on the registry as this process acts on it.
   /// @param Source what has changed it; for the log.
   void registryChanged(const std::string &Source) {
