Each value of the store's client carries the history that gave its revision

After an operator restored the key-value service from a copy, revisions go back and are given out again. The client compared them all the same: a compare-and-swap was sent with a revision of before and could replace another value, and a watch from a revision of before waited, kept alive by progress notices, until the new history got there, so that changes were not seen.

The cluster id in each answer's header now travels with the revision. A condition of another history than that of the latest answer is refused instead of sent (`OtherHistory`: read again), and a watch that meets another history ends and is begun anew after a read. A service that tells no cluster id is treated as before. A condition that is sent before any answer of the new history came can still hold by chance; the answer's history shows it.

With the two comparisons taken out, condition_of_the_history_before_a_restore_is_not_sent and watch_of_the_history_before_a_restore_is_lost fail.

--- a/libs/store/include/store/KeyValue.h
+++ b/libs/store/include/store/KeyValue.h
@@ -20,16 +20,37 @@
     Unknown,
     /// The service refused the call.
     Rejected,
+    /// The call did not take effect, as its condition belongs to another
+    /// history of the service: the value has to be read again.
+    OtherHistory,
   };
   Kind What;
   std::string Detail;
 };
 
+/// A revision, and the history of the service that gave it.
+///
+/// A service that is restored from a copy begins another history: revisions go
+/// back and are given out again for other values. Revisions of two histories
+/// must not be compared.
+struct StorePosition {
+  std::int64_t Revision = 0;
+  /// The service's cluster id, which changes when it is restored; 0 if the
+  /// service does not tell.
+  std::uint64_t History = 0;
+
+  bool operator==(const StorePosition &) const = default;
+};
+
 /// A value with the revision of its last change; revision 0 means that the key
 /// does not exist.
 struct StoredValue {
   std::string Value;
   std::int64_t Revision = 0;
+  /// The history that the value was read in; see `StorePosition`.
+  std::uint64_t History = 0;
+
+  StorePosition position() const { return {Revision, History}; }
 };
 
 /// What a compare-and-swap found.
@@ -59,19 +80,24 @@
 
   virtual void read(const std::string &Key, Hook<StoredValue> OnDone) = 0;
 
-  /// Writes \p Value if the key's revision is still \p Expected (0: if the key
-  /// does not exist).
-  virtual void compareAndSwap(const std::string &Key, std::int64_t Expected,
+  /// Writes \p Value if the key's revision is still that of \p Expected
+  /// (revision 0: if the key does not exist). Refused with `OtherHistory` if
+  /// the latest answer of the service was of another history.
+  ///
+  /// An answer shows the history that the call met: if it is not that of
+  /// \p Expected, the condition may have held by chance.
+  virtual void compareAndSwap(const std::string &Key, StorePosition Expected,
                               std::string Value, Hook<SwapOutcome> OnDone) = 0;
 
   /// Removes \p Key, whatever its value. Told whether it existed.
   virtual void erase(const std::string &Key, Hook<bool> OnDone) = 0;
 
-  /// Calls \p OnChange with each later value of \p Key from \p FromRevision on.
+  /// Calls \p OnChange with each later value of \p Key from \p From on. The
+  /// watch ends when it meets another history than that of \p From.
   /// @param OnLost called once when the watch has ended for any reason; the
-  /// caller starts another.
+  /// caller reads and starts another.
   virtual std::unique_ptr<Watch>
-  watch(const std::string &Key, std::int64_t FromRevision,
+  watch(const std::string &Key, StorePosition From,
         std::function<void(StoredValue)> OnChange,
         std::function<void(StoreError)> OnLost) = 0;
 };
--- a/libs/store/src/EtcdJson.cpp
+++ b/libs/store/src/EtcdJson.cpp
@@ -47,6 +47,19 @@
   return Field->to_number<std::int64_t>();
 }
 
+/// @return the cluster id in the header of an answer, 0 if it has none.
+std::uint64_t historyOf(const json::object &Answer) {
+  const json::value *Header = Answer.if_contains("header");
+  if (!Header)
+    return 0;
+  const json::value *Id = Header->as_object().if_contains("cluster_id");
+  if (!Id)
+    return 0;
+  if (Id->is_string())
+    return std::stoull(std::string(Id->as_string()));
+  return Id->to_number<std::uint64_t>();
+}
+
 bool flag(const json::object &Object, std::string_view Name) {
   const json::value *Field = Object.if_contains(Name);
   return Field && Field->as_bool();
@@ -96,7 +109,11 @@
 }
 
 StoredValue parseRange(std::string_view Body) {
-  return firstOf(json::parse(Body).as_object());
+  json::value Parsed = json::parse(Body);
+  const json::object &Answer = Parsed.as_object();
+  StoredValue Found = firstOf(Answer);
+  Found.History = historyOf(Answer);
+  return Found;
 }
 
 SwapOutcome parseSwap(std::string_view Body, const std::string &Written) {
@@ -106,12 +123,14 @@
   Outcome.Swapped = flag(Answer, "succeeded");
   if (Outcome.Swapped) {
     Outcome.Current = {Written,
-                       number(Answer.at("header").as_object(), "revision")};
+                       number(Answer.at("header").as_object(), "revision"),
+                       historyOf(Answer)};
     return Outcome;
   }
   const json::object &First =
       Answer.at("responses").as_array().at(0).as_object();
   Outcome.Current = firstOf(First.at("response_range").as_object());
+  Outcome.Current.History = historyOf(Answer);
   return Outcome;
 }
 
@@ -128,13 +147,16 @@
     return Message;
   }
   const json::object &Result = Parsed.as_object().at("result").as_object();
+  Message.History = historyOf(Result);
   Message.Cancelled = flag(Result, "canceled");
   if (Message.Cancelled)
     Message.Reason = "cancelled by the service";
   if (const json::value *Events = Result.if_contains("events"))
-    for (const json::value &Event : Events->as_array())
+    for (const json::value &Event : Events->as_array()) {
       Message.Changes.push_back(
           storedValue(Event.as_object().at("kv").as_object()));
+      Message.Changes.back().History = Message.History;
+    }
   return Message;
 }
 
--- a/libs/store/src/EtcdJson.h
+++ b/libs/store/src/EtcdJson.h
@@ -26,6 +26,8 @@
 
 /// One line of a watch's answer.
 struct WatchMessage {
+  /// The history that the line belongs to; 0 if it does not tell.
+  std::uint64_t History = 0;
   /// Changes in order; none in a progress notice.
   std::vector<StoredValue> Changes;
   /// The service has ended the watch.
--- a/libs/store/src/EtcdKeyValue.cpp
+++ b/libs/store/src/EtcdKeyValue.cpp
@@ -20,16 +20,35 @@
       "POST", Path, {{"Content-Type", "application/json"}}, std::move(Body)};
 }
 
+/// The history of the latest answer of the service. Shared by the calls in
+/// progress, from any thread.
+class SeenHistory {
+public:
+  void see(std::uint64_t History) {
+    if (History != 0)
+      Latest = History;
+  }
+
+  /// Whether \p Expected certainly belongs to another history.
+  bool excludes(const StorePosition &Expected) const {
+    std::uint64_t Now = Latest;
+    return Now != 0 && Expected.History != 0 && Expected.History != Now;
+  }
+
+private:
+  std::atomic<std::uint64_t> Latest{0};
+};
+
 /// One watch. What it reads belongs to the sockets' duty, the hooks to the
 /// delivering one; calls no hook once its handle was dropped, although the
 /// sockets' duty may still be reading a part for it.
 class WatchState : public std::enable_shared_from_this<WatchState> {
 public:
   WatchState(runtime::Duty &Deliver, std::chrono::milliseconds Idle,
-             std::function<void(StoredValue)> OnChange,
+             std::uint64_t History, std::function<void(StoredValue)> OnChange,
              std::function<void(StoreError)> OnLost)
-      : Deliver(Deliver), Idle(Idle), OnChange(std::move(OnChange)),
-        OnLost(std::move(OnLost)) {}
+      : Deliver(Deliver), Idle(Idle), History(History),
+        OnChange(std::move(OnChange)), OnLost(std::move(OnLost)) {}
 
   /// The answer has begun.
   void begin() { LastNotice = std::chrono::steady_clock::now(); }
@@ -69,6 +88,11 @@
     try {
       auto Message = etcd_json::parseWatch(Text);
       LastNotice = std::chrono::steady_clock::now();
+      // Also progress notices tell: the revision to begin from can be one that
+      // a restored service reaches much later.
+      if (History != 0 && Message.History != 0 && Message.History != History)
+        return lose({StoreError::Kind::OtherHistory,
+                     "the service has another history"});
       for (StoredValue &Change : Message.Changes)
         deliver([Change = std::move(Change)](WatchState &Self) {
           Self.OnChange(Change);
@@ -90,6 +114,8 @@
 
   runtime::Duty &Deliver;
   const std::chrono::milliseconds Idle;
+  /// The history that the watch's revision belongs to; 0 if not known.
+  const std::uint64_t History;
   std::function<void(StoredValue)> OnChange;
   std::function<void(StoreError)> OnLost;
   std::atomic<bool> Dropped{false};
@@ -121,18 +147,26 @@
         Http(http::Client::create(Io)) {}
 
   void read(const std::string &Key, Hook<StoredValue> OnDone) override {
-    auto Parse = [](const std::string &Body) {
-      return etcd_json::parseRange(Body);
+    auto Parse = [Seen = Seen](const std::string &Body) {
+      StoredValue Found = etcd_json::parseRange(Body);
+      Seen->see(Found.History);
+      return Found;
     };
     call<StoredValue>(CallKind::Read, "/v3/kv/range",
                       etcd_json::rangeRequest(Key), Parse, std::move(OnDone));
   }
 
-  void compareAndSwap(const std::string &Key, std::int64_t Expected,
+  void compareAndSwap(const std::string &Key, StorePosition Expected,
                       std::string Value, Hook<SwapOutcome> OnDone) override {
-    std::string Body = etcd_json::swapRequest(Key, Expected, Value);
-    auto Parse = [Value = std::move(Value)](const std::string &Answer) {
-      return etcd_json::parseSwap(Answer, Value);
+    if (Seen->excludes(Expected))
+      return deliver<SwapOutcome>(Deliver, OnDone,
+                                  core::failure(conditionOfOtherHistory()));
+    std::string Body = etcd_json::swapRequest(Key, Expected.Revision, Value);
+    auto Parse = [Seen = Seen,
+                  Value = std::move(Value)](const std::string &Answer) {
+      SwapOutcome Outcome = etcd_json::parseSwap(Answer, Value);
+      Seen->see(Outcome.Current.History);
+      return Outcome;
     };
     call<SwapOutcome>(CallKind::Write, "/v3/kv/txn", std::move(Body), Parse,
                       std::move(OnDone));
@@ -147,11 +181,12 @@
   }
 
   std::unique_ptr<Watch>
-  watch(const std::string &Key, std::int64_t FromRevision,
+  watch(const std::string &Key, StorePosition From,
         std::function<void(StoredValue)> OnChange,
         std::function<void(StoreError)> OnLost) override {
-    auto State = std::make_shared<WatchState>(
-        Deliver, Settings.WatchIdle, std::move(OnChange), std::move(OnLost));
+    auto State =
+        std::make_shared<WatchState>(Deliver, Settings.WatchIdle, From.History,
+                                     std::move(OnChange), std::move(OnLost));
     std::weak_ptr<WatchState> Weak = State;
     http::Client::Hooks Hooks;
     Hooks.OnHead = [Weak](const http::ResponseHead &Head) {
@@ -181,7 +216,7 @@
     Limits.Idle = Settings.WatchIdle;
     auto Running = Http->stream(
         Settings.Address,
-        post("/v3/watch", etcd_json::watchRequest(Key, FromRevision)), Limits,
+        post("/v3/watch", etcd_json::watchRequest(Key, From.Revision)), Limits,
         std::move(Hooks), true);
     return std::make_unique<EtcdWatch>(std::move(State), std::move(Running));
   }
@@ -219,8 +254,14 @@
     }
   }
 
+  static StoreError conditionOfOtherHistory() {
+    return {StoreError::Kind::OtherHistory,
+            "the condition is of another history of the service"};
+  }
+
   runtime::Duty &Deliver;
   EtcdSettings Settings;
+  std::shared_ptr<SeenHistory> Seen = std::make_shared<SeenHistory>();
   std::unique_ptr<http::Client> Http;
 };
 
--- a/libs/store/tests/EndlessAnswerTest.cpp
+++ b/libs/store/tests/EndlessAnswerTest.cpp
@@ -58,7 +58,7 @@
     auto Store = storeAt(Server.address());
     std::promise<void> Lost;
     auto Watch = Store->watch(
-        "k", 1, [](const StoredValue &) {},
+        "k", {1}, [](const StoredValue &) {},
         [&](const StoreError &) { Lost.set_value(); });
     return Lost.get_future().wait_for(Patience) == std::future_status::ready;
   }
@@ -82,7 +82,7 @@
     BOOST_REQUIRE(!Value);
     BOOST_TEST((Value.error().What == StoreError::Kind::Unavailable));
     auto Swapped = await<SwapOutcome>([&](auto Hook) {
-      Store->compareAndSwap("k", 1, "new", std::move(Hook));
+      Store->compareAndSwap("k", {1}, "new", std::move(Hook));
     });
     BOOST_REQUIRE(!Swapped);
     BOOST_TEST((Swapped.error().What == StoreError::Kind::Unknown));
--- a/libs/store/tests/EtcdKeyValueTest.cpp
+++ b/libs/store/tests/EtcdKeyValueTest.cpp
@@ -45,7 +45,7 @@
   auto read(const std::string &Key) {
     return await<StoredValue>([&](auto Hook) { Store->read(Key, Hook); });
   }
-  auto swap(std::int64_t Expected) {
+  auto swap(StorePosition Expected) {
     return await<SwapOutcome>(
         [&](auto Hook) { Store->compareAndSwap("k", Expected, "new", Hook); });
   }
@@ -119,12 +119,12 @@
                        R"({"response_range":{"kvs":[{"value":"b2xk",)"
                        R"("mod_revision":"4"}]}}]})"));
   });
-  auto Won = swap(4);
+  auto Won = swap({4});
   BOOST_REQUIRE(Won);
   BOOST_TEST(Won->Swapped);
   BOOST_TEST(Won->Current.Value == "new");
   BOOST_TEST(Won->Current.Revision == 5);
-  auto Lost = swap(3);
+  auto Lost = swap({3});
   BOOST_REQUIRE(Lost);
   BOOST_TEST(!Lost->Swapped);
   BOOST_TEST(Lost->Current.Value == "old");
@@ -133,20 +133,20 @@
 
 BOOST_AUTO_TEST_CASE(write_whose_answer_is_lost_is_unknown) {
   serve([](auto X) { X->abort(); });
-  BOOST_TEST((swap(1).error().What == StoreError::Kind::Unknown));
+  BOOST_TEST((swap({1}).error().What == StoreError::Kind::Unknown));
   BOOST_TEST((read("k").error().What == StoreError::Kind::Unavailable));
 }
 
 BOOST_AUTO_TEST_CASE(silent_service_is_unknown_within_the_deadline) {
   serve([&](auto X) { Held = X; });
-  BOOST_TEST((swap(1).error().What == StoreError::Kind::Unknown));
+  BOOST_TEST((swap({1}).error().What == StoreError::Kind::Unknown));
   BOOST_TEST((read("k").error().What == StoreError::Kind::Unavailable));
 }
 
 BOOST_AUTO_TEST_CASE(refused_connection_is_unavailable) {
   serve(answering(200, "{}"));
   Service.reset();
-  BOOST_TEST((swap(1).error().What == StoreError::Kind::Unavailable));
+  BOOST_TEST((swap({1}).error().What == StoreError::Kind::Unavailable));
 }
 
 BOOST_AUTO_TEST_CASE(statuses_and_broken_answers) {
@@ -163,7 +163,7 @@
            {200, R"({"succeeded":true})", StoreError::Kind::Unknown},
            {200, "[]", StoreError::Kind::Unknown}}) {
     serve(answering(C.Status, C.Body));
-    auto Outcome = swap(1);
+    auto Outcome = swap({1});
     BOOST_REQUIRE(!Outcome);
     BOOST_TEST((Outcome.error().What == C.OfSwap));
     Store.reset();
@@ -183,7 +183,7 @@
   std::atomic<int> Changes{0};
   std::promise<StoreError> Lost;
   auto Watch = Store->watch(
-      "k", 1,
+      "k", {1},
       [&](const StoredValue &V) {
         Changes += V.Value == "a" && V.Revision == 7;
       },
@@ -201,7 +201,7 @@
   });
   std::promise<void> Lost;
   auto Watch = Store->watch(
-      "k", 1, [](const StoredValue &) {},
+      "k", {1}, [](const StoredValue &) {},
       [&](const StoreError &) { Lost.set_value(); });
   BOOST_TEST(
       (Lost.get_future().wait_for(Patience) == std::future_status::ready));
@@ -222,7 +222,7 @@
   auto IsAssigned = Assigned.get_future();
   std::atomic<int> Calls{0};
   Watch = Store->watch(
-      "k", 1,
+      "k", {1},
       [&](const StoredValue &) {
         IsAssigned.wait();
         ++Calls;
@@ -255,7 +255,7 @@
   auto IsAssigned = Assigned.get_future();
   std::atomic<int> Calls{0};
   Watch = Store->watch(
-      "k", 1,
+      "k", {1},
       [&](const StoredValue &) {
         if (++Calls > 1)
           return;
@@ -271,6 +271,77 @@
   BOOST_TEST(Calls == 1);
 }
 
+/// The answer of a service with the cluster id \p History to a read.
+std::string valueAt(std::int64_t Revision, const std::string &History) {
+  return R"({"header":{"cluster_id":")" + History +
+         R"(","revision":"9"},"kvs":[{"value":"YQ==","mod_revision":")" +
+         std::to_string(Revision) + R"("}]})";
+}
+
+BOOST_AUTO_TEST_CASE(values_carry_the_history_that_they_were_read_in) {
+  // Cluster ids are unsigned numbers of 64 bits.
+  serve([](auto X) {
+    bool IsSwap = X->request().Target == "/v3/kv/txn";
+    std::string Won =
+        R"({"header":{"cluster_id":"18446744073709551615","revision":"8"},)"
+        R"("succeeded":true})";
+    X->respond(http::jsonResponse(
+        200, IsSwap ? Won : valueAt(7, "18446744073709551615")));
+  });
+  constexpr std::uint64_t History = ~std::uint64_t(0);
+  auto Value = read("k");
+  BOOST_REQUIRE(Value);
+  BOOST_TEST((Value->position() == StorePosition{7, History}));
+  auto Won = swap(Value->position());
+  BOOST_REQUIRE(Won);
+  BOOST_TEST((Won->Current.position() == StorePosition{8, History}));
+}
+
+BOOST_AUTO_TEST_CASE(condition_of_the_history_before_a_restore_is_not_sent) {
+  std::atomic<int> Swaps{0};
+  std::atomic<int> Reads{0};
+  serve([&](auto X) {
+    if (X->request().Target == "/v3/kv/txn") {
+      ++Swaps;
+      return X->respond(http::jsonResponse(
+          200, R"({"header":{"cluster_id":"2"},"succeeded":true})"));
+    }
+    X->respond(http::jsonResponse(200, valueAt(7, ++Reads == 1 ? "1" : "2")));
+  });
+  auto Before = read("k");
+  BOOST_REQUIRE(Before);
+  // Revision 7 is given out again, for another value.
+  auto After = read("other");
+  BOOST_REQUIRE(After);
+  auto Refused = swap(Before->position());
+  BOOST_REQUIRE(!Refused);
+  BOOST_TEST((Refused.error().What == StoreError::Kind::OtherHistory));
+  BOOST_TEST(Swaps == 0);
+  BOOST_TEST(swap(After->position()).has_value());
+  BOOST_TEST(Swaps == 1);
+}
+
+BOOST_AUTO_TEST_CASE(watch_of_the_history_before_a_restore_is_lost) {
+  // A restored service keeps a watch from a later revision waiting, with
+  // progress notices, until its own revisions get there.
+  serve([&](auto X) {
+    Held = X;
+    X->startStream({200, {}});
+    for (int I = 0; I < 1000; ++I)
+      X->write(R"({"result":{"header":{"cluster_id":"2"}}})"
+               "\n");
+  });
+  std::promise<StoreError> Lost;
+  auto Watch = Store->watch(
+      "k", {8, 1}, [](const StoredValue &) {},
+      [&](StoreError E) { Lost.set_value(std::move(E)); });
+  auto Why = Lost.get_future();
+  BOOST_REQUIRE((Why.wait_for(Patience) == std::future_status::ready));
+  BOOST_TEST((Why.get().What == StoreError::Kind::OtherHistory));
+  Service.reset();
+  Held.reset();
+}
+
 BOOST_AUTO_TEST_CASE(host_list_and_origin) {
   serve([](auto X) {
     if (X->request().Target == "/v1/hosts")
--- a/rosemarylane/src/common/ConfigurationService.cpp
+++ b/rosemarylane/src/common/ConfigurationService.cpp
@@ -115,15 +115,15 @@
                           if (!Read)
                             return retryLater(Read.error());
                           applyStored(*Read);
-                          watchStore(Read->Revision + 1);
+                          watchStore({Read->Revision + 1, Read->History});
                         }));
   }
 
-  void watchStore(std::int64_t FromRevision) {
+  void watchStore(store::StorePosition From) {
     using store::StoredValue;
     using store::StoreError;
     Watch = Context.Store->watch(
-        core::ConfigurationKey, FromRevision,
+        core::ConfigurationKey, From,
         onControl<StoredValue>(
             [this](const StoredValue &Value) { applyStored(Value); }),
         onControl<StoreError>(
--- a/rosemarylane/src/entry/ConfigurationWriter.cpp
+++ b/rosemarylane/src/entry/ConfigurationWriter.cpp
@@ -50,12 +50,12 @@
     Value = core::formatStoredConfiguration(NewConfiguration);
     if (Value.size() > core::MaxStoredBytes)
       return refuse(tooLarge());
-    ExpectedRevision = Found.Revision;
+    Expected = Found.position();
     swap();
   }
 
   void swap() {
-    Store.compareAndSwap(core::ConfigurationKey, ExpectedRevision, Value,
+    Store.compareAndSwap(core::ConfigurationKey, Expected, Value,
                          [Self = shared_from_this()](auto Swapped) {
                            if (!Swapped)
                              return Self->retryOrRefuse(Swapped.error(),
@@ -103,7 +103,7 @@
 
   core::StoredConfiguration NewConfiguration;
   std::string Value;
-  std::int64_t ExpectedRevision = 0;
+  store::StorePosition Expected;
   bool ReplyLost = false;
   unsigned Failures = 0;
 };
--- a/rosemarylane/src/entry/LedgerService.cpp
+++ b/rosemarylane/src/entry/LedgerService.cpp
@@ -277,7 +277,8 @@
       });
     case ledger::StoreCall::Kind::CompareAndSwap:
       return Context.Store->compareAndSwap(
-          Key, Call->Expected, std::move(Call->Value), [this, P](auto Swapped) {
+          Key, {Call->Expected}, std::move(Call->Value),
+          [this, P](auto Swapped) {
             postToControl([this, P, Swapped = std::move(Swapped)] {
               onSwapped(P, Swapped);
             });
--- a/rosemarylane/tests/FakeStore.h
+++ b/rosemarylane/tests/FakeStore.h
@@ -34,7 +34,7 @@
     });
   }
 
-  void compareAndSwap(const std::string &Key, std::int64_t Expected,
+  void compareAndSwap(const std::string &Key, store::StorePosition Expected,
                       std::string Value,
                       Hook<store::SwapOutcome> OnDone) override {
     Calls.push_back([this, Key, Expected, Value = std::move(Value),
@@ -63,7 +63,7 @@
 
   /// Watches never fire; the tests read.
   std::unique_ptr<Watch>
-  watch(const std::string &, std::int64_t,
+  watch(const std::string &, store::StorePosition,
         std::function<void(store::StoredValue)>,
         std::function<void(store::StoreError)>) override {
     return std::make_unique<Watch>();
@@ -94,10 +94,10 @@
     return core::failure(store::StoreError{Kind, "fault"});
   }
 
-  store::SwapOutcome swap(const std::string &Key, std::int64_t Expected,
+  store::SwapOutcome swap(const std::string &Key, store::StorePosition Expected,
                           const std::string &Value) {
     store::StoredValue &Stored = Values[Key];
-    if (Stored.Revision != Expected)
+    if (Stored.Revision != Expected.Revision)
       return {false, Stored};
     Stored.Value = Value;
     Stored.Revision = ++LastRevision;
