--- a/libs/ledger/include/ledger/Partition.h
+++ b/libs/ledger/include/ledger/Partition.h
@@ -100,6 +100,10 @@
   /// release.
   RecordReply record(const OutcomeRecord &Result, const Limits &Bounds);
 
+  /// Adds a claim that this process knows from a history of the store before a
+  /// restore; see `mergeClaim`.
+  void merge(const Claim &Known);
+
   /// Removes claims and segments older than the retention, and drops the oldest
   /// answers if the value is too large.
   /// @return the names of the segments removed.
@@ -116,9 +120,15 @@
   /// referenced and can be erased.
   bool moveToSegment(const Segment &Sealed, const std::string &Name);
 
+  /// Removes the reference to a segment that the store does not have.
+  void removeSegment(const std::string &Name);
+
   const std::vector<SegmentReference> &segments() const { return Segments; }
   bool hasSegment(const std::string &Name) const;
 
+  /// @return the claims outside the segments.
+  std::vector<Claim> claims() const;
+
   /// @return the claim of \p Key, or null if the value has none. Does not
   /// search the segments.
   const Claim *find(const ClaimKey &Key) const;
@@ -146,6 +156,14 @@
   std::size_t Bytes = 0;
 };
 
+/// Joins what two histories of the store say of one key.
+///
+/// An executed claim stands, as a key runs once. Of two attempts that may both
+/// have run, nobody can tell which came last, and proof that one of them did
+/// not run says nothing of the other: \p Into becomes `Unknown` without an
+/// attempt, so that nothing releases the key.
+void mergeClaim(Claim &Into, const Claim &Known);
+
 /// Computes the reply to \p NewClaim whose key is held by \p Existing.
 ClaimReply replyTo(const Claim &NewClaim, const Claim &Existing);
 
--- a/libs/ledger/include/ledger/PartitionCommitter.h
+++ b/libs/ledger/include/ledger/PartitionCommitter.h
@@ -3,6 +3,7 @@
 
 #include "ledger/Claim.h"
 #include "ledger/Partition.h"
+#include "ledger/StoreCall.h"
 
 #include <chrono>
 #include <cstdint>
@@ -11,45 +12,13 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
 
 namespace rosemarylane::ledger {
 
-/// A request to the platform's store that a `PartitionCommitter` wants made.
-struct StoreCall {
-  enum class Kind { Read, CompareAndSwap, Erase };
-  /// The operation to perform.
-  Kind What = Kind::Read;
-  /// The name of the segment to access; empty for the partition's value.
-  std::string Segment;
-  /// Only for `CompareAndSwap`: the expected revision and the new value.
-  std::int64_t Expected = 0;
-  std::string Value;
-};
-
-/// The result of a `StoreCall`.
-struct StoreReply {
-  enum class Kind {
-    /// The result of a read, or of a swap that found another revision: `Value`
-    /// and `Revision` are those in the store.
-    Found,
-    /// The swap took effect under `Revision`.
-    Swapped,
-    /// The call did not take effect.
-    Unavailable,
-    /// The store's reply was lost: a swap may have taken effect.
-    Lost,
-    /// The segment's key no longer exists.
-    Erased,
-  };
-  /// The kind of result.
-  Kind What = Kind::Unavailable;
-  std::string Value;
-  std::int64_t Revision = 0;
-};
-
 /// Limits of a `PartitionCommitter`.
 struct CommitterLimits {
   /// Limits of the partition's stored value.
@@ -83,6 +52,11 @@
 /// A claim is answered `Claimed` only after the store has confirmed the value
 /// that contains it. A swap whose reply was lost is repeated unchanged: the
 /// store then either accepts it or returns the value that replaced it.
+///
+/// After a restore of the store, `setHistory` tells of another history. What
+/// the committer knows of claims is then written again before anything else:
+/// the value in the store may be older. Until the history is settled, no key is
+/// claimed or released.
 class PartitionCommitter {
 public:
   using Limits = CommitterLimits;
@@ -103,6 +77,27 @@
   /// @param OnDone called with the reply.
   void record(OutcomeRecord Result, RecordDone OnDone);
 
+  /// Makes no call until `setHistory` has been called. Without either,
+  /// histories are not told apart.
+  void awaitHistory() { HistoryInDoubt = true; }
+
+  /// Tells the history of the store to write in, from a `HistoryFence`.
+  void setHistory(const HistoryState &Current);
+
+  /// @return whether a reply did not fit the history that `setHistory` has
+  /// told. No calls are made then until it is called again.
+  bool historyInDoubt() const { return HistoryInDoubt; }
+
+  /// Remembers a claim that an attempt of this process holds, although another
+  /// process has committed it, so that it can be written again after a restore.
+  void remember(const Claim &Held);
+
+  /// Remembers the recorded outcome of an attempt passed to `remember`.
+  void rememberOutcome(const OutcomeRecord &Result);
+
+  /// @return whether claims of the history before are still to be written.
+  bool hasUnmergedClaims() const { return !Unmerged.empty(); }
+
   /// Determines the next store call. Must be called after each claim, record
   /// and reply, and every few milliseconds.
   /// @param WallNow the wall-clock time, which decides which claims have
@@ -144,6 +139,13 @@
     bool Stored = false;
   };
 
+  void beginHistory();
+  void addUnmerged(const Claim &Known);
+  void addMissingSegment(const std::string &Name);
+  bool isOfOtherHistory(const StoreReply &Reply) const;
+  void abandonCall(core::TimePoint Now);
+  std::optional<StoreCall> mergeClaims(core::WallTime WallNow);
+  std::optional<StoreCall> nextSegmentRead();
   std::optional<StoreCall> nextSegmentCall();
   StoreCall call(StoreCall Call);
   void completePartitionCall(StoreReply &Reply);
@@ -172,6 +174,18 @@
   std::optional<Partition> Cached;
   std::int64_t Revision = 0;
 
+  /// The history that the cached value belongs to.
+  HistoryState Store;
+  bool HistoryInDoubt = false;
+  /// Claims of the history before, to be written again.
+  std::map<ClaimKey, Claim> Unmerged;
+  /// Whether the swap in progress, or to be repeated, writes `Unmerged`.
+  bool Merging = false;
+  /// Claims of this process's attempts, without answers, and their keys in the
+  /// order of their time.
+  std::map<ClaimKey, Claim> Remembered;
+  std::deque<std::pair<core::WallTime, ClaimKey>> RememberedByTime;
+
   /// The operations and the value of the swap that is in progress or to be
   /// repeated.
   std::vector<Operation> Batch;
@@ -182,6 +196,9 @@
 
   /// Those segments of the cached value that have been read, by name.
   std::map<std::string, std::shared_ptr<const Segment>> SegmentCache;
+  /// Segments that the cached value references and the store lacks, found after
+  /// a restore.
+  std::set<std::string> MissingSegments;
   std::optional<UnreferencedSegment> PendingSegment;
   std::string SegmentPrefix;
   std::uint64_t SegmentsCreated = 0;
--- a/libs/ledger/src/Partition.cpp
+++ b/libs/ledger/src/Partition.cpp
@@ -162,6 +162,41 @@
   return {replyKind(Existing.State), Existing};
 }
 
+void mergeClaim(Claim &Into, const Claim &Known) {
+  auto IsExecuted = [](const Claim &C) {
+    return C.State == ClaimState::Answered ||
+           C.State == ClaimState::AnswerDropped;
+  };
+  bool IsSameAttempt = Into.Holder.Id == Known.Holder.Id;
+  if (IsExecuted(Into)) {
+    if (IsSameAttempt && Known.State == ClaimState::Answered)
+      Into = Known;
+    return;
+  }
+  if (IsExecuted(Known)) {
+    Into = Known;
+    return;
+  }
+  if (IsSameAttempt) {
+    if (Known.State == ClaimState::Unknown)
+      Into.State = ClaimState::Unknown;
+    return;
+  }
+  Into.State = ClaimState::Unknown;
+  Into.Holder.Id.clear();
+  Into.Holder.AgentIncarnation = 0;
+  Into.ClaimedAt = std::max(Into.ClaimedAt, Known.ClaimedAt);
+}
+
+void Partition::merge(const Claim &Known) {
+  auto Found = Claims.find(Known.Key);
+  if (Found == Claims.end())
+    return insert(Known);
+  Bytes -= encodedSize(Found->second);
+  mergeClaim(Found->second, Known);
+  Bytes += encodedSize(Found->second);
+}
+
 RecordReply Partition::record(const OutcomeRecord &Result,
                               const Limits &Bounds) {
   auto Found = Claims.find(Result.Key);
@@ -254,6 +289,13 @@
   return Executed;
 }
 
+std::vector<Claim> Partition::claims() const {
+  std::vector<Claim> All;
+  for (const auto &[Key, C] : Claims)
+    All.push_back(C);
+  return All;
+}
+
 bool Partition::moveToSegment(const Segment &Sealed, const std::string &Name) {
   bool Moved = false;
   for (const auto &[Key, C] : Sealed.claims()) {
@@ -268,6 +310,13 @@
   return Moved;
 }
 
+void Partition::removeSegment(const std::string &Name) {
+  Bytes -= SegmentReferenceBytes *
+           std::erase_if(Segments, [&](const SegmentReference &S) {
+             return S.Name == Name;
+           });
+}
+
 bool Partition::hasSegment(const std::string &Name) const {
   return std::any_of(Segments.begin(), Segments.end(),
                      [&](const SegmentReference &S) { return S.Name == Name; });
--- a/libs/ledger/src/PartitionCommitter.cpp
+++ b/libs/ledger/src/PartitionCommitter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace rosemarylane::ledger {
 
@@ -17,19 +18,106 @@
   Queue.push_back({RecordOperation{std::move(Result), std::move(OnDone)}});
 }
 
+void PartitionCommitter::setHistory(const HistoryState &Current) {
+  HistoryInDoubt = false;
+  bool IsOther = Store.History != 0 && Store.History != Current.History;
+  if (IsOther)
+    beginHistory();
+  Store = Current;
+}
+
+/// Discards what belongs to the history before: its value and revision, and
+/// what was decided on them. What they say of claims is kept.
+void PartitionCommitter::beginHistory() {
+  if (Cached)
+    for (const Claim &C : Cached->claims())
+      addUnmerged(C);
+  for (const auto &[Name, Known] : SegmentCache)
+    for (const auto &[Key, C] : Known->claims())
+      addUnmerged(C);
+  if (PendingSegment)
+    for (const auto &[Key, C] : PendingSegment->Claims->claims())
+      addUnmerged(C);
+  for (const auto &[Key, C] : Remembered)
+    addUnmerged(C);
+  Cached.reset();
+  SegmentCache.clear();
+  MissingSegments.clear();
+  PendingSegment.reset();
+  ExpiredSegments.clear();
+  // An older value may name them again.
+  OrphanedSegments.clear();
+  if (InProgress)
+    return;
+  SwapOutcomeUnknown = false;
+  Merging = false;
+  requeueBatch();
+}
+
+/// Takes a segment that the store lacks for empty, and lets the next value drop
+/// its name. A swap of the history before can name one that the copy of the
+/// store did not have; those who know its claims write them again. The fence
+/// keeps such a segment from being written later.
+void PartitionCommitter::addMissingSegment(const std::string &Name) {
+  MissingSegments.insert(Name);
+  SegmentCache[Name] = std::make_shared<Segment>();
+}
+
+void PartitionCommitter::addUnmerged(const Claim &Known) {
+  auto [Position, Added] = Unmerged.emplace(Known.Key, Known);
+  if (!Added)
+    mergeClaim(Position->second, Known);
+}
+
+void PartitionCommitter::remember(const Claim &Held) {
+  Remembered[Held.Key] = Held;
+  RememberedByTime.emplace_back(Held.ClaimedAt, Held.Key);
+  while (Held.ClaimedAt - RememberedByTime.front().first >
+         Bounds.Values.Retention) {
+    auto Oldest = Remembered.find(RememberedByTime.front().second);
+    if (Oldest != Remembered.end() &&
+        Oldest->second.ClaimedAt <= RememberedByTime.front().first)
+      Remembered.erase(Oldest);
+    RememberedByTime.pop_front();
+  }
+}
+
+void PartitionCommitter::rememberOutcome(const OutcomeRecord &Result) {
+  auto Found = Remembered.find(Result.Key);
+  if (Found == Remembered.end() || Found->second.Holder.Id != Result.AttemptId)
+    return;
+  switch (Result.What) {
+  case Outcome::NotRun:
+    Remembered.erase(Found);
+    return;
+  case Outcome::Answered:
+    Found->second.State = ClaimState::AnswerDropped;
+    return;
+  case Outcome::Unknown:
+    Found->second.State = ClaimState::Unknown;
+    return;
+  }
+}
+
 std::optional<StoreCall> PartitionCommitter::next(core::TimePoint Now,
                                                   core::WallTime WallNow) {
   expireClaims(Now);
-  if (InProgress || (RetryAt && Now < *RetryAt))
+  if (InProgress || HistoryInDoubt || (RetryAt && Now < *RetryAt))
     return std::nullopt;
   RetryAt.reset();
   if (SwapOutcomeUnknown)
     return startSwap();
   if (!Cached) {
-    if (Queue.empty())
+    if (Queue.empty() && Unmerged.empty())
       return std::nullopt;
     return call({StoreCall::Kind::Read, "", 0, {}});
   }
+  if (auto Call = nextSegmentRead())
+    return Call;
+  if (auto Call = mergeClaims(WallNow))
+    return Call;
+  if (!Store.Settled)
+    return std::nullopt;
   if (auto Call = nextSegmentCall())
     return Call;
   if (!Queue.empty() || (PendingSegment && PendingSegment->Stored))
@@ -45,17 +133,45 @@
   BurstRefilledAt = std::max(BurstRefilledAt, Now) + Bounds.SwapInterval;
 }
 
-/// @return the next read, write or removal of a segment, if any is needed.
+/// Writes the claims of the history before that the store's value lacks.
+std::optional<StoreCall>
+PartitionCommitter::mergeClaims(core::WallTime WallNow) {
+  Merging = false;
+  if (Unmerged.empty() && MissingSegments.empty())
+    return std::nullopt;
+  NextPartition = *Cached;
+  for (const std::string &Name : MissingSegments)
+    NextPartition.removeSegment(Name);
+  for (const auto &[Key, C] : Unmerged)
+    if (!findInSegments(NextPartition, Key))
+      NextPartition.merge(C);
+  ExpiredSegments = NextPartition.trim(WallNow, Bounds.Values);
+  if (NextPartition == *Cached) {
+    Unmerged.clear();
+    return std::nullopt;
+  }
+  Merging = true;
+  NextValue = NextPartition.format();
+  return startSwap();
+}
+
+/// @return the read of a segment that is needed to look keys up, if any.
+std::optional<StoreCall> PartitionCommitter::nextSegmentRead() {
+  if (Queue.empty() && Unmerged.empty())
+    return std::nullopt;
+  for (const SegmentReference &S : Cached->segments())
+    if (!SegmentCache.contains(S.Name))
+      return call({StoreCall::Kind::Read, S.Name, 0, {}});
+  return std::nullopt;
+}
+
+/// @return the next write or removal of a segment, if any is needed.
 std::optional<StoreCall> PartitionCommitter::nextSegmentCall() {
-  if (!Queue.empty())
-    for (const SegmentReference &S : Cached->segments())
-      if (!SegmentCache.contains(S.Name))
-        return call({StoreCall::Kind::Read, S.Name, 0, {}});
   if (!PendingSegment && Cached->needsSealing(Bounds.Values))
     createSegment();
   if (PendingSegment && !PendingSegment->Stored)
     return call({StoreCall::Kind::CompareAndSwap, PendingSegment->Name, 0,
-                 PendingSegment->Claims->format()});
+                 PendingSegment->Claims->format(), Store.History, Store.Fence});
   if (Queue.empty() && !OrphanedSegments.empty())
     return call({StoreCall::Kind::Erase, OrphanedSegments.back(), 0, {}});
   return std::nullopt;
@@ -72,12 +188,15 @@
 }
 
 StoreCall PartitionCommitter::call(StoreCall Call) {
+  Call.History = Store.History;
   InProgress = Call;
   return Call;
 }
 
 void PartitionCommitter::complete(StoreReply Reply, core::TimePoint Now) {
   assert(InProgress);
+  if (isOfOtherHistory(Reply))
+    return abandonCall(Now);
   bool IsSegmentCall = !InProgress->Segment.empty();
   bool Failed = isFailure(Reply);
   if (IsSegmentCall)
@@ -88,6 +207,27 @@
     RetryAt = Now + Bounds.RetryInterval;
 }
 
+/// @return whether the call in progress was made in another history than the
+/// present one, or met another.
+bool PartitionCommitter::isOfOtherHistory(const StoreReply &Reply) const {
+  bool MetOther = Reply.History != 0 && Store.History != 0 &&
+                  Reply.History != Store.History;
+  return Reply.What == StoreReply::Kind::OtherHistory || MetOther ||
+         InProgress->History != Store.History;
+}
+
+/// Ends a call whose reply says nothing of the present history. A swap that
+/// took effect all the same is found when the value is read.
+void PartitionCommitter::abandonCall(core::TimePoint Now) {
+  // `setHistory` may have been called since; if not, it has to be.
+  HistoryInDoubt = InProgress->History == Store.History;
+  InProgress.reset();
+  SwapOutcomeUnknown = false;
+  Merging = false;
+  requeueBatch();
+  RetryAt = Now + Bounds.RetryInterval;
+}
+
 bool PartitionCommitter::isFailure(const StoreReply &Reply) {
   return Reply.What == StoreReply::Kind::Lost ||
          Reply.What == StoreReply::Kind::Unavailable;
@@ -104,8 +244,11 @@
     return;
   }
   SwapOutcomeUnknown = false;
+  bool Merged = std::exchange(Merging, false);
   std::vector<Operation> Done;
   if (Reply.What == StoreReply::Kind::Swapped) {
+    if (Merged)
+      Unmerged.clear();
     Cached = std::move(NextPartition);
     Revision = Reply.Revision;
     Done.swap(Batch);
@@ -143,6 +286,8 @@
     if (Parsed)
       SegmentCache[Call.Segment] =
           std::make_shared<Segment>(std::move(*Parsed));
+    else if (Reply.Value.empty() && (!Store.Settled || !Unmerged.empty()))
+      addMissingSegment(Call.Segment);
     else
       Cached.reset();
     return;
@@ -168,6 +313,9 @@
   std::erase_if(SegmentCache, [this](const auto &Entry) {
     return !Cached->hasSegment(Entry.first);
   });
+  std::erase_if(MissingSegments, [this](const std::string &Name) {
+    return !Cached->hasSegment(Name);
+  });
   if (!PendingSegment || !PendingSegment->Stored)
     return;
   if (Cached->hasSegment(PendingSegment->Name)) {
@@ -373,7 +521,8 @@
 }
 
 StoreCall PartitionCommitter::startSwap() {
-  return call({StoreCall::Kind::CompareAndSwap, "", Revision, NextValue});
+  return call({StoreCall::Kind::CompareAndSwap, "", Revision, NextValue,
+               Store.History, Store.Fence});
 }
 
 } // namespace rosemarylane::ledger
--- a/libs/ledger/tests/AtMostOnceTest.cpp
+++ b/libs/ledger/tests/AtMostOnceTest.cpp
@@ -24,10 +24,11 @@
 }
 
 /// @return the number of simulations in which a key runs twice.
-unsigned countFailedSimulations(ProtocolVariant Variant) {
+unsigned countFailedSimulations(ProtocolVariant Variant,
+                                Restores OfStore = Restores::No) {
   unsigned FailedSimulations = 0;
   for (unsigned Seed = 0; Seed < SimulationsPerVariant; ++Seed)
-    if (LedgerSimulation(randomChoices(Seed, MaxChoices), Variant)
+    if (LedgerSimulation(randomChoices(Seed, MaxChoices), Variant, OfStore)
             .run()
             .MaxRuns > 1)
       ++FailedSimulations;
@@ -95,4 +96,65 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(no_simulation_with_restores_runs_a_key_twice) {
+  BOOST_TEST(rc::check([] {
+    auto Seed =
+        *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0u, 1u << 30));
+    auto Length = *rc::gen::resize(
+        rc::kNominalSize, rc::gen::inRange<std::size_t>(1, MaxChoices));
+    auto Choices = randomChoices(Seed, Length);
+    SimulationResult Result =
+        LedgerSimulation(Choices, ProtocolVariant::Correct, Restores::Yes)
+            .run();
+    RC_ASSERT(Result.MaxRuns <= 1u);
+    RC_ASSERT(Result.WrongAnswers == 0u);
+    RC_ASSERT(Result.Unanswered == 0u);
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(long_simulations_with_restores_run_no_key_twice) {
+  SimulationResult Sum;
+  for (unsigned Seed = 0; Seed < SimulationsPerVariant; ++Seed) {
+    SimulationResult Result =
+        LedgerSimulation(randomChoices(Seed, MaxChoices),
+                         ProtocolVariant::Correct, Restores::Yes)
+            .run();
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      BOOST_REQUIRE(Result.MaxRuns <= 1u);
+      BOOST_REQUIRE(Result.WrongAnswers == 0u);
+      BOOST_REQUIRE(Result.Unanswered == 0u);
+    }
+    Sum.Restores += Result.Restores;
+    Sum.Runs += Result.Runs;
+    Sum.Answers += Result.Answers;
+    Sum.Segments += Result.Segments;
+  }
+  BOOST_TEST_MESSAGE("restores " << Sum.Restores << ", runs " << Sum.Runs
+                                 << ", repeated answers " << Sum.Answers
+                                 << ", segments " << Sum.Segments);
+  BOOST_TEST(Sum.Restores > SimulationsPerVariant);
+  BOOST_TEST(Sum.Runs > SimulationsPerVariant);
+  BOOST_TEST(Sum.Answers > SimulationsPerVariant);
+  BOOST_TEST(Sum.Segments > 0u);
+}
+
+BOOST_AUTO_TEST_CASE(faulty_protocols_run_a_key_twice_after_a_restore) {
+  struct FaultyProtocol {
+    ProtocolVariant Variant;
+    const char *Name;
+  };
+  const FaultyProtocol FaultyProtocols[] = {
+      {ProtocolVariant::HistoriesNotToldApart, "histories not told apart"},
+      {ProtocolVariant::NoSettleTime, "no settle time"},
+  };
+  for (const FaultyProtocol &Protocol : FaultyProtocols) {
+    unsigned FailedSimulations =
+        countFailedSimulations(Protocol.Variant, Restores::Yes);
+    BOOST_TEST_MESSAGE(Protocol.Name << ": " << FailedSimulations << " of "
+                                     << SimulationsPerVariant
+                                     << " simulations failed");
+    BOOST_TEST(FailedSimulations > 0u, Protocol.Name);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/ledger/tests/LedgerSimulation.cpp
+++ b/libs/ledger/tests/LedgerSimulation.cpp
@@ -1,5 +1,7 @@
 #include "LedgerSimulation.h"
 
+#include <algorithm>
+
 namespace rosemarylane::ledger {
 
 using namespace std::chrono_literals;
@@ -12,6 +14,24 @@
 /// Low, so that simulations move claims to segments.
 constexpr std::size_t SealThresholdBytes = 1;
 
+/// Mean number of steps between copies and restores of the store.
+constexpr unsigned StepsPerCopyOrRestore = 250;
+
+/// The name under which the store keeps the fence.
+constexpr char FenceName[] = "fence";
+
+constexpr auto SettleTime = 4s;
+
+/// Entries reach the store within this time after a restore.
+constexpr auto ReachTime = SettleTime / 2;
+
+HistoryFenceTimes fenceTimes() {
+  HistoryFenceTimes Times;
+  Times.PollInterval = 500ms;
+  Times.SettleTime = SettleTime;
+  return Times;
+}
+
 CommitterLimits limits() {
   CommitterLimits Bounds;
   Bounds.Values.SealThresholdBytes = SealThresholdBytes;
@@ -21,14 +41,19 @@
 } // namespace
 
 LedgerSimulation::LedgerSimulation(std::vector<unsigned> Choices,
-                                   ProtocolVariant Variant)
-    : Choices(std::move(Choices)), Variant(Variant) {
+                                   ProtocolVariant Variant, Restores OfStore)
+    : Choices(std::move(Choices)), Variant(Variant), OfStore(OfStore) {
   for (std::size_t I = 0; I < EntryCount; ++I)
     Entries.emplace_back(++EntriesStarted);
+  if (tellsHistories())
+    awaitFences();
+  Copied = Stored;
+  CopiedRevision = LastRevision;
 }
 
 LedgerSimulation::Entry::Entry(unsigned Number)
-    : Committer("entry-" + std::to_string(Number), limits()) {}
+    : Committer("entry-" + std::to_string(Number), limits()),
+      Fence(fenceTimes()) {}
 
 SimulationResult LedgerSimulation::run() {
   while (NextChoice < Choices.size())
@@ -45,21 +70,115 @@
 void LedgerSimulation::drain() {
   constexpr auto DrainTime = 10s;
   for (core::TimePoint End = Now + DrainTime; Now < End; Now += 20ms)
-    for (Entry &At : Entries) {
-      if (!At.Call)
-        if (auto Call = At.Committer.next(Now, core::WallTime()))
-          At.Call = CallInProgress{std::move(*Call), std::nullopt};
-      if (!At.Call)
-        continue;
-      StoreReply Reply =
-          At.Call->Reply ? *At.Call->Reply : execute(At.Call->Call);
-      At.Call.reset();
-      At.Committer.complete(std::move(Reply), Now);
-    }
+    for (std::size_t E = 0; E < Entries.size(); ++E)
+      driveWithoutFaults(E);
   for (const Entry &At : Entries)
     Result.Unanswered += At.Committer.pendingOperations();
 }
 
+/// Lets the calls of an entry end as they should.
+void LedgerSimulation::driveWithoutFaults(std::size_t E) {
+  Entry &At = Entries[E];
+  if (tellsHistories()) {
+    if (!At.FenceCall)
+      startFenceCall(At);
+    if (At.FenceCall)
+      completeFence(E, execute(*At.FenceCall));
+  }
+  if (!At.Call)
+    if (auto Call = At.Committer.next(Now, core::WallTime()))
+      At.Call = CallInProgress{std::move(*Call), std::nullopt};
+  if (At.Call)
+    completeCall(E, At.Call->Reply ? *At.Call->Reply : execute(At.Call->Call));
+}
+
+void LedgerSimulation::completeCall(std::size_t E, StoreReply Reply) {
+  Entry &At = Entries[E];
+  At.Call.reset();
+  At.Committer.complete(std::move(Reply), Now);
+  if (At.Committer.historyInDoubt())
+    At.Fence.doubt();
+}
+
+void LedgerSimulation::completeFence(std::size_t E, const StoreReply &Reply) {
+  Entry &At = Entries[E];
+  At.FenceCall.reset();
+  At.Fence.complete(Reply, Now);
+  if (!At.Fence.current())
+    return;
+  HistoryState Told = *At.Fence.current();
+  if (Variant == ProtocolVariant::NoSettleTime)
+    Told.Settled = true;
+  At.Committer.setHistory(Told);
+}
+
+void LedgerSimulation::awaitFences() {
+  for (Entry &At : Entries)
+    while (!At.Fence.current()) {
+      driveWithoutFaults(static_cast<std::size_t>(&At - Entries.data()));
+      Now += 20ms;
+    }
+}
+
+/// Takes a copy of the store, or puts the last one in its place: revisions go
+/// back and are given out again.
+void LedgerSimulation::copyOrRestoreStore() {
+  if (choose(StepsPerCopyOrRestore) != 0)
+    return;
+  if (choose(2) == 0) {
+    Copied = Stored;
+    CopiedRevision = LastRevision;
+    return;
+  }
+  Stored = Copied;
+  LastRevision = CopiedRevision;
+  ++History;
+  RestoredAt = Now;
+  ++Result.Restores;
+}
+
+void LedgerSimulation::startFenceCall(Entry &At) {
+  At.FenceCall = At.Fence.next(Now);
+  if (At.FenceCall)
+    At.FenceCall->Segment = FenceName;
+}
+
+/// Makes or ends a call of an entry's fence.
+void LedgerSimulation::callFence(std::size_t E) {
+  Entry &At = Entries[E];
+  if (!At.FenceCall)
+    return startFenceCall(At);
+  switch (choose(8)) {
+  case 0:
+    return completeFence(E, {StoreReply::Kind::Unavailable, {}, 0});
+  case 1:
+    execute(*At.FenceCall);
+    return completeFence(E, {StoreReply::Kind::Lost, {}, 0});
+  default:
+    return completeFence(E, execute(*At.FenceCall));
+  }
+}
+
+/// @return whether an entry has written what it knew before the last restore.
+bool LedgerSimulation::hasMerged(const Entry &At) const {
+  return At.Fence.current() && At.Fence.current()->History == History &&
+         !At.Committer.historyInDoubt() && !At.Committer.hasUnmergedClaims();
+}
+
+void LedgerSimulation::passTime(core::TimePoint::duration Length) {
+  bool ReachesNow = RestoredAt && Now + Length > *RestoredAt + ReachTime;
+  if (tellsHistories() && ReachesNow) {
+    auto IsLate = [this](const Entry &At) { return !hasMerged(At); };
+    for (core::TimePoint Limit = Now + ReachTime;
+         Now < Limit && std::any_of(Entries.begin(), Entries.end(), IsLate);
+         Now += 20ms)
+      for (std::size_t E = 0; E < Entries.size(); ++E)
+        driveWithoutFaults(E);
+    RestoredAt.reset();
+  }
+  Now += Length;
+}
+
 unsigned LedgerSimulation::choose(unsigned Bound) {
   if (NextChoice >= Choices.size())
     return 0;
@@ -67,6 +186,11 @@
 }
 
 void LedgerSimulation::step() {
+  if (OfStore == Restores::Yes) {
+    copyOrRestoreStore();
+    if (tellsHistories() && choose(3) == 0)
+      callFence(choose(EntryCount));
+  }
   std::size_t E = choose(EntryCount);
   switch (choose(16)) {
   case 0:
@@ -91,8 +215,7 @@
   case 13:
     return queryFromOrigin();
   case 14:
-    Now += choose(8) == 0 ? 2000ms : 60ms;
-    return;
+    return passTime(choose(8) == 0 ? 2000ms : 60ms);
   case 15:
     if (choose(6) == 0)
       crash();
@@ -162,17 +285,20 @@
 }
 
 StoreReply LedgerSimulation::execute(const StoreCall &Call) {
+  std::uint64_t Told = tellsHistories() ? History : 0;
+  if (!Call.Fence.empty() && Stored[FenceName].Bytes != Call.Fence)
+    return {StoreReply::Kind::OtherHistory, {}, 0, Told};
   if (Call.What == StoreCall::Kind::Erase) {
     Stored.erase(Call.Segment);
-    return {StoreReply::Kind::Erased, {}, 0};
+    return {StoreReply::Kind::Erased, {}, 0, Told};
   }
   StoredValue &Value = Stored[Call.Segment];
   bool Matches = Call.Expected == Value.Revision ||
                  Variant == ProtocolVariant::UnconditionalWrite;
   if (Call.What == StoreCall::Kind::Read || !Matches)
-    return {StoreReply::Kind::Found, Value.Bytes, Value.Revision};
+    return {StoreReply::Kind::Found, Value.Bytes, Value.Revision, Told};
   Value = {Call.Value, ++LastRevision};
-  return {StoreReply::Kind::Swapped, Value.Bytes, Value.Revision};
+  return {StoreReply::Kind::Swapped, Value.Bytes, Value.Revision, Told};
 }
 
 void LedgerSimulation::deliverReply(std::size_t E) {
@@ -184,9 +310,7 @@
   Entry &At = Entries[E];
   if (!At.Call || !At.Call->Reply)
     return;
-  StoreReply Reply = std::move(*At.Call->Reply);
-  At.Call.reset();
-  At.Committer.complete(std::move(Reply), Now);
+  completeCall(E, std::move(*At.Call->Reply));
 }
 
 /// Delivers, duplicates or drops one of the messages in transit.
@@ -226,6 +350,7 @@
   }
   if (Reply.What == ClaimReply::Kind::Claimed) {
     ++Result.Claims;
+    Entries[A.Origin].Committer.remember(A.NewClaim);
     return dispatch(Index);
   }
   A.State = Phase::Ended;
@@ -303,13 +428,15 @@
                                 Outcome NewOutcome, std::string Answer) {
   // Records may be forwarded to another entry too.
   std::size_t At = choose(3) == 0 ? choose(EntryCount) : E;
-  Entries[At].Committer.record(
-      {Held.Key, Held.Holder.Id, NewOutcome, std::move(Answer)},
-      [](RecordReply) {});
+  OutcomeRecord Record{Held.Key, Held.Holder.Id, NewOutcome, std::move(Answer)};
+  Entries[At].Committer.record(Record, [this, E, Record](RecordReply Reply) {
+    if (Reply == RecordReply::Recorded)
+      Entries[E].Committer.rememberOutcome(Record);
+  });
 }
 
 void LedgerSimulation::crash() {
-  if (choose(2) == 0) {
+  if (choose(2) == 0 || OfStore == Restores::Yes) {
     ++AgentProcess.Incarnation;
     AgentProcess.Seen.clear();
     AgentProcess.Answers.clear();
--- a/libs/ledger/tests/LedgerSimulation.h
+++ b/libs/ledger/tests/LedgerSimulation.h
@@ -1,6 +1,7 @@
 #ifndef ROSEMARYLANE_LEDGER_TESTS_LEDGER_SIMULATION_H
 #define ROSEMARYLANE_LEDGER_TESTS_LEDGER_SIMULATION_H
 
+#include "ledger/HistoryFence.h"
 #include "ledger/PartitionCommitter.h"
 
 #include <functional>
@@ -27,8 +28,20 @@
   /// An attempt whose agent has restarted, and can no longer be asked for the
   /// outcome, is recorded as not run.
   RestartMeansNotRun,
+  /// The store is restored, and entries do not tell its histories apart.
+  HistoriesNotToldApart,
+  /// The store is restored, and keys are claimed before all entries have
+  /// written again what they know.
+  NoSettleTime,
 };
 
+/// Whether the store is restored from copies that were taken before.
+///
+/// With restores, entries do not crash: claims that only a crashed entry and
+/// the lost part of the store knew are lost. Each entry reaches the store
+/// within the settle time.
+enum class Restores { No, Yes };
+
 /// The outcome of one simulation.
 struct SimulationResult {
   /// The largest number of runs under one key.
@@ -45,6 +58,7 @@
   /// Claims and records that no entry has answered some time after the faults
   /// have ended.
   std::size_t Unanswered = 0;
+  unsigned Restores = 0;
 };
 
 /// Simulates callers, entries, one agent and the store under faults, with the
@@ -56,7 +70,8 @@
 /// process. Create one instance per simulation and call `run` once.
 class LedgerSimulation {
 public:
-  LedgerSimulation(std::vector<unsigned> Choices, ProtocolVariant Variant);
+  LedgerSimulation(std::vector<unsigned> Choices, ProtocolVariant Variant,
+                   Restores OfStore = Restores::No);
 
   /// Runs the simulation until the choices are used up, then ends all faults.
   SimulationResult run();
@@ -74,6 +89,8 @@
 
     PartitionCommitter Committer;
     std::optional<CallInProgress> Call;
+    HistoryFence Fence;
+    std::optional<StoreCall> FenceCall;
     /// Distinguishes this process from its crashed predecessors.
     unsigned ProcessIncarnation = 0;
   };
@@ -104,6 +121,20 @@
   void queryFromOrigin();
   void crash();
 
+  void copyOrRestoreStore();
+  void startFenceCall(Entry &At);
+  void callFence(std::size_t E);
+  void completeFence(std::size_t E, const StoreReply &Reply);
+  void completeCall(std::size_t E, StoreReply Reply);
+  void driveWithoutFaults(std::size_t E);
+  void awaitFences();
+  void passTime(core::TimePoint::duration Length);
+  bool hasMerged(const Entry &At) const;
+  bool tellsHistories() const {
+    return OfStore == Restores::Yes &&
+           Variant != ProtocolVariant::HistoriesNotToldApart;
+  }
+
   void commitAt(std::size_t E, std::size_t Index, bool ForPeer);
   void onReply(std::size_t Index, const ClaimReply &Reply);
   void dispatch(std::size_t Index);
@@ -127,6 +158,12 @@
   /// Stored values by segment name; the partition's value has the empty name.
   std::map<std::string, StoredValue> Stored;
   std::int64_t LastRevision = 0;
+  Restores OfStore;
+  std::uint64_t History = 1;
+  /// The copy that the store is restored from.
+  std::map<std::string, StoredValue> Copied;
+  std::int64_t CopiedRevision = 0;
+  std::optional<core::TimePoint> RestoredAt;
   std::vector<Entry> Entries;
   unsigned EntriesStarted = 0;
   /// Swaps that were reported as `Lost` and may still take effect.
--- a/libs/store/include/store/KeyValue.h
+++ b/libs/store/include/store/KeyValue.h
@@ -53,9 +53,20 @@
   StorePosition position() const { return {Revision, History}; }
 };
 
+/// What a compare-and-swap depends on.
+struct SwapCondition {
+  /// The key's revision; revision 0: the key does not exist.
+  StorePosition Expected;
+  /// Another key that has to hold `GuardValue`; empty for none.
+  std::string GuardKey;
+  std::string GuardValue;
+};
+
 /// What a compare-and-swap found.
 struct SwapOutcome {
   bool Swapped = false;
+  /// False if it was not swapped because the guard has another value.
+  bool GuardHeld = true;
   /// The value after the call: the new one if swapped, else the one that stood
   /// in the way.
   StoredValue Current;
@@ -80,13 +91,12 @@
 
   virtual void read(const std::string &Key, Hook<StoredValue> OnDone) = 0;
 
-  /// Writes \p Value if the key's revision is still that of \p Expected
-  /// (revision 0: if the key does not exist). Refused with `OtherHistory` if
-  /// the latest answer of the service was of another history.
+  /// Writes \p Value if \p Condition holds. Refused with `OtherHistory` if the
+  /// latest answer of the service was of another history.
   ///
-  /// An answer shows the history that the call met: if it is not that of
-  /// \p Expected, the condition may have held by chance.
-  virtual void compareAndSwap(const std::string &Key, StorePosition Expected,
+  /// An answer shows the history that the call met: if it is another one, the
+  /// expected revision may have been there by chance.
+  virtual void compareAndSwap(const std::string &Key, SwapCondition Condition,
                               std::string Value, Hook<SwapOutcome> OnDone) = 0;
 
   /// Removes \p Key, whatever its value. Told whether it existed.
--- a/libs/store/src/EtcdJson.cpp
+++ b/libs/store/src/EtcdJson.cpp
@@ -80,25 +80,38 @@
   return storedValue(Found->as_array().front().as_object());
 }
 
+const json::object &rangeAt(const json::array &Responses, std::size_t Index) {
+  return Responses.at(Index).as_object().at("response_range").as_object();
+}
+
 } // namespace
 
 std::string rangeRequest(const std::string &Key) {
   return json::serialize(json::object{{"key", toBase64(Key)}});
 }
 
-std::string swapRequest(const std::string &Key, std::int64_t Expected,
+std::string swapRequest(const std::string &Key, const SwapCondition &Condition,
                         const std::string &Value) {
   std::string EncodedKey = toBase64(Key);
-  json::object Compare{{"key", EncodedKey},
-                       {"target", "MOD"},
-                       {"result", "EQUAL"},
-                       {"mod_revision", std::to_string(Expected)}};
+  json::array Compares{json::object{
+      {"key", EncodedKey},
+      {"target", "MOD"},
+      {"result", "EQUAL"},
+      {"mod_revision", std::to_string(Condition.Expected.Revision)}}};
   json::object Put{
       {"request_put", {{"key", EncodedKey}, {"value", toBase64(Value)}}}};
-  json::object Range{{"request_range", {{"key", EncodedKey}}}};
-  return json::serialize(json::object{{"compare", json::array{Compare}},
+  json::array Ranges{json::object{{"request_range", {{"key", EncodedKey}}}}};
+  if (!Condition.GuardKey.empty()) {
+    std::string Guard = toBase64(Condition.GuardKey);
+    Compares.push_back(json::object{{"key", Guard},
+                                    {"target", "VALUE"},
+                                    {"result", "EQUAL"},
+                                    {"value", toBase64(Condition.GuardValue)}});
+    Ranges.push_back(json::object{{"request_range", {{"key", Guard}}}});
+  }
+  return json::serialize(json::object{{"compare", std::move(Compares)},
                                       {"success", json::array{Put}},
-                                      {"failure", json::array{Range}}});
+                                      {"failure", std::move(Ranges)}});
 }
 
 std::string watchRequest(const std::string &Key, std::int64_t FromRevision) {
@@ -116,7 +129,8 @@
   return Found;
 }
 
-SwapOutcome parseSwap(std::string_view Body, const std::string &Written) {
+SwapOutcome parseSwap(std::string_view Body, const SwapCondition &Condition,
+                      const std::string &Written) {
   json::value Parsed = json::parse(Body);
   const json::object &Answer = Parsed.as_object();
   SwapOutcome Outcome;
@@ -127,10 +141,11 @@
                        historyOf(Answer)};
     return Outcome;
   }
-  const json::object &First =
-      Answer.at("responses").as_array().at(0).as_object();
-  Outcome.Current = firstOf(First.at("response_range").as_object());
+  const json::array &Ranges = Answer.at("responses").as_array();
+  Outcome.Current = firstOf(rangeAt(Ranges, 0));
   Outcome.Current.History = historyOf(Answer);
+  Outcome.GuardHeld = Condition.GuardKey.empty() ||
+                      firstOf(rangeAt(Ranges, 1)).Value == Condition.GuardValue;
   return Outcome;
 }
 
--- a/libs/store/src/EtcdJson.h
+++ b/libs/store/src/EtcdJson.h
@@ -12,14 +12,16 @@
 namespace rosemarylane::store::etcd_json {
 
 std::string rangeRequest(const std::string &Key);
-std::string swapRequest(const std::string &Key, std::int64_t Expected,
+std::string swapRequest(const std::string &Key, const SwapCondition &Condition,
                         const std::string &Value);
 std::string watchRequest(const std::string &Key, std::int64_t FromRevision);
 
 StoredValue parseRange(std::string_view Body);
 
+/// @param Condition that of the request.
 /// @param Written the value that the request would write.
-SwapOutcome parseSwap(std::string_view Body, const std::string &Written);
+SwapOutcome parseSwap(std::string_view Body, const SwapCondition &Condition,
+                      const std::string &Written);
 
 /// @return whether the key existed.
 bool parseErase(std::string_view Body);
--- a/libs/store/src/EtcdKeyValue.cpp
+++ b/libs/store/src/EtcdKeyValue.cpp
@@ -156,15 +156,15 @@
                       etcd_json::rangeRequest(Key), Parse, std::move(OnDone));
   }
 
-  void compareAndSwap(const std::string &Key, StorePosition Expected,
+  void compareAndSwap(const std::string &Key, SwapCondition Condition,
                       std::string Value, Hook<SwapOutcome> OnDone) override {
-    if (Seen->excludes(Expected))
+    if (Seen->excludes(Condition.Expected))
       return deliver<SwapOutcome>(Deliver, OnDone,
                                   core::failure(conditionOfOtherHistory()));
-    std::string Body = etcd_json::swapRequest(Key, Expected.Revision, Value);
-    auto Parse = [Seen = Seen,
+    std::string Body = etcd_json::swapRequest(Key, Condition, Value);
+    auto Parse = [Seen = Seen, Condition = std::move(Condition),
                   Value = std::move(Value)](const std::string &Answer) {
-      SwapOutcome Outcome = etcd_json::parseSwap(Answer, Value);
+      SwapOutcome Outcome = etcd_json::parseSwap(Answer, Condition, Value);
       Seen->see(Outcome.Current.History);
       return Outcome;
     };
--- a/libs/store/tests/EtcdKeyValueTest.cpp
+++ b/libs/store/tests/EtcdKeyValueTest.cpp
@@ -46,8 +46,9 @@
     return await<StoredValue>([&](auto Hook) { Store->read(Key, Hook); });
   }
   auto swap(StorePosition Expected) {
-    return await<SwapOutcome>(
-        [&](auto Hook) { Store->compareAndSwap("k", Expected, "new", Hook); });
+    return await<SwapOutcome>([&](auto Hook) {
+      Store->compareAndSwap("k", {Expected}, "new", Hook);
+    });
   }
 
   std::unique_ptr<runtime::Duty> ServerDuty =
@@ -321,6 +322,29 @@
   BOOST_TEST(Swaps == 1);
 }
 
+BOOST_AUTO_TEST_CASE(swap_depends_on_its_guard) {
+  std::string Asked;
+  serve([&](auto X) {
+    Asked = X->request().Body;
+    X->respond(http::jsonResponse(
+        200, R"({"header":{"cluster_id":"1","revision":"5"},"responses":[)"
+             R"({"response_range":{"kvs":[{"value":"b2xk",)"
+             R"("mod_revision":"4"}]}},)"
+             R"({"response_range":{"kvs":[{"value":"b3RoZXI="}]}}]})"));
+  });
+  auto Lost = await<SwapOutcome>([&](auto Hook) {
+    Store->compareAndSwap("k", {{4, 1}, "g", "guard"}, "new", Hook);
+  });
+  BOOST_REQUIRE(Lost);
+  BOOST_TEST(!Lost->Swapped);
+  BOOST_TEST(!Lost->GuardHeld);
+  BOOST_TEST(Lost->Current.Revision == 4);
+  BOOST_TEST((
+      Asked.find(
+          R"({"key":"Zw==","target":"VALUE","result":"EQUAL","value":"Z3VhcmQ="})") !=
+      std::string::npos));
+}
+
 BOOST_AUTO_TEST_CASE(watch_of_the_history_before_a_restore_is_lost) {
   // A restored service keeps a watch from a later revision waiting, with
   // progress notices, until its own revisions get there.
--- a/rosemarylane/src/entry/ConfigurationWriter.cpp
+++ b/rosemarylane/src/entry/ConfigurationWriter.cpp
@@ -55,7 +55,7 @@
   }
 
   void swap() {
-    Store.compareAndSwap(core::ConfigurationKey, Expected, Value,
+    Store.compareAndSwap(core::ConfigurationKey, {Expected}, Value,
                          [Self = shared_from_this()](auto Swapped) {
                            if (!Swapped)
                              return Self->retryOrRefuse(Swapped.error(),
--- a/rosemarylane/src/entry/LedgerService.cpp
+++ b/rosemarylane/src/entry/LedgerService.cpp
@@ -2,7 +2,9 @@
 
 #include "core/Rendezvous.h"
 #include "entry/LedgerMessages.h"
+#include "ledger/HistoryFence.h"
 #include "ledger/PartitionCommitter.h"
+#include "telemetry/Log.h"
 
 #include <array>
 #include <cstdio>
@@ -25,9 +27,56 @@
 constexpr auto SuspectDuration = 2000ms;
 
 ledger::StoreReply::Kind failureKind(const store::StoreError &Error) {
-  return Error.What == store::StoreError::Kind::Unknown
-             ? ledger::StoreReply::Kind::Lost
-             : ledger::StoreReply::Kind::Unavailable;
+  switch (Error.What) {
+  case store::StoreError::Kind::Unknown:
+    return ledger::StoreReply::Kind::Lost;
+  case store::StoreError::Kind::OtherHistory:
+    return ledger::StoreReply::Kind::OtherHistory;
+  default:
+    return ledger::StoreReply::Kind::Unavailable;
+  }
+}
+
+ledger::StoreReply
+replyOf(const core::Result<store::StoredValue, store::StoreError> &Read) {
+  ledger::StoreReply Reply;
+  if (!Read) {
+    Reply.What = failureKind(Read.error());
+    return Reply;
+  }
+  Reply.What = ledger::StoreReply::Kind::Found;
+  Reply.Value = Read->Value;
+  Reply.Revision = Read->Revision;
+  Reply.History = Read->History;
+  return Reply;
+}
+
+ledger::StoreReply
+replyOf(const core::Result<store::SwapOutcome, store::StoreError> &Swapped) {
+  ledger::StoreReply Reply;
+  if (!Swapped) {
+    Reply.What = failureKind(Swapped.error());
+    return Reply;
+  }
+  Reply.What = ledger::StoreReply::Kind::Found;
+  if (Swapped->Swapped)
+    Reply.What = ledger::StoreReply::Kind::Swapped;
+  else if (!Swapped->GuardHeld)
+    Reply.What = ledger::StoreReply::Kind::OtherHistory;
+  Reply.Value = Swapped->Current.Value;
+  Reply.Revision = Swapped->Current.Revision;
+  Reply.History = Swapped->Current.History;
+  return Reply;
+}
+
+store::SwapCondition conditionOf(const ledger::StoreCall &Call) {
+  store::SwapCondition Condition;
+  Condition.Expected = {Call.Expected, Call.History};
+  if (!Call.Fence.empty()) {
+    Condition.GuardKey = ledger::HistoryFenceKey;
+    Condition.GuardValue = Call.Fence;
+  }
+  return Condition;
 }
 
 class LedgerServiceImpl final : public LedgerService {
@@ -38,8 +87,10 @@
         SteadyStart(std::chrono::steady_clock::now()),
         Tick(Context.Timers->every(TickInterval, *Context.Control,
                                    [this] { onTick(); })) {
-    for (std::uint32_t P = 0; P < ledger::PartitionCount; ++P)
+    for (std::uint32_t P = 0; P < ledger::PartitionCount; ++P) {
       Committers.emplace_back(segmentPrefix(), Limits);
+      Committers.back().awaitHistory();
+    }
   }
 
   void claim(const LedgerKey &Key, const ClaimedAttempt &Attempt,
@@ -55,9 +106,12 @@
     Release.Key = NewClaim.Key;
     Release.AttemptId = NewClaim.Holder.Id;
     Release.What = ledger::Outcome::NotRun;
+    ledger::Claim Held = NewClaim;
     commitClaim(std::move(NewClaim),
-                [this, Release = std::move(Release),
+                [this, Release = std::move(Release), Held = std::move(Held),
                  OnDone = std::move(OnDone)](const ledger::ClaimReply &Reply) {
+                  if (Reply.What == ledger::ClaimReply::Kind::Claimed)
+                    committerOf(Held.Key).remember(Held);
                   // The attempt will not be sent, so a claim that may have been
                   // stored for it is released.
                   if (Reply.MayBeStored)
@@ -68,9 +122,16 @@
 
   void record(const LedgerKey &Key, const ClaimedAttempt &Attempt,
               AttemptResult Result, std::function<void(bool)> OnDone) override {
-    commitRecord(toRecord(Key, Attempt, Result),
-                 [OnDone = std::move(OnDone)](ledger::RecordReply Reply) {
-                   OnDone(Reply == ledger::RecordReply::Recorded);
+    ledger::OutcomeRecord Record = toRecord(Key, Attempt, Result);
+    ledger::OutcomeRecord Known = Record;
+    Known.Answer.clear();
+    commitRecord(std::move(Record),
+                 [this, Known = std::move(Known),
+                  OnDone = std::move(OnDone)](ledger::RecordReply Reply) {
+                   bool IsRecorded = Reply == ledger::RecordReply::Recorded;
+                   if (IsRecorded)
+                     committerOf(Known.Key).rememberOutcome(Known);
+                   OnDone(IsRecorded);
                  });
   }
 
@@ -166,6 +227,10 @@
     forward(*Peer, std::move(Request), std::move(OnReply), CommitLocally);
   }
 
+  ledger::PartitionCommitter &committerOf(const ledger::ClaimKey &Key) {
+    return Committers[ledger::partitionOf(Key)];
+  }
+
   /// @param WasForwarded whether another entry may still commit the claim.
   void claimLocally(ledger::Claim NewClaim, bool WasForwarded,
                     ClaimDone OnDone) {
@@ -258,6 +323,7 @@
     }
     for (const auto &OnTimeout : TimedOut)
       OnTimeout();
+    makeNextFenceCall();
     for (std::uint32_t P = 0; P < ledger::PartitionCount; ++P)
       makeNextStoreCall(P);
   }
@@ -273,14 +339,15 @@
     switch (Call->What) {
     case ledger::StoreCall::Kind::Read:
       return Context.Store->read(Key, [this, P](auto Read) {
-        postToControl([this, P, Read = std::move(Read)] { onRead(P, Read); });
+        postToControl(
+            [this, P, Read = std::move(Read)] { complete(P, replyOf(Read)); });
       });
     case ledger::StoreCall::Kind::CompareAndSwap:
       return Context.Store->compareAndSwap(
-          Key, {Call->Expected}, std::move(Call->Value),
+          Key, conditionOf(*Call), std::move(Call->Value),
           [this, P](auto Swapped) {
             postToControl([this, P, Swapped = std::move(Swapped)] {
-              onSwapped(P, Swapped);
+              complete(P, replyOf(Swapped));
             });
           });
     case ledger::StoreCall::Kind::Erase:
@@ -297,34 +364,6 @@
     Context.Control->postAlways(std::move(Work));
   }
 
-  void onRead(std::uint32_t P,
-              const core::Result<store::StoredValue, store::StoreError> &Read) {
-    ledger::StoreReply Reply;
-    if (Read) {
-      Reply.What = ledger::StoreReply::Kind::Found;
-      Reply.Value = Read->Value;
-      Reply.Revision = Read->Revision;
-    } else {
-      Reply.What = failureKind(Read.error());
-    }
-    complete(P, std::move(Reply));
-  }
-
-  void onSwapped(
-      std::uint32_t P,
-      const core::Result<store::SwapOutcome, store::StoreError> &Swapped) {
-    ledger::StoreReply Reply;
-    if (Swapped) {
-      Reply.What = Swapped->Swapped ? ledger::StoreReply::Kind::Swapped
-                                    : ledger::StoreReply::Kind::Found;
-      Reply.Value = Swapped->Current.Value;
-      Reply.Revision = Swapped->Current.Revision;
-    } else {
-      Reply.What = failureKind(Swapped.error());
-    }
-    complete(P, std::move(Reply));
-  }
-
   void onErased(std::uint32_t P,
                 const core::Result<bool, store::StoreError> &Erased) {
     ledger::StoreReply Reply;
@@ -335,9 +374,50 @@
 
   void complete(std::uint32_t P, ledger::StoreReply Reply) {
     Committers[P].complete(std::move(Reply), now());
+    if (Committers[P].historyInDoubt())
+      Fence.doubt();
     makeNextStoreCall(P);
   }
 
+  /// Makes the store call that the fence needs next, if any.
+  void makeNextFenceCall() {
+    auto Call = Fence.next(now());
+    if (!Call)
+      return;
+    auto OnDone = [this](auto Answer) {
+      postToControl([this, Answer = std::move(Answer)] {
+        completeFence(replyOf(Answer));
+      });
+    };
+    if (Call->What == ledger::StoreCall::Kind::Read)
+      return Context.Store->read(ledger::HistoryFenceKey, OnDone);
+    Context.Store->compareAndSwap(ledger::HistoryFenceKey, conditionOf(*Call),
+                                  std::move(Call->Value), OnDone);
+  }
+
+  void completeFence(const ledger::StoreReply &Reply) {
+    Fence.complete(Reply, now());
+    if (!Fence.current())
+      return makeNextFenceCall();
+    tellHistory(*Fence.current());
+    for (std::uint32_t P = 0; P < ledger::PartitionCount; ++P)
+      makeNextStoreCall(P);
+  }
+
+  void tellHistory(const ledger::HistoryState &Current) {
+    if (!(Told == std::optional(Current)) && (Told || !Current.Settled))
+      telemetry::log(
+          telemetry::Level::Warning,
+          Current.Settled ? "keys are claimed again"
+                          : "store restored: no key is claimed "
+                            "until claims are written again",
+          {{"history_before", std::to_string(Told ? Told->History : 0)},
+           {"history", std::to_string(Current.History)}});
+    Told = Current;
+    for (ledger::PartitionCommitter &Committer : Committers)
+      Committer.setHistory(Current);
+  }
+
   ProcessContext &Context;
   const MessageSender &Send;
   const ledger::CommitterLimits Limits;
@@ -347,6 +427,9 @@
   std::vector<EntryPeer> LiveEntries;
   std::array<std::optional<EntryPeer>, ledger::PartitionCount> PreferredEntries;
   std::vector<ledger::PartitionCommitter> Committers;
+  ledger::HistoryFence Fence;
+  /// What the committers were told last.
+  std::optional<ledger::HistoryState> Told;
   std::map<std::uint64_t, ForwardedRequest> PendingForwards;
   std::uint64_t LastForwardId = 0;
   std::map<core::HostId, core::TimePoint> SuspectEntries;
--- a/rosemarylane/tests/FakeStore.h
+++ b/rosemarylane/tests/FakeStore.h
@@ -34,10 +34,11 @@
     });
   }
 
-  void compareAndSwap(const std::string &Key, store::StorePosition Expected,
+  void compareAndSwap(const std::string &Key, store::SwapCondition Condition,
                       std::string Value,
                       Hook<store::SwapOutcome> OnDone) override {
-    Calls.push_back([this, Key, Expected, Value = std::move(Value),
+    Calls.push_back([this, Key, Expected = Condition.Expected,
+                     Value = std::move(Value),
                      OnDone = std::move(OnDone)](Fate How) {
       if (How == Fate::Unavailable)
         return OnDone(lost(How));
--- a/rosemarylane/tests/process/AtMostOnceTest.cpp
+++ b/rosemarylane/tests/process/AtMostOnceTest.cpp
@@ -290,4 +290,40 @@
   BOOST_TEST(Refused.ran() == "no", Refused.status() << Refused.body());
 }
 
+BOOST_AUTO_TEST_CASE(store_restored_from_a_copy_of_before_the_call) {
+  Fleet F({});
+  repeatUntilAnswered(F, *F.entries()[0], "before", "tankard");
+  F.setFaults(F.platform(), R"({"copy_store":true})");
+  std::vector<std::string> Keys;
+  std::map<std::string, CallResult> Answers;
+  for (int I = 0; I < 6; ++I) {
+    Keys.push_back("lost-" + std::to_string(I));
+    auto &Entry = *F.entries()[static_cast<std::size_t>(I) % 4];
+    Answers[Keys.back()] =
+        repeatUntilAnswered(F, Entry, Keys.back(), "tankard");
+  }
+  F.setFaults(F.platform(), R"({"restore_store":true})");
+  // Callers repeat without pause, and other keys give revisions out again.
+  auto End = std::chrono::steady_clock::now() + 25s;
+  for (int Round = 0; std::chrono::steady_clock::now() < End; ++Round)
+    for (const std::string &Key : Keys) {
+      auto &Entry = *F.entries()[static_cast<std::size_t>(Round) % 4];
+      auto New = F.caller().start(
+          Entry.Http, F.order(Key + "-new-" + std::to_string(Round), "fan"));
+      auto Results = sendThroughAll(F, Key, "tankard");
+      Results.push_back(Answers[Key]);
+      checkAnswers(F, Key, Results);
+      auto Told = New.get();
+      BOOST_TEST((Told.ok() || Told.ran() == "no"),
+                 Told.status() << Told.body() << Told.Error);
+    }
+  for (const std::string &Key : Keys)
+    for (Fleet::Host *Entry : F.entries()) {
+      auto Again = repeatUntilAnswered(F, *Entry, Key, "tankard");
+      checkAnswers(F, Key, {Answers[Key], Again});
+    }
+  // Keys are claimed again.
+  repeatUntilAnswered(F, *F.entries()[1], "after", "tankard");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/standins/src/Faults.h
+++ b/standins/src/Faults.h
@@ -37,6 +37,9 @@
 /// | `silent` | calls are taken and never answered |
 /// | `silent_existing` | connections open now fall silent for good |
 /// | `corrupt_chunks` | N chunk answers or `true` with a changed byte |
+/// | `copy_store` | platform: takes a copy of the key-value service |
+/// | `restore_store` | platform: the last copy takes the service's place, with
+/// revisions that go back and another cluster id |
 /// | `swap_version` | origin: that manifest is answered with other bytes;
 /// engine: `{"name", "version"}` replaces the loaded version | | `crash_on` |
 /// engine: a request with this text crashes it | | `crash` | engine: crashes
--- a/standins/src/KeyValueStandin.cpp
+++ b/standins/src/KeyValueStandin.cpp
@@ -55,7 +55,8 @@
 }
 
 json::object KeyValueStandin::header() const {
-  return {{"revision", std::to_string(Revision)}};
+  return {{"cluster_id", std::to_string(ClusterId)},
+          {"revision", std::to_string(Revision)}};
 }
 
 json::object KeyValueStandin::toJson(const Record &Stored) {
@@ -108,17 +109,21 @@
   return Answer;
 }
 
+bool KeyValueStandin::holds(const json::object &Compare) const {
+  auto Found = Records.find(text(Compare, "key"));
+  bool Exists = Found != Records.end();
+  if (text(Compare, "target") == "MOD")
+    return (Exists ? Found->second.ModRevision : 0) ==
+           number(Compare, "mod_revision");
+  if (text(Compare, "target") == "VALUE")
+    return Exists && Found->second.Value == text(Compare, "value");
+  throw std::invalid_argument("compare target not supported");
+}
+
 json::object KeyValueStandin::txn(const json::object &Body) {
   bool Holds = true;
-  for (const json::value &Item : Body.at("compare").as_array()) {
-    const json::object &Compare = Item.as_object();
-    if (text(Compare, "target") != "MOD")
-      throw std::invalid_argument("compare target not supported");
-    auto Found = Records.find(text(Compare, "key"));
-    std::int64_t Present =
-        Found == Records.end() ? 0 : Found->second.ModRevision;
-    Holds = Holds && Present == number(Compare, "mod_revision");
-  }
+  for (const json::value &Item : Body.at("compare").as_array())
+    Holds = Holds && holds(Item.as_object());
   json::array Responses;
   const json::value *Requests = Body.if_contains(Holds ? "success" : "failure");
   if (Requests)
@@ -185,6 +190,20 @@
     Watch.Call->abort();
 }
 
+void KeyValueStandin::copy() {
+  CopiedRecords = Records;
+  CopiedRevision = Revision;
+}
+
+void KeyValueStandin::restore() {
+  Records = CopiedRecords;
+  Revision = CopiedRevision;
+  ++ClusterId;
+  // A restored service has no changes from before.
+  History.clear();
+  dropWatches();
+}
+
 json::object KeyValueStandin::counters() const {
   return {{"reads", Reads},
           {"writes", Writes},
--- a/standins/src/KeyValueStandin.h
+++ b/standins/src/KeyValueStandin.h
@@ -28,9 +28,19 @@
   /// Closes every watch's connection.
   void dropWatches();
 
+  /// Takes a copy of what is stored.
+  void copy();
+
+  /// Puts the last copy in the place of what is stored: revisions go back and
+  /// are given out again, the cluster id is another. Watches are closed.
+  void restore();
+
   boost::json::object counters() const;
 
 private:
+  /// Cluster ids take all 64 bits.
+  static constexpr std::uint64_t FirstClusterId = 14841639068965178418u;
+
   struct Record {
     std::string Key;
     std::string Value;
@@ -50,10 +60,14 @@
   void watch(const Exchange &Call, const boost::json::object &Body);
   void send(Watcher &To, const std::vector<const Record *> &Changes);
   boost::json::object header() const;
+  bool holds(const boost::json::object &Compare) const;
   static boost::json::object toJson(const Record &Stored);
 
   std::int64_t Revision = 1;
   std::map<std::string, Record> Records;
+  std::int64_t CopiedRevision = 1;
+  std::map<std::string, Record> CopiedRecords;
+  std::uint64_t ClusterId = FirstClusterId;
   /// Every change, for watches that start in the past.
   std::vector<Record> History;
   std::list<Watcher> Watchers;
--- a/standins/src/PlatformStandin.cpp
+++ b/standins/src/PlatformStandin.cpp
@@ -61,6 +61,10 @@
 void PlatformStandin::setOwnFaults(const json::object &Settings) {
   if (const json::value *Version = Settings.if_contains("swap_version"))
     Origin.swapVersion(std::string(Version->as_string()));
+  if (Settings.contains("copy_store"))
+    KeyValue.copy();
+  if (Settings.contains("restore_store"))
+    KeyValue.restore();
   if (Switches.Outage && Switches.applyTo("/v3/watch"))
     KeyValue.dropWatches();
 }
