A restored store takes no accepted change of the configuration back

After the key-value service was restored from a copy, a change that an operator had seen accepted stayed in force, but the next order was built on the older document in the store and took it back everywhere: a host out of service came back. Until then the store stayed behind, `get` showed a revision that If-Match was refused with, and a process that started with all others gone had the older one. A write sent with a revision of before could replace another operator's, and a change whose answer was lost could be refused as not made although it was part of what is in force.

A change is now based on the configuration in force if the store is behind it, and gets a revision above both. Readers that find the store behind have the configuration in force written again, once for all of them. An empty store is left to the operators, as documented.

--- a/libs/core/include/core/StoredConfiguration.h
+++ b/libs/core/include/core/StoredConfiguration.h
@@ -71,6 +71,17 @@
 std::vector<std::string> describeDifference(const Configuration &Before,
                                             const Configuration &After);
 
+/// Decides whether the store is behind what is in force: it was restored from a
+/// copy that is older, or has given the revision in force to another document.
+/// False if the store has lost its data, which operators put back themselves.
+/// @param InForce the configuration in force at this process.
+bool isBehind(const StoredConfiguration &Stored, const Configuration &InForce);
+
+/// @return the configuration that a change has to be based on: \p InForce if
+/// the store is behind it, so that no accepted change is taken back.
+Configuration newestOf(const StoredConfiguration &Stored,
+                       const Configuration &InForce);
+
 /// Makes \p Next the current configuration under the next revision and adds the
 /// change to the history.
 /// @param Before the stored value that the change is based on.
--- a/libs/core/src/StoredConfiguration.cpp
+++ b/libs/core/src/StoredConfiguration.cpp
@@ -205,6 +205,19 @@
   return Lines;
 }
 
+bool isBehind(const StoredConfiguration &Stored, const Configuration &InForce) {
+  std::uint64_t Revision = Stored.Current.Revision;
+  if (Revision == 0 || Revision > InForce.Revision)
+    return false;
+  return Revision < InForce.Revision ||
+         formatConfiguration(Stored.Current) != formatConfiguration(InForce);
+}
+
+Configuration newestOf(const StoredConfiguration &Stored,
+                       const Configuration &InForce) {
+  return isBehind(Stored, InForce) ? InForce : Stored.Current;
+}
+
 StoredConfiguration applyChange(const StoredConfiguration &Before,
                                 Configuration Next,
                                 ConfigurationChange Change) {
--- a/rosemarylane/src/common/ConfigurationService.cpp
+++ b/rosemarylane/src/common/ConfigurationService.cpp
@@ -38,6 +38,10 @@
 
   void onChange(ChangeHook Hook) override { Hooks.push_back(std::move(Hook)); }
 
+  void onStoreBehind(std::function<void()> Hook) override {
+    StoreBehind = std::move(Hook);
+  }
+
   void setLiveEntries(std::vector<core::HostId> Entries) override {
     LiveEntries = std::move(Entries);
     updateReader();
@@ -148,6 +152,14 @@
     auto Stored = core::parseStoredConfiguration(Value.Value);
     if (!Stored)
       return logRejection("store", Stored.error());
+    if (core::isBehind(*Stored, *current())) {
+      telemetry::log(Level::Warning, "store is behind the configuration",
+                     {{"store_revision",
+                       static_cast<std::int64_t>(Stored->Current.Revision)}});
+      if (StoreBehind)
+        StoreBehind();
+      return;
+    }
     applyIfNewer(
         std::make_shared<core::Configuration>(std::move(Stored->Current)));
   }
@@ -222,6 +234,7 @@
   mutable std::mutex Mutex;
   std::shared_ptr<const core::Configuration> InForce;
   std::vector<ChangeHook> Hooks;
+  std::function<void()> StoreBehind;
   /// The configuration in force, serialized for peers; empty until the first
   /// request for it.
   std::string Document;
--- a/rosemarylane/src/common/ConfigurationService.h
+++ b/rosemarylane/src/common/ConfigurationService.h
@@ -41,6 +41,10 @@
   /// Adds \p Hook, which is called after each change.
   virtual void onChange(ChangeHook Hook) = 0;
 
+  /// Sets \p Hook, which is called when the store was read and is behind what
+  /// is in force; see `core::isBehind`.
+  virtual void onStoreBehind(std::function<void()> Hook) = 0;
+
   /// Sets the entries that determine whether this process reads the store.
   /// @param Entries live entries of this failure domain, this one included.
   virtual void setLiveEntries(std::vector<core::HostId> Entries) = 0;
--- a/rosemarylane/src/entry/AdminApi.cpp
+++ b/rosemarylane/src/entry/AdminApi.cpp
@@ -59,13 +59,16 @@
 class AdminApiImpl final : public AdminApi {
 public:
   AdminApiImpl(ProcessContext &Context, ConfigurationService &Configuration,
-               StatusSource Status)
+               StatusSource Status, FenceSource Fence)
       : Context(Context), Configuration(Configuration),
         Status(std::move(Status)),
-        Writer(*Context.Store, [&Context](std::chrono::milliseconds Delay,
-                                          std::function<void()> Work) {
-          runLater(Context, Delay, std::move(Work));
-        }) {}
+        Writer(*Context.Store,
+               [&Context](std::chrono::milliseconds Delay,
+                          std::function<void()> Work) {
+                 runLater(Context, Delay, std::move(Work));
+               },
+               {[&Configuration] { return Configuration.current(); },
+                std::move(Fence)}) {}
 
   void handle(std::shared_ptr<http::Exchange> Call) override {
     const http::Request &Request = Call->request();
@@ -79,6 +82,19 @@
     (this->*Found->Handle)(std::move(Call));
   }
 
+  void writeAgain() override {
+    auto InForce = Configuration.current();
+    core::ConfigurationChange Change;
+    // Of several entries that write it again, one does.
+    Change.Id = "written-again-" + std::to_string(InForce->Revision);
+    Change.At = std::chrono::system_clock::now();
+    Writer.writeAgain(std::move(Change), [this](auto Outcome) {
+      if (Outcome)
+        Configuration.applyIfNewer(
+            std::make_shared<core::Configuration>(Outcome->Current));
+    });
+  }
+
 private:
   using Handler = void (AdminApiImpl::*)(std::shared_ptr<http::Exchange>);
 
@@ -265,7 +281,6 @@
           adminProblem(400, "The Idempotency-Key is too long"));
     Change.At = std::chrono::system_clock::now();
     auto InForce = Configuration.current();
-    Change.Revision = InForce->Revision;
     core::Digest Token = presentedToken(Call->request());
     if (const core::Workspace *By = InForce->workspaceByToken(Token))
       Change.By = By->Name;
@@ -297,9 +312,10 @@
 
 std::unique_ptr<AdminApi> AdminApi::create(ProcessContext &Context,
                                            ConfigurationService &Configuration,
-                                           StatusSource Status) {
+                                           StatusSource Status,
+                                           FenceSource Fence) {
   return std::make_unique<AdminApiImpl>(Context, Configuration,
-                                        std::move(Status));
+                                        std::move(Status), std::move(Fence));
 }
 
 } // namespace rosemarylane
--- a/rosemarylane/src/entry/AdminApi.h
+++ b/rosemarylane/src/entry/AdminApi.h
@@ -3,11 +3,13 @@
 
 #include "common/ConfigurationService.h"
 #include "common/ProcessContext.h"
+#include "entry/ConfigurationWriter.h"
 #include "http/Exchange.h"
 #include "wire/wire.pb.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,17 +33,25 @@
 class AdminApi {
 public:
   using StatusSource = std::function<std::vector<MemberStatus>()>;
+  using FenceSource =
+      std::function<std::optional<WriteFence>(std::uint64_t Met)>;
 
   /// @param Context outlives the API, as \p Configuration does.
   /// @param Status returns the current state of all known processes.
+  /// @param Fence for writes to the store; see `ConfigurationWriter::Sources`.
   static std::unique_ptr<AdminApi> create(ProcessContext &Context,
                                           ConfigurationService &Configuration,
-                                          StatusSource Status);
+                                          StatusSource Status,
+                                          FenceSource Fence);
   virtual ~AdminApi() = default;
 
   /// Answers one request whose path starts with `/admin/v1`, now or once the
   /// store has replied.
   virtual void handle(std::shared_ptr<http::Exchange> Call) = 0;
+
+  /// Writes the configuration in force to the store again if the store is
+  /// behind it, as after a restore.
+  virtual void writeAgain() = 0;
 };
 
 } // namespace rosemarylane
--- a/rosemarylane/src/entry/EntryProcess.cpp
+++ b/rosemarylane/src/entry/EntryProcess.cpp
@@ -13,6 +13,7 @@
 #include "entry/Problem.h"
 #include "entry/RequestHandler.h"
 #include "http/Server.h"
+#include "ledger/HistoryFence.h"
 #include "telemetry/Log.h"
 
 #include <atomic>
@@ -59,8 +60,10 @@
     Attempts = AttemptClient::create(*Context, Send);
     Handler = RequestHandler::create(
         {*Context, *Configuration, *Members, *Ledger, *Attempts});
-    Admin = AdminApi::create(*Context, *Configuration,
-                             [this] { return Members->status(); });
+    Admin = AdminApi::create(
+        *Context, *Configuration, [this] { return Members->status(); },
+        [this](std::uint64_t Met) { return writeFence(Met); });
+    Configuration->onStoreBehind([this] { Admin->writeAgain(); });
     Members->onEntries([this](auto Fleet, auto FailureDomain) {
       Handler->setLiveEntries(Fleet.size());
       Ledger->setLiveEntries(std::move(Fleet));
@@ -74,6 +77,18 @@
     return listen();
   }
 
+  std::optional<WriteFence> writeFence(std::uint64_t Met) {
+    auto History = Ledger->history(Met);
+    if (!History)
+      return std::nullopt;
+    WriteFence Fence;
+    Fence.History = History->History;
+    if (!History->Fence.empty())
+      Fence.Key = ledger::HistoryFenceKey;
+    Fence.Value = History->Fence;
+    return Fence;
+  }
+
   core::Result<bool, StartError> listen() {
     auto Listening = rosemarylane::listen(
         *Context,
--- a/rosemarylane/src/entry/LedgerService.cpp
+++ b/rosemarylane/src/entry/LedgerService.cpp
@@ -141,6 +141,12 @@
       PreferredEntries[P] = preferredEntry(P);
   }
 
+  std::optional<ledger::HistoryState> history(std::uint64_t Met) override {
+    if (Fence.current() && Fence.current()->History != Met)
+      Fence.doubt();
+    return Fence.current();
+  }
+
   void receive(const wire::Peer &From, const wire::Envelope &Message) override {
     if (Message.has_ledger_request())
       handleForwardedRequest(From, Message.ledger_request());
--- a/rosemarylane/src/entry/LedgerService.h
+++ b/rosemarylane/src/entry/LedgerService.h
@@ -7,6 +7,7 @@
 #include "core/Ids.h"
 #include "core/Time.h"
 #include "http/Message.h"
+#include "ledger/StoreCall.h"
 #include "wire/wire.pb.h"
 
 #include <functional>
@@ -106,6 +107,12 @@
                       AttemptResult Result,
                       std::function<void(bool Written)> OnDone) = 0;
 
+  /// @return the history of the store that this process writes in, or nothing
+  /// while it is in doubt.
+  /// @param Met the history of an answer of the store, which puts another one
+  /// in doubt.
+  virtual std::optional<ledger::HistoryState> history(std::uint64_t Met) = 0;
+
   /// A live entry process of the fleet.
   struct EntryPeer {
     core::HostId Host;
--- a/rosemarylane/tests/GateFixture.h
+++ b/rosemarylane/tests/GateFixture.h
@@ -35,6 +35,7 @@
   std::shared_ptr<const core::Configuration> current() const override {
     return Current;
   }
+  void onStoreBehind(std::function<void()>) override {}
   void onChange(ChangeHook Hook) override { Hooks.push_back(std::move(Hook)); }
   void setLiveEntries(std::vector<core::HostId>) override {}
   void receive(const wire::Peer &, const wire::Envelope &) override {}
--- a/rosemarylane/tests/process/ConfigurationTest.cpp
+++ b/rosemarylane/tests/process/ConfigurationTest.cpp
@@ -178,6 +178,50 @@
   awaitInForce(F, allHosts(F), 3);
 }
 
+BOOST_AUTO_TEST_CASE(store_restored_from_a_copy_of_before_a_change) {
+  Fleet F({});
+  F.setFaults(F.platform(), R"({"copy_store":true})");
+  auto Accepted = F.caller().call(F.entries()[0]->Http, hostOut("gone"));
+  auto Revision = revisionOf(Accepted);
+  awaitInForce(F, allHosts(F), Revision);
+  F.setFaults(F.platform(), R"({"restore_store":true})");
+  // An order that follows at once doesn't take the lost one back.
+  CallResult Later;
+  Fleet::await("an order is accepted", 5s, [&] {
+    Later = F.caller().call(F.entries()[1]->Http, hostOut("other"));
+    return Later.ok();
+  });
+  BOOST_TEST(revisionOf(Later) > Revision);
+  awaitInForce(F, allHosts(F), revisionOf(Later));
+  auto Catalogue =
+      F.caller().call(F.entries()[2]->Http, adminRequest("GET", "catalogue"));
+  BOOST_REQUIRE(Catalogue.ok());
+  auto Json = Catalogue.json();
+  auto &Out = Json.at("out_of_service").at("hosts").as_array();
+  for (const char *Name : {"gone", "other"})
+    BOOST_TEST(
+        (std::find(Out.begin(), Out.end(), json::value(Name)) != Out.end()));
+}
+
+BOOST_AUTO_TEST_CASE(restored_store_gets_the_configuration_in_force_again) {
+  Fleet F({});
+  F.setFaults(F.platform(), R"({"copy_store":true})");
+  auto Accepted = F.caller().call(F.entries()[0]->Http, hostOut("gone"));
+  auto Revision = revisionOf(Accepted);
+  awaitInForce(F, allHosts(F), Revision);
+  F.setFaults(F.platform(), R"({"restore_store":true})");
+  for (Fleet::Host *H : allHosts(F))
+    Fleet::await("written again, at " + H->Name, 10s,
+                 [&] { return revisionAt(F, *H) > Revision; });
+  auto History =
+      F.caller().call(F.entries()[1]->Http, adminRequest("GET", "history"));
+  BOOST_REQUIRE(History.ok());
+  auto Json = History.json();
+  auto &Last = Json.at("history").as_array().back().as_object();
+  BOOST_TEST(Last.at("revision").to_number<std::uint64_t>() == Revision + 1);
+  BOOST_TEST(Last.at("summary").as_array().size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(store_answer_lost_after_the_write) {
   Fleet F({});
   F.setFaults(F.platform(), R"({"only":"/v3/kv/txn","lose_answers":1})");
