A restored store: simulations with crashes, and what cannot hold said plainly

The simulations with restores had no crashes of entries, and callers moved on to other keys before a restore was settled, so that few keys were repeated after one. Entries crash now, keys are used for several settle times, and a key isn't judged once nobody knows one of its attempts: its sender has crashed and the store doesn't hold the claim.

The simulations without restores are as before.

--- a/libs/ledger/tests/AtMostOnceTest.cpp
+++ b/libs/ledger/tests/AtMostOnceTest.cpp
@@ -125,10 +125,13 @@
       BOOST_REQUIRE(Result.Unanswered == 0u);
     }
     Sum.Restores += Result.Restores;
+    Sum.Keys += Result.Keys;
+    Sum.LostKeys += Result.LostKeys;
     Sum.Runs += Result.Runs;
     Sum.Answers += Result.Answers;
     Sum.Segments += Result.Segments;
   }
+  BOOST_TEST_MESSAGE("keys " << Sum.Keys << ", not judged " << Sum.LostKeys);
   BOOST_TEST_MESSAGE("restores " << Sum.Restores << ", runs " << Sum.Runs
                                  << ", repeated answers " << Sum.Answers
                                  << ", segments " << Sum.Segments);
--- a/libs/ledger/tests/LedgerSimulation.h
+++ b/libs/ledger/tests/LedgerSimulation.h
@@ -37,9 +37,9 @@
 
 /// Whether the store is restored from copies that were taken before.
 ///
-/// With restores, entries do not crash: claims that only a crashed entry and
-/// the lost part of the store knew are lost. Each entry reaches the store
-/// within the settle time.
+/// With restores, each entry reaches the store within the settle time, and keys
+/// are not judged once nobody knows one of their attempts: the process that
+/// sent it has crashed, and the store no longer holds the claim.
 enum class Restores { No, Yes };
 
 /// The outcome of one simulation.
@@ -59,6 +59,9 @@
   /// have ended.
   std::size_t Unanswered = 0;
   unsigned Restores = 0;
+  /// Keys that ran, and those of them that were not judged.
+  std::size_t Keys = 0;
+  std::size_t LostKeys = 0;
 };
 
 /// Simulates callers, entries, one agent and the store under faults, with the
@@ -130,6 +133,8 @@
   void awaitFences();
   void passTime(core::TimePoint::duration Length);
   bool hasMerged(const Entry &At) const;
+  bool storeHolds(const Claim &Sent) const;
+  void noteLostKeys();
   bool tellsHistories() const {
     return OfStore == Restores::Yes &&
            Variant != ProtocolVariant::HistoriesNotToldApart;
@@ -164,6 +169,8 @@
   std::map<std::string, StoredValue> Copied;
   std::int64_t CopiedRevision = 0;
   std::optional<core::TimePoint> RestoredAt;
+  /// Keys of which nobody knows an attempt any more.
+  std::set<std::string> Lost;
   std::vector<Entry> Entries;
   unsigned EntriesStarted = 0;
   /// Swaps that were reported as `Lost` and may still take effect.
