--- a/libs/store/src/EtcdJson.cpp
+++ b/libs/store/src/EtcdJson.cpp
@@ -47,6 +47,19 @@
   return Field->to_number<std::int64_t>();
 }
 
+/// @return the cluster id in the header of an answer, 0 if it has none.
+std::uint64_t historyOf(const json::object &Answer) {
+  const json::value *Header = Answer.if_contains("header");
+  if (!Header)
+    return 0;
+  const json::value *Id = Header->as_object().if_contains("cluster_id");
+  if (!Id)
+    return 0;
+  if (Id->is_string())
+    return std::stoull(std::string(Id->as_string()));
+  return Id->to_number<std::uint64_t>();
+}
+
 bool flag(const json::object &Object, std::string_view Name) {
   const json::value *Field = Object.if_contains(Name);
   return Field && Field->as_bool();
@@ -67,25 +80,38 @@
   return storedValue(Found->as_array().front().as_object());
 }
 
+const json::object &rangeAt(const json::array &Responses, std::size_t Index) {
+  return Responses.at(Index).as_object().at("response_range").as_object();
+}
+
 } // namespace
 
 std::string rangeRequest(const std::string &Key) {
   return json::serialize(json::object{{"key", toBase64(Key)}});
 }
 
-std::string swapRequest(const std::string &Key, std::int64_t Expected,
+std::string swapRequest(const std::string &Key, const SwapCondition &Condition,
                         const std::string &Value) {
   std::string EncodedKey = toBase64(Key);
-  json::object Compare{{"key", EncodedKey},
-                       {"target", "MOD"},
-                       {"result", "EQUAL"},
-                       {"mod_revision", std::to_string(Expected)}};
+  json::array Compares{json::object{
+      {"key", EncodedKey},
+      {"target", "MOD"},
+      {"result", "EQUAL"},
+      {"mod_revision", std::to_string(Condition.Expected.Revision)}}};
   json::object Put{
       {"request_put", {{"key", EncodedKey}, {"value", toBase64(Value)}}}};
-  json::object Range{{"request_range", {{"key", EncodedKey}}}};
-  return json::serialize(json::object{{"compare", json::array{Compare}},
+  json::array Ranges{json::object{{"request_range", {{"key", EncodedKey}}}}};
+  if (!Condition.GuardKey.empty()) {
+    std::string Guard = toBase64(Condition.GuardKey);
+    Compares.push_back(json::object{{"key", Guard},
+                                    {"target", "VALUE"},
+                                    {"result", "EQUAL"},
+                                    {"value", toBase64(Condition.GuardValue)}});
+    Ranges.push_back(json::object{{"request_range", {{"key", Guard}}}});
+  }
+  return json::serialize(json::object{{"compare", std::move(Compares)},
                                       {"success", json::array{Put}},
-                                      {"failure", json::array{Range}}});
+                                      {"failure", std::move(Ranges)}});
 }
 
 std::string watchRequest(const std::string &Key, std::int64_t FromRevision) {
@@ -96,22 +122,30 @@
 }
 
 StoredValue parseRange(std::string_view Body) {
-  return firstOf(json::parse(Body).as_object());
+  json::value Parsed = json::parse(Body);
+  const json::object &Answer = Parsed.as_object();
+  StoredValue Found = firstOf(Answer);
+  Found.History = historyOf(Answer);
+  return Found;
 }
 
-SwapOutcome parseSwap(std::string_view Body, const std::string &Written) {
+SwapOutcome parseSwap(std::string_view Body, const SwapCondition &Condition,
+                      const std::string &Written) {
   json::value Parsed = json::parse(Body);
   const json::object &Answer = Parsed.as_object();
   SwapOutcome Outcome;
   Outcome.Swapped = flag(Answer, "succeeded");
   if (Outcome.Swapped) {
     Outcome.Current = {Written,
-                       number(Answer.at("header").as_object(), "revision")};
+                       number(Answer.at("header").as_object(), "revision"),
+                       historyOf(Answer)};
     return Outcome;
   }
-  const json::object &First =
-      Answer.at("responses").as_array().at(0).as_object();
-  Outcome.Current = firstOf(First.at("response_range").as_object());
+  const json::array &Ranges = Answer.at("responses").as_array();
+  Outcome.Current = firstOf(rangeAt(Ranges, 0));
+  Outcome.Current.History = historyOf(Answer);
+  Outcome.GuardHeld = Condition.GuardKey.empty() ||
+                      firstOf(rangeAt(Ranges, 1)).Value == Condition.GuardValue;
   return Outcome;
 }
 
@@ -128,13 +162,16 @@
     return Message;
   }
   const json::object &Result = Parsed.as_object().at("result").as_object();
+  Message.History = historyOf(Result);
   Message.Cancelled = flag(Result, "canceled");
   if (Message.Cancelled)
     Message.Reason = "cancelled by the service";
   if (const json::value *Events = Result.if_contains("events"))
-    for (const json::value &Event : Events->as_array())
+    for (const json::value &Event : Events->as_array()) {
       Message.Changes.push_back(
           storedValue(Event.as_object().at("kv").as_object()));
+      Message.Changes.back().History = Message.History;
+    }
   return Message;
 }
 
--- a/libs/store/src/EtcdJson.h
+++ b/libs/store/src/EtcdJson.h
@@ -12,20 +12,24 @@
 namespace rosemarylane::store::etcd_json {
 
 std::string rangeRequest(const std::string &Key);
-std::string swapRequest(const std::string &Key, std::int64_t Expected,
+std::string swapRequest(const std::string &Key, const SwapCondition &Condition,
                         const std::string &Value);
 std::string watchRequest(const std::string &Key, std::int64_t FromRevision);
 
 StoredValue parseRange(std::string_view Body);
 
+/// @param Condition that of the request.
 /// @param Written the value that the request would write.
-SwapOutcome parseSwap(std::string_view Body, const std::string &Written);
+SwapOutcome parseSwap(std::string_view Body, const SwapCondition &Condition,
+                      const std::string &Written);
 
 /// @return whether the key existed.
 bool parseErase(std::string_view Body);
 
 /// One line of a watch's answer.
 struct WatchMessage {
+  /// The history that the line belongs to; 0 if it does not tell.
+  std::uint64_t History = 0;
   /// Changes in order; none in a progress notice.
   std::vector<StoredValue> Changes;
   /// The service has ended the watch.
