A gateway doesn't die when an attempt in reserve ends at once

All callers of a gateway lost their connections: the process died.

Cause: the list of attempts is walked while attempts are resumed, and a resumed attempt whose answer had arrived meanwhile ended inline and took its entry out of the list.

Change: the next entry is taken first, and attempts are resumed by the loop, not inline, so that their hooks run outside what their owner is doing.

--- a/rosemarylane/src/gateway/StandbyAttempts.cpp
+++ b/rosemarylane/src/gateway/StandbyAttempts.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace rosemarylane {
@@ -85,11 +86,14 @@
 
 void StandbyAttempts::recheck(
     const std::function<bool(TargetAttempt &)> &IsReady) {
-  for (Iterator Next = Entries.begin(); Next != Entries.end(); ++Next) {
-    if (!Next->IsReady || IsReady(*Next->Attempt))
+  for (Iterator Next = Entries.begin(); Next != Entries.end();) {
+    Iterator Current = Next++;
+    if (!Current->IsReady || IsReady(*Current->Attempt))
       continue;
-    Next->IsReady = false;
-    spawn(Next);
+    Current->IsReady = false;
+    // Not inline: an attempt that ends at once leaves the list, and calls the
+    // hooks, in the middle of what the owner does.
+    asio::post(Loop, [this, Current] { spawn(Current); });
   }
 }
 
