A begun stream isn't replaced by another kind of answer

Callers saw a sound stream end early: the other target, asked while the first was silent, had answered 404 before the caller's first event, and its body was whole after it.

Cause: since silent targets are kept in reserve, the first event no longer ends the other attempt. One that is no stream became ready with its whole body and took the stream's place.

Change: at each event, attempts whose head is that of another kind of answer are withdrawn, as before the reserve.

--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -402,6 +402,9 @@
   // Without ids nothing tells what the others need not send again.
   if (!Stream.canResume())
     Standbys.withdraw();
+  // An answer of another kind can't go on with the stream.
+  Standbys.withdrawIf(
+      [this](const TargetAttempt &A) { return A.hasHead() && !hasStream(A); });
   // A retry that may still arrive is one that another request can't have.
   if (!Retries.canAcquire())
     Standbys.withdrawIf([](const TargetAttempt &A) { return !A.hasHead(); });
