An ended attempt in reserve goes on only where the caller is

Found by reading (reviewer): an attempt in reserve whose answer had ended counted as ready whatever the caller had got meanwhile, so its end could take the place of a stream that had got further. It has to stand at the caller's last event now.

No test of its own; the hand_over suite covers the change's neighbourhood.

--- a/rosemarylane/src/gateway/StreamForward.cpp
+++ b/rosemarylane/src/gateway/StreamForward.cpp
@@ -157,7 +157,8 @@
 bool StreamForward::isAhead(StreamPosition &At) const {
   At.dropUpTo(Splitter.lastEventId());
   At.dropComments();
-  return !At.ahead().empty() || At.HasEnded;
+  bool EndsHere = At.HasEnded && At.isAt(Splitter.lastEventId());
+  return !At.ahead().empty() || EndsHere;
 }
 
 bool StreamForward::isNoContinuation(const TargetSend &Attempt,
