A begun stream waits for a retry of the budget

Callers saw a begun stream end in the instant in which its target broke off, if the retry budget had none left just then, whatever time was left.

Cause: as in the wait for a target; the budget frees retries as its window moves, but was asked once.

Change: a begun stream asks again every 50 ms until its deadline or its caller's leaving. The budget itself is unchanged: no arrival is added beyond it.

--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -80,6 +80,9 @@
   /// @param IsReady it was a standby that is ready, so it is not opened.
   /// @return how it ended; empty if it is in reserve now.
   asio::awaitable<std::optional<SendResult>> finishCurrent(bool IsReady);
+  /// Waits, if the caller has got the beginning of a stream, until the budget
+  /// has a retry for the rest.
+  asio::awaitable<void> awaitRetry();
   /// Decides what follows the attempts that have ended.
   /// @return whether another one is made; otherwise the request has ended.
   asio::awaitable<bool> mayGoOn();
@@ -219,8 +222,8 @@
   auto Entry = Stream.begun() ? serving::QueueEntry::Always
                               : serving::QueueEntry::IfNotFull;
   auto Target = co_await Wait.acquire(Demand, QueueDeadline, Entry);
-  while (!Target && Stream.begun()) {
-    bool LooksAgain = co_await Wait.awaitUsableTarget(Deadline);
+  while (!Target && Stream.begun() && Wait.mayFindLater()) {
+    bool LooksAgain = co_await Wait.awaitRecheck(Deadline);
     if (!LooksAgain)
       break;
     Target = co_await Wait.acquire(Demand, QueueDeadline, Entry);
@@ -268,6 +271,9 @@
     }
     if (Ended != SendResult::Answered && Standbys.hasReady())
       continue;
+    co_await awaitRetry();
+    if (Caller->disconnected())
+      co_return;
     bool GoesOn = co_await mayGoOn();
     if (!GoesOn)
       co_return;
@@ -276,6 +282,12 @@
   }
 }
 
+asio::awaitable<void> RequestRun::awaitRetry() {
+  bool Waits = Stream.begun() && Outcome.mayRetry();
+  while (Waits && !Retries.canAcquire())
+    Waits = co_await Wait.awaitRecheck(Deadline);
+}
+
 asio::awaitable<bool> RequestRun::mayGoOn() {
   RetryDecision Next =
       Outcome.next([&] { return !deadlinePassed() && Retries.tryAcquire(); });
--- a/rosemarylane/src/gateway/TargetWait.cpp
+++ b/rosemarylane/src/gateway/TargetWait.cpp
@@ -14,8 +14,9 @@
 
 namespace {
 
-/// Time after which a target is looked for again while none may get a request:
-/// configurations, registrations and evacuations change that, and time alone.
+/// Time after which a begun stream looks again for a target, while none may get
+/// it, or for a retry: configurations, registrations, evacuations and the end
+/// of other retries change that, and time alone.
 constexpr milliseconds RecheckPeriod{50};
 
 } // namespace
@@ -116,15 +117,16 @@
   co_return Chosen;
 }
 
-asio::awaitable<bool> TargetWait::awaitUsableTarget(Clock::time_point Until) {
-  bool MayChange =
-      Failure == SelectionFailure::Unavailable && !Quarantine.isRefused();
-  // Outside the queue, so that it holds up no other request.
-  if (MayChange && !Cancelled && Clock::now() < Until) {
+bool TargetWait::mayFindLater() const {
+  return Failure == SelectionFailure::Unavailable && !Quarantine.isRefused();
+}
+
+asio::awaitable<bool> TargetWait::awaitRecheck(Clock::time_point Until) {
+  if (!Cancelled && Clock::now() < Until) {
     Timer.expires_at(std::min(Until, Clock::now() + RecheckPeriod));
     co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
-  co_return MayChange && !Cancelled && Clock::now() < Until;
+  co_return !Cancelled && Clock::now() < Until;
 }
 
 } // namespace rosemarylane
--- a/rosemarylane/src/gateway/TargetWait.h
+++ b/rosemarylane/src/gateway/TargetWait.h
@@ -49,11 +49,13 @@
     return selectAndReserve(Demand);
   }
 
-  /// Waits, if `acquire` found no target that may get the request at all, until
-  /// it is worth looking again.
-  /// @param Until when to stop waiting.
-  /// @return whether to call `acquire` again.
-  boost::asio::awaitable<bool> awaitUsableTarget(Clock::time_point Until);
+  /// @return whether a target may turn up after `acquire` found none that may
+  /// get the request at all.
+  bool mayFindLater() const;
+
+  /// Waits outside the queue until it is worth looking again.
+  /// @return whether to look: not from \p Until on, nor after `cancel`.
+  boost::asio::awaitable<bool> awaitRecheck(Clock::time_point Until);
 
   /// Ends the wait in progress.
   void cancel() {
