Known red: engines refuse the orders of a fleet that starts on an older document

An agent's orders carry the revision of the configuration as a fencing number, and an engine refuses a lower one than it has seen. While a process of the fleet runs, revisions never fall, also after a restore of the store. If every entry and agent starts anew on the older document, new weights aren't loaded until operators have made as many changes as were lost. To take the engine's own number would let a paused predecessor's orders through; not mended.

--- a/rosemarylane/tests/process/WeightFaultTest.cpp
+++ b/rosemarylane/tests/process/WeightFaultTest.cpp
@@ -123,6 +123,33 @@
   checkAnswers(F, {Version});
 }
 
+BOOST_AUTO_TEST_CASE(restored_store_and_a_fleet_that_starts_anew_load_weights) {
+  WeightFleet F;
+  Fleet &Running = F.fleet();
+  Running.setFaults(Running.platform(), R"({"copy_store":true})");
+  for (int Seed : {7, 8}) {
+    std::string Version = F.makeVersion(Seed);
+    F.rollOut(Version, NoFloor);
+    F.awaitLoadedByAll(Version);
+  }
+  std::vector<Fleet::Host *> Hosts = Running.entries();
+  for (Fleet::Host *Agent : Running.agents())
+    Hosts.push_back(Agent);
+  for (Fleet::Host *H : Hosts)
+    H->Process->kill();
+  Running.setFaults(Running.platform(), R"({"restore_store":true})");
+  for (Fleet::Host *H : Hosts)
+    Running.startHost(*H);
+  for (Fleet::Host *H : Hosts)
+    Fleet::await(H->Name + " has a configuration", SettleLimit,
+                 [&] { return Running.revision(*H).value_or(0) > 0; });
+  // The engines have seen orders of a higher revision.
+  std::string Version = F.makeVersion(9);
+  F.rollOut(Version, NoFloor);
+  F.awaitLoadedByAll(Version);
+  checkAnswers(F, {Version});
+}
+
 BOOST_AUTO_TEST_CASE(a_failing_version_stops_and_a_newer_one_replaces_it) {
   WeightFleet F;
   std::string First = F.loaded(*F.agents().front());
