--- a/rosemarylane/src/node/SectionCopies.h
+++ b/rosemarylane/src/node/SectionCopies.h
@@ -4,10 +4,10 @@
 #include "core/BootClock.h"
 #include "platform/Records.h"
 #include "serving/SectionCopy.h"
+#include "serving/StorePosition.h"
 
 #include <algorithm>
 #include <chrono>
-#include <cstdint>
 #include <optional>
 
 namespace rosemarylane {
@@ -20,16 +20,20 @@
 /// A complete read of one section: of the store, or of a peer's copy.
 struct SectionRead {
   serving::StoreSection::Items Items;
-  std::int64_t StoreRevision = 0;
+  serving::StorePosition At;
   /// When the read of the store was sent, in local time.
   core::BootTime ConfirmedAt{};
+  /// When the era of `At` had been seen by somebody, in local time.
+  core::BootTime EraSeenAt{};
 };
 
 /// What this process knows of the two sections of the store. Value type; not
 /// thread-safe.
 struct SectionCopies {
-  serving::SectionCopy Operators{serving::SectionCopy::Missing::Gone};
-  serving::SectionCopy Registry{serving::SectionCopy::Missing::MayHaveLapsed};
+  serving::SectionCopy Operators{serving::SectionCopy::Missing::Gone,
+                                 platform::recordOrder};
+  serving::SectionCopy Registry{serving::SectionCopy::Missing::MayHaveLapsed,
+                                platform::recordOrder};
 
   serving::SectionCopy &of(platform::Section Which) {
     return Which == platform::Section::Operators ? Operators : Registry;
