--- a/libs/serving/include/serving/StoreSection.h
+++ b/libs/serving/include/serving/StoreSection.h
@@ -22,6 +22,9 @@
   /// The latest known time at which the store did not yet hold this revision;
   /// absent if no known process had read the item before it changed.
   std::optional<core::BootTime> ChangedAfter;
+  /// When the first read that showed this process the value was sent; set by
+  /// `StoreSection::adopt` and not passed on.
+  std::optional<core::BootTime> HeldAt = std::nullopt;
 
   bool operator==(const StoredItem &Other) const {
     return Value == Other.Value && Revision == Other.Revision;
@@ -145,9 +148,10 @@
 
 private:
   bool sameWritings(const Items &Read, bool SameEra) const;
-  bool mergeKnown(Items &Read, bool SameEra,
+  bool mergeKnown(Items &Read, bool SameEra, core::BootTime ReadSentAt,
                   std::optional<core::BootTime> UnchangedAt) const;
   void takePosition(StorePosition At);
+  void rememberWritings();
 
   Items Current;
   StorePosition Position;
--- a/libs/serving/src/ReturnedEntries.cpp
+++ b/libs/serving/src/ReturnedEntries.cpp
@@ -52,7 +52,7 @@
   // What is registered again is no vanished entry any more.
   std::erase_if(Remembered, [&](const auto &Entry) {
     auto Found = Shown.find(Entry.first);
-    return Found != Shown.end() &&
+    return Found != Shown.end() && !HeldBack.contains(Entry.first) &&
            !isLater(Entry.first, Entry.second.Value, Found->second.Value) &&
            !isLater(Entry.first, Found->second.Value, Entry.second.Value);
   });
--- a/libs/serving/src/SectionCopy.cpp
+++ b/libs/serving/src/SectionCopy.cpp
@@ -20,6 +20,9 @@
   bool SameEra = At.Era == Read.at().Era;
   bool IsRestored = Read.known() && At.Era > Read.at().Era;
   StoreSection::Items Before = Read.items();
+  StoreSection::Items Usable;
+  if (MayHaveLapsed)
+    Usable = Returned.usable(Before);
   StoreSection::Items Acted;
   if (IsRestored) {
     Acted = items();
@@ -32,7 +35,7 @@
   if (!Changed)
     return std::nullopt;
   if (MayHaveLapsed)
-    Lapsed.retainMissing(Before, Read.items(), ConfirmedAt);
+    Lapsed.retainMissing(Usable, Read.items(), ConfirmedAt);
   if (SameEra) {
     Records.update(Read.items());
     Returned.recordChange(Before, Read.items(), Now);
--- a/libs/serving/src/StoreSection.cpp
+++ b/libs/serving/src/StoreSection.cpp
@@ -29,10 +29,9 @@
   if (known() && At == Position && !sameWritings(Read, SameEra) &&
       !ConfirmedLater)
     return false;
-  if (!SameEra && ConfirmedAt)
-    for (const auto &[Key, Item] : Current)
-      Earlier.remember(Key, Item.Value, Item.ChangedAfter, *ConfirmedAt);
-  bool TimesImproved = mergeKnown(Read, SameEra, UnchangedAt);
+  if (!SameEra)
+    rememberWritings();
+  bool TimesImproved = mergeKnown(Read, SameEra, ReadSentAt, UnchangedAt);
   bool Changed = !known() || !sameWritings(Read, SameEra) || TimesImproved;
   Current = std::move(Read);
   if (Changed)
@@ -44,6 +43,13 @@
   return Changed;
 }
 
+/// To be called before the era of this copy rises.
+void StoreSection::rememberWritings() {
+  for (const auto &[Key, Item] : Current)
+    if (Item.HeldAt)
+      Earlier.remember(Key, Item.Value, Item.ChangedAfter, *Item.HeldAt);
+}
+
 /// @return whether \p Read holds the items of the current copy, as
 /// `StoredItem::sameWriting` tells.
 bool StoreSection::sameWritings(const Items &Read, bool SameEra) const {
@@ -61,6 +67,7 @@
 /// @return whether \p Read has a later `ChangedAfter` than the current copy for
 /// an item that both hold.
 bool StoreSection::mergeKnown(Items &Read, bool SameEra,
+                              core::BootTime ReadSentAt,
                               std::optional<core::BootTime> UnchangedAt) const {
   bool Improved = false;
   for (auto &[Key, Item] : Read) {
@@ -69,6 +76,7 @@
         Local != Current.end() && Local->second.sameWriting(Item, SameEra);
     if (Same && SameEra && Item.Revision == 0)
       Item.Revision = Local->second.Revision;
+    Item.HeldAt = Same ? Local->second.HeldAt : ReadSentAt;
     Item.ChangedAfter = Earlier.ofFirst(Key, Item.Value, Item.ChangedAfter);
     std::optional<core::BootTime> Known =
         Same ? Local->second.ChangedAfter
@@ -115,6 +123,7 @@
 
 /// Takes over the position of a later era that holds the same items.
 void StoreSection::takePosition(StorePosition At) {
+  rememberWritings();
   Position = At;
   for (auto &[Key, Item] : Current)
     Item.Revision = 0;
--- a/libs/serving/tests/RestoredItemsTest.cpp
+++ b/libs/serving/tests/RestoredItemsTest.cpp
@@ -218,6 +218,27 @@
   check(Copy, {{"a", "100/ready"}});
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_that_was_held_back_is_so_after_two_restores) {
+  SectionCopy Copy = registryWith({{"a", "100/ready"}});
+  read(Copy, {}, {1, 18}, 900);
+  read(Copy, {{"a", "100/ready"}}, {2, 15}, 1000);
+  read(Copy, {{"a", "100/ready"}, {"b", "100/ready"}}, {2, 16}, 1900);
+  read(Copy, {{"b", "100/ready"}}, {3, 14}, 2800);
+  read(Copy, {{"a", "100/ready"}, {"b", "100/ready"}}, {4, 13}, 3700);
+  check(Copy, {{"b", "100/ready"}});
+}
+
+// The store is away while an entry is held back, and its lease ends.
+BOOST_AUTO_TEST_CASE(an_entry_that_is_held_back_is_not_retained_either) {
+  SectionCopy Copy = registryWith({{"a", "100/ready"}});
+  read(Copy, {}, {1, 18}, 900);
+  read(Copy, {{"a", "100/ready"}}, {2, 15}, 1000);
+  for (int Ms = 1500; Ms <= 3500; Ms += 500)
+    Copy.outage().recordReadFailure(at(Ms));
+  read(Copy, {}, {2, 16}, 3600);
+  check(Copy, {});
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_that_registered_again_is_not_held_back) {
   SectionCopy Copy = registryWith({{"a", "100/ready"}});
   read(Copy, {}, {1, 18}, 900);
@@ -317,6 +338,33 @@
   BOOST_TEST(!Copy.items().at("version").ChangedAfter);
 }
 
+// The older copy had the version, and lost it to the next restore.
+BOOST_AUTO_TEST_CASE(an_era_taken_over_from_a_peer_puts_no_version_off) {
+  SectionCopy Copy = operatorsWith({{"version", "4"}});
+  read(Copy, {{"version", "5"}}, {1, 18}, 900);
+  SectionCopy Peer = operatorsWith({{"version", "4"}});
+  read(Peer, {}, {2, 14}, 2000);
+  read(Peer, {{"version", "5"}}, {2, 15}, 2900);
+  Copy.compareAndConfirm(Peer.summary(at(3000)), at(2990), at(3010));
+  BOOST_TEST((Copy.section().at() == StorePosition{2, 15}));
+  auto Theirs = Peer.section().items();
+  BOOST_TEST((Theirs.at("version").ChangedAfter == at(1990)));
+  Copy.adopt(Theirs, {2, 16}, at(3900), at(3900));
+  BOOST_TEST((Copy.items().at("version").ChangedAfter == Start));
+}
+
+// Guards against VERSION: a process that knew version 5 sees 4 come back, and
+// takes it for a change after its last confirmation of 5.
+BOOST_AUTO_TEST_CASE(a_peer_that_saw_a_version_come_back_does_not_put_it_off) {
+  SectionCopy Copy = operatorsWith({{"version", "3"}});
+  read(Copy, {{"version", "4"}}, {1, 18}, 900);
+  Copy.confirm({1, 18}, at(1900));
+  StoreSection::Items Theirs = items({{"version", "4"}}, 17);
+  Theirs.at("version").ChangedAfter = at(1800);
+  Copy.adopt(Theirs, {2, 17}, at(3800), at(3900));
+  BOOST_TEST((Copy.items().at("version").ChangedAfter == Start));
+}
+
 // A peer that was cut off at the first naming knows only of the second one.
 BOOST_AUTO_TEST_CASE(a_peer_that_missed_the_naming_does_not_put_it_off) {
   SectionCopy Copy = operatorsWith({{"version", "4"}});
