--- a/libs/serving/include/serving/EraSightings.h
+++ b/libs/serving/include/serving/EraSightings.h
@@ -29,7 +29,8 @@
 
   /// Records that an answer of \p Era had arrived at somebody by \p SeenAt. The
   /// earliest time counts.
-  void record(std::uint64_t Era, core::BootTime SeenAt);
+  /// @param InUse the era of the section, which is never forgotten; 0 if none.
+  void record(std::uint64_t Era, core::BootTime SeenAt, std::uint64_t InUse);
 
   std::optional<core::BootTime> firstSeen(std::uint64_t Era) const;
 
--- a/libs/serving/include/serving/ReturnedEntries.h
+++ b/libs/serving/include/serving/ReturnedEntries.h
@@ -22,23 +22,34 @@
 /// The copy may show a target that left, or an earlier incarnation of one that
 /// restarted. A process that saw the entry vanish, or its incarnation replaced,
 /// holds it back until it is clear that somebody keeps it: a read still shows
-/// it that was sent `ConfirmationTime` after the era was first seen. A later
+/// it that was sent `confirmationTime` after the era was first seen. A later
 /// incarnation is usable at once. What is held back is an assumption of one
 /// process and never leaves it. Value type without a clock of its own; not
 /// thread-safe.
 class ReturnedEntries {
 public:
-  /// Three intervals of a target's heartbeat, after which an entry that nobody
-  /// keeps has ended.
-  static constexpr std::chrono::milliseconds ConfirmationTime{3000};
+  /// The interval of a target's heartbeat if none is given.
+  static constexpr std::chrono::milliseconds DefaultHeartbeat{1000};
+  /// An entry ends after that many heartbeats that did not come.
+  static constexpr int MissedHeartbeats = 3;
   /// What vanished earlier is not remembered: the copy is some seconds old.
   static constexpr std::chrono::seconds Memory{60};
   static constexpr std::size_t MaxRemembered = 4096;
 
   /// @param Incarnation orders the incarnations of an entry; entries without an
   /// order are of one incarnation if their values are equal.
-  explicit ReturnedEntries(RecordOrder Incarnation)
-      : Incarnation(std::move(Incarnation)) {}
+  /// @param Heartbeat interval of a target's heartbeat.
+  explicit ReturnedEntries(
+      RecordOrder Incarnation,
+      std::chrono::milliseconds Heartbeat = DefaultHeartbeat)
+      : Incarnation(std::move(Incarnation)),
+        ConfirmationTime(MissedHeartbeats * Heartbeat) {}
+
+  /// @return the time from the first sighting of an era after which an entry
+  /// that nobody keeps has ended.
+  std::chrono::milliseconds confirmationTime() const {
+    return ConfirmationTime;
+  }
 
   /// To be called when the section has changed within an era. Remembers which
   /// entries of \p Before have vanished.
@@ -81,6 +92,7 @@
   void forgetOld(core::BootTime Now);
 
   RecordOrder Incarnation;
+  std::chrono::milliseconds ConfirmationTime;
   std::map<std::string, Vanished> Remembered;
   /// The values that are held back, by key.
   std::map<std::string, std::string> HeldBack;
--- a/libs/serving/include/serving/SectionCopy.h
+++ b/libs/serving/include/serving/SectionCopy.h
@@ -52,13 +52,17 @@
 
   /// @param Order which of two records of one key is newer; without it, no
   /// record has an order.
-  explicit SectionCopy(Missing MeaningOfMissing, RecordOrder Order = {})
-      : MeaningOfMissing(MeaningOfMissing), Records(Order), Returned(Order) {}
+  /// @param Heartbeat interval at which targets write their entries.
+  explicit SectionCopy(
+      Missing MeaningOfMissing, RecordOrder Order = {},
+      std::chrono::milliseconds Heartbeat = ReturnedEntries::DefaultHeartbeat)
+      : MeaningOfMissing(MeaningOfMissing), Records(Order),
+        Returned(Order, Heartbeat) {}
 
   /// Records that somebody had seen an era of the store by \p SeenAt, in local
   /// time. To be called before `adopt` if that is known.
   void recordEra(std::uint64_t Era, core::BootTime SeenAt) {
-    Sightings.record(Era, SeenAt);
+    Sightings.record(Era, SeenAt, Read.at().Era);
   }
 
   /// Adopts a complete read of the store, or a peer's copy of one; see
--- a/libs/serving/src/EraSightings.cpp
+++ b/libs/serving/src/EraSightings.cpp
@@ -4,11 +4,16 @@
 
 namespace rosemarylane::serving {
 
-void EraSightings::record(std::uint64_t Era, core::BootTime SeenAt) {
+void EraSightings::record(std::uint64_t Era, core::BootTime SeenAt,
+                          std::uint64_t InUse) {
   auto [Known, New] = FirstSeen.try_emplace(Era, SeenAt);
   Known->second = std::min(Known->second, SeenAt);
-  if (FirstSeen.size() > MaxEras)
-    FirstSeen.erase(FirstSeen.begin());
+  if (FirstSeen.size() <= MaxEras)
+    return;
+  FirstSeen.erase(
+      std::find_if(FirstSeen.begin(), FirstSeen.end(), [&](const auto &Entry) {
+        return Entry.first != InUse && Entry.first != Era;
+      }));
 }
 
 std::optional<core::BootTime> EraSightings::firstSeen(std::uint64_t Era) const {
--- a/libs/serving/src/SectionCopy.cpp
+++ b/libs/serving/src/SectionCopy.cpp
@@ -7,7 +7,7 @@
 std::optional<SectionCopy::Change>
 SectionCopy::adopt(StoreSection::Items NewItems, StorePosition At,
                    core::BootTime ConfirmedAt, core::BootTime Now) {
-  Sightings.record(At.Era, Now);
+  recordEra(At.Era, Now);
   Change Result;
   if (auto Staleness = Read.staleness(Now)) {
     Result.UnchangedAt = Now - *Staleness;
@@ -108,8 +108,8 @@
                                core::BootTime QueriedAt, core::BootTime Now) {
   StorePosition Theirs = PeerSummary.At;
   if (Theirs.known())
-    Sightings.record(Theirs.Era, Now - PeerSummary.EraAge.value_or(
-                                           std::chrono::milliseconds(0)));
+    recordEra(Theirs.Era,
+              Now - PeerSummary.EraAge.value_or(std::chrono::milliseconds(0)));
   bool TakesEra = Read.known() && Theirs.known() &&
                   Theirs.Era > Read.at().Era &&
                   PeerSummary.Digest == Read.digest();
--- a/libs/serving/tests/RestoredItemsTest.cpp
+++ b/libs/serving/tests/RestoredItemsTest.cpp
@@ -382,8 +382,8 @@
 
 BOOST_AUTO_TEST_CASE(the_age_of_a_sighting_is_never_overstated) {
   EraSightings Sightings;
-  Sightings.record(2, at(1000));
-  Sightings.record(2, at(1500));
+  Sightings.record(2, at(1000), /*InUse=*/1);
+  Sightings.record(2, at(1500), /*InUse=*/1);
   BOOST_TEST((Sightings.firstSeen(2) == at(1000)));
   auto Now = at(2000) + std::chrono::microseconds(700);
   BOOST_TEST(Sightings.age(2, Now)->count() == 1000);
--- a/libs/serving/tests/RestoredStoreModelTest.cpp
+++ b/libs/serving/tests/RestoredStoreModelTest.cpp
@@ -618,8 +618,9 @@
       P.RegistryEra = Section.at().Era;
       P.RegistryEraAt = at(Now);
     }
-    bool ShownForLong = *Section.confirmedAt() >=
-                        P.RegistryEraAt + ReturnedEntries::ConfirmationTime;
+    bool ShownForLong =
+        *Section.confirmedAt() >=
+        P.RegistryEraAt + ReturnedEntries({}).confirmationTime();
     if (ShownForLong)
       RC_ASSERT(P.Registry.heldBackCount() == 0U);
     Values Acted;
@@ -637,7 +638,7 @@
       if (IsNew && LeftForGood.contains(Entry) && P.GivenUp.contains(Entry))
         RC_ASSERT(*Section.confirmedAt() >=
                   at(Platform.RestoredAt[Section.at().Era]) +
-                      ReturnedEntries::ConfirmationTime);
+                      ReturnedEntries({}).confirmationTime());
     }
     P.LastRegistry = std::move(Acted);
   }
--- a/rosemarylane/src/node/NodeSettings.h
+++ b/rosemarylane/src/node/NodeSettings.h
@@ -95,6 +95,8 @@
   /// transfers then have no rate limit, while estimates of their duration
   /// assume 1 byte per second.
   std::uint64_t LinkBytesPerSecond = 0;
+  /// Interval at which targets write their entries in the registry.
+  std::chrono::milliseconds TargetHeartbeat{1000};
   ServiceObjectives Objectives;
   ServingLimits Limits;
   std::string LogLevel = "info";
--- a/rosemarylane/src/node/NodeSettingsSchema.h
+++ b/rosemarylane/src/node/NodeSettingsSchema.h
@@ -52,6 +52,7 @@
     "seeds": {"type": "array", "description": "a list of IP:port",
               "items": {"$ref": "#/definitions/address"}},
     "link_mbit_per_s": {"$ref": "#/definitions/positive"},
+    "target_heartbeat_ms": {"$ref": "#/definitions/milliseconds"},
     "promises": {
       "type": "object", "additionalProperties": false,
       "description": "the objectives of the deployment",
--- a/rosemarylane/src/node/SectionCopies.h
+++ b/rosemarylane/src/node/SectionCopies.h
@@ -30,10 +30,14 @@
 /// What this process knows of the two sections of the store. Value type; not
 /// thread-safe.
 struct SectionCopies {
+  /// @param TargetHeartbeat interval at which targets write their entries.
+  explicit SectionCopies(std::chrono::milliseconds TargetHeartbeat)
+      : Registry(serving::SectionCopy::Missing::MayHaveLapsed,
+                 platform::recordOrder, TargetHeartbeat) {}
+
   serving::SectionCopy Operators{serving::SectionCopy::Missing::Gone,
                                  platform::recordOrder};
-  serving::SectionCopy Registry{serving::SectionCopy::Missing::MayHaveLapsed,
-                                platform::recordOrder};
+  serving::SectionCopy Registry;
 
   serving::SectionCopy &of(platform::Section Which) {
     return Which == platform::Section::Operators ? Operators : Registry;
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -65,8 +65,8 @@
       : Loop(Loop), Settings(Settings), Client(Client), Socket(Socket),
         Callbacks(std::move(Callbacks)), Timer(Loop),
         Peers({Settings.Ip, Settings.FailureDomain, Role}),
-        Reader(Client, Settings), Queries(Settings, Socket, Peers, Copies),
-        Server(Copies) {}
+        Copies(Settings.TargetHeartbeat), Reader(Client, Settings),
+        Queries(Settings, Socket, Peers, Copies), Server(Copies) {}
 
   asio::io_context &Loop;
   const NodeSettings &Settings;
