Only the reader reads when a watch tells of a change

Requests could begin on an older version, as a link between regions was full of copies of a large configuration: each process that had once been alone, or first in the order of readers, reads the whole section when its watch, up to 6 s old, tells of a change.

Change: a watch that tells of a change leads to a read only if the process is still the first reader; the reader has a watch of its own.

--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -206,7 +206,10 @@
   asio::awaitable<void> watch() {
     serving::StorePosition Known = Copies.Operators.section().at();
     bool Changed = co_await Reader.watchOperators(Known);
-    if (Changed) {
+    // Another process may have become the reader since; it learns of the change
+    // by a watch of its own.
+    bool IsReader = Peers.storeReaderRank(BootClock::now()) == 0;
+    if (Changed && IsReader) {
       if (OperatorsReads.InProgress)
         OperatorsReads.ReadAgain = true;
       else
