--- a/rosemarylane/tests/ConfigurationWriterTest.cpp
+++ b/rosemarylane/tests/ConfigurationWriterTest.cpp
@@ -229,8 +229,9 @@
     auto Stored = core::parseStoredConfiguration(
         Store.Values[core::ConfigurationKey].Value);
     expect(Stored.has_value());
-    // What the next change is based on.
-    Stored->Current = core::newestOf(*Stored, *InForce);
+    // After a restore the store may be behind; the next change is not.
+    if (Life == StoreLife::Restored)
+      Stored->Current = core::newestOf(*Stored, *InForce);
     for (const std::string &Host : AcceptedHosts)
       expect(Stored->Current.OutOfServiceHosts.contains(core::HostId(Host)));
     for (const std::string &Host : RefusedHosts)
