Each door of a gateway has connections of its own

What callers saw: while a crowd held all descriptors of a gateway, ordinary requests, the readiness check and metrics were not answered until the crowd's connections timed out. The platform then takes the gateway out of rotation.

Cause: callers' connections had no limit, so they took the descriptors of the other doors and of the process's own connections.

Change: ConnectionShares divides the descriptors among the doors, ConnectionLimit holds each door to its share. A connection over the share takes the place of the one that has waited longest for a request; one whose request is in progress is never closed. PeerServer uses the same limit in place of its own.

It works since accepting never needs a descriptor that another door owns.

--- a/rosemarylane/src/gateway/CallerConnection.cpp
+++ b/rosemarylane/src/gateway/CallerConnection.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
+#include <sstream>
 
 namespace rosemarylane {
 
@@ -77,7 +78,8 @@
 
 CallerConnection::CallerConnection(GatewayContext &Context,
                                    asio::ip::tcp::socket Socket)
-    : Context(Context), TcpStream(std::move(Socket)), ReadTimer(Context.Loop),
+    : Context(Context), TcpStream(std::move(Socket)),
+      Place(Context.Callers, [this] { yieldPlace(); }), ReadTimer(Context.Loop),
       Held(Context.CallerInput,
            [this] {
              Evicted = true;
@@ -122,6 +124,7 @@
     if (!WasRead)
       co_return;
     KeepAlive = CurrentRequest.keep_alive();
+    Place.beginRequest();
     watchForDisconnect();
     IsHandling = true;
     co_await runRequest(Context, shared_from_this(), CurrentRequest);
@@ -129,6 +132,7 @@
     // Frees the body now: the connection may stay idle for long.
     CurrentRequest = Request();
     stopWatching();
+    Place.endRequest();
   } while (KeepAlive && !Disconnected && !endsDrained());
   // Closing the socket with bytes unread would reset the connection under the
   // answer.
@@ -156,7 +160,9 @@
   std::optional<Parser> Incoming(std::in_place, Limits.HeaderBytes);
   Incoming->body_limit(Limits.BodyBytes);
   Evicted = false;
+  IsReading = true;
   boost::system::error_code ErrorCode = co_await readWhole(*Incoming, Limits);
+  IsReading = false;
   ReadTimer.expires_at(asio::steady_timer::time_point::max());
   Held.release();
   if (!ErrorCode) {
@@ -284,6 +290,7 @@
 }
 
 asio::awaitable<void> CallerConnection::discardInput() {
+  Place.endLast();
   boost::system::error_code Ignored; // The reads below fail then.
   TcpStream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
   http::freeBuffer(Buffer);
@@ -383,8 +390,29 @@
   co_return !ErrorCode;
 }
 
+void CallerConnection::yieldPlace() {
+  static const std::string Refusal = [] {
+    http_::response<http_::string_body> Response{
+        http_::status::service_unavailable, 11};
+    Response.set(http_::field::retry_after, EvictedRetryAfter);
+    Response.set(http_::field::content_type, "application/problem+json");
+    Response.body() =
+        http::problemResponse(503, "Unavailable", "too many connections", "no")
+            .Body;
+    Response.keep_alive(false);
+    Response.prepare_payload();
+    std::ostringstream Text;
+    Text << Response;
+    return Text.str();
+  }();
+  if (IsReading && isOpen())
+    sendNow(TcpStream.socket(), Refusal);
+  abort();
+}
+
 void CallerConnection::abort() {
   KeepAlive = false;
+  Place.leave();
   boost::system::error_code Ignored; // The connection is unusable either way.
   if (isOpen())
     TcpStream.socket().close(Ignored);
--- a/rosemarylane/src/gateway/CallerConnection.h
+++ b/rosemarylane/src/gateway/CallerConnection.h
@@ -3,6 +3,7 @@
 
 #include "core/BootClock.h"
 #include "gateway/GatewayContext.h"
+#include "http/ConnectionLimit.h"
 #include "http/InputBudget.h"
 #include "http/LimitedParser.h"
 
@@ -99,6 +100,10 @@
   void limitReading(std::chrono::milliseconds Limit);
   boost::asio::awaitable<void> rejectUnreadable(unsigned Status,
                                                 std::string Id);
+  /// Closes the connection, on which no request is in progress, for another
+  /// one. A caller that has begun to send a request is told that it did not
+  /// run, if that can be written at once.
+  void yieldPlace();
   /// Ends sending, and discards what the caller still sends until it closes the
   /// connection, for a bounded time and amount. Closing a socket with unread
   /// bytes resets it, and the response before is lost on its way.
@@ -112,6 +117,7 @@
 
   GatewayContext &Context;
   boost::beast::tcp_stream TcpStream;
+  http::ConnectionLimit::Place Place;
   boost::asio::steady_timer ReadTimer;
   boost::beast::flat_buffer Buffer;
   /// What is held of a request that has not come whole.
@@ -121,6 +127,8 @@
   Request CurrentRequest;
   core::BootTime IdleSince;
   bool IsIdle = true;
+  /// A part of a request has come.
+  bool IsReading = false;
   /// A request has been read and is not answered yet.
   bool IsHandling = false;
   bool Disconnected = false;
--- a/rosemarylane/src/gateway/GatewayContext.h
+++ b/rosemarylane/src/gateway/GatewayContext.h
@@ -4,6 +4,8 @@
 #include "gateway/GatewayMetrics.h"
 #include "gateway/LimitExchange.h"
 #include "gateway/TargetPool.h"
+#include "http/ConnectionLimit.h"
+#include "http/ConnectionShares.h"
 #include "http/InputBudget.h"
 #include "node/NodeSettings.h"
 #include "node/PartQuarantineService.h"
@@ -31,6 +33,8 @@
   GatewayContext(boost::asio::io_context &Loop, const NodeSettings &Settings,
                  serving::LoadBalancerSettings TargetSettings)
       : Loop(Loop), Settings(Settings),
+        Shares(http::ConnectionShares::of(Settings.descriptors())),
+        Callers(Shares.Callers),
         CallerInput(Settings.Limits.CallerInputBytes), TargetConnections(Loop),
         Targets(std::move(TargetSettings)),
         RetryBudgets({Settings.Objectives.RetryRatio,
@@ -48,6 +52,10 @@
   PartQuarantineService *Quarantine = nullptr;
   /// Limits that targets name; set as `Follower` is.
   LimitExchange *Limits = nullptr;
+  /// How many connections each listening address may hold.
+  http::ConnectionShares Shares;
+  /// The open connections of callers.
+  http::ConnectionLimit Callers;
   /// What callers' connections hold of requests that have not come whole.
   http::InputBudget CallerInput;
   /// Open connections to targets.
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -226,11 +226,11 @@
   PeerListener = PeerServer::listen(
       Runtime.loop(), Settings.Ip + ":" + std::to_string(Settings.PeerPort),
       [this](const http::Request &R) { return handlePeerRequest(R); },
-      /*LargeRate=*/0);
+      /*LargeRate=*/0, Context.Shares.Peers);
   ReadinessListener = PeerServer::listen(
       Runtime.loop(), Settings.ReadinessAddress,
       [this](const http::Request &R) { return handleReadinessRequest(R); },
-      /*LargeRate=*/0);
+      /*LargeRate=*/0, Context.Shares.Readiness);
   if (!PeerListener || !ReadinessListener || !listenForCallers())
     return false;
   Fleet.update(Follower->peers());
@@ -282,6 +282,10 @@
 }
 
 void GatewayProcess::serveCaller(Tcp::socket Socket) {
+  // Otherwise the connection is closed: a caller that was not read may try
+  // another gateway at once.
+  if (!Context.Callers.makeRoom())
+    return;
   auto Connection =
       std::make_shared<CallerConnection>(Context, std::move(Socket));
   CallerConnections.push_back(Connection);
--- a/rosemarylane/src/node/NodeSettings.cpp
+++ b/rosemarylane/src/node/NodeSettings.cpp
@@ -154,6 +154,8 @@
   Result.StoreAddress = text(Root, "store");
   double LinkMbit = 0;
   readNumber(Root, "link_mbit_per_s", LinkMbit);
+  if (const json::value *Most = Root.if_contains("descriptors"))
+    Result.Descriptors = Most->to_number<std::size_t>();
   readMilliseconds(Root, "target_heartbeat_ms", Result.TargetHeartbeat);
   Result.LinkBytesPerSecond = static_cast<std::uint64_t>(LinkMbit * 125000);
   Result.Objectives = readObjectives(Root);
--- a/rosemarylane/src/node/NodeSettings.h
+++ b/rosemarylane/src/node/NodeSettings.h
@@ -4,8 +4,10 @@
 #include "core/ConfigurationCodec.h"
 #include "core/Ids.h"
 #include "core/Result.h"
+#include "http/ConnectionShares.h"
 #include "http/InputBudget.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -113,9 +115,17 @@
   ServingLimits Limits;
   DomainLimits Domains;
   std::string LogLevel = "info";
+  /// How many descriptors the host gives this process; empty if not stated.
+  std::optional<std::size_t> Descriptors;
   /// Settings of `LaterSettings` that the file leaves out or gives as null, so
   /// that they have their defaults.
   std::vector<std::string> Defaulted;
+
+  /// @return how many descriptors this process may open.
+  std::size_t descriptors() const {
+    std::size_t Limit = http::processDescriptorLimit();
+    return Descriptors ? std::min(*Descriptors, Limit) : Limit;
+  }
 };
 
 /// The program that the settings are for. `serving::PeerRole` and
@@ -124,7 +134,8 @@
 
 /// Settings that came with a later release. Files made for the release before
 /// leave them out, or hold null where a template asks for them.
-inline constexpr std::string_view LaterSettings[] = {"target_heartbeat_ms"};
+inline constexpr std::string_view LaterSettings[] = {"target_heartbeat_ms",
+                                                     "descriptors"};
 
 /// Parses and checks a settings document.
 /// @return the settings, or all errors found.
--- a/rosemarylane/src/node/NodeSettingsSchema.h
+++ b/rosemarylane/src/node/NodeSettingsSchema.h
@@ -53,6 +53,8 @@
               "items": {"$ref": "#/definitions/address"}},
     "link_mbit_per_s": {"$ref": "#/definitions/positive"},
     "target_heartbeat_ms": {"$ref": "#/definitions/milliseconds"},
+    "descriptors": {"type": "integer", "minimum": 64,
+                    "description": "a whole number from 64"},
     "promises": {
       "type": "object", "additionalProperties": false,
       "description": "the objectives of the deployment",
--- a/rosemarylane/src/node/PeerServer.cpp
+++ b/rosemarylane/src/node/PeerServer.cpp
@@ -1,5 +1,6 @@
 #include "node/PeerServer.h"
 
+#include "http/ConnectionLimit.h"
 #include "http/LimitedParser.h"
 #include "node/Sockets.h"
 #include "swarm/TokenBucket.h"
@@ -14,7 +15,6 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
-#include <map>
 
 namespace rosemarylane {
 
@@ -41,9 +41,6 @@
 constexpr std::size_t MaxBodyBytes = 4 << 10;
 /// Limit of the bytes of a request that are kept until they can be parsed.
 constexpr std::size_t MaxUnparsedBytes = 8 << 10;
-/// Connections over this number take the place of the one that has waited
-/// longest for a request.
-constexpr std::size_t MaxConnections = 256;
 
 /// A large response that waits for the rate limit.
 struct WaitingResponse {
@@ -65,9 +62,10 @@
 
 struct PeerServer::State : std::enable_shared_from_this<PeerServer::State> {
   State(asio::io_context &Loop, Handler OnRequest,
-        std::uint64_t LargeResponseRate)
-      : LargeWrites(LargeResponseRate, LargeResponseBytes), Loop(Loop),
-        Acceptor(Loop), OnRequest(std::move(OnRequest)) {}
+        std::uint64_t LargeResponseRate, std::size_t MaxConnections)
+      : LargeWrites(LargeResponseRate, LargeResponseBytes),
+        Connections(MaxConnections), Loop(Loop), Acceptor(Loop),
+        OnRequest(std::move(OnRequest)) {}
 
   asio::awaitable<void> accept() {
     auto Self = shared_from_this();
@@ -80,6 +78,8 @@
         co_await Pause.async_wait(Await);
         continue;
       }
+      if (!Connections.makeRoom())
+        continue;
       enableDeadPeerDetection(Socket, DeadPeerTimeout);
       asio::co_spawn(Loop, serve(Self, std::move(Socket)), asio::detached);
     }
@@ -87,19 +87,21 @@
 
   static asio::awaitable<void> serve(std::shared_ptr<State> Self,
                                      Tcp::socket Socket) {
-    OpenCount Counted(*Self);
     beast::tcp_stream Stream(std::move(Socket));
+    http::ConnectionLimit::Place Place(Self->Connections, [&Stream] {
+      boost::system::error_code Ignored; // It is unusable either way.
+      Stream.socket().close(Ignored);
+    });
     beast::flat_buffer Buffer(MaxUnparsedBytes);
     for (;;) {
       http::LimitedParser<true, http_::string_body> Incoming(MaxHeadBytes);
       Incoming.body_limit(MaxBodyBytes);
       Stream.expires_after(IdleTimeout);
-      std::uint64_t Place = Self->beginWait(Stream.socket());
       auto [ReadFailed, Read] =
           co_await http_::async_read(Stream, Buffer, Incoming, Await);
-      Self->ReadingSockets.erase(Place);
       if (ReadFailed)
         co_return;
+      Place.beginRequest();
       http_::request<http_::string_body> Message = Incoming.release();
       bool KeepOpen = Message.keep_alive();
       std::string Target(Message.target().data(), Message.target().size());
@@ -125,31 +127,10 @@
           co_await http_::async_write(Stream, Out, Await);
       if (WriteFailed || !KeepOpen)
         co_return;
+      Place.endRequest();
     }
   }
 
-  /// Counts a connection for as long as it is served.
-  struct OpenCount {
-    explicit OpenCount(State &Of) : Of(Of) { ++Of.Open; }
-    ~OpenCount() { --Of.Open; }
-    OpenCount(const OpenCount &) = delete;
-    OpenCount &operator=(const OpenCount &) = delete;
-    State &Of;
-  };
-
-  /// Notes that a request is awaited on \p Socket. Closes the one that has
-  /// waited longest, maybe this one, if there are too many connections.
-  std::uint64_t beginWait(Tcp::socket &Socket) {
-    std::uint64_t Place = NextPlace++;
-    ReadingSockets.emplace(Place, &Socket);
-    if (Open > MaxConnections) {
-      boost::system::error_code Ignored; // It is closed either way.
-      ReadingSockets.begin()->second->close(Ignored);
-      ReadingSockets.erase(ReadingSockets.begin());
-    }
-    return Place;
-  }
-
   /// Waits until the rate limit admits a large response, in the order of the
   /// requests, and deducts its size.
   /// @return false if the client has closed the connection meanwhile.
@@ -174,10 +155,7 @@
   /// The large responses that wait, in the order of their requests.
   std::deque<WaitingResponse> Waiting;
   std::uint64_t NextTicket = 0;
-  std::size_t Open = 0;
-  /// The connections on which a request is awaited, the longest wait first.
-  std::map<std::uint64_t, Tcp::socket *> ReadingSockets;
-  std::uint64_t NextPlace = 0;
+  http::ConnectionLimit Connections;
   asio::io_context &Loop;
   Tcp::acceptor Acceptor;
   Handler OnRequest;
@@ -186,8 +164,10 @@
 std::unique_ptr<PeerServer> PeerServer::listen(asio::io_context &Loop,
                                                const std::string &Address,
                                                Handler OnRequest,
-                                               std::uint64_t LargeRate) {
-  auto S = std::make_shared<State>(Loop, std::move(OnRequest), LargeRate);
+                                               std::uint64_t LargeRate,
+                                               std::size_t MaxConnections) {
+  auto S = std::make_shared<State>(Loop, std::move(OnRequest), LargeRate,
+                                   MaxConnections);
   boost::system::error_code Failed = asio::error::invalid_argument;
   if (auto Endpoint = parseEndpoint(Address)) {
     S->Acceptor.open(Tcp::v4(), Failed);
--- a/rosemarylane/src/node/Sockets.cpp
+++ b/rosemarylane/src/node/Sockets.cpp
@@ -73,6 +73,12 @@
          peek(Socket.native_handle()) == PeekResult::WouldBlock;
 }
 
+void sendNow(Tcp::socket &Socket, std::string_view Bytes) {
+  // What could not be sent is lost: the connection is about to be closed.
+  (void)::send(Socket.native_handle(), Bytes.data(), Bytes.size(),
+               MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
 bool closedByPeer(Tcp::socket &Socket) {
   return !Socket.is_open() ||
          peek(Socket.native_handle()) == PeekResult::Closed;
--- a/rosemarylane/src/node/Sockets.h
+++ b/rosemarylane/src/node/Sockets.h
@@ -28,6 +28,9 @@
 /// and there are no unread bytes.
 bool isIdle(boost::asio::ip::tcp::socket &Socket);
 
+/// Sends as much of \p Bytes as the system takes without a wait.
+void sendNow(boost::asio::ip::tcp::socket &Socket, std::string_view Bytes);
+
 /// @return whether the peer has closed the connection. While there are unread
 /// bytes, it counts as open.
 bool closedByPeer(boost::asio::ip::tcp::socket &Socket);
--- a/rosemarylane/src/sidecar/SidecarProcess.cpp
+++ b/rosemarylane/src/sidecar/SidecarProcess.cpp
@@ -80,7 +80,10 @@
   PeerListener = PeerServer::listen(
       Runtime.loop(), Settings.Ip + ":" + std::to_string(Settings.PeerPort),
       [this](const http::Request &R) { return handlePeerRequest(R); },
-      weightRateLimit(Settings, false));
+      weightRateLimit(Settings, false),
+      // A sidecar has no callers: their share is free for peers.
+      std::min(http::ConnectionShares::of(Settings.descriptors()).Callers,
+               PeerServer::DefaultMaxConnections));
   if (!PeerListener)
     return false;
   Weights->onRateChange(
--- a/rosemarylane/tests/process/ChildProcess.cpp
+++ b/rosemarylane/tests/process/ChildProcess.cpp
@@ -68,4 +68,17 @@
   return Ended;
 }
 
+DescriptorLimit::DescriptorLimit(std::size_t Most) {
+  if (getrlimit(RLIMIT_NOFILE, &Before) != 0)
+    throw std::runtime_error("cannot read the limit of descriptors");
+  rlimit Lowered = Before;
+  Lowered.rlim_cur = Most;
+  if (setrlimit(RLIMIT_NOFILE, &Lowered) != 0)
+    throw std::runtime_error("cannot lower the limit of descriptors");
+}
+
+DescriptorLimit::~DescriptorLimit() {
+  (void)setrlimit(RLIMIT_NOFILE, &Before);
+}
+
 } // namespace rosemarylane::process_tests
--- a/rosemarylane/tests/process/ChildProcess.h
+++ b/rosemarylane/tests/process/ChildProcess.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <sys/resource.h>
 #include <sys/types.h>
 #include <vector>
 
@@ -46,6 +47,19 @@
   std::string LogFile;
 };
 
+/// Lowers the number of descriptors that processes may open which are started
+/// while it lives.
+class DescriptorLimit {
+public:
+  explicit DescriptorLimit(std::size_t Most);
+  ~DescriptorLimit();
+  DescriptorLimit(const DescriptorLimit &) = delete;
+  DescriptorLimit &operator=(const DescriptorLimit &) = delete;
+
+private:
+  rlimit Before{};
+};
+
 } // namespace rosemarylane::process_tests
 
 #endif // ROSEMARYLANE_TESTS_PROCESS_CHILD_PROCESS_H
--- a/rosemarylane/tests/process/EndlessClients.cpp
+++ b/rosemarylane/tests/process/EndlessClients.cpp
@@ -29,6 +29,32 @@
   return Result;
 }
 
+/// @return a figure of the process's status, in KiB; 0 if there is none.
+std::size_t statusKiB(ChildProcess &Process, const std::string &Name) {
+  std::ifstream Status("/proc/" + std::to_string(Process.pid()) + "/status");
+  std::string Word;
+  std::size_t KiB = 0;
+  while (Status >> Word)
+    if (Word == Name && Status >> KiB)
+      return KiB;
+  return 0;
+}
+
+/// Waits until \p Measure has given the same for \p SettleTime.
+template <typename Measured> std::size_t settled(Measured Measure) {
+  auto Until = Clock::now() + MaxSettleTime;
+  std::size_t Value = Measure();
+  for (auto Since = Clock::now();
+       Clock::now() < Since + SettleTime && Clock::now() < Until;) {
+    std::this_thread::sleep_for(Pause);
+    std::size_t Now = Measure();
+    if (Now != Value)
+      Since = Clock::now();
+    Value = Now;
+  }
+  return Value;
+}
+
 } // namespace
 
 std::ostream &operator<<(std::ostream &Out, const EndlessRequest &Request) {
@@ -62,14 +88,20 @@
   return Result;
 }
 
-EndlessClients::EndlessClients(const std::string &Address, std::size_t Count) {
+EndlessClients::EndlessClients(const std::string &Address, std::size_t Count,
+                               int ReceiveBuffer) {
   std::size_t Colon = Address.find(':');
   boost::asio::ip::tcp::endpoint To(
       boost::asio::ip::make_address(Address.substr(0, Colon)),
       static_cast<std::uint16_t>(std::stoi(Address.substr(Colon + 1))));
   for (std::size_t I = 0; I < Count; ++I) {
     Clients.push_back(std::make_unique<Client>(Loop));
-    Clients.back()->Socket.connect(To);
+    boost::asio::ip::tcp::socket &Socket = Clients.back()->Socket;
+    Socket.open(To.protocol());
+    if (ReceiveBuffer != 0)
+      Socket.set_option(
+          boost::asio::socket_base::receive_buffer_size(ReceiveBuffer));
+    Socket.connect(To);
   }
 }
 
@@ -115,6 +147,47 @@
   }
 }
 
+void EndlessClients::sendOnce(const std::string &Bytes,
+                              std::chrono::milliseconds Limit) {
+  auto Until = Clock::now() + Limit;
+  auto IsDone = [&](const std::unique_ptr<Client> &C) {
+    return C->Ended || C->Sent >= Bytes.size();
+  };
+  for (const auto &To : Clients)
+    To->Sent = 0;
+  while (!std::all_of(Clients.begin(), Clients.end(), IsDone) &&
+         Clock::now() < Until) {
+    bool Progress = false;
+    for (const auto &To : Clients)
+      Progress = offer(*To, Bytes, Bytes, Bytes.size()) || Progress;
+    if (!Progress)
+      std::this_thread::sleep_for(Pause);
+  }
+}
+
+void EndlessClients::reset() {
+  boost::system::error_code Ignored; // It is closed either way.
+  for (const auto &C : Clients) {
+    C->Socket.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
+    C->Socket.close(Ignored);
+    C->Ended = true;
+  }
+}
+
+std::size_t EndlessClients::answered(unsigned Status) {
+  const std::string Line = "HTTP/1.1 " + std::to_string(Status) + " ";
+  std::size_t Count = 0;
+  for (const auto &C : Clients) {
+    std::string Read(Line.size(), '\0');
+    auto Size = ::recv(C->Socket.native_handle(), Read.data(), Read.size(),
+                       MSG_DONTWAIT);
+    if (Size > 0 && C->Received.size() < Line.size())
+      C->Received.append(Read, 0, static_cast<std::size_t>(Size));
+    Count += C->Received.starts_with(Line) ? 1 : 0;
+  }
+  return Count;
+}
+
 std::size_t EndlessClients::ended() const {
   auto Ended = [](const std::unique_ptr<Client> &C) {
     char Byte = 0;
@@ -127,29 +200,15 @@
 }
 
 std::size_t peakMemoryKiB(ChildProcess &Process) {
-  std::ifstream Status("/proc/" + std::to_string(Process.pid()) + "/status");
-  std::string Word;
-  while (Status >> Word)
-    if (Word == "VmHWM:") {
-      std::size_t KiB = 0;
-      Status >> KiB;
-      return KiB;
-    }
-  return 0;
+  return statusKiB(Process, "VmHWM:");
+}
+
+std::size_t memoryKiB(ChildProcess &Process) {
+  return statusKiB(Process, "VmRSS:");
 }
 
 std::size_t settledMemoryKiB(ChildProcess &Process) {
-  auto Until = Clock::now() + MaxSettleTime;
-  std::size_t Peak = peakMemoryKiB(Process);
-  for (auto Since = Clock::now();
-       Clock::now() < Since + SettleTime && Clock::now() < Until;) {
-    std::this_thread::sleep_for(Pause);
-    std::size_t Now = peakMemoryKiB(Process);
-    if (Now != Peak)
-      Since = Clock::now();
-    Peak = Now;
-  }
-  return Peak;
+  return settled([&] { return peakMemoryKiB(Process); });
 }
 
 std::size_t openDescriptors(ChildProcess &Process) {
@@ -159,4 +218,8 @@
       std::distance(begin(Files), std::filesystem::end(Files)));
 }
 
+std::size_t settledDescriptors(ChildProcess &Process) {
+  return settled([&] { return openDescriptors(Process); });
+}
+
 } // namespace rosemarylane::process_tests
--- a/rosemarylane/tests/process/EndlessClients.h
+++ b/rosemarylane/tests/process/EndlessClients.h
@@ -40,10 +40,13 @@
   std::chrono::milliseconds Time{8000};
 };
 
-/// A few connections on which the same bytes are sent side by side. One thread.
+/// Connections on which the same bytes are sent side by side. One thread.
 class EndlessClients {
 public:
-  EndlessClients(const std::string &Address, std::size_t Count);
+  /// @param ReceiveBuffer what each takes before it reads; as the system likes
+  /// if 0.
+  EndlessClients(const std::string &Address, std::size_t Count,
+                 int ReceiveBuffer = 0);
 
   /// Sends until every connection is closed by the process or a bound is met.
   /// @param Head the first bytes of the request, up to the fields that
@@ -51,6 +54,17 @@
   void send(const std::string &Head, const EndlessRequest &Request,
             const EndlessBounds &Bounds);
 
+  /// Sends \p Bytes once on each connection, as far as the process takes them
+  /// until \p Limit is over.
+  void sendOnce(const std::string &Bytes, std::chrono::milliseconds Limit);
+
+  /// Closes all connections with a reset.
+  void reset();
+
+  /// Reads what has come. @return of how many connections the answer begins
+  /// with \p Status.
+  std::size_t answered(unsigned Status);
+
   /// @return how many connections the process has ended.
   std::size_t ended() const;
 
@@ -60,6 +74,8 @@
     boost::asio::ip::tcp::socket Socket;
     std::size_t Sent = 0;
     bool Ended = false;
+    /// The first bytes of what was read.
+    std::string Received;
   };
 
   /// Writes what fits without a wait. @return whether any byte did.
@@ -75,8 +91,13 @@
 /// Waits until the process has taken all that it takes of what was sent.
 /// @return the most memory that it has held so far.
 std::size_t settledMemoryKiB(ChildProcess &Process);
+/// @return the memory that the process holds now.
+std::size_t memoryKiB(ChildProcess &Process);
 /// @return the number of descriptors that the process has open.
 std::size_t openDescriptors(ChildProcess &Process);
+/// Waits until the process has accepted all connections that it accepts.
+/// @return the number of descriptors that it has open then.
+std::size_t settledDescriptors(ChildProcess &Process);
 
 } // namespace rosemarylane::process_tests
 
