One account for the memory of requests in progress and of answers

What callers saw: clients that send whole bodies inside the limits made a gateway hold many times what its machine has, so that it could be ended.

Cause: only requests that had not come whole were accounted for. A whole body was kept until its request needed no retry, and copied for each attempt; nothing bounded the bytes of all of them, or of answers that are buffered or being written.

Change: RequestMemory (was InputBudget) accounts for requests from their first byte to the end of their answer, and for answers. A whole request begins only if there is room, else it is refused with 503, not run; so is one whose stated length has no room before its body is read. What has begun is never ended. All attempts share one body (SharedBody). Answers that callers have not taken have half as much; above it, whoever has taken nothing for longest is cut off. http::Server, so entries and agents, has the same account.

Evidence: client_crowds/whole_bodies_in_progress_fit_the_machine, 40 clients with 4 MiB each before targets that keep them. One request at the largest head, body and answer is served in calm.

It works since a request's bytes are counted until they are freed, and new work is the only thing that waits for room.

--- a/libs/http/include/http/Server.h
+++ b/libs/http/include/http/Server.h
@@ -4,7 +4,7 @@
 #include "core/Result.h"
 #include "http/Error.h"
 #include "http/Exchange.h"
-#include "http/InputBudget.h"
+#include "http/RequestMemory.h"
 #include "runtime/Duty.h"
 
 #include <chrono>
@@ -21,9 +21,9 @@
   std::string Address;
   std::size_t MaxBodyBytes = 4 << 20;
   std::size_t MaxHeaderBytes = 16 << 10;
-  /// What all connections together may hold of requests that have not come
-  /// whole; those that hold most are refused if it is passed.
-  std::size_t MaxInputBytes = InputBudget::DefaultBytes;
+  /// What the requests of all connections together may hold, and half as much
+  /// the answers that callers have not taken; see `RequestMemory`.
+  std::size_t MaxRequestBytes = RequestMemory::DefaultBytes;
   /// Connections over this number are closed at once.
   std::size_t MaxConnections = 4096;
   /// A connection that sends no whole request for this long is closed.
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -24,7 +24,7 @@
 struct Server::State : std::enable_shared_from_this<Server::State> {
   State(runtime::Duty &On, ServerSettings Settings, Handler OnRequest)
       : On(On), Settings(std::move(Settings)), OnRequest(std::move(OnRequest)),
-        Budget(this->Settings.MaxInputBytes), Acceptor(On.context()),
+        Memory(this->Settings.MaxRequestBytes), Acceptor(On.context()),
         AcceptTimer(On.context()), DrainTimer(On.context()) {}
 
   error_code open(const tcp::endpoint &Address) {
@@ -71,7 +71,7 @@
       Self->Connections.erase(Ended.shared_from_this());
     };
     auto Connection = std::make_shared<ServerConnection>(
-        std::move(Socket), Settings, Budget, InProgress, std::move(Hooks));
+        std::move(Socket), Settings, Memory, InProgress, std::move(Hooks));
     Connections.insert(Connection);
     Connection->start();
   }
@@ -114,7 +114,7 @@
   runtime::Duty &On;
   ServerSettings Settings;
   Handler OnRequest;
-  InputBudget Budget;
+  RequestMemory Memory;
   tcp::acceptor Acceptor;
   boost::asio::steady_timer AcceptTimer;
   boost::asio::steady_timer DrainTimer;
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -61,14 +61,17 @@
 
 ServerConnection::ServerConnection(
     boost::asio::ip::tcp::socket Socket, const ServerSettings &Settings,
-    InputBudget &Budget, std::shared_ptr<std::atomic<std::size_t>> InProgress,
+    RequestMemory &Memory, std::shared_ptr<std::atomic<std::size_t>> InProgress,
     ConnectionHooks Hooks)
-    : Socket(std::move(Socket)), Settings(Settings), Number(Hooks.Number),
-      InProgress(std::move(InProgress)), Hooks(std::move(Hooks)),
-      ReadTimer(this->Socket.get_executor()),
-      WriteTimer(this->Socket.get_executor()), Held(Budget, [this] {
-        refuse(503, "Overloaded", "too much is held of unfinished requests");
-      }) {
+    : Socket(std::move(Socket)), Settings(Settings), Memory(Memory),
+      Number(Hooks.Number), InProgress(std::move(InProgress)),
+      Hooks(std::move(Hooks)), ReadTimer(this->Socket.get_executor()),
+      WriteTimer(this->Socket.get_executor()),
+      Held(Memory,
+           [this] {
+             refuse(503, "Overloaded", "too much is held of other requests");
+           }),
+      Unread(Memory, [this] { close(); }) {
   resetParser();
 }
 
@@ -93,6 +96,7 @@
     return;
   Closed = true;
   freeInput();
+  Unread.release();
   error_code Ignored;
   Socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, Ignored);
   Socket.close(Ignored);
@@ -156,10 +160,15 @@
 
 void ServerConnection::accountInput() {
   // What comes ahead while a request is answered is limited by itself.
-  if (Closed || Answering || Lingering || !ReceivingRequest)
+  if (Closed || Answering || Lingering)
+    return;
+  if (!ReceivingRequest)
     return Held.release();
-  Held.set(Input.capacity() + Incoming->fieldMemory() +
-           Incoming->get().body().capacity());
+  Held.setUnfinished(Input.capacity() + requestMemory());
+}
+
+std::size_t ServerConnection::requestMemory() const {
+  return Incoming->fieldMemory() + Incoming->get().body().capacity();
 }
 
 void ServerConnection::freeInput() {
@@ -184,9 +193,16 @@
   if (Incoming->is_header_done() && Input.size() > MaxChunkFramingBytes)
     return refuse(431, "Chunk framing too large",
                   "the extension of a chunk or the trailer is too long");
+  if (Incoming->is_header_done() && !ExpectationAnswered && bodyIsInVain())
+    return refuse(503, "Overloaded", "too much is held of other requests");
   answerExpectation();
 }
 
+bool ServerConnection::bodyIsInVain() const {
+  auto Length = Incoming->content_length();
+  return Length && !Memory.hasRoom(*Length);
+}
+
 void ServerConnection::answerExpectation() {
   if (!Incoming->is_header_done() || ExpectationAnswered)
     return;
@@ -198,7 +214,8 @@
 
 void ServerConnection::startExchange() {
   ReadTimer.cancel();
-  Held.release();
+  if (!Held.tryBegin(requestMemory()))
+    return refuse(503, "Overloaded", "too much is held of other requests");
   KeepAlive = Incoming->keep_alive() && !Draining;
   Chunked = Incoming->get().version() >= HttpVersion11;
   HeadOnly = Incoming->get().method() == beast::http::verb::head;
@@ -334,6 +351,7 @@
     return;
   Waiting.append(Bytes);
   Queued += Bytes.size();
+  Unread.setUnread(Queued);
   flush();
 }
 
@@ -373,6 +391,7 @@
     return close();
   Written += Bytes;
   Queued -= Bytes;
+  Unread.setTaken(Queued);
   flush();
 }
 
@@ -383,6 +402,7 @@
 
 void ServerConnection::afterAnswer() {
   Answering = false;
+  Held.release();
   if (!KeepAlive || !Draining)
     --*InProgress;
   if (!KeepAlive)
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -2,8 +2,8 @@
 #define ROSEMARYLANE_HTTP_SERVER_CONNECTION_H
 
 #include "http/Exchange.h"
-#include "http/InputBudget.h"
 #include "http/LimitedParser.h"
+#include "http/RequestMemory.h"
 #include "http/Server.h"
 
 #include <atomic>
@@ -40,7 +40,7 @@
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
 public:
   ServerConnection(boost::asio::ip::tcp::socket Socket,
-                   const ServerSettings &Settings, InputBudget &Budget,
+                   const ServerSettings &Settings, RequestMemory &Memory,
                    std::shared_ptr<std::atomic<std::size_t>> InProgress,
                    ConnectionHooks Hooks);
 
@@ -78,11 +78,15 @@
   void onReadable(boost::system::error_code Error);
   /// Feeds the parser with what has been read, unless an exchange is going on.
   void parse();
-  /// Tells the budget what is held of the request that is being read.
+  /// Accounts for what is held of the request that is being read.
   void accountInput();
   /// Frees what has been read and not been handed on.
   void freeInput();
   void answerExpectation();
+  /// @return whether the request, whose head has come, would be refused anyway.
+  bool bodyIsInVain() const;
+  /// @return what the request holds that is being read.
+  std::size_t requestMemory() const;
   void startExchange();
   void refuse(unsigned Status, std::string_view Title, std::string_view Detail);
   void armReadTimeout();
@@ -101,6 +105,7 @@
 
   boost::asio::ip::tcp::socket Socket;
   const ServerSettings &Settings;
+  const RequestMemory &Memory;
   const std::uint64_t Number;
   std::shared_ptr<std::atomic<std::size_t>> InProgress;
   ConnectionHooks Hooks;
@@ -108,7 +113,9 @@
   boost::asio::steady_timer WriteTimer;
 
   boost::beast::flat_buffer Input;
-  InputBudget::Share Held;
+  /// What the request holds, from its first byte to the end of its answer.
+  RequestMemory::Share Held;
+  RequestMemory::Share Unread;
   std::optional<Parser> Incoming;
   bool Reading = false;
   bool ReceivingRequest = false;
--- a/rosemarylane/src/gateway/BufferedAnswer.cpp
+++ b/rosemarylane/src/gateway/BufferedAnswer.cpp
@@ -50,6 +50,7 @@
                                            ? TargetFeedback::Abandoned
                                            : TargetFeedback::Broken};
     Body += Attempt.bodyData();
+    Held.setInProgress(Body.capacity());
   }
   Attempt.release();
   if (Status >= 500)
--- a/rosemarylane/src/gateway/BufferedAnswer.h
+++ b/rosemarylane/src/gateway/BufferedAnswer.h
@@ -21,6 +21,9 @@
 public:
   using Clock = TargetSend::Clock;
 
+  /// @param Memory accounts for what the response holds. Outlives it.
+  explicit BufferedAnswer(http::RequestMemory &Memory) : Held(Memory) {}
+
   /// How the response ended.
   struct Result {
     serving::SendResult Sent = serving::SendResult::Unknown;
@@ -43,12 +46,16 @@
   // Of the response that was read last.
   unsigned status() const { return Status; }
   const platform::HttpFields &head() const { return Head; }
-  std::string takeBody() { return std::move(Body); }
+  std::string takeBody() {
+    Held.release();
+    return std::move(Body);
+  }
 
 private:
   unsigned Status = 0;
   platform::HttpFields Head;
   std::string Body;
+  http::RequestMemory::Share Held;
 };
 
 } // namespace rosemarylane
--- a/rosemarylane/src/gateway/CallerConnection.cpp
+++ b/rosemarylane/src/gateway/CallerConnection.cpp
@@ -80,13 +80,14 @@
                                    asio::ip::tcp::socket Socket)
     : Context(Context), TcpStream(std::move(Socket)),
       Place(Context.Callers, [this] { yieldPlace(); }), ReadTimer(Context.Loop),
-      Held(Context.CallerInput,
+      Held(Context.Memory,
            [this] {
              Evicted = true;
              boost::system::error_code Ignored; // A closed one frees it anyway.
              if (isOpen())
                TcpStream.socket().cancel(Ignored);
            }),
+      Unread(Context.Memory, [this] { abort(); }),
       IdleSince(core::BootClock::now()) {
   enableDeadPeerDetection(TcpStream.socket(), CallerSilenceTimeout);
 }
@@ -131,6 +132,7 @@
     IsHandling = false;
     // Frees the body now: the connection may stay idle for long.
     CurrentRequest = Request();
+    Held.release();
     stopWatching();
     Place.endRequest();
   } while (KeepAlive && !Disconnected && !endsDrained());
@@ -164,14 +166,15 @@
   boost::system::error_code ErrorCode = co_await readWhole(*Incoming, Limits);
   IsReading = false;
   ReadTimer.expires_at(asio::steady_timer::time_point::max());
-  Held.release();
+  std::string Id = platform::readRequest(Incoming->get()).Id;
+  if (!ErrorCode && !takeRequest(*Incoming))
+    ErrorCode = asio::error::no_memory;
   if (!ErrorCode) {
-    CurrentRequest = Incoming->release();
     if (Buffer.size() == 0)
       http::freeBuffer(Buffer);
     co_return true;
   }
-  std::string Id = platform::readRequest(Incoming->get()).Id;
+  Held.release();
   Incoming.reset();
   http::freeBuffer(Buffer);
   unsigned Status = refusalFor(ErrorCode);
@@ -191,6 +194,10 @@
   boost::system::error_code ErrorCode = co_await readInto(Incoming, true);
   if (ErrorCode || Incoming.is_done())
     co_return ErrorCode;
+  // A body that would be refused need not be sent.
+  auto Length = Incoming.content_length();
+  if (Length && !Context.Memory.hasRoom(*Length))
+    co_return asio::error::no_memory;
   limitReading(BodyTimeout);
   if (beast::iequals(Incoming.get()[http_::field::expect], "100-continue")) {
     static constexpr std::string_view Continue =
@@ -244,7 +251,18 @@
   const std::string &Body = Incoming.get().body();
   // A body whose length is stated has all its memory reserved, but not used.
   std::size_t BodyMemory = std::min(Body.capacity(), 2 * Body.size());
-  Held.set(Buffer.capacity() + Incoming.fieldMemory() + BodyMemory);
+  Held.setUnfinished(Buffer.capacity() + Incoming.fieldMemory() + BodyMemory);
+}
+
+bool CallerConnection::takeRequest(Parser &Incoming) {
+  std::size_t Fields = Incoming.fieldMemory();
+  if (!Held.tryBegin(Fields + Incoming.get().body().capacity()))
+    return false;
+  auto Message = Incoming.release();
+  CurrentRequest =
+      Request(std::move(Message.base()),
+              std::make_shared<const std::string>(std::move(Message.body())));
+  return true;
 }
 
 void CallerConnection::limitReading(milliseconds Limit) {
@@ -346,8 +364,18 @@
   if (!IsHead)
     Response.prepare_payload();
   TcpStream.expires_after(WriteTimeout);
-  auto [ErrorCode, BytesWritten] =
-      co_await http_::async_write(TcpStream, Response, Await);
+  http_::response_serializer<http_::string_body> Serializer(Response);
+  std::size_t Left = Response.body().size();
+  Unread.setUnread(Left);
+  boost::system::error_code ErrorCode;
+  while (!Serializer.is_done() && !ErrorCode) {
+    auto [WriteError, Bytes] =
+        co_await http_::async_write_some(TcpStream, Serializer, Await);
+    ErrorCode = WriteError;
+    Left -= std::min(Left, Bytes);
+    Unread.setTaken(Left);
+  }
+  Unread.release();
   TcpStream.expires_never();
   if (ErrorCode)
     KeepAlive = false;
--- a/rosemarylane/src/gateway/CallerConnection.h
+++ b/rosemarylane/src/gateway/CallerConnection.h
@@ -4,8 +4,9 @@
 #include "core/BootClock.h"
 #include "gateway/GatewayContext.h"
 #include "http/ConnectionLimit.h"
-#include "http/InputBudget.h"
 #include "http/LimitedParser.h"
+#include "http/RequestMemory.h"
+#include "http/SharedBody.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -31,7 +32,7 @@
 /// thread-safe: used only on the thread of its event loop.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
-  using Request = boost::beast::http::request<boost::beast::http::string_body>;
+  using Request = boost::beast::http::request<http::SharedBody>;
   using Fields = boost::beast::http::fields;
 
   CallerConnection(GatewayContext &Context,
@@ -93,8 +94,11 @@
   /// Reads on until the head, or all of the request, has been parsed.
   boost::asio::awaitable<boost::system::error_code> readInto(Parser &Incoming,
                                                              bool HeadOnly);
-  /// Tells the budget what is held of the request that is being read.
+  /// Accounts for what is held of the request that is being read.
   void accountInput(const Parser &Incoming);
+  /// Takes over the request that has been read whole.
+  /// @return whether there is memory for it until it is answered.
+  bool takeRequest(Parser &Incoming);
   /// Ends the reads of a request after \p Limit. Unlike the time limits of
   /// `TcpStream` it leaves the connection open for an answer.
   void limitReading(std::chrono::milliseconds Limit);
@@ -120,9 +124,11 @@
   http::ConnectionLimit::Place Place;
   boost::asio::steady_timer ReadTimer;
   boost::beast::flat_buffer Buffer;
-  /// What is held of a request that has not come whole.
-  http::InputBudget::Share Held;
-  /// The budget of all connections has no room for the request.
+  /// What the request holds, from its first byte to the end of its answer.
+  http::RequestMemory::Share Held;
+  /// What the answer holds that is being written.
+  http::RequestMemory::Share Unread;
+  /// There is no memory for the request.
   bool Evicted = false;
   Request CurrentRequest;
   core::BootTime IdleSince;
--- a/rosemarylane/src/gateway/GatewayContext.h
+++ b/rosemarylane/src/gateway/GatewayContext.h
@@ -6,7 +6,7 @@
 #include "gateway/TargetPool.h"
 #include "http/ConnectionLimit.h"
 #include "http/ConnectionShares.h"
-#include "http/InputBudget.h"
+#include "http/RequestMemory.h"
 #include "node/NodeSettings.h"
 #include "node/PartQuarantineService.h"
 #include "node/StoreFollower.h"
@@ -34,9 +34,8 @@
                  serving::LoadBalancerSettings TargetSettings)
       : Loop(Loop), Settings(Settings),
         Shares(http::ConnectionShares::of(Settings.descriptors())),
-        Callers(Shares.Callers),
-        CallerInput(Settings.Limits.CallerInputBytes), TargetConnections(Loop),
-        Targets(std::move(TargetSettings)),
+        Callers(Shares.Callers), Memory(Settings.Limits.CallerInputBytes),
+        TargetConnections(Loop), Targets(std::move(TargetSettings)),
         RetryBudgets({Settings.Objectives.RetryRatio,
                       Settings.Objectives.RetryExtra,
                       Settings.Objectives.RetryWindow},
@@ -56,8 +55,8 @@
   http::ConnectionShares Shares;
   /// The open connections of callers.
   http::ConnectionLimit Callers;
-  /// What callers' connections hold of requests that have not come whole.
-  http::InputBudget CallerInput;
+  /// What callers' requests and their answers hold.
+  http::RequestMemory Memory;
   /// Open connections to targets.
   TargetPool TargetConnections;
   /// Known targets and their load; selects the target of each request.
--- a/rosemarylane/src/gateway/QuarantineCheck.cpp
+++ b/rosemarylane/src/gateway/QuarantineCheck.cpp
@@ -13,7 +13,7 @@
     Head += std::string_view(Request.target().data(), Request.target().size());
     Head += '\n' + Admitted.HeaderValues.PromptParts;
     // Serves as a plain hash of both values; nothing is ranked by it.
-    Hash = core::rendezvousWeight(Head, Request.body());
+    Hash = core::rendezvousWeight(Head, *Request.body());
   }
   return *Hash;
 }
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -65,7 +65,8 @@
              [this](TargetAttempt &Standby, SendResult Result) {
                standbyEnded(Standby, Result);
              }}),
-        Log(Context, Admitted, StartedAt), Retries(Context, Admitted) {}
+        Log(Context, Admitted, StartedAt), Retries(Context, Admitted),
+        Buffered(Context.Memory) {}
 
   asio::awaitable<void> run();
 
@@ -342,8 +343,8 @@
     Demand.ObjectiveLeft =
         std::max(milliseconds(0), Admitted.Route->LatencyObjective - elapsed());
   Demand.ObjectiveAsOf = BootClock::now();
-  Demand.ExpectedBytes =
-      Request.body().size() + Context.expectedResponseBytes(Admitted.Service);
+  Demand.ExpectedBytes = http::SharedBody::size(Request.body()) +
+                         Context.expectedResponseBytes(Admitted.Service);
   return Demand;
 }
 
--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -65,7 +65,7 @@
 /// A request that is being written. The completion handler of the write keeps
 /// it alive.
 struct TargetSend::PendingWrite {
-  http_::request<http_::string_body> Message;
+  CallerConnection::Request Message;
   bool IsWritten = false;
 };
 
@@ -146,17 +146,18 @@
 TargetSend::write(const CallerConnection::Request &Request,
                   const platform::HttpFields &Fields) {
   Outgoing = std::make_shared<PendingWrite>();
-  http_::request<http_::string_body> &Message = Outgoing->Message;
+  CallerConnection::Request &Message = Outgoing->Message;
   static_cast<http_::fields &>(Message.base()) = Fields;
   Message.version(11);
   Message.method_string(Request.method_string());
   Message.target(Request.target());
   Message.body() = Request.body();
   Message.prepare_payload();
+  std::size_t BodyBytes = http::SharedBody::size(Request.body());
   // Not undone after the response: the target may still leave the rest unread.
-  if (Request.body().size() > MaxUnreadBodyBytes)
+  if (BodyBytes > MaxUnreadBodyBytes)
     tolerateUnreadBytes(Wire->TcpStream->socket());
-  if (Request.body().size() > MaxAwaitedBodyBytes) {
+  if (BodyBytes > MaxAwaitedBodyBytes) {
     auto OnWritten = [Pending = Outgoing](boost::system::error_code ErrorCode,
                                           std::size_t) {
       Pending->IsWritten = !ErrorCode;
@@ -373,10 +374,11 @@
 }
 
 void TargetSend::release() {
-  bool Reusable = IsComplete && !HasSkippedResponse &&
-                  Wire->Response->keep_alive() && !Wire->Response->need_eof() &&
-                  Wire->Buffer.size() == 0 && Outgoing && Outgoing->IsWritten &&
-                  Outgoing->Message.body().size() <= MaxUnreadBodyBytes;
+  bool Reusable =
+      IsComplete && !HasSkippedResponse && Wire->Response->keep_alive() &&
+      !Wire->Response->need_eof() && Wire->Buffer.size() == 0 && Outgoing &&
+      Outgoing->IsWritten &&
+      http::SharedBody::size(Outgoing->Message.body()) <= MaxUnreadBodyBytes;
   if (!Reusable)
     return cancel();
   resetOnClose(Wire->TcpStream->socket(), false);
--- a/rosemarylane/src/node/NodeSettings.h
+++ b/rosemarylane/src/node/NodeSettings.h
@@ -5,7 +5,7 @@
 #include "core/Ids.h"
 #include "core/Result.h"
 #include "http/ConnectionShares.h"
-#include "http/InputBudget.h"
+#include "http/RequestMemory.h"
 
 #include <algorithm>
 #include <chrono>
@@ -67,9 +67,9 @@
   /// target can serve callers' requests, and while it cannot.
   double WeightsLinkShare = 0.8;
   double WeightsIdleLinkShare = 0.97;
-  /// What all callers' connections of a gateway together may hold of requests
-  /// that have not come whole.
-  std::size_t CallerInputBytes = http::InputBudget::DefaultBytes;
+  /// What the requests of all callers of a gateway together may hold, and half
+  /// as much the answers that they have not taken; see `http::RequestMemory`.
+  std::size_t CallerInputBytes = http::RequestMemory::DefaultBytes;
 };
 
 /// What leaving the failure domain must gain; see
