A request that can be read in two ways is refused

What callers saw: heads with two lengths, two hosts, a length beside a coding, a coding other than chunked or no host were taken for requests; a gateway sent them on to servers. What stands behind such a head may be another request to whoever reads it next (RFC 9112, 3.2, 6.1, 6.3).

Cause: the parser checks the syntax of each field by itself. It takes a body with an unknown coding for no body, and does not look at the host.

Change: LimitedParser, which reads the requests of all doors, refuses a head whose address or length is not clear: 400, not run, nothing sent on.

Tests that wrote requests of HTTP/1.1 without a host, which RFC 9112 has refused, have one now; what they check is unchanged (ExchangeTest, PeerServerTest, WholeAnswerTest).

It works since no head gets past the parser before its frame and its address are known to be single.

--- a/libs/http/include/http/LimitedParser.h
+++ b/libs/http/include/http/LimitedParser.h
@@ -1,6 +1,8 @@
 #ifndef ROSEMARYLANE_HTTP_LIMITED_PARSER_H
 #define ROSEMARYLANE_HTTP_LIMITED_PARSER_H
 
+#include "http/RequestHead.h"
+
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -20,8 +22,9 @@
 }
 
 /// A parser that counts all fields of a message, those of the trailer included,
-/// against the limit of the head, and takes no head for an answer whose status
-/// is none (`boost::beast::http::error::bad_status`).
+/// against the limit of the head. It takes no head for an answer whose status
+/// is none (`boost::beast::http::error::bad_status`), and none for a request
+/// that can be read in two ways (`boost::beast::http::error::bad_value`).
 ///
 /// The parser it is made from compares only what it is given at once with that
 /// limit, so that a head whose lines come one after the other never ends.
@@ -57,9 +60,12 @@
 
   void on_header_impl(boost::beast::error_code &Error) override {
     Error = {};
-    if constexpr (!IsRequest)
-      if (!isAnswerStatus(this->get().result_int()))
-        Error = boost::beast::http::error::bad_status;
+    if constexpr (IsRequest) {
+      if (!hasClearHead(this->get(), this->get().version()))
+        Error = boost::beast::http::error::bad_value;
+    } else if (!isAnswerStatus(this->get().result_int())) {
+      Error = boost::beast::http::error::bad_status;
+    }
   }
 
   std::size_t MaxHeadBytes;
--- a/libs/http/tests/ExchangeTest.cpp
+++ b/libs/http/tests/ExchangeTest.cpp
@@ -286,14 +286,18 @@
   };
   std::string Large(200'000, 'x');
   for (const Bad &Case : std::vector<Bad>{
-           {"POST / HTTP/1.1\r\nContent-Length: 200000\r\n\r\n" + Large, "413"},
-           {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1388\r\n" +
+           {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n" +
                 Large,
             "413"},
-           {"GET / HTTP/1.1\r\nA: " + Large, "431"},
+           {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+            "chunked\r\n\r\n1388\r\n" +
+                Large,
+            "413"},
+           {"GET / HTTP/1.1\r\nHost: h\r\nA: " + Large, "431"},
            {"\x16\x03\x01 garbage\r\n\r\n", "400"},
-           {"GET / HTTP/1.1\r\nContent-Length: -5\r\n\r\n", "400"},
-           {"POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc", "408"}}) {
+           {"GET / HTTP/1.1\r\nHost: h\r\nContent-Length: -5\r\n\r\n", "400"},
+           {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc",
+            "408"}}) {
     std::string Answer = sendRaw(Http->port(), Case.Bytes);
     BOOST_TEST(Answer.substr(0, 12) == "HTTP/1.1 " + Case.Status);
     BOOST_TEST((Answer.find("application/problem+json") != std::string::npos));
@@ -304,9 +308,10 @@
 
 BOOST_AUTO_TEST_CASE(requests_sent_ahead_are_answered_in_order) {
   serve(echo);
-  std::string Answer =
-      sendRaw(Http->port(), "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n"
-                            "GET /3 HTTP/1.1\r\nConnection: close\r\n\r\n");
+  std::string Answer = sendRaw(
+      Http->port(),
+      "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+      "GET /3 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
   auto First = Answer.find("/1|");
   auto Second = Answer.find("/2|");
   auto Third = Answer.find("/3|");
@@ -328,7 +333,8 @@
   boost::asio::io_context Context;
   tcp::socket Socket(Context);
   Socket.connect({boost::asio::ip::make_address("127.0.0.1"), Http->port()});
-  boost::asio::write(Socket, boost::asio::buffer("GET / HTTP/1.1\r\n\r\n", 18));
+  boost::asio::write(Socket, boost::asio::buffer(std::string_view(
+                                 "GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
   BOOST_REQUIRE(waitFor([&] { return Http->inProgress() == 1; }));
   auto Ended = Gone.get_future();
   BOOST_TEST(waitFor([&] {
--- a/rosemarylane/tests/PeerServerTest.cpp
+++ b/rosemarylane/tests/PeerServerTest.cpp
@@ -143,11 +143,12 @@
     Chunks += "4\r\nmore\r\n";
   }
   const std::string Chunked =
-      "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+      "GET / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
   const std::pair<std::string, std::string> Endless[] = {
       {"GET /", Filler},
-      {"GET / HTTP/1.1\r\n", Fields},
-      {"GET / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n", Filler},
+      {"GET / HTTP/1.1\r\nHost: x\r\n", Fields},
+      {"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\n",
+       Filler},
       {Chunked, Chunks},
       {Chunked + "4;", Filler},
       {Chunked + "0\r\n", Fields},
--- a/rosemarylane/tests/process/WholeAnswerTest.cpp
+++ b/rosemarylane/tests/process/WholeAnswerTest.cpp
@@ -141,7 +141,7 @@
        static_cast<std::uint16_t>(std::stoi(Address.substr(Colon + 1)))});
   http::Request Ask = F.chat("slow", true);
   std::string Bytes = Ask.Method + " " + Ask.Target + " HTTP/1.1\r\n" +
-                      "Connection: close\r\nContent-Length: " +
+                      "Host: h\r\nConnection: close\r\nContent-Length: " +
                       std::to_string(Ask.Body.size()) + "\r\n";
   for (const auto &[Name, Value] : Ask.Fields)
     Bytes += Name + ": " + Value + "\r\n";
