A crowd at an entry or agent leaves connections to others

What callers saw: while a crowd held connections of an entry or agent, no order was taken and readiness and health checks were not answered, up to the 30 s after which a silent connection is closed. Connections over 4,096 were closed at once, whoever opened them.

Cause: the limit knew nothing of the descriptors of the process, and a new connection could not take the place of one that waits.

Change: http::Server uses ConnectionLimit, and entries and agents take the callers' share of their descriptors (ConnectionShares).

Evidence: endless_clients/crowds_that_wait_leave_connections_to_others, three crowds of 400 at an entry and at an agent, 300 descriptors.

It works as at the gateway: who waited longest for a request makes room, and what the other doors and the process's own connections need is left to them.

--- a/libs/http/include/http/Server.h
+++ b/libs/http/include/http/Server.h
@@ -2,6 +2,7 @@
 #define ROSEMARYLANE_HTTP_SERVER_H
 
 #include "core/Result.h"
+#include "http/ConnectionLimit.h"
 #include "http/Error.h"
 #include "http/Exchange.h"
 #include "http/RequestMemory.h"
@@ -24,7 +25,8 @@
   /// What the requests of all connections together may hold, and half as much
   /// the answers that callers have not taken; see `RequestMemory`.
   std::size_t MaxRequestBytes = RequestMemory::DefaultBytes;
-  /// Connections over this number are closed at once.
+  /// A connection over this number takes the place of the one that has waited
+  /// longest for a request; see `ConnectionLimit`.
   std::size_t MaxConnections = 4096;
   /// A connection that sends no whole request for this long is closed.
   std::chrono::milliseconds ReadTimeout{30000};
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -24,7 +24,8 @@
 struct Server::State : std::enable_shared_from_this<Server::State> {
   State(runtime::Duty &On, ServerSettings Settings, Handler OnRequest)
       : On(On), Settings(std::move(Settings)), OnRequest(std::move(OnRequest)),
-        Memory(this->Settings.MaxRequestBytes), Acceptor(On.context()),
+        Memory(this->Settings.MaxRequestBytes),
+        Places(this->Settings.MaxConnections), Acceptor(On.context()),
         AcceptTimer(On.context()), DrainTimer(On.context()) {}
 
   error_code open(const tcp::endpoint &Address) {
@@ -62,7 +63,7 @@
   }
 
   void take(tcp::socket Socket) {
-    if (Connections.size() >= Settings.MaxConnections)
+    if (!Places.makeRoom())
       return;
     ConnectionHooks Hooks;
     Hooks.OnRequest = OnRequest;
@@ -71,7 +72,8 @@
       Self->Connections.erase(Ended.shared_from_this());
     };
     auto Connection = std::make_shared<ServerConnection>(
-        std::move(Socket), Settings, Memory, InProgress, std::move(Hooks));
+        std::move(Socket), Settings, Memory, Places, InProgress,
+        std::move(Hooks));
     Connections.insert(Connection);
     Connection->start();
   }
@@ -115,6 +117,7 @@
   ServerSettings Settings;
   Handler OnRequest;
   RequestMemory Memory;
+  ConnectionLimit Places;
   tcp::acceptor Acceptor;
   boost::asio::steady_timer AcceptTimer;
   boost::asio::steady_timer DrainTimer;
--- a/libs/http/src/ServerConnection.cpp
+++ b/libs/http/src/ServerConnection.cpp
@@ -61,11 +61,12 @@
 
 ServerConnection::ServerConnection(
     boost::asio::ip::tcp::socket Socket, const ServerSettings &Settings,
-    RequestMemory &Memory, std::shared_ptr<std::atomic<std::size_t>> InProgress,
-    ConnectionHooks Hooks)
+    RequestMemory &Memory, ConnectionLimit &Places,
+    std::shared_ptr<std::atomic<std::size_t>> InProgress, ConnectionHooks Hooks)
     : Socket(std::move(Socket)), Settings(Settings), Memory(Memory),
       Number(Hooks.Number), InProgress(std::move(InProgress)),
-      Hooks(std::move(Hooks)), ReadTimer(this->Socket.get_executor()),
+      Hooks(std::move(Hooks)), Place(Places, [this] { yieldPlace(); }),
+      ReadTimer(this->Socket.get_executor()),
       WriteTimer(this->Socket.get_executor()),
       Held(Memory,
            [this] {
@@ -95,6 +96,7 @@
   if (Closed)
     return;
   Closed = true;
+  Place.leave();
   freeInput();
   Unread.release();
   error_code Ignored;
@@ -216,6 +218,7 @@
   ReadTimer.cancel();
   if (!Held.tryBegin(requestMemory()))
     return refuse(503, "Overloaded", "too much is held of other requests");
+  Place.beginRequest();
   KeepAlive = Incoming->keep_alive() && !Draining;
   Chunked = Incoming->get().version() >= HttpVersion11;
   HeadOnly = Incoming->get().method() == beast::http::verb::head;
@@ -252,6 +255,12 @@
   respond(++ExchangeId, problemResponse(Status, Title, Detail, "no"));
 }
 
+void ServerConnection::yieldPlace() {
+  if (ReceivingRequest && !Answering && !Lingering)
+    refuse(503, "Overloaded", "too many connections");
+  close();
+}
+
 void ServerConnection::armReadTimeout() {
   ReadTimer.expires_after(AwaitingLast ? Settings.DrainGrace
                                        : Settings.ReadTimeout);
@@ -410,6 +419,7 @@
   // The caller may take the connection for kept: a request on its way is still
   // answered.
   AwaitingLast = Draining;
+  Place.endRequest();
   armReadTimeout();
   // Posted, since the handler may still be on the stack.
   boost::asio::post(Socket.get_executor(), [Self = shared_from_this()] {
@@ -421,6 +431,7 @@
 
 void ServerConnection::linger() {
   Lingering = true;
+  Place.endLast();
   error_code Ignored;
   Socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, Ignored);
   freeBuffer(Input);
--- a/libs/http/src/ServerConnection.h
+++ b/libs/http/src/ServerConnection.h
@@ -1,6 +1,7 @@
 #ifndef ROSEMARYLANE_HTTP_SERVER_CONNECTION_H
 #define ROSEMARYLANE_HTTP_SERVER_CONNECTION_H
 
+#include "http/ConnectionLimit.h"
 #include "http/Exchange.h"
 #include "http/LimitedParser.h"
 #include "http/RequestMemory.h"
@@ -41,6 +42,7 @@
 public:
   ServerConnection(boost::asio::ip::tcp::socket Socket,
                    const ServerSettings &Settings, RequestMemory &Memory,
+                   ConnectionLimit &Places,
                    std::shared_ptr<std::atomic<std::size_t>> InProgress,
                    ConnectionHooks Hooks);
 
@@ -89,6 +91,10 @@
   std::size_t requestMemory() const;
   void startExchange();
   void refuse(unsigned Status, std::string_view Title, std::string_view Detail);
+  /// Closes the connection, on which no request is in progress, for another
+  /// one. A caller that has begun to send a request is told that it did not
+  /// run, if that can be written at once.
+  void yieldPlace();
   void armReadTimeout();
   void onReadTimeout();
 
@@ -109,6 +115,7 @@
   const std::uint64_t Number;
   std::shared_ptr<std::atomic<std::size_t>> InProgress;
   ConnectionHooks Hooks;
+  ConnectionLimit::Place Place;
   boost::asio::steady_timer ReadTimer;
   boost::asio::steady_timer WriteTimer;
 
--- a/rosemarylane/src/common/ProcessStart.cpp
+++ b/rosemarylane/src/common/ProcessStart.cpp
@@ -1,6 +1,7 @@
 #include "common/ProcessStart.h"
 
 #include "common/CommandLine.h"
+#include "http/ConnectionShares.h"
 #include "store/EtcdKeyValue.h"
 #include "telemetry/Log.h"
 
@@ -132,6 +133,8 @@
   Context.Peers = std::move(*Node);
   http::ServerSettings Serving;
   Serving.Address = Context.Config.HttpAddress;
+  Serving.MaxConnections =
+      http::ConnectionShares::of(http::processDescriptorLimit()).Callers;
   auto Server =
       http::Server::listen(*Context.HttpServing, Serving, std::move(OnRequest));
   if (!Server)
--- a/rosemarylane/tests/process/EndlessClientsTest.cpp
+++ b/rosemarylane/tests/process/EndlessClientsTest.cpp
@@ -1,9 +1,11 @@
-/// Clients that send without end, at the addresses of entries and agents.
+/// Clients that send without end, hold connections or send whole requests that
+/// are large, at the addresses of entries and agents.
 
 #include "EndlessClients.h"
 #include "Fleet.h"
 
 #include <boost/test/unit_test.hpp>
+#include <optional>
 
 using namespace rosemarylane;
 using namespace rosemarylane::process_tests;
@@ -46,14 +48,71 @@
 struct EndlessClientsFixture {
   bool serves() {
     auto *Entry = F.entries().front();
-    return F.caller().call(Entry->Http, F.order("calm", "x")).ok();
+    return F.caller().call(Entry->Http, F.order("calm", "x"), 5s).ok();
   }
 
   Fleet F{FleetOptions{{"a"}, 1, 0, 1, {}, {}}};
 };
 
+/// What each process may open, and the crowd that wants more.
+constexpr std::size_t LowDescriptors = 300;
+constexpr std::size_t CrowdClients = 400;
+
+/// A fleet whose processes may open few descriptors.
+struct LowDescriptorsFixture {
+  LowDescriptorsFixture() {
+    DescriptorLimit Lowered(LowDescriptors);
+    F.emplace(FleetOptions{{"a"}, 1, 0, 1, {}, {}});
+  }
+
+  /// Requests and the checks of entry and agent are answered.
+  void expectServing() {
+    auto *Entry = F->entries().front();
+    auto *Agent = F->agents().front();
+    auto Answers = [&](const std::string &Address, const char *Path) {
+      http::Request Get;
+      Get.Method = "GET";
+      Get.Target = Path;
+      return F->caller().call(Address, Get, 5s).ok();
+    };
+    BOOST_TEST(F->caller().call(Entry->Http, F->order("beside", "x"), 5s).ok());
+    BOOST_TEST(Answers(Entry->Http, "/readyz"));
+    BOOST_TEST(Answers(Agent->Http, "/healthz"));
+  }
+
+  /// A crowd sends \p Bytes to a host and waits.
+  void expectServingBeside(Fleet::Host &At, const std::string &Bytes) {
+    std::size_t Descriptors = openDescriptors(*At.Process);
+    {
+      EndlessClients Clients(At.Http, CrowdClients);
+      Clients.sendOnce(Bytes, 5s);
+      BOOST_TEST(settledDescriptors(*At.Process) < LowDescriptors);
+      expectServing();
+    }
+    Fleet::await("the connections are closed", 5s, [&] {
+      return openDescriptors(*At.Process) <= Descriptors + MoreDescriptors;
+    });
+    expectServing();
+  }
+
+  std::optional<Fleet> F;
+};
+
 } // namespace
 
+BOOST_AUTO_TEST_SUITE(endless_clients)
+
+BOOST_FIXTURE_TEST_CASE(crowds_that_wait_leave_connections_to_others,
+                        LowDescriptorsFixture) {
+  const std::string Start = head("/v1/services/orders/place");
+  for (auto *Host : {F->entries().front(), F->agents().front()})
+    for (const std::string &Bytes :
+         {std::string(), Start, Start + "Content-Length: 100\r\n\r\na"})
+      expectServingBeside(*Host, Bytes);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(endless_clients, EndlessClientsFixture)
 
 BOOST_AUTO_TEST_CASE(entry_keeps_no_more_than_its_limit_of_callers) {
