--- a/rosemarylane/tests/process/EndlessClientsTest.cpp
+++ b/rosemarylane/tests/process/EndlessClientsTest.cpp
@@ -5,6 +5,7 @@
 #include "Fleet.h"
 
 #include <boost/test/unit_test.hpp>
+#include <list>
 #include <optional>
 
 using namespace rosemarylane;
@@ -58,6 +59,13 @@
 constexpr std::size_t LowDescriptors = 300;
 constexpr std::size_t CrowdClients = 400;
 
+/// What a process may hold at the size to design for, 256 MB.
+constexpr std::size_t MaxMemoryKiB = 256'000'000 / 1024;
+constexpr std::size_t MaxBodyBytes = 4 << 20;
+constexpr std::size_t LargeBodyClients = 100;
+/// As many of them send at the same time.
+constexpr std::size_t LargeBodiesAtOnce = 4;
+
 /// A fleet whose processes may open few descriptors.
 struct LowDescriptorsFixture {
   LowDescriptorsFixture() {
@@ -127,6 +135,33 @@
   BOOST_TEST(serves());
 }
 
+/// Each client stays within the limits of one request. All have the same key,
+/// so that they wait for the first one, whose service stands still.
+BOOST_AUTO_TEST_CASE(whole_bodies_in_progress_fit_the_entry) {
+  auto *Entry = F.entries().front();
+  auto *Agent = F.agents().front();
+  std::string Bytes = head("/v1/services/orders/place") +
+                      "Content-Length: " + std::to_string(MaxBodyBytes) +
+                      "\r\n\r\n" + std::string(MaxBodyBytes, 'a');
+  Agent->TargetProcess->freeze();
+  {
+    std::list<EndlessClients> Crowd;
+    while (Crowd.size() < LargeBodyClients / LargeBodiesAtOnce) {
+      Crowd.emplace_back(Entry->Http, LargeBodiesAtOnce);
+      Crowd.back().sendOnce(Bytes, 20s);
+      (void)settledMemoryKiB(*Entry->Process);
+    }
+    for (auto *Host : {Entry, Agent}) {
+      std::size_t Peak = settledMemoryKiB(*Host->Process);
+      BOOST_TEST_MESSAGE(Host->Name << ": at most " << Peak << " KiB");
+      BOOST_TEST(Peak < MaxMemoryKiB);
+      BOOST_TEST(Host->Process->running());
+    }
+    Agent->TargetProcess->resume();
+  }
+  Fleet::await("orders are served", 10s, [&] { return serves(); });
+}
+
 BOOST_AUTO_TEST_CASE(agent_keeps_no_more_than_its_limit) {
   auto *Agent = F.agents().front();
   sendAll(*Agent->Process, Agent->Http, head("/healthz"));
