Trailers are no header fields

What servers saw: a field behind a chunked body was sent on as if the caller had put it into the head, so a client could add what the check of the request had not seen.

Cause: the parser inserts the fields of a trailer into those of the head.

Change: LimitedParser counts them against the limit and drops them (RFC 9110, 6.5.1).

Evidence: unclear_requests/trailers_are_no_fields failed before (the target got both fields), passes now.

It works since every request and answer is read by this parser.

--- a/libs/http/include/http/LimitedParser.h
+++ b/libs/http/include/http/LimitedParser.h
@@ -55,7 +55,9 @@
       Error = boost::beast::http::error::header_limit;
       return;
     }
-    this->get().insert(Name, NameText, Value);
+    // The message has been taken for what its head says: a trailer adds nothing.
+    if (!this->is_header_done())
+      this->get().insert(Name, NameText, Value);
   }
 
   void on_header_impl(boost::beast::error_code &Error) override {
