Answers that nobody reads are held in the account, not in sockets

What callers saw: clients that ask and do not read made the machine hold their answers in the buffers of its connections, up to 4 MiB each, beside the process.

Cause: the system lets the buffers of a connection grow, so a whole answer was taken from the process and its account; the write was over and the connection free for the next request.

What is left of an answer stays in RequestMemory until its last byte is taken.

It works since bytes leave the process only as callers take them.

--- a/rosemarylane/src/gateway/CallerConnection.cpp
+++ b/rosemarylane/src/gateway/CallerConnection.cpp
@@ -385,15 +385,16 @@
     Response.prepare_payload();
   TcpStream.expires_after(WriteTimeout);
   http_::response_serializer<http_::string_body> Serializer(Response);
-  std::size_t Left = Response.body().size();
-  Unread.setUnread(Left);
+  // All of it is held until the caller has taken the last byte.
+  std::size_t BodyMemory = Response.body().capacity();
+  Unread.setUnread(BodyMemory);
   boost::system::error_code ErrorCode;
   while (!Serializer.is_done() && !ErrorCode) {
     auto [WriteError, Bytes] =
         co_await http_::async_write_some(TcpStream, Serializer, Await);
     ErrorCode = WriteError;
-    Left -= std::min(Left, Bytes);
-    Unread.setTaken(Left);
+    if (Bytes > 0)
+      Unread.setTaken(BodyMemory);
   }
   Unread.release();
   TcpStream.expires_never();
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -260,6 +260,14 @@
   Acceptor.open(Tcp::v4(), ErrorCode);
   if (!ErrorCode)
     Acceptor.set_option(Tcp::acceptor::reuse_address(true), ErrorCode);
+  if (!ErrorCode)
+    Acceptor.set_option(
+        asio::socket_base::send_buffer_size(http::SocketBufferBytes),
+        ErrorCode);
+  if (!ErrorCode)
+    Acceptor.set_option(
+        asio::socket_base::receive_buffer_size(http::SocketBufferBytes),
+        ErrorCode);
   if (!ErrorCode)
     Acceptor.bind(*Endpoint, ErrorCode);
   if (!ErrorCode)
--- a/rosemarylane/tests/process/ChildProcess.cpp
+++ b/rosemarylane/tests/process/ChildProcess.cpp
@@ -77,8 +77,6 @@
     throw std::runtime_error("cannot lower the limit of descriptors");
 }
 
-DescriptorLimit::~DescriptorLimit() {
-  (void)setrlimit(RLIMIT_NOFILE, &Before);
-}
+DescriptorLimit::~DescriptorLimit() { (void)setrlimit(RLIMIT_NOFILE, &Before); }
 
 } // namespace rosemarylane::process_tests
--- a/rosemarylane/tests/process/EndlessClients.cpp
+++ b/rosemarylane/tests/process/EndlessClients.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 namespace rosemarylane::process_tests {
 
@@ -211,6 +212,22 @@
   return settled([&] { return peakMemoryKiB(Process); });
 }
 
+std::size_t socketMemoryKiB() {
+  const std::size_t PageKiB =
+      static_cast<std::size_t>(sysconf(_SC_PAGESIZE)) / 1024;
+  std::ifstream Statistics("/proc/net/sockstat");
+  std::string Word;
+  bool IsTcp = false;
+  std::size_t Pages = 0;
+  while (Statistics >> Word) {
+    if (Word.ends_with(':'))
+      IsTcp = Word == "TCP:";
+    if (IsTcp && Word == "mem" && Statistics >> Pages)
+      return Pages * PageKiB;
+  }
+  return 0;
+}
+
 std::size_t openDescriptors(ChildProcess &Process) {
   std::filesystem::directory_iterator Files(
       "/proc/" + std::to_string(Process.pid()) + "/fd");
--- a/rosemarylane/tests/process/EndlessClients.h
+++ b/rosemarylane/tests/process/EndlessClients.h
@@ -93,6 +93,9 @@
 std::size_t settledMemoryKiB(ChildProcess &Process);
 /// @return the memory that the process holds now.
 std::size_t memoryKiB(ChildProcess &Process);
+/// @return what the connections of the whole machine hold that no process has
+/// taken, those of the tests included.
+std::size_t socketMemoryKiB();
 /// @return the number of descriptors that the process has open.
 std::size_t openDescriptors(ChildProcess &Process);
 /// Waits until the process has accepted all connections that it accepts.
