Memory of large bodies goes back to the machine when it is freed

What was seen: a gateway kept most of what a crowd with large bodies or answers had made it hold, after the crowd had left.

Cause: glibc raises the size from which it maps blocks by themselves each time such a block is freed, so bodies come from the heap after a while and leave holes there.

Change: the size is fixed at 128 KiB (runtime::returnFreedMemory).

It works since the threshold no longer moves once it is set.

--- a/rosemarylane/src/common/ProcessStart.cpp
+++ b/rosemarylane/src/common/ProcessStart.cpp
@@ -2,6 +2,7 @@
 
 #include "common/CommandLine.h"
 #include "http/ConnectionShares.h"
+#include "runtime/FreedMemory.h"
 #include "store/EtcdKeyValue.h"
 #include "telemetry/Log.h"
 
@@ -85,6 +86,7 @@
   telemetry::startLog(
       {nameOf(Kind), Config.Host.str(), Config.FailureDomain.str()},
       telemetry::parseLevel(Config.LogLevel));
+  runtime::returnFreedMemory();
   auto Context = std::make_unique<ProcessContext>();
   Context->Config = std::move(Config);
   Context->Incarnation = wallClockMilliseconds();
--- a/rosemarylane/src/node/NodeRuntime.cpp
+++ b/rosemarylane/src/node/NodeRuntime.cpp
@@ -1,6 +1,7 @@
 #include "node/NodeRuntime.h"
 
 #include "common/CommandLine.h"
+#include "runtime/FreedMemory.h"
 #include "telemetry/Log.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -96,6 +97,7 @@
     return core::failure(ExitCode::Invalid);
   }
   std::signal(SIGPIPE, SIG_IGN);
+  runtime::returnFreedMemory();
   telemetry::startLog(
       {nameOf(Kind), Parsed->Host.str(), Parsed->FailureDomain.str()},
       telemetry::parseLevel(Parsed->LogLevel),
