Unread answers are bounded in the sockets of every HTTP door

What was seen: clients that send many requests at once and read no answer made the machine hold up to 4 MiB of answers for each connection, also at the doors of peers, entries and agents.

Cause: only callers' connections of a gateway had bounded buffers.

It works since the buffers no longer grow with what is sent.

--- a/libs/http/include/http/ConnectionLimit.h
+++ b/libs/http/include/http/ConnectionLimit.h
@@ -7,11 +7,6 @@
 
 namespace rosemarylane::http {
 
-/// What the system keeps for a connection in each direction, at about twice
-/// this, of bytes that are sent and not taken yet. Connections get it from the
-/// socket that accepts them.
-inline constexpr int SocketBufferBytes = 32 << 10;
-
 /// Bounds the open connections of one listening address.
 ///
 /// A new connection over the limit takes the place of the one that has waited
--- a/libs/http/include/http/LimitedParser.h
+++ b/libs/http/include/http/LimitedParser.h
@@ -55,7 +55,8 @@
       Error = boost::beast::http::error::header_limit;
       return;
     }
-    // The message has been taken for what its head says: a trailer adds nothing.
+    // The message has been taken for what its head says: a trailer adds
+    // nothing.
     if (!this->is_header_done())
       this->get().insert(Name, NameText, Value);
   }
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -3,6 +3,7 @@
 #include "Address.h"
 #include "RunOnDuty.h"
 #include "ServerConnection.h"
+#include "http/SocketBuffers.h"
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -33,6 +34,8 @@
     Acceptor.open(Address.protocol(), Error);
     if (!Error)
       Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
+    if (!Error)
+      Error = limitSocketBuffers(Acceptor);
     if (!Error)
       Acceptor.bind(Address, Error);
     if (!Error)
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -2,6 +2,7 @@
 #include "gateway/CallerConnection.h"
 #include "gateway/FleetCounts.h"
 #include "gateway/GatewayContext.h"
+#include "http/SocketBuffers.h"
 #include "node/HttpClient.h"
 #include "node/NodeRuntime.h"
 #include "node/PeerServer.h"
@@ -261,13 +262,7 @@
   if (!ErrorCode)
     Acceptor.set_option(Tcp::acceptor::reuse_address(true), ErrorCode);
   if (!ErrorCode)
-    Acceptor.set_option(
-        asio::socket_base::send_buffer_size(http::SocketBufferBytes),
-        ErrorCode);
-  if (!ErrorCode)
-    Acceptor.set_option(
-        asio::socket_base::receive_buffer_size(http::SocketBufferBytes),
-        ErrorCode);
+    ErrorCode = http::limitSocketBuffers(Acceptor);
   if (!ErrorCode)
     Acceptor.bind(*Endpoint, ErrorCode);
   if (!ErrorCode)
--- a/rosemarylane/src/node/PeerServer.cpp
+++ b/rosemarylane/src/node/PeerServer.cpp
@@ -2,6 +2,7 @@
 
 #include "http/ConnectionLimit.h"
 #include "http/LimitedParser.h"
+#include "http/SocketBuffers.h"
 #include "node/Sockets.h"
 #include "swarm/TokenBucket.h"
 #include "telemetry/Log.h"
@@ -173,6 +174,8 @@
     S->Acceptor.open(Tcp::v4(), Failed);
     if (!Failed)
       S->Acceptor.set_option(Tcp::acceptor::reuse_address(true), Failed);
+    if (!Failed)
+      Failed = http::limitSocketBuffers(S->Acceptor);
     if (!Failed)
       S->Acceptor.bind(*Endpoint, Failed);
     if (!Failed)
--- a/rosemarylane/tests/process/EndlessClients.cpp
+++ b/rosemarylane/tests/process/EndlessClients.cpp
@@ -89,6 +89,13 @@
   return Result;
 }
 
+std::string pipelined(const std::string &Path, std::size_t Times) {
+  std::string Result;
+  for (std::size_t I = 0; I < Times; ++I)
+    Result += "GET " + Path + " HTTP/1.1\r\nHost: h\r\n\r\n";
+  return Result;
+}
+
 EndlessClients::EndlessClients(const std::string &Address, std::size_t Count,
                                int ReceiveBuffer) {
   std::size_t Colon = Address.find(':');
--- a/rosemarylane/tests/process/EndlessClients.h
+++ b/rosemarylane/tests/process/EndlessClients.h
@@ -32,6 +32,10 @@
 /// the body, and behind a request.
 const std::vector<EndlessRequest> &endlessRequests();
 
+/// @return \p Times whole requests for \p Path, to be sent without a wait for
+/// their answers.
+std::string pipelined(const std::string &Path, std::size_t Times);
+
 /// What all clients of one test may send, and for how long; whichever ends
 /// first.
 struct EndlessBounds {
--- a/rosemarylane/tests/process/EndlessClientsTest.cpp
+++ b/rosemarylane/tests/process/EndlessClientsTest.cpp
@@ -66,6 +66,11 @@
 /// As many of them send at the same time.
 constexpr std::size_t LargeBodiesAtOnce = 4;
 
+/// Clients that send many requests at once and read no answer.
+constexpr std::size_t PipeliningClients = 200;
+constexpr std::size_t PipelinedRequests = 2000;
+constexpr int SmallReceiveBuffer = 4096;
+
 /// A fleet whose processes may open few descriptors.
 struct LowDescriptorsFixture {
   LowDescriptorsFixture() {
@@ -162,6 +167,20 @@
   Fleet::await("orders are served", 10s, [&] { return serves(); });
 }
 
+BOOST_AUTO_TEST_CASE(answers_that_nobody_reads_fit_the_host) {
+  for (auto *Host : {F.entries().front(), F.agents().front()}) {
+    std::size_t SocketsBefore = socketMemoryKiB();
+    EndlessClients Clients(Host->Http, PipeliningClients, SmallReceiveBuffer);
+    Clients.sendOnce(pipelined("/metrics", PipelinedRequests), 5s);
+    std::size_t Peak = settledMemoryKiB(*Host->Process);
+    std::size_t InSockets = socketMemoryKiB() - SocketsBefore;
+    BOOST_TEST_MESSAGE(Host->Name << ": at most " << Peak << " KiB, and "
+                                  << InSockets << " KiB in sockets");
+    BOOST_TEST(Peak + InSockets < MaxMemoryKiB);
+    BOOST_TEST(serves());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(agent_keeps_no_more_than_its_limit) {
   auto *Agent = F.agents().front();
   sendAll(*Agent->Process, Agent->Http, head("/healthz"));
