--- a/libs/http/include/http/SharedBody.h
+++ b/libs/http/include/http/SharedBody.h
@@ -21,12 +21,12 @@
     return Body ? Body->size() : 0;
   }
 
-  class writer {
+  class Writer {
   public:
     using const_buffers_type = boost::asio::const_buffer;
 
     template <bool IsRequest, class Fields>
-    writer(const boost::beast::http::header<IsRequest, Fields> &,
+    Writer(const boost::beast::http::header<IsRequest, Fields> &,
            const value_type &Body)
         : Body(Body) {}
 
@@ -44,6 +44,8 @@
   private:
     const value_type &Body;
   };
+  /// As Beast calls it.
+  using writer = Writer;
 };
 
 } // namespace rosemarylane::http
