--- a/rosemarylane/src/node/HttpClient.cpp
+++ b/rosemarylane/src/node/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include "http/LimitedParser.h"
 #include "node/Sockets.h"
+#include "node/TransferCounts.h"
 #include "telemetry/Log.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -129,6 +130,7 @@
   asio::io_context &Loop;
   std::map<std::string, std::vector<IdleConnection>> Idle;
   core::BootTime LastEviction{};
+  TransferCounts Counts{"calls"};
 
   std::unique_ptr<beast::tcp_stream> takeIdle(const std::string &Address) {
     auto Found = Idle.find(Address);
@@ -168,12 +170,32 @@
 };
 
 HttpClient::HttpClient(asio::io_context &Loop)
-    : S(std::make_unique<State>(State{Loop, {}, {}})) {}
+    : S(std::make_unique<State>(State{.Loop = Loop})) {}
 
 HttpClient::~HttpClient() = default;
 
 asio::awaitable<core::Result<http::Response, http::Error>>
 HttpClient::exchange(std::string Address, Call Spec) {
+  std::string_view Kind = Spec.Kind;
+  std::size_t BodyBytes = 0;
+  Spec.OnBodyEnd = [&BodyBytes, Next = std::move(Spec.OnBodyEnd)](
+                       const BodyTransfer &Body) {
+    BodyBytes = Body.Bytes;
+    if (Next)
+      Next(Body);
+  };
+  S->Counts.sent(Kind, Spec.Request.Body.size(), core::BootClock::now());
+  auto Answer = co_await exchangeUncounted(std::move(Address), std::move(Spec));
+  core::BootTime Now = core::BootClock::now();
+  if (Answer)
+    S->Counts.received(Kind, BodyBytes, TransferCounts::Place::Unknown, Now);
+  else
+    S->Counts.failed(Kind, BodyBytes, Now);
+  co_return Answer;
+}
+
+asio::awaitable<core::Result<http::Response, http::Error>>
+HttpClient::exchangeUncounted(std::string Address, Call Spec) {
   using http::Error;
   auto Endpoint = parseEndpoint(Address);
   if (!Endpoint)
--- a/rosemarylane/src/node/HttpClient.h
+++ b/rosemarylane/src/node/HttpClient.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace rosemarylane {
 
@@ -34,6 +35,8 @@
   };
 
   struct Call {
+    /// What the call is for; see `TransferCounts`.
+    std::string_view Kind = "other";
     http::Request Request;
     /// Includes connecting.
     std::chrono::milliseconds Timeout{1000};
@@ -70,6 +73,9 @@
   exchange(std::string Address, Call Spec);
 
 private:
+  boost::asio::awaitable<core::Result<http::Response, http::Error>>
+  exchangeUncounted(std::string Address, Call Spec);
+
   struct State;
   std::unique_ptr<State> S;
 };
--- a/rosemarylane/src/node/PeerSocket.cpp
+++ b/rosemarylane/src/node/PeerSocket.cpp
@@ -1,5 +1,6 @@
 #include "node/PeerSocket.h"
 
+#include "node/TransferCounts.h"
 #include "telemetry/Log.h"
 
 #include <array>
@@ -15,6 +16,27 @@
 /// then usually dropped, without a log line, because it cannot be parsed.
 /// Senders do not check the size.
 constexpr std::size_t MaxReceivedBytes = 16 << 10;
+
+/// @return the name of the body of \p Message, for the log.
+std::string_view kindOf(const wire::NodeMessage &Message) {
+  switch (Message.body_case()) {
+  case wire::NodeMessage::kAsk:
+    return "ask";
+  case wire::NodeMessage::kReply:
+    return "reply";
+  case wire::NodeMessage::kTarget:
+    return "target report";
+  case wire::NodeMessage::kHoldings:
+    return "holdings";
+  case wire::NodeMessage::kCrashEvidence:
+    return "crash evidence";
+  case wire::NodeMessage::kNamedLimit:
+    return "named limit";
+  case wire::NodeMessage::BODY_NOT_SET:
+    break;
+  }
+  return "unknown";
+}
 } // namespace
 
 struct PeerSocket::State : std::enable_shared_from_this<PeerSocket::State> {
@@ -38,6 +60,12 @@
     wire::NodeMessage Message;
     if (!Message.ParseFromArray(Bytes.data(), static_cast<int>(Size)))
       return;
+    bool SameDomain =
+        Message.sender().failure_domain() == Self.failure_domain();
+    Counts.received(kindOf(Message), Size,
+                    SameDomain ? TransferCounts::Place::OwnDomain
+                               : TransferCounts::Place::OtherDomain,
+                    core::BootClock::now());
     OnMessage(Message, From.address().to_string());
   }
 
@@ -46,6 +74,7 @@
   MessageHook OnMessage;
   wire::Node Self;
   bool StoreLost = false;
+  TransferCounts Counts{"datagrams"};
   Udp::endpoint From;
   std::array<char, MaxReceivedBytes> Bytes{};
 };
@@ -91,6 +120,7 @@
   *Message.mutable_sender() = S->Self;
   Message.mutable_sender()->set_store_lost(S->StoreLost);
   std::string Bytes = Message.SerializeAsString();
+  S->Counts.sent(kindOf(Message), Bytes.size(), core::BootClock::now());
   // Errors are ignored. If the buffer is full or the peer is unreachable, the
   // datagram is lost; receivers have to cope with that anyway, because the
   // network may lose datagrams too.
--- a/rosemarylane/src/node/SectionFetch.cpp
+++ b/rosemarylane/src/node/SectionFetch.cpp
@@ -69,6 +69,8 @@
 fetchSection(HttpClient &Client, Section Which, std::string Address,
              std::string Source, bool Compressed) {
   HttpClient::Call Call;
+  Call.Kind = Which == Section::Operators ? "operators from a peer"
+                                          : "registry from a peer";
   Call.Request.Method = "GET";
   Call.Request.Target = pathOf(Which);
   if (Compressed)
@@ -79,7 +81,7 @@
   Call.OnBodyEnd = transferLog(Which, Source, Sent);
   auto Answer = co_await Client.exchange(std::move(Address), std::move(Call));
   if (!Answer)
-    logFailedRead(Which, Source, Answer.error());
+    logFailedRead(Which, Source, Answer.error(), Sent);
   if (!Answer || Answer->Head.Status != 200)
     co_return std::nullopt;
   co_return decodeSection(Answer->Body, Sent);
--- a/rosemarylane/src/node/SectionLog.cpp
+++ b/rosemarylane/src/node/SectionLog.cpp
@@ -45,10 +45,13 @@
 }
 
 void logFailedRead(Section Which, const std::string &Source,
-                   const http::Error &Error) {
+                   const http::Error &Error, BootTime Sent) {
+  auto SinceSent =
+      std::chrono::duration_cast<milliseconds>(BootClock::now() - Sent);
   telemetry::log(telemetry::Level::Warning, "section not read",
                  {{"section", std::string(nameOf(Which))},
                   {"source", Source},
+                  {"ms", std::int64_t(SinceSent.count())},
                   {"error", Error.Detail}});
 }
 
--- a/rosemarylane/src/node/SectionLog.h
+++ b/rosemarylane/src/node/SectionLog.h
@@ -25,8 +25,9 @@
 std::function<void(const HttpClient::BodyTransfer &)>
 transferLog(platform::Section Which, std::string Source, core::BootTime Sent);
 
+/// @param Sent when the read began.
 void logFailedRead(platform::Section Which, const std::string &Source,
-                   const http::Error &Error);
+                   const http::Error &Error, core::BootTime Sent);
 
 /// Logs that the store has come back from an older copy.
 /// @param Retained items that this process keeps although the store does not
--- a/rosemarylane/src/node/StoreReader.cpp
+++ b/rosemarylane/src/node/StoreReader.cpp
@@ -66,13 +66,15 @@
   BootTime Sent = BootClock::now();
   for (;;) {
     HttpClient::Call Call;
+    Call.Kind = Which == Section::Operators ? "operators from the store"
+                                            : "registry from the store";
     Call.Request = platform::pageRequest(Which, After);
     Call.Timeout = StoreTimeout;
     Call.BodyTimeout = SectionBodyTimeout;
     Call.OnBodyEnd = transferLog(Which, "store", Sent);
     auto Answer = co_await exchange(std::move(Call));
     if (!Answer) {
-      logFailedRead(Which, "store", Answer.error());
+      logFailedRead(Which, "store", Answer.error(), Sent);
       co_return std::nullopt;
     }
     auto Page = platform::decodePage(Which, *Answer);
@@ -110,6 +112,7 @@
   if (Keys.empty())
     co_return std::nullopt;
   HttpClient::Call Call;
+  Call.Kind = "confirmation from the store";
   Call.Request = platform::confirmRequest(Keys, Known.items());
   Call.Timeout = StoreTimeout;
   Call.MaxBodyBytes = MaxNoticeBytes;
@@ -132,6 +135,7 @@
 asio::awaitable<bool>
 StoreReader::watchOperators(serving::StorePosition After) {
   HttpClient::Call Call;
+  Call.Kind = "watch of the store";
   Call.Request =
       platform::watchRequest(Section::Operators, After.Revision, WatchDuration);
   Call.Timeout = WatchTimeout;
--- a/rosemarylane/src/sidecar/ChunkFetcher.cpp
+++ b/rosemarylane/src/sidecar/ChunkFetcher.cpp
@@ -51,6 +51,18 @@
   return std::min(milliseconds(Age), OriginUnreachablePeriod);
 }
 
+/// @return the name of a fetch, for the log.
+std::string_view kindOf(ChunkFetch::Source From) {
+  switch (From) {
+  case ChunkFetch::Source::Origin:
+    return "chunk from the origin";
+  case ChunkFetch::Source::DomainPeer:
+    return "chunk from the own failure domain";
+  default:
+    return "chunk through a reader";
+  }
+}
+
 /// @return the role in which a peer is asked for a chunk; see `chunkPath`.
 const char *roleOf(ChunkFetch::Source From) {
   switch (From) {
@@ -125,6 +137,7 @@
         std::chrono::duration_cast<milliseconds>(Planning.RequestTimeout);
     Call.MaxBodyBytes = MaxChunkBytes;
     std::string Address = OriginAddress;
+    Call.Kind = kindOf(Fetch.From);
     if (Fetch.From == ChunkFetch::Source::Origin) {
       Call.Request =
           platform::chunkRequest(Manifest.Model, Manifest.Version, Fetch.Chunk);
--- a/rosemarylane/src/sidecar/ManifestClient.cpp
+++ b/rosemarylane/src/sidecar/ManifestClient.cpp
@@ -53,6 +53,7 @@
 ManifestClient::fetchFrom(std::string Address, std::uint64_t Version) {
   bool FromOrigin = Address == Served.originAddress();
   HttpClient::Call Call = manifestCall(Version, FromOrigin);
+  Call.Kind = FromOrigin ? "manifest from the origin" : "manifest from a peer";
   auto Reply = co_await Calls.exchange(Address, std::move(Call));
   if (!Reply) {
     logFailure(Version, Address, Reply.error().Detail);
--- a/rosemarylane/src/sidecar/TargetWatch.cpp
+++ b/rosemarylane/src/sidecar/TargetWatch.cpp
@@ -80,6 +80,7 @@
 
   asio::awaitable<void> readState() {
     HttpClient::Call Call;
+    Call.Kind = "state of the own target";
     Call.Request = platform::stateRequest();
     Call.Timeout = ReadTimeout;
     Call.MaxBodyBytes = MaxStateBytes;
