Replies list members only where asked for, compactly; only who has read a change announces it

Cause: a process that copied a change announced it to all of its failure domain, each of which asked back, and each of these replies listed all processes that its sender knew, in some 45 bytes each: processes cubed for one change. Links of targets carry 0.9 MB/s, shared with their reports.

Now an ask says whether it wants the list: those to the reader of the domain and to a random peer do, announcements and probes don't. Whoever copies a change announces nothing, since the reader has told all.

--- a/rosemarylane/src/node/HttpClient.cpp
+++ b/rosemarylane/src/node/HttpClient.cpp
@@ -178,12 +178,12 @@
 HttpClient::exchange(std::string Address, Call Spec) {
   std::string_view Kind = Spec.Kind;
   std::size_t BodyBytes = 0;
-  Spec.OnBodyEnd = [&BodyBytes, Next = std::move(Spec.OnBodyEnd)](
-                       const BodyTransfer &Body) {
-    BodyBytes = Body.Bytes;
-    if (Next)
-      Next(Body);
-  };
+  Spec.OnBodyEnd =
+      [&BodyBytes, Next = std::move(Spec.OnBodyEnd)](const BodyTransfer &Body) {
+        BodyBytes = Body.Bytes;
+        if (Next)
+          Next(Body);
+      };
   S->Counts.sent(Kind, Spec.Request.Body.size(), core::BootClock::now());
   auto Answer = co_await exchangeUncounted(std::move(Address), std::move(Spec));
   core::BootTime Now = core::BootClock::now();
--- a/rosemarylane/src/node/PeerQueries.cpp
+++ b/rosemarylane/src/node/PeerQueries.cpp
@@ -1,5 +1,6 @@
 #include "node/PeerQueries.h"
 
+#include "node/MemberList.h"
 #include "node/SectionMessages.h"
 #include "platform/Records.h"
 #include "serving/ReadSchedule.h"
@@ -30,13 +31,12 @@
 
 } // namespace
 
-/// @param AnnouncesChange whether this process's copy has changed; makes the
-/// receiver send a query of its own, by which it learns of the change.
-void PeerQueries::query(const std::string &Ip, bool AnnouncesChange,
-                        BootTime Now) {
+void PeerQueries::query(const std::string &Ip, wire::MemberList Members,
+                        BootTime Now, bool AnnouncesChange) {
   wire::NodeMessage Message;
   wire::Ask *Ask = Message.mutable_ask();
   Ask->set_number(++LastNumber);
+  Ask->set_members(Members);
   Ask->set_changed(AnnouncesChange);
   toWire(Copies.Operators.summary(Now), *Ask->mutable_operators());
   toWire(Copies.Registry.summary(Now), *Ask->mutable_registry());
@@ -56,7 +56,7 @@
   Schedule.queryStarted(Now);
   std::vector<serving::Peer> Order = Peers.storeReaderOrder(Now);
   if (Rank > 0)
-    query(Order.front().Ip, /*AnnouncesChange=*/false, Now);
+    query(Order.front().Ip, wire::MEMBER_LIST_COMPACT, Now);
   bool Stale =
       !Staleness || *Staleness >= serving::ReadSchedule::TakeoverStaleness;
   if (!Stale)
@@ -64,7 +64,7 @@
   std::vector<serving::Peer> Others = Peers.live(Now);
   std::shuffle(Others.begin(), Others.end(), Random);
   for (std::size_t I = 0; I < std::min(ExtraPeersQueried, Others.size()); ++I)
-    query(Others[I].Ip, /*AnnouncesChange=*/false, Now);
+    query(Others[I].Ip, wire::MEMBER_LIST_NONE, Now);
 }
 
 void PeerQueries::queryMembersIfDue(BootTime Now) {
@@ -75,17 +75,17 @@
     return;
   std::uniform_int_distribution<std::size_t> Index(0, Live.size() - 1);
   Schedule.membersQueried(Now);
-  query(Live[Index(Random)].Ip, /*AnnouncesChange=*/false, Now);
+  query(Live[Index(Random)].Ip, wire::MEMBER_LIST_COMPACT, Now);
 }
 
 void PeerQueries::announceChange(BootTime Now) {
   for (const serving::Peer &Other : Peers.live(Now))
     if (Other.FailureDomain == Settings.FailureDomain)
-      query(Other.Ip, /*AnnouncesChange=*/true, Now);
+      query(Other.Ip, wire::MEMBER_LIST_NONE, Now, /*AnnouncesChange=*/true);
 }
 
 void PeerQueries::queryAfterAnnouncement(const std::string &Ip, BootTime Now) {
-  query(Ip, /*AnnouncesChange=*/false, Now);
+  query(Ip, wire::MEMBER_LIST_NONE, Now);
 }
 
 /// Queries all hosts that are a seed, have a target or have a peer in the
@@ -102,7 +102,7 @@
     Hosts.insert(Ip);
   for (const std::string &Ip : Hosts) {
     if (Ip != Settings.Ip && !heardRecently(Ip, Now))
-      query(Ip, /*AnnouncesChange=*/false, Now);
+      query(Ip, wire::MEMBER_LIST_NONE, Now);
   }
 }
 
@@ -125,12 +125,7 @@
   toWire(Copies.Registry.summary(Now), *Reply->mutable_registry());
   Reply->set_reading(Reading);
   Reply->set_compresses(true);
-  for (const auto &[Known, Entry] : Peers.entries()) {
-    wire::Node *Member = Reply->add_members();
-    *Member = peerToWire(Entry.Details);
-    auto Silence = std::chrono::ceil<milliseconds>(Now - Entry.LastHeard);
-    Member->set_silent_ms(static_cast<std::uint32_t>(Silence.count()));
-  }
+  listMembers(Peers, Query.members(), Now, *Reply);
   Socket.send(Ip, std::move(Message));
 }
 
--- a/rosemarylane/src/node/PeerQueries.h
+++ b/rosemarylane/src/node/PeerQueries.h
@@ -46,7 +46,8 @@
   /// Queries known hosts that have been silent for some time, if that is due.
   void probeIfDue(core::BootTime Now);
 
-  /// Announces a change to all live peers of this failure domain.
+  /// Announces a change that this process has read to all live peers of its
+  /// failure domain.
   void announceChange(core::BootTime Now);
 
   /// Replies to a query.
@@ -65,7 +66,10 @@
   void endLateQueries(core::BootTime Now);
 
 private:
-  void query(const std::string &Ip, bool AnnouncesChange, core::BootTime Now);
+  /// @param AnnouncesChange whether this process's copy has changed; makes the
+  /// receiver send a query of its own, by which it learns of the change.
+  void query(const std::string &Ip, wire::MemberList Members,
+             core::BootTime Now, bool AnnouncesChange = false);
   void queryPeers(std::size_t Rank,
                   std::optional<std::chrono::milliseconds> Staleness,
                   core::BootTime Now);
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -1,5 +1,6 @@
 #include "node/StoreFollower.h"
 
+#include "node/MemberList.h"
 #include "node/PeerQueries.h"
 #include "node/RegistryChange.h"
 #include "node/SectionCopies.h"
@@ -33,6 +34,8 @@
 
 constexpr milliseconds TickPeriod{100};
 constexpr milliseconds WatchRetryDelay{500};
+/// Source of a section that this process has read itself.
+const std::string StoreSource = "store";
 /// Minimum time between two log lines about refused reads of one section.
 constexpr milliseconds RefusalLogPeriod{10'000};
 
@@ -247,7 +250,7 @@
     auto Read = co_await Reader.read(Which);
     if (!Read)
       co_return false;
-    adopt(Which, std::move(*Read), "store");
+    adopt(Which, std::move(*Read), StoreSource);
     co_return true;
   }
 
@@ -275,11 +278,14 @@
                    BootTime Now) {
     if (Reply.reading() && From.FailureDomain == Settings.FailureDomain)
       OperatorsReads.Schedule.peerReading(Now);
-    for (const wire::Node &Member : Reply.members())
-      Peers.recordContact(peerFromWire(Member),
-                          milliseconds(Member.silent_ms()), Now);
-    Peers.recordMemberList();
-    Queries.membersReceived(Now);
+    std::vector<ListedMember> Members = listedMembers(Reply);
+    for (const ListedMember &Member : Members)
+      Peers.recordContact(Member.Details, Member.Silence, Now);
+    // Whoever replies knows at least this process.
+    if (!Members.empty()) {
+      Peers.recordMemberList();
+      Queries.membersReceived(Now);
+    }
     std::optional<BootTime> Sent = Queries.endQuery(Reply.number());
     if (!Sent)
       return;
@@ -331,8 +337,8 @@
   // --- Changes
 
   /// Replaces the copy of a section, unless \p Read is older, and announces the
-  /// change.
-  /// @param Source `store`, or the IP address of the peer; for the log.
+  /// change if it was read from the store.
+  /// @param Source `StoreSource`, or the IP address of the peer.
   void adopt(Section Which, SectionRead Read, const std::string &Source) {
     SectionCopy &Copy = Copies.of(Which);
     BootTime Now = BootClock::now();
@@ -359,10 +365,14 @@
     if (Which == Section::Registry) {
       registryChanged(Source);
     } else {
+    bool FromStore = Source == StoreSource;
       Server.dropCompressed();
       operatorsChanged(Change->CountdownStart);
     }
-    Queries.announceChange(Now);
+    // Whoever copies it from this process has been told by it, like all others
+    // of the failure domain.
+    if (FromStore)
+      Queries.announceChange(Now);
   }
 
   /// Logs if the era of a section has risen since it was at \p Before.
