Reads of the store by one failure domain are bounded, however many processes it has

Cause: a process without a copy read both sections at once and again each 0.5 s, whatever its rank; from a staleness of 2.2 s on all ranks read; a confirmation that got no answer was followed by a read of the whole section. Reads that were given up had crossed the link all the same: 620 to 650 given up in each 2 s, to the end.

--- a/rosemarylane/src/node/PeerQueries.cpp
+++ b/rosemarylane/src/node/PeerQueries.cpp
@@ -91,7 +91,10 @@
 /// Queries all hosts that are a seed, have a target or have a peer in the
 /// table, except those from which a message has come recently.
 void PeerQueries::probeIfDue(BootTime Now) {
-  if (Now - LastProbe < ProbePeriod)
+  // The registry names the first hosts that a process learns of.
+  bool HasHosts = !Copies.Registry.section().items().empty();
+  bool HostsNamed = !RegistryProbed && HasHosts;
+  if (Now - LastProbe < ProbePeriod && !HostsNamed)
     return;
   LastProbe = Now;
   std::set<std::string> Hosts(Settings.Seeds.begin(), Settings.Seeds.end());
@@ -99,6 +102,7 @@
        platform::decodeRegistry(Copies.Registry.items()).Targets)
     Hosts.insert(Target.Address.substr(0, Target.Address.find(':')));
   for (const auto &[Ip, Entry] : Peers.entries())
+  RegistryProbed = HasHosts;
     Hosts.insert(Ip);
   for (const std::string &Ip : Hosts) {
     if (Ip != Settings.Ip && !heardRecently(Ip, Now))
--- a/rosemarylane/src/node/PeerQueries.h
+++ b/rosemarylane/src/node/PeerQueries.h
@@ -88,5 +88,7 @@
 };
 
 } // namespace rosemarylane
+  /// The hosts in the registry have been queried.
+  bool RegistryProbed = false;
 
 #endif // ROSEMARYLANE_NODE_PEER_QUERIES_H
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -36,6 +36,10 @@
 constexpr milliseconds WatchRetryDelay{500};
 /// Source of a section that this process has read itself.
 const std::string StoreSource = "store";
+/// Time that a process without a copy leaves peers to answer.
+constexpr milliseconds DiscoveryTime{300};
+/// Time after which a process that knows no host of a peer acts alone.
+constexpr milliseconds MaxHostWait{3000};
 /// Minimum time between two log lines about refused reads of one section.
 constexpr milliseconds RefusalLogPeriod{10'000};
 
@@ -89,6 +93,9 @@
   std::set<std::string> PeersAtConfirmation;
   SectionReads OperatorsReads;
   SectionReads RegistryReads;
+  BootTime StartedAt = BootClock::now();
+  /// When hosts on which peers run were first known.
+  std::optional<BootTime> HostsKnownAt;
   bool Watching = false;
   bool StoreReachable = true;
   /// The sections that are being fetched from a peer.
@@ -161,10 +168,24 @@
   void startReadIfDue(Section Which, std::size_t Rank, BootTime Now) {
     const SectionReads &Reads = readsOf(Which);
     auto Staleness = Copies.of(Which).section().staleness(Now);
+    if (Which == Section::Operators && !Staleness && !peersSought(Now))
+      return;
     if (!Reads.InProgress && Reads.Schedule.readDue(Rank, Staleness, Now))
       startRead(Which, Now);
   }
 
+  /// @return whether peers have had the time to answer since this process first
+  /// knew where they run, from its settings or the registry. Before, it can't
+  /// know that another process of its failure domain reads the large section.
+  bool peersSought(BootTime Now) {
+    bool HostsKnown = !Settings.Seeds.empty() ||
+                      !Copies.Registry.section().items().empty() ||
+                      Now - StartedAt >= MaxHostWait;
+    if (!HostsKnownAt && HostsKnown)
+      HostsKnownAt = Now;
+    return HostsKnownAt && Now - *HostsKnownAt >= DiscoveryTime;
+  }
+
   void startRead(Section Which, BootTime Now) {
     readsOf(Which).InProgress = true;
     readsOf(Which).Schedule.readStarted(Now);
@@ -238,12 +259,15 @@
   /// @return whether the store answered with what it holds.
   asio::awaitable<bool> read(Section Which) {
     if (Which == Section::Operators) {
-      auto Unchanged =
+      using Answered = StoreReader::Confirmation::Answer;
+      auto Confirmed =
           co_await Reader.confirmOperators(Copies.Operators.section());
+      if (Confirmed.Result == Answered::None)
+        co_return false;
       // A peer's copy may have replaced the section during the request.
-      bool Counts =
-          Unchanged && Copies.Operators.confirm(Unchanged->Asked, Unchanged->At,
-                                                Unchanged->ReadSentAt);
+      bool Counts = Confirmed.Result == Answered::Unchanged &&
+                    Copies.Operators.confirm(Confirmed.Asked, Confirmed.At,
+                                             Confirmed.ReadSentAt);
       if (Counts)
         co_return true;
     }
@@ -341,6 +365,7 @@
   /// @param Source `StoreSource`, or the IP address of the peer.
   void adopt(Section Which, SectionRead Read, const std::string &Source) {
     SectionCopy &Copy = Copies.of(Which);
+    bool FromStore = Source == StoreSource;
     BootTime Now = BootClock::now();
     std::size_t RetainedBefore = Copy.retainedCount();
     serving::StorePosition Before = Copy.section().at();
@@ -365,7 +390,6 @@
     if (Which == Section::Registry) {
       registryChanged(Source);
     } else {
-    bool FromStore = Source == StoreSource;
       Server.dropCompressed();
       operatorsChanged(Change->CountdownStart);
     }
@@ -425,6 +449,8 @@
                      PeerSocket &Socket, Hooks Callbacks) {
   auto S = std::make_shared<State>(Loop, Settings, Role, Client, Socket,
                                    std::move(Callbacks));
+  for (SectionReads *Reads : {&S->OperatorsReads, &S->RegistryReads})
+    Reads->Schedule.begin(S->StartedAt);
   S->tick();
   S->scheduleTick();
   return std::unique_ptr<StoreFollower>(new StoreFollower(std::move(S)));
--- a/rosemarylane/src/node/StoreReader.cpp
+++ b/rosemarylane/src/node/StoreReader.cpp
@@ -100,17 +100,19 @@
   co_return Result;
 }
 
-asio::awaitable<std::optional<StoreReader::Confirmation>>
+asio::awaitable<StoreReader::Confirmation>
 StoreReader::confirmOperators(const StoreSection &Known) {
+  using Answered = Confirmation::Answer;
   std::optional<StoreSection::Question> Asked = Known.question();
-  if (!Asked)
-    co_return std::nullopt;
+  // A refusal is larger than the read of a section that may still be empty.
+  if (!Asked || Known.items().empty())
+    co_return Confirmation{.Result = Answered::ReadAgain};
   std::vector<core::FailureDomainId> Domains;
   for (const auto &[Domain, Region] : Settings.RegionOf)
     Domains.push_back(Domain);
   auto Keys = platform::operatorKeys(Known.items(), Domains);
   if (Keys.empty())
-    co_return std::nullopt;
+    co_return Confirmation{.Result = Answered::ReadAgain};
   HttpClient::Call Call;
   Call.Kind = "confirmation from the store";
   Call.Request = platform::confirmRequest(Keys, Known.items());
@@ -118,18 +120,23 @@
   Call.MaxBodyBytes = MaxNoticeBytes;
   BootTime Sent = BootClock::now();
   auto Answer = co_await exchange(std::move(Call));
-  if (!Answer)
-    co_return std::nullopt;
+  // A refusal holds the items as they are now, which may be over the limit.
+  if (!Answer && Answer.error().What == http::Error::Kind::Malformed)
+    co_return Confirmation{.Result = Answered::ReadAgain};
+  if (!Answer) {
+    logFailedRead(Section::Operators, "store", Answer.error(), Sent);
+    co_return Confirmation{};
+  }
   auto Confirmed = platform::decodeConfirmation(*Answer);
   if (!Confirmed) {
     logWarning("cannot decode the store's confirmation of the operators "
                "section",
                Confirmed.error().text());
-    co_return std::nullopt;
+    co_return Confirmation{};
   }
   if (!Confirmed->Unchanged)
-    co_return std::nullopt;
-  co_return Confirmation{*Asked, Confirmed->At, Sent};
+    co_return Confirmation{.Result = Answered::ReadAgain};
+  co_return Confirmation{Answered::Unchanged, *Asked, Confirmed->At, Sent};
 }
 
 asio::awaitable<bool>
--- a/rosemarylane/src/node/StoreReader.h
+++ b/rosemarylane/src/node/StoreReader.h
@@ -31,8 +31,19 @@
   boost::asio::awaitable<std::optional<SectionRead>>
   read(platform::Section Which);
 
-  /// That the items of the operators section were unchanged.
+  /// The store's answer to whether the items of the operators section are
+  /// unchanged.
   struct Confirmation {
+    enum class Answer {
+      Unchanged,
+      /// An item has changed, or the copy is not one that can be confirmed.
+      ReadAgain,
+      /// The store gave no answer, or an error. Says nothing of the section,
+      /// and a larger request is no better answered.
+      None,
+    };
+    Answer Result = Answer::None;
+    /// The following are set if `Unchanged`.
     serving::StoreSection::Question Asked;
     serving::StorePosition At;
     /// When the confirming read was sent.
@@ -41,8 +52,7 @@
 
   /// Asks whether \p Known is still what the store holds. The answer is to be
   /// passed to `serving::SectionCopy::confirm`.
-  /// @return nothing if an item has changed, or this is not known.
-  boost::asio::awaitable<std::optional<Confirmation>>
+  boost::asio::awaitable<Confirmation>
   confirmOperators(const serving::StoreSection &Known);
 
   /// Waits for a change of the operators section after a store position.
