News of a process reaches all others within the time for which it counts as live

Requests were sent to targets of other failure domains by load reports 1.6 to 1.9 s old in the median, most of them older than the 1.5 s for which a report holds: such a target looks idle, and gets what others have no room for.

Cause: a sidecar reports to gateways that count as live, heard of within 2 s. Of other domains it hears by lists that passed several processes, each asked at random once in a second.

--- a/libs/serving/include/serving/PeerQuerySchedule.h
+++ b/libs/serving/include/serving/PeerQuerySchedule.h
@@ -14,6 +14,8 @@
 /// and for the members that they know.
 ///
 /// A message makes its sender known, but only a reply lists the other members.
+/// Which of them are live is learnt in two steps: each process queries the one
+/// that reads the store for its failure domain, and these query each other.
 /// So a process that needs no section still has to query now and then, or it
 /// knows only those that query it.
 /// Value type without a clock of its own; not thread-safe.
@@ -26,6 +28,14 @@
   void queryStarted(core::BootTime Now) { LastQuery = Now; }
   void membersQueried(core::BootTime Now) { LastMemberQuery = Now; }
   void membersReceived(core::BootTime Now) { LastMemberList = Now; }
+  void domainsQueried(core::BootTime Now) { LastDomainsQuery = Now; }
+
+  /// @return whether the process that its failure domain queries is to query
+  /// those of the other domains. News of a process reaches the others by three
+  /// queries at most: its own, this one, and that of who learns of it.
+  bool domainsQueryDue(core::BootTime Now) const {
+    return !LastDomainsQuery || Now - *LastDomainsQuery >= Period;
+  }
 
   /// @return whether to ask some peer for the members that it knows.
   bool memberQueryDue(core::BootTime Now) const {
@@ -52,6 +62,7 @@
   std::optional<core::BootTime> LastQuery;
   std::optional<core::BootTime> LastMemberQuery;
   std::optional<core::BootTime> LastMemberList;
+  std::optional<core::BootTime> LastDomainsQuery;
 };
 
 } // namespace rosemarylane::serving
--- a/libs/serving/include/serving/PeerTable.h
+++ b/libs/serving/include/serving/PeerTable.h
@@ -100,6 +100,11 @@
   /// rendezvous hashing.
   std::vector<Peer> storeReaderOrder(core::BootTime Now) const;
 
+  /// @return the first of each other failure domain in the order in which its
+  /// processes read the store: whoever hears all others of its domain. Of a
+  /// domain without live processes, the first of those known.
+  std::vector<Peer> readersElsewhere(core::BootTime Now) const;
+
   /// @return the position of this process in `storeReaderOrder`.
   std::size_t storeReaderRank(core::BootTime Now) const;
 
--- a/libs/serving/src/PeerTable.cpp
+++ b/libs/serving/src/PeerTable.cpp
@@ -6,6 +6,26 @@
 
 namespace rosemarylane::serving {
 
+namespace {
+
+/// Sorts processes of one failure domain into the order in which they take over
+/// reading the store.
+std::vector<Peer> inReaderOrder(const core::FailureDomainId &Domain,
+                                std::vector<Peer> Members) {
+  Members =
+      core::rendezvousRank(Domain.str(), std::move(Members), [](const Peer &P) {
+        return std::string_view(P.Ip);
+      });
+  std::stable_partition(Members.begin(), Members.end(), [](const Peer &P) {
+    return P.Role == PeerRole::Gateway;
+  });
+  std::stable_partition(Members.begin(), Members.end(),
+                        [](const Peer &P) { return !P.StoreLost; });
+  return Members;
+}
+
+} // namespace
+
 void PeerTable::recordContact(const Peer &Details,
                               std::chrono::milliseconds SinceContact,
                               core::BootTime Now) {
@@ -80,15 +100,28 @@
   for (const Peer &Other : live(Now))
     if (Other.FailureDomain == LocalPeer.FailureDomain)
       Members.push_back(Other);
-  Members = core::rendezvousRank(
-      LocalPeer.FailureDomain.str(), std::move(Members),
-      [](const Peer &P) { return std::string_view(P.Ip); });
-  std::stable_partition(Members.begin(), Members.end(), [](const Peer &P) {
-    return P.Role == PeerRole::Gateway;
-  });
-  std::stable_partition(Members.begin(), Members.end(),
-                        [](const Peer &P) { return !P.StoreLost; });
-  return Members;
+  return inReaderOrder(LocalPeer.FailureDomain, std::move(Members));
+}
+
+std::vector<Peer> PeerTable::readersElsewhere(core::BootTime Now) const {
+  struct Members {
+    std::vector<Peer> Live;
+    std::vector<Peer> Silent;
+  };
+  std::map<core::FailureDomainId, Members> Domains;
+  for (const auto &[Ip, E] : Known) {
+    if (E.Details.FailureDomain == LocalPeer.FailureDomain)
+      continue;
+    Members &Of = Domains[E.Details.FailureDomain];
+    bool IsLive = Now - E.LastHeard <= LivenessTimeout;
+    (IsLive ? Of.Live : Of.Silent).push_back(E.Details);
+  }
+  std::vector<Peer> Result;
+  for (auto &[Domain, Of] : Domains) {
+    std::vector<Peer> &From = Of.Live.empty() ? Of.Silent : Of.Live;
+    Result.push_back(inReaderOrder(Domain, std::move(From)).front());
+  }
+  return Result;
 }
 
 std::size_t PeerTable::storeReaderRank(core::BootTime Now) const {
--- a/libs/serving/tests/PeerDiscoveryTest.cpp
+++ b/libs/serving/tests/PeerDiscoveryTest.cpp
@@ -73,6 +73,15 @@
     return Fewest;
   }
 
+  /// @return the number of live peers that the process counts which sees
+  /// fewest.
+  std::size_t fewestLive() const {
+    std::size_t Fewest = Processes.size();
+    for (const auto &[Ip, P] : Processes)
+      Fewest = std::min(Fewest, P.Table.live(Now).size());
+    return Fewest;
+  }
+
   /// @return the replies that the busiest process sent in the last run.
   std::size_t mostReplies() const {
     std::size_t Most = 0;
@@ -102,13 +111,18 @@
     std::size_t Rank = P.Table.storeReaderRank(Now);
     if (Rank > 0 && P.Schedule.queryDue(Rank, Staleness, Now)) {
       P.Schedule.queryStarted(Now);
-      query(P, P.Table.storeReaderOrder(Now).front().Ip);
+      query(P, P.Table.storeReaderOrder(Now).front().Ip, /*Lists=*/true);
+    }
+    if (Rank == 0 && P.Schedule.domainsQueryDue(Now)) {
+      P.Schedule.domainsQueried(Now);
+      for (const Peer &Reader : P.Table.readersElsewhere(Now))
+        query(P, Reader.Ip, /*Lists=*/true);
     }
     std::vector<Peer> Live = P.Table.live(Now);
     if (!Live.empty() && P.Schedule.memberQueryDue(Now)) {
       std::uniform_int_distribution<std::size_t> Index(0, Live.size() - 1);
       P.Schedule.membersQueried(Now);
-      query(P, Live[Index(Random)].Ip);
+      query(P, Live[Index(Random)].Ip, /*Lists=*/true);
     }
     if (Now - P.LastProbe >= ProbePeriod)
       probe(P);
@@ -128,17 +142,20 @@
       bool Silent = Known == P.Table.entries().end() ||
                     Now - Known->second.LastHeard >= ProbeSilence;
       if (Ip != P.Table.self().Ip && Silent)
-        query(P, Ip);
+        query(P, Ip, /*Lists=*/false);
     }
   }
 
-  void query(Process &From, const std::string &Ip) {
+  /// @param Lists whether the reply lists the processes that its sender knows.
+  void query(Process &From, const std::string &Ip, bool Lists) {
     Process &To = Processes.at(Ip);
     if (Now < To.StartsAt)
       return;
     To.Table.recordContact(From.Table.self(), milliseconds(0), Now);
     ++To.Replies;
     From.Table.recordContact(To.Table.self(), milliseconds(0), Now);
+    if (!Lists)
+      return;
     for (const auto &[Known, Entry] : To.Table.entries())
       From.Table.recordContact(
           Entry.Details, std::chrono::ceil<milliseconds>(Now - Entry.LastHeard),
@@ -179,6 +196,21 @@
   BOOST_TEST(Passed);
 }
 
+// Guards against sidecars that send no reports to gateways of other failure
+// domains, because it is long ago that they have heard of them.
+BOOST_AUTO_TEST_CASE(processes_of_a_large_fleet_always_count_as_live) {
+  constexpr int Gateways = 148;
+  constexpr int Sidecars = 90;
+  Fleet F(Gateways, Sidecars, 5, 1);
+  F.run(seconds(5));
+  std::size_t Fewest = Gateways + Sidecars;
+  for (int I = 0; I < 50; ++I) {
+    F.run(Tick);
+    Fewest = std::min(Fewest, F.fewestLive());
+  }
+  BOOST_TEST(Fewest == Gateways + Sidecars - 1U);
+}
+
 // What is asked besides must not grow with the fleet.
 BOOST_AUTO_TEST_CASE(large_fleet_restarted_at_once_finds_itself) {
   Fleet F(148, 90, 5, 1);
--- a/rosemarylane/src/node/PeerQueries.cpp
+++ b/rosemarylane/src/node/PeerQueries.cpp
@@ -67,7 +67,12 @@
     query(Others[I].Ip, wire::MEMBER_LIST_NONE, Now);
 }
 
-void PeerQueries::queryMembersIfDue(BootTime Now) {
+void PeerQueries::queryMembersIfDue(std::size_t Rank, BootTime Now) {
+  if (Rank == 0 && Schedule.domainsQueryDue(Now)) {
+    Schedule.domainsQueried(Now);
+    for (const serving::Peer &Reader : Peers.readersElsewhere(Now))
+      query(Reader.Ip, wire::MEMBER_LIST_COMPACT, Now);
+  }
   if (!Schedule.memberQueryDue(Now))
     return;
   std::vector<serving::Peer> Live = Peers.live(Now);
@@ -97,12 +102,12 @@
   if (Now - LastProbe < ProbePeriod && !HostsNamed)
     return;
   LastProbe = Now;
+  RegistryProbed = HasHosts;
   std::set<std::string> Hosts(Settings.Seeds.begin(), Settings.Seeds.end());
   for (const auto &Target :
        platform::decodeRegistry(Copies.Registry.items()).Targets)
     Hosts.insert(Target.Address.substr(0, Target.Address.find(':')));
   for (const auto &[Ip, Entry] : Peers.entries())
-  RegistryProbed = HasHosts;
     Hosts.insert(Ip);
   for (const std::string &Ip : Hosts) {
     if (Ip != Settings.Ip && !heardRecently(Ip, Now))
--- a/rosemarylane/src/node/PeerQueries.h
+++ b/rosemarylane/src/node/PeerQueries.h
@@ -37,8 +37,11 @@
   /// @param Rank position of this process in `PeerTable::storeReaderOrder`.
   void queryIfDue(std::size_t Rank, core::BootTime Now);
 
-  /// Queries a random live peer, if the last list of members has become old.
-  void queryMembersIfDue(core::BootTime Now);
+  /// Queries the readers of the other failure domains, each of which hears all
+  /// processes of its own, if this process is the one that its domain asks.
+  /// Queries a random live peer if the last list of members has become old.
+  /// @param Rank as in `queryIfDue`.
+  void queryMembersIfDue(std::size_t Rank, core::BootTime Now);
 
   /// Records that a reply listed the members that its sender knows.
   void membersReceived(core::BootTime Now) { Schedule.membersReceived(Now); }
@@ -85,10 +88,10 @@
   std::map<std::uint64_t, core::BootTime> SentAt;
   std::uint64_t LastNumber = 0;
   core::BootTime LastProbe{};
+  /// The hosts in the registry have been queried.
+  bool RegistryProbed = false;
 };
 
 } // namespace rosemarylane
-  /// The hosts in the registry have been queried.
-  bool RegistryProbed = false;
 
 #endif // ROSEMARYLANE_NODE_PEER_QUERIES_H
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -137,7 +137,7 @@
         Copies.Operators.section().known())
       startWatch();
     Queries.queryIfDue(Rank, Now);
-    Queries.queryMembersIfDue(Now);
+    Queries.queryMembersIfDue(Rank, Now);
     Queries.probeIfDue(Now);
   }
 
