An answer without a length is whole only if its request was written

A server answered an upload of 3 MB at once with a 200 without a length, sent 300 bytes and reset the connection: the caller got that part as a whole answer (MIXED).

Cause: a socket reports a reset once. Where the write of the request took it, the read that followed gave what had arrived and a plain end of file, which ends an answer without a length. TargetSend writes large bodies beside the read and dropped the error.

The rule stands in one place, http::isWholeAtConnectionEnd, for the two readers that take an answer while they write: gateways (TargetSend) and entries and agents (ClientConnection). HttpClient, which reads the store, peers, manifests and chunks, reads only after the whole request was written.

--- a/libs/http/src/ClientConnection.cpp
+++ b/libs/http/src/ClientConnection.cpp
@@ -1,5 +1,7 @@
 #include "ClientConnection.h"
 
+#include "http/ConnectionEnd.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/error.hpp>
@@ -248,6 +250,9 @@
 
 /// An answer without length or chunks ends with its connection.
 void ClientConnection::finishAtEnd() {
+  if (!isWholeAtConnectionEnd(Written == Output.size()))
+    return fail(Error::Kind::Interrupted,
+                "the connection ended within the request");
   error_code Error;
   Incoming->put_eof(Error);
   if (Error)
--- a/libs/http/tests/ExchangeTest.cpp
+++ b/libs/http/tests/ExchangeTest.cpp
@@ -127,6 +127,19 @@
   }
 }
 
+// Guards against a part of an answer that is taken as whole: the write of the
+// request takes the reset, and the read sees a plain end (MIXED).
+BOOST_AUTO_TEST_CASE(answer_reset_during_the_upload_is_not_whole) {
+  constexpr std::size_t Calls = 10;
+  // It closes with most of the body unread, which resets the connection.
+  RawServer Raw(std::vector<std::string>(Calls, "HTTP/1.1 200 OK\r\n\r\npart"));
+  for (std::size_t I = 0; I < Calls; ++I) {
+    Address = Raw.address();
+    auto Answer = fetch({"POST", "/", {}, std::string(3 << 20, 'u')});
+    BOOST_TEST(!Answer);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(chunked_stream_comes_whole_and_in_order) {
   serve([](auto X) {
     X->startStream({200, {{"Content-Type", "text/event-stream"}}});
--- a/rosemarylane/src/gateway/TargetSend.cpp
+++ b/rosemarylane/src/gateway/TargetSend.cpp
@@ -1,5 +1,6 @@
 #include "gateway/TargetSend.h"
 
+#include "http/ConnectionEnd.h"
 #include "node/Sockets.h"
 #include "telemetry/Log.h"
 
@@ -317,11 +318,8 @@
   Part.clear();
   while (Part.empty()) {
     if (!Wire->HasRead) {
-      if (Wire->Response->is_done()) {
-        IsComplete = true;
-        ConnectionLost = endsWithConnection();
-        co_return Result::End;
-      }
+      if (Wire->Response->is_done())
+        co_return endOfAnswer();
       if (Cancelled)
         co_return Result::Broken;
       if (Paused)
@@ -343,6 +341,16 @@
   co_return Result::Data;
 }
 
+TargetSend::Result TargetSend::endOfAnswer() {
+  ConnectionLost = endsWithConnection();
+  bool IsWhole = !endsWithConnection() ||
+                 http::isWholeAtConnectionEnd(Outgoing->IsWritten);
+  if (!IsWhole)
+    return Result::Broken;
+  IsComplete = true;
+  return Result::End;
+}
+
 bool TargetSend::pause() {
   if (!MayPause || Cancelled)
     return false;
--- a/rosemarylane/src/gateway/TargetSend.h
+++ b/rosemarylane/src/gateway/TargetSend.h
@@ -40,7 +40,8 @@
     End,
     /// No byte was sent.
     NotSent,
-    /// The connection failed; or a late response to an earlier request on the
+    /// The connection failed; or it ended an answer without a length before the
+    /// request was written; or a late response to an earlier request on the
     /// same connection came first and could not be skipped; or too many bytes
     /// came before the response; or its status is none; or the response reports
     /// success without the
@@ -151,6 +152,8 @@
   boost::asio::awaitable<bool> discardBody();
   boost::asio::awaitable<Result> readPart(Clock::time_point Deadline,
                                           std::chrono::milliseconds Timeout);
+  /// @return the result once the response has ended.
+  Result endOfAnswer();
   Result resultOf(boost::system::error_code ErrorCode);
   /// Logs and counts a head whose status is none.
   void recordNoAnswer();
--- a/rosemarylane/src/node/HttpClient.cpp
+++ b/rosemarylane/src/node/HttpClient.cpp
@@ -228,6 +228,8 @@
     beast::flat_buffer Buffer(MaxUnparsedBytes);
     std::optional<BodyParser> Parser;
     std::size_t ResponseBytes = 0;
+    // Read only once the request is written, as `http::isWholeAtConnectionEnd`
+    // asks of whoever takes an answer without a length.
     if (!Failed)
       Failed = co_await readHead(*Stream, Buffer, Parser, Spec.MaxBodyBytes,
                                  ResponseBytes);
