A gateway that lost the store for a moment asks it again within seconds

All gateways outside the store's region had failed to read it once, at second 25, and counted as cut off; the pause before their next try had grown with their rank to 10 s and more. So sidecars came first in the reader order, and all others copied the registry over 7.3 Mbit/s links on which weights travelled.

A process that has lost the store now asks it every 3 s for a confirmation, which is small at any rank. With stale data it asks gateways only, and beyond rank 2 only those of its domain.

--- a/libs/serving/include/serving/ReadSchedule.h
+++ b/libs/serving/include/serving/ReadSchedule.h
@@ -41,7 +41,8 @@
   /// further rank adds to it.
   static constexpr std::chrono::milliseconds FailureBackoff{500};
   /// Interval at which a process whose last read failed tries again, even while
-  /// others read; longer for ranks whose pause is longer.
+  /// others read; longer for ranks whose pause is longer. Also that at which it
+  /// asks the store something small instead.
   static constexpr std::chrono::milliseconds RetryPeriod{3000};
   /// How long a peer's message that it is reading holds off a takeover: two
   /// times `PeerQuerySchedule::Period`, as queries are answered by such
--- a/rosemarylane/src/node/PeerQueries.cpp
+++ b/rosemarylane/src/node/PeerQueries.cpp
@@ -19,9 +19,11 @@
 
 /// Replies that arrive later than this are not compared any more.
 constexpr milliseconds MaxReplyTime{2000};
-/// Random live peers that are queried in addition to the reader when the data
-/// of this process is stale.
+/// Random live gateways that are queried in addition to the reader when the
+/// data of this process is stale.
 constexpr std::size_t ExtraPeersQueried = 2;
+/// Ranks of the reader order that query such peers in other failure domains.
+constexpr std::size_t RanksAskingElsewhere = 3;
 /// Interval between queries to known hosts that have not been heard from.
 constexpr milliseconds ProbePeriod{1000};
 /// Hosts whose last message is more recent than this are not queried as silent
@@ -61,12 +63,26 @@
       !Staleness || *Staleness >= serving::ReadSchedule::TakeoverStaleness;
   if (!Stale)
     return;
-  std::vector<serving::Peer> Others = Peers.live(Now);
+  std::vector<serving::Peer> Others = gatewaysToAsk(Rank, Now);
   std::shuffle(Others.begin(), Others.end(), Random);
   for (std::size_t I = 0; I < std::min(ExtraPeersQueried, Others.size()); ++I)
     query(Others[I].Ip, wire::MEMBER_LIST_NONE, Now);
 }
 
+/// @return the live gateways that a process with stale data may ask besides the
+/// reader. Sidecars are left out, since a section is large for their links.
+/// Only the first in order ask in other domains, for all of their own.
+std::vector<serving::Peer> PeerQueries::gatewaysToAsk(std::size_t Rank,
+                                                      BootTime Now) const {
+  std::vector<serving::Peer> Result = Peers.live(Now);
+  std::erase_if(Result, [&](const serving::Peer &Other) {
+    bool OwnDomain = Other.FailureDomain == Settings.FailureDomain;
+    return Other.Role != serving::PeerRole::Gateway ||
+           (!OwnDomain && Rank >= RanksAskingElsewhere);
+  });
+  return Result;
+}
+
 void PeerQueries::queryMembersIfDue(std::size_t Rank, BootTime Now) {
   if (Rank == 0 && Schedule.domainsQueryDue(Now)) {
     Schedule.domainsQueried(Now);
--- a/rosemarylane/src/node/PeerQueries.h
+++ b/rosemarylane/src/node/PeerQueries.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace rosemarylane {
 
@@ -76,6 +77,8 @@
   void queryPeers(std::size_t Rank,
                   std::optional<std::chrono::milliseconds> Staleness,
                   core::BootTime Now);
+  std::vector<serving::Peer> gatewaysToAsk(std::size_t Rank,
+                                           core::BootTime Now) const;
   bool heardRecently(const std::string &Ip, core::BootTime Now) const;
 
   const NodeSettings &Settings;
--- a/rosemarylane/src/node/StoreFollower.cpp
+++ b/rosemarylane/src/node/StoreFollower.cpp
@@ -98,6 +98,9 @@
   std::optional<BootTime> HostsKnownAt;
   bool Watching = false;
   bool StoreReachable = true;
+  /// The store is being asked whether it answers, and when it was asked last.
+  bool Probing = false;
+  BootTime ProbedAt{};
   /// The sections that are being fetched from a peer.
   std::set<Section> Fetching;
 
@@ -136,6 +139,7 @@
     if (Rank == 0 && !Watching && !OperatorsReads.InProgress &&
         Copies.Operators.section().known())
       startWatch();
+    probeStoreIfDue(Now);
     Queries.queryIfDue(Rank, Now);
     Queries.queryMembersIfDue(Rank, Now);
     Queries.probeIfDue(Now);
@@ -213,6 +217,43 @@
       startRead(Which, BootClock::now());
   }
 
+  /// Asks the store something small while it counts as lost. Whoever counts as
+  /// lost comes last in the reader order, so that otherwise one short cut
+  /// leaves the domain's reads to sidecars, whose links are thin, for many
+  /// seconds.
+  void probeStoreIfDue(BootTime Now) {
+    const StoreSection &Known = Copies.Operators.section();
+    bool CanAsk = Known.question() && !Known.items().empty();
+    bool Due = Now - ProbedAt >= serving::ReadSchedule::RetryPeriod;
+    if (StoreReachable || Probing || !CanAsk || !Due)
+      return;
+    Probing = true;
+    ProbedAt = Now;
+    asio::co_spawn(
+        Loop,
+        [Self = shared_from_this()]() -> asio::awaitable<void> {
+          co_await Self->probeStore();
+          Self->Probing = false;
+        },
+        asio::detached);
+  }
+
+  asio::awaitable<void> probeStore() {
+    using Answered = StoreReader::Confirmation::Answer;
+    auto Confirmed =
+        co_await Reader.confirmOperators(Copies.Operators.section());
+    if (Confirmed.Result == Answered::None)
+      co_return;
+    if (Confirmed.Result == Answered::Unchanged)
+      Copies.Operators.confirm(Confirmed.Asked, Confirmed.At,
+                               Confirmed.ReadSentAt);
+    for (SectionReads *Reads : {&OperatorsReads, &RegistryReads}) {
+      Reads->LastFailed = false;
+      Reads->Schedule.readFinished(true);
+    }
+    setStoreReachable(true);
+  }
+
   /// Watches the operators section to learn of changes without delay. A
   /// notification is only a hint: it triggers a read and does not confirm the
   /// local copy.
