--- a/review/kit2/fleet.py
+++ b/review/kit2/fleet.py
@@ -266,6 +266,7 @@
 def main(folder, case):
     """Runs case(record) -> list of breaches, and exits as the issue asks."""
     record = Record(folder)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # Ends the processes on the way out.
     try:
         broken = case(record)
     except CannotRun as why:
