--- a/review/kit2/fleet.py
+++ b/review/kit2/fleet.py
@@ -202,12 +202,12 @@
         if not os.path.exists(os.path.join(ROOT, PROGRAM)):
             raise CannotRun(PROGRAM + " is not built")
 
-    def settings(self, name, ip, zone="nbo-a", seeds=(), target=None):
+    def settings(self, name, ip, zone="nbo-a", seeds=(), target=None, descriptors=4100):
         values = {
             "host": name, "ip": ip, "peer_port": self.peer, "failure_domain": zone,
             "region": "nairobi" if zone == "nbo-a" else "rift",
             "failure_domains": {"nbo-a": "nairobi", "nku-a": "rift"},
-            "store": self.store, "seeds": list(seeds), "descriptors": 4100,
+            "store": self.store, "seeds": list(seeds), "descriptors": descriptors,
             "link_mbit_per_s": 1000.0, "target_heartbeat_ms": 1200, "promises": dict(BOUNDS),
         }
         if target:
