--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,7 +1,7 @@
-"""All model servers send bytes without end where the events of a stream are due.
+"""Another writer leaves one odd entry among those of the servers.
 
-One gateway, ten model servers, a store and clients. The gateway's memory is
-read from the system and compared with that of its machine. See claim.txt.
+One gateway, a store, a service whose only server is replaced by a new one, and
+a client that places orders. See claim.txt.
 """
 
 import os
@@ -14,122 +14,139 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "kit2"))
 from fleet import CannotRun, Fleet, Handler, Store, TROUBLE, address, is_ready, main, serve, wait_for  # noqa: E402
 
-GATEWAY = "127.70.0.1"
-MACHINE_MB = 112             # The smallest `edge` machine of smpw-render-grown.
-DESCRIPTORS = 2870           # Of that machine.
-SERVERS, SLOTS = 10, 12      # Slots as drafting-models of that site has them.
-CLIENTS = 150
-MODEL = "daka510000"
-PIECE, PAUSE_S = b"x" * 16384, 0.005
-
-
-class Door(Handler):
-    running = 0
-    ran = 0
-    lock = threading.Lock()
-
-    def do_POST(self):
-        self.body()
-        fields = ("Attempt-Id: %s\r\nServer-Signature: s\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
-                  % self.headers.get("Attempt-Id", ""))
-        with Door.lock:
-            Door.running += 1
-            Door.ran += 1
-        try:
-            self.wfile.write(("HTTP/1.1 200 OK\r\n" + fields + "\r\n").encode())
-            time.sleep(1)
-            if TROUBLE:
-                while True:  # Until the caller closes.
-                    self.wfile.write(PIECE)
-                    time.sleep(PAUSE_S)
-            for event in range(1, 22):
-                self.wfile.write(b"id: %d\ndata: some tokens\n\n" % event)
-                time.sleep(0.05)
-        except OSError:
-            pass
-        finally:
-            with Door.lock:
-                Door.running -= 1
-            self.close_connection = True
+GATEWAY = "127.71.0.1"
+DRAIN_TIMEOUT_S = 2.0     # `drain-timeout-ms`
+LINGER_S = 8.0            # How long the old server goes on after that.
+CALM_S = 4.0              # Over `connectivity-ms` since the odd entry and the start.
+ODD_KEY = "servers/a note of the night shift"
+ODD_BYTES = 1 << 20       # `max-value-bytes`
+
+
+class Server:
+    def __init__(self, record, identity, ip):
+        self.identity, self.record, self.left = identity, record, False
+        self.runs = []  # (id, when it came)
+        server = self
+
+        class Door(Handler):
+            def do_POST(self):
+                self.body()
+                attempt = self.headers.get("Attempt-Id", "")
+                if self.headers.get("Expected-Instance") != server.identity:
+                    return self.answer(421, b"", [("Attempt-Id", attempt), ("Not-Executed", "1")])
+                server.runs.append((attempt, time.monotonic()))
+                record(server.identity, "runs", attempt)
+                time.sleep(0.03)
+                self.answer(200, b"done", [("Attempt-Id", attempt), ("Server-Signature", "s")])
+
+        self.server = serve(ip, Door)
+        self.address = address(self.server)
+        self.born = int(time.time() * 1000)
+
+    def entry(self, state, beat):
+        return {"service": "desk", "address": self.address, "zone": "nbo-a", "version": "v1", "max-concurrency": 6,
+                "state": state, "warmup-remaining-ms": 0, "sequence": beat, "born": self.born}
+
+    def leave(self):
+        self.server.shutdown()
+        self.server.server_close()
 
 
 def configuration():
     return {
         "version": 1,
-        "routes": [{"name": "facade", "host": "a.example", "prefix": "/facade/", "kind": "streaming",
-                    "service": "drafting", "timeout-ms": 6000, "target-latency-ms": 500, "max-attempts": 2,
-                    "priority": 0, "stream-resumption": True, "target-gap-ms": 400, "session-affinity": True}],
-        "services": [{"name": "drafting", "health-path": "/health", "connection-limit": 969, "inference-engine": {
-            "layers": 16, "chunks": 96, "chunk-bytes": 24576, "models": [{"name": MODEL}]}}],
+        "routes": [{"name": "orders", "host": "a.example", "prefix": "/orders/", "kind": "non_idempotent",
+                    "service": "desk", "timeout-ms": 1200, "target-latency-ms": 150, "max-attempts": 1,
+                    "priority": 1}],
+        "services": [{"name": "desk", "health-path": "/health", "connection-limit": 110}],
         "limits": {"max-header-bytes": 8192, "max-body-bytes": 65536, "header-timeout-ms": 5000,
                    "idle-timeout-ms": 10000},
         "tenants": [{"name": "bozi", "api-keys": ["k1"], "priority": 1}],
     }
 
 
-def client(record, port, number):
-    identity, status, size = "attempt-%d" % number, "no answer", 0
+def order(record, port, number, sent):
+    identity, status = "attempt-%d" % number, "no answer"
     try:
-        with socket.create_connection((GATEWAY, port), 2) as link:
-            link.settimeout(8)
-            link.sendall(("POST /facade/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nKey: k1\r\nModel: %s\r\n"
-                          "Token-Usage: 1000,100\r\nPrompt-Prefix: 5c1e07a2:40,%x:960\r\nDeadline-Remaining: 6000\r\n"
-                          "Connection: close\r\nContent-Length: 2\r\n\r\n{}" % (identity, MODEL, number)).encode())
-            data = link.recv(65536)
-            while data:
-                if size == 0:
-                    status = data.split(b" ")[1].decode()
-                size += len(data)
-                data = link.recv(65536)
-    except (OSError, IndexError) as why:
+        with socket.create_connection((GATEWAY, port), 1) as link:
+            link.settimeout(3)
+            sent[identity] = time.monotonic()
+            link.sendall(("POST /orders/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nKey: k1\r\n"
+                          "Deadline-Remaining: 2500\r\nConnection: close\r\nContent-Length: 2\r\n\r\n{}"
+                          % identity).encode())
+            data = link.recv(4096)
+            status = data.split(b" ")[1].decode() if data else status
+    except OSError as why:
         status += " (%s)" % why
-    record("ended", identity, status, size, "bytes")
-
-
-def memory_mb(process):
-    """@return the most that the process has had in memory."""
-    with open("/proc/%d/status" % process.pid) as file:
-        for line in file:
-            if line.startswith("VmHWM"):
-                return int(line.split()[1]) / 1024
-    raise CannotRun("no memory figure")
+    record("answered", identity, status)
+    return status
 
 
 def case(record):
-    store = Store("127.70.0.4")
+    store = Store("127.71.0.4")
     fleet = Fleet(record, store.address, [GATEWAY])
     store.put("op/config", configuration())
-    for number in range(SERVERS):
-        store.put("servers/i-%d" % number, {
-            "service": "drafting", "address": address(serve("127.70.0.%d" % (10 + number), Door)), "zone": "nbo-a",
-            "version": "v1", "max-concurrency": SLOTS, "state": "ready", "warmup-remaining-ms": 0, "sequence": 1,
-            "born": int(time.time() * 1000), "models": [{"name": MODEL, "version": 1, "adapters": []}]})
+    old, new = Server(record, "i-1", "127.71.0.10"), Server(record, "i-2", "127.71.0.11")
+    states = {old: "ready"}
+    stop = threading.Event()
+
+    def beat():
+        count = 0
+        while not stop.is_set():
+            count += 1
+            for server, state in list(states.items()):
+                store.put("servers/" + server.identity, server.entry(state, count))
+            time.sleep(1.2)
+
+    threading.Thread(target=beat, daemon=True).start()
+    sent, statuses = {}, {}
+
+    def client():
+        number = 0
+        while not stop.is_set():
+            number += 1
+            status = order(record, fleet.callers, number, sent)
+            if acknowledged and time.monotonic() > gone:
+                statuses[status] = statuses.get(status, 0) + 1
+            time.sleep(0.05)
+
+    acknowledged, gone = 0.0, 0.0
     try:
-        fleet.settings("edge-1", GATEWAY, descriptors=DESCRIPTORS)
-        gateway = fleet.start("gateway", "edge-1")
+        fleet.settings("edge-1", GATEWAY)
+        fleet.start("gateway", "edge-1")
         wait_for("the gateway is ready", lambda: is_ready(GATEWAY, fleet.readiness), 15)
+        threading.Thread(target=client, daemon=True).start()
+        wait_for("orders are served", lambda: len(old.runs) > 10, 15)
+        if TROUBLE:
+            store.put(ODD_KEY, b"\xff" * ODD_BYTES)
+            record("another writer's entry is there:", ODD_KEY)
+        time.sleep(CALM_S)
+        states[new] = "ready"
         time.sleep(2)
-        record("memory before: %.1f MB" % memory_mb(gateway))
-        clients = [threading.Thread(target=client, args=(record, fleet.callers, n), daemon=True)
-                   for n in range(CLIENTS)]
-        for one in clients:
-            one.start()
-        most = 0.0
-        until = time.monotonic() + 20
-        while time.monotonic() < until and any(one.is_alive() for one in clients):
-            time.sleep(0.25)
-            if gateway.poll() is not None:
-                return ["the gateway has ended: %d" % gateway.returncode]
-            most = memory_mb(gateway)
-            record("memory at most %.1f MB, %d requests at servers" % (most, Door.running))
+        states[old] = "draining"
+        store.put("servers/i-1", old.entry("draining", 0))
+        acknowledged = time.monotonic()
+        gone = acknowledged + DRAIN_TIMEOUT_S + LINGER_S
+        record("the store has acknowledged that i-1 is draining")
+        time.sleep(gone - time.monotonic())
+        old.leave()
+        states.pop(old)
+        store.remove("servers/i-1")
+        record("i-1 has left")
+        time.sleep(5)
+        stop.set()
+        time.sleep(0.5)
     finally:
+        stop.set()
         fleet.end()
-    if Door.ran < SERVERS * SLOTS:
-        raise CannotRun("only %d requests came to servers" % Door.ran)
-    record("memory at most %.1f MB of %d" % (most, MACHINE_MB))
-    if most <= MACHINE_MB:
+    late = [a for a, at in old.runs if at > acknowledged + DRAIN_TIMEOUT_S]
+    after = [a for a in late if sent.get(a, 0) > acknowledged + DRAIN_TIMEOUT_S]
+    record("orders that reached i-1 too late:", len(late), "of them sent later too:", len(after))
+    record("i-2 ran:", len(new.runs), "answers after i-1 had left:", statuses)
+    if not late:
         return []
-    return ["Fault: the gateway took %.0f MB of memory, its machine has %d" % (most, MACHINE_MB)]
+    return ["DRAIN: %d orders reached i-1 later than %d ms after the acknowledgement that it is draining; i-2 got %d; "
+            "after i-1 had left, answers by status: %s" % (len(late), DRAIN_TIMEOUT_S * 1000, len(new.runs), statuses)]
 
 
 main(FOLDER, case)
--- a/review/kit2/fleet.py
+++ b/review/kit2/fleet.py
@@ -22,6 +22,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PROGRAM = "target/rosemarylane/rosemarylane"
+PAGE_BYTES = 1 << 20  # A page of the store: "at most about 500 items or 1 MB".
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -133,7 +134,12 @@
             if path == "/kv-range":
                 prefix, after = query["prefix"][0], query.get("after", [""])[0]
                 keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
-                items = [self.shown(k, self.items[k]) for k in keys[:self.page_items]]
+                items, size = [], 0
+                for key in keys[:self.page_items]:
+                    if size >= PAGE_BYTES:
+                        break
+                    items.append(self.shown(key, self.items[key]))
+                    size += len(items[-1]["value"])
                 reply = 200, {"items": items, "has-more": len(keys) > len(items), "at": self.at}
             elif path == "/kv-key" and query["key"][0] in self.items:
                 key = query["key"][0]
