A load stays in doubt until somebody who saw it proven says so

A sidecar had ordered a load that it had to prove by reading back, and was killed before it had.

Cause: a sidecar took what was loaded at its first look for proven, and gateways took the registry's list of models for the word of a sidecar. What one process alone knew of a target ended with it.

Change: a load is known by incarnation and number of its order. Sidecars report their verdict on it; gateways keep the last one and give it back to a sidecar that asks, and go on with a target that they know to be whole. A load that began before the first look is in doubt until such a verdict comes or it was read back; it is unloaded only if neither happens within 1 s. Gateways take a target's models from its sidecar alone, and name the version expected while the sidecar is silent. Nothing is staged while an order for the same version may still be accepted.

--- a/libs/serving/include/serving/LoadBalancer.h
+++ b/libs/serving/include/serving/LoadBalancer.h
@@ -136,7 +136,8 @@
   /// Time by which the request must have started, because a newer version than
   /// the target's takes effect shortly afterwards.
   std::optional<core::BootTime> StartDeadline;
-  /// The target must refuse the request if its version has changed.
+  /// The target must refuse the request if its version has changed: a stream
+  /// goes on there, or its agent is silent.
   bool VersionRequired = false;
   /// Load of the target before this request, as a fraction of its slots.
   double Load = 0;
@@ -274,7 +275,8 @@
 
   /// Replaces the registered targets. All state of targets that are no longer
   /// registered, or are registered with another start time or address, is
-  /// dropped, apart from what they have said of themselves.
+  /// dropped, apart from what they have said of themselves. Models that an
+  /// agent has reported go before those that are registered.
   void setRegistered(const std::vector<RegisteredTarget> &Registered,
                      const ServingConfig &Config, core::BootTime Now);
 
@@ -590,6 +592,7 @@
                             const TargetCounts &Of) const;
   void indexAddresses();
   bool hasFreshReport(const Target &T, core::BootTime Now) const;
+  bool isAgentSilent(const Target &T, core::BootTime Now) const;
   double agentSilencePenalty(const Target &T, core::BootTime Now) const;
   double excessResponseMs(const Target &T, core::BootTime Now) const;
   bool finishesBeforeSwitch(const Target &T, const TargetRequirements &Demand,
--- a/libs/serving/include/serving/LoadProof.h
+++ b/libs/serving/include/serving/LoadProof.h
@@ -2,6 +2,7 @@
 #define ROSEMARYLANE_SERVING_LOAD_PROOF_H
 
 #include "core/BootClock.h"
+#include "serving/LoadVerdicts.h"
 
 #include <chrono>
 #include <cstdint>
@@ -20,8 +21,11 @@
 /// target gets no requests until then.
 ///
 /// Pass every state of the target, order, answer and write to it. What is
-/// loaded when the process first sees the target is taken as it is. Value type
-/// without a clock of its own; not thread-safe.
+/// loaded when the process first sees the target is proven only if the target
+/// has begun no order since it started. Otherwise a process that ran here
+/// before ordered it: whoever was told its verdict can pass it on, and until
+/// then the load is read back. Value type without a clock of its own; not
+/// thread-safe.
 class LoadProof {
 public:
   /// A load is not spoilt by a chunk that turned bad at most this long before
@@ -59,6 +63,11 @@
     Failed,
   };
 
+  /// How long others are given to pass on the verdict on a load that this
+  /// process did not see begin, before it is unloaded. A chunk that turned bad
+  /// since the load does not spoil it.
+  static constexpr std::chrono::milliseconds VerdictTime{1000};
+
   /// Readings of one load that may fail before its layers are given up.
   static constexpr int MaxFailedReadBacks = 8;
 
@@ -83,6 +92,24 @@
   /// @param Judged the last state when the reading began.
   void recordReadBack(ReadBack Found, const TargetOrders &Judged);
 
+  /// Takes what another process knows of the load at the first look.
+  /// @return whether it tells of that load, which was in doubt.
+  bool takeVerdict(const LoadVerdict &Given);
+
+  /// @return what is known of the last load; empty if it is not known yet.
+  std::optional<LoadVerdict> verdict() const;
+
+  /// @return whether nothing keeps the target from requests but that its load
+  /// is in doubt, which began before the first look.
+  bool seeksVerdict() const;
+
+  /// @return whether an order to load \p Version has got no answer, and may
+  /// still be accepted. Chunks that are written meanwhile could hide what it
+  /// takes.
+  bool awaitsOrder(std::uint64_t Version) const {
+    return Unanswered && Unanswered->Version == Version;
+  }
+
   /// @return what to do about the weights that the target holds.
   Step step() const;
 
@@ -114,11 +141,19 @@
   };
 
   void startAnew(const TargetOrders &State);
+  void takeStartedWith(const TargetOrders &State);
   Acceptance acceptance(const TargetOrders &State, core::BootTime Now) const;
   void recordBegun(const OpenOrder &Order, core::BootTime Now);
   std::optional<OpenOrder> openOrders() const;
   /// @return whether weights are loaded that are not proven.
   bool inDoubt() const;
+  /// @return whether reading back can't prove what is loaded.
+  bool isUnprovable() const;
+  /// @return whether the load began before the first look.
+  bool beganBefore() const {
+    return Last && EarlierProcessOrders == Last->Accepted &&
+           Held.Number == Last->Accepted;
+  }
 
   std::optional<TargetOrders> Last;
   /// When the call that read the last state began.
@@ -135,6 +170,10 @@
   /// Reading back cannot prove what was accepted last, or has disproved it.
   bool MustUnload = false;
   int FailedReadBacks = 0;
+  /// Another process may still pass on the verdict on the load at the first
+  /// look.
+  bool AwaitsVerdict = false;
+  core::BootTime VerdictUntil{};
   std::optional<core::BootTime> LastWrite;
 };
 
--- a/libs/serving/src/LoadBalancer.cpp
+++ b/libs/serving/src/LoadBalancer.cpp
@@ -35,13 +35,10 @@
         Known->second.Info.Address == Info.Address)
       T = std::move(Known->second);
     bool WarmupChanged = Info.WarmupRemaining != T.Info.WarmupRemaining;
-    bool ModelsChanged = Info.Models != T.Info.Models;
-    std::vector<LoadedModel> AgentModels = T.Info.Models;
+    std::vector<LoadedModel> AgentModels = std::move(T.Info.Models);
     T.Info = Info;
-    // Models that an agent has reported are kept only if the registry lists the
-    // same; otherwise those of the registry replace them.
-    if (T.LoadFromAgent && !ModelsChanged)
-      T.Info.Models = AgentModels;
+    if (T.AgentHeard)
+      T.Info.Models = std::move(AgentModels);
     if (WarmupChanged)
       T.ColdUntil = std::max(T.ColdUntil, Now + Info.WarmupRemaining);
     if (const Service *S = Config.service(Info.Service)) {
@@ -281,10 +278,13 @@
   T.ExcessUpdatedAt = Now;
 }
 
+bool LoadBalancer::isAgentSilent(const Target &T, core::BootTime Now) const {
+  return T.AgentHeard && Now - *T.AgentHeard > Settings.AgentTimeout;
+}
+
 double LoadBalancer::agentSilencePenalty(const Target &T,
                                          core::BootTime Now) const {
-  bool Silent = T.AgentHeard && Now - *T.AgentHeard > Settings.AgentTimeout;
-  return Silent ? Settings.AgentSilencePenalty : 0;
+  return isAgentSilent(T, Now) ? Settings.AgentSilencePenalty : 0;
 }
 
 double LoadBalancer::excessResponseMs(const Target &T,
@@ -526,7 +526,8 @@
   Chosen.StartTimeMs = T.Info.StartTimeMs;
   Chosen.Version = versionOf(T, Demand.Model);
   Chosen.StartDeadline = startDeadline(T, Demand.Model);
-  Chosen.VersionRequired = Demand.ExactVersion != 0;
+  // A silent agent may have ordered a load that it did not live to prove.
+  Chosen.VersionRequired = Demand.ExactVersion != 0 || isAgentSilent(T, Now);
   Chosen.Load = estimatedLoad(T, Now) / T.Info.Slots;
   Chosen.OwnDomain = T.Info.FailureDomain == Settings.OwnDomain;
   if (T.LoadReportedAt)
--- a/libs/serving/src/LoadProof.cpp
+++ b/libs/serving/src/LoadProof.cpp
@@ -11,17 +11,16 @@
   if (!Last) {
     startAnew(State);
     EarlierProcessOrders = State.Accepted;
-    // What is loaded is taken as it is. What is still being loaded cannot be
-    // proven: the process that ran here before may have written chunks since.
-    if (!State.Busy)
-      Held.Whole = State.Loaded;
+    // What is still being loaded cannot be read back: the process that ran
+    // here before may have written chunks since.
     MustUnload = State.Busy;
+    AwaitsVerdict = State.Accepted > 0;
+    VerdictUntil = Now + VerdictTime;
+    takeStartedWith(State);
   } else if (State.StartTimeMs != Last->StartTimeMs) {
     startAnew(State);
     EarlierProcessOrders.reset();
-    // Without any order, the target holds only what it was started with.
-    if (State.Accepted == 0)
-      Held.Whole = State.Loaded;
+    takeStartedWith(State);
   } else if (State.Accepted < Last->Accepted) {
     return; // An earlier state, received once more.
   } else if (State.Accepted > Last->Accepted) {
@@ -34,6 +33,13 @@
   }
   Last = State;
   LastFrom = From;
+  AwaitsVerdict &= Now < VerdictUntil;
+}
+
+/// Without any order, the target holds only what it was started with.
+void LoadProof::takeStartedWith(const TargetOrders &State) {
+  if (State.Accepted == 0)
+    Held.Whole = State.Loaded;
 }
 
 void LoadProof::startAnew(const TargetOrders &State) {
@@ -130,12 +136,46 @@
   return Last && !Last->Busy && Last->Loaded != 0 && Held.Whole != Last->Loaded;
 }
 
+bool LoadProof::isUnprovable() const {
+  // A chunk that was written since may have been bad before.
+  bool WrittenSince = LastWrite && *LastWrite >= Held.From;
+  return MustUnload || WrittenSince;
+}
+
+bool LoadProof::takeVerdict(const LoadVerdict &Given) {
+  bool TellsOfLoad = beganBefore() && Given.StartTimeMs == Last->StartTimeMs &&
+                     Given.Orders == Last->Accepted;
+  if (!TellsOfLoad || Held.Whole == Given.Version)
+    return false;
+  AwaitsVerdict = false;
+  MustUnload = !Given.Whole;
+  Held.Whole.reset();
+  if (Given.Whole)
+    Held.Whole = Given.Version;
+  return true;
+}
+
+std::optional<LoadVerdict> LoadProof::verdict() const {
+  if (!Last || Held.Number != Last->Accepted)
+    return std::nullopt;
+  if (Held.Whole && *Held.Whole != 0)
+    return LoadVerdict{Last->StartTimeMs, Last->Accepted, *Held.Whole, true};
+  // What this process did not see begin, another may know to be whole.
+  if (beganBefore() || Last->Loaded == 0 || !isUnprovable())
+    return std::nullopt;
+  return LoadVerdict{Last->StartTimeMs, Last->Accepted, Last->Loaded, false};
+}
+
+bool LoadProof::seeksVerdict() const {
+  return beganBefore() && inDoubt() && !Sending && !Unanswered && !Announced;
+}
+
 LoadProof::Step LoadProof::step() const {
   if (!inDoubt())
     return Step::None;
-  // A chunk that was written since may have been bad before.
-  bool WrittenSince = LastWrite && *LastWrite >= Held.From;
-  return MustUnload || WrittenSince ? Step::Unload : Step::ReadBack;
+  if (!isUnprovable())
+    return Step::ReadBack;
+  return AwaitsVerdict ? Step::None : Step::Unload;
 }
 
 bool LoadProof::isProven() const {
--- a/libs/serving/tests/LoadProofTest.cpp
+++ b/libs/serving/tests/LoadProofTest.cpp
@@ -9,6 +9,8 @@
 using namespace std::chrono_literals;
 using rosemarylane::core::BootTime;
 using rosemarylane::serving::LoadProof;
+using rosemarylane::serving::LoadVerdict;
+using rosemarylane::serving::LoadVerdicts;
 using rosemarylane::serving::StagedChunks;
 using std::chrono::milliseconds;
 
@@ -95,8 +97,8 @@
   std::vector<Order> OnTheWay;
 };
 
-/// A sidecar that uses the decisions under test, and all that may happen to it
-/// and its target. The clock goes on with each call.
+/// A sidecar that uses the decisions under test, a gateway, and all that may
+/// happen to them and the target. The clock goes on with each call.
 class Simulation {
 public:
   void run(int Steps) {
@@ -119,7 +121,7 @@
 
 private:
   void disturb() {
-    switch (*rc::gen::inRange(0, 12)) {
+    switch (*rc::gen::inRange(0, 13)) {
     case 0:
       Target.Chunks[*rc::gen::inRange<std::size_t>(0, ChunkCount)].BadSince =
           Now;
@@ -136,26 +138,47 @@
         Target.restart(Now);
       break;
     case 4:
-      if (*rc::gen::inRange(0, 4) == 0)
+      if (*rc::gen::inRange(0, 2) == 0)
         restartSidecar();
       break;
     case 5:
       CallTime = milliseconds(*rc::gen::element(1, 20, 150, 600));
       break;
+    case 6:
+      if (*rc::gen::inRange(0, 4) == 0)
+        restartGateway();
+      break;
     default:
       break;
     }
   }
 
-  /// A restarted sidecar takes what is loaded at its first look as it is. Here
-  /// that look comes before a load by an earlier order can have ended.
+  /// What the sidecar alone has known of the target is gone.
   void restartSidecar() {
-    if (Target.servesSpoilt(Now) || Now < Target.SilentUntil)
-      return;
     Proof = LoadProof();
     Staged = StagedChunks();
     ++SidecarStarts;
-    Proof.observe(Target.state(Now), Now, Now);
+  }
+
+  /// A gateway that starts sends nothing before a report.
+  void restartGateway() {
+    Told = LoadVerdicts();
+    Offered = false;
+  }
+
+  /// The report to the gateway, and its answer.
+  void report() {
+    LoadProof::TargetOrders State = *Proof.last();
+    if (auto Verdict = Proof.verdict())
+      Told.record("target", *Verdict, Now);
+    bool IsProven = Proof.isProven();
+    if (Proof.seeksVerdict()) {
+      auto Known = Told.find("target", State.StartTimeMs, State.Accepted);
+      IsProven = Known && Known->Whole;
+      if (Known)
+        Proof.takeVerdict(*Known);
+    }
+    Offered = IsProven && !State.Busy && State.Loaded != 0;
   }
 
   /// Lets time go by. The target may serve what it was last reported with.
@@ -183,9 +206,7 @@
     if (!call())
       return;
     Proof.observe(Target.state(Now), From, Now);
-    // The report to the gateways.
-    Offered =
-        Proof.isProven() && !Proof.last()->Busy && Proof.last()->Loaded != 0;
+    report();
   }
 
   bool write(std::size_t Index) {
@@ -238,8 +259,10 @@
 
   void stageAndLoad() {
     LoadProof::TargetOrders Seen = *Proof.last();
-    Staged.begin(ChunkCount);
-    while (auto Next = Staged.nextWrite(Now)) {
+    bool IsStaged = Proof.awaitsOrder(Version);
+    if (!IsStaged)
+      Staged.begin(ChunkCount);
+    while (auto Next = IsStaged ? std::nullopt : Staged.nextWrite(Now)) {
       if (!write(*Next))
         return;
       readState();
@@ -278,6 +301,8 @@
   SimulatedTarget Target;
   LoadProof Proof;
   StagedChunks Staged;
+  /// At the gateway.
+  LoadVerdicts Told;
 };
 
 /// A target without weights, seen for the first time.
@@ -463,13 +488,87 @@
   BOOST_TEST(Proof.isProven());
 }
 
-BOOST_AUTO_TEST_CASE(what_is_loaded_at_the_first_look_is_taken_as_it_is) {
+BOOST_AUTO_TEST_CASE(weights_that_a_target_started_with_are_taken_as_they_are) {
   LoadProof Proof;
   BOOST_TEST(Proof.isProven());
+  Proof.observe({5, 0, false, 1}, Start, Start);
+  BOOST_TEST(Proof.isProven());
+  BOOST_TEST((Proof.verdict() == LoadVerdict{5, 0, 1, true}));
+}
+
+// A sidecar that was killed after it ordered a load that it had to prove left
+// one that its successor took for proven.
+BOOST_AUTO_TEST_CASE(load_found_at_the_first_look_is_in_doubt) {
+  LoadProof Proof;
+  Proof.observe({5, 3, false, 1}, Start, Start);
+  BOOST_TEST(!Proof.isProven());
+  BOOST_TEST(Proof.seeksVerdict());
+  BOOST_TEST((Proof.step() == Step::ReadBack));
+  Proof.recordReadBack(ReadBack::Whole, *Proof.last());
+  BOOST_TEST(Proof.isProven());
+  BOOST_TEST((Proof.verdict() == LoadVerdict{5, 3, 1, true}));
+}
+
+// A sound target was unloaded for a chunk that turned bad after its load.
+BOOST_AUTO_TEST_CASE(verdict_passed_on_outweighs_what_turned_bad_since) {
+  LoadProof Proof;
   Proof.observe({5, 3, false, 1}, Start, Start);
+  Proof.recordReadBack(ReadBack::Spoilt, *Proof.last());
+  BOOST_TEST((Proof.step() == Step::None));
+  // Another load, another incarnation.
+  BOOST_TEST(!Proof.takeVerdict({5, 2, 1, true}));
+  BOOST_TEST(!Proof.takeVerdict({4, 3, 1, true}));
+  BOOST_TEST(!Proof.isProven());
+  BOOST_TEST(Proof.takeVerdict({5, 3, 1, true}));
   BOOST_TEST(Proof.isProven());
 }
 
+BOOST_AUTO_TEST_CASE(spoilt_load_that_nobody_vouches_for_is_unloaded) {
+  LoadProof Proof;
+  Proof.observe({5, 3, false, 1}, Start, Start);
+  Proof.recordReadBack(ReadBack::Spoilt, *Proof.last());
+  BootTime Later = Start + LoadProof::VerdictTime;
+  Proof.observe({5, 3, false, 1}, Later, Later);
+  BOOST_TEST((Proof.step() == Step::Unload));
+  // Nobody is told of what this process did not see begin.
+  BOOST_TEST(!Proof.verdict().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(load_that_its_sidecar_could_not_prove_is_not_read_back) {
+  LoadProof Proof;
+  Proof.observe({5, 3, false, 1}, Start, Start);
+  BOOST_TEST(Proof.takeVerdict({5, 3, 1, false}));
+  BOOST_TEST((Proof.step() == Step::Unload));
+}
+
+// What is written while an order may still be accepted hides what it takes from
+// whoever reads back.
+BOOST_AUTO_TEST_CASE(nothing_is_staged_for_an_order_without_an_answer) {
+  LoadProof Proof = seenEmpty();
+  Proof.orderSent(1, Start, Start);
+  Proof.orderAnswered(Answer::None, Start + 1s);
+  BOOST_TEST(Proof.awaitsOrder(1));
+  BOOST_TEST(!Proof.awaitsOrder(2));
+  Proof.observe({5, 1, true, 0}, Start + 2s, Start + 2s);
+  BOOST_TEST(!Proof.awaitsOrder(1));
+}
+
+// Of two verdicts on one load, that it is whole lasts.
+BOOST_AUTO_TEST_CASE(verdicts_are_kept_by_load) {
+  LoadVerdicts Verdicts;
+  Verdicts.record("a", {5, 2, 1, true}, Start);
+  Verdicts.record("a", {5, 2, 1, false}, Start);
+  Verdicts.record("a", {5, 1, 1, false}, Start);
+  BOOST_TEST(Verdicts.find("a", 5, 2).value().Whole);
+  BOOST_TEST(!Verdicts.find("a", 5, 3).has_value());
+  BOOST_TEST(!Verdicts.find("a", 6, 2).has_value());
+  BOOST_TEST(!Verdicts.find("b", 5, 2).has_value());
+  Verdicts.record("a", {5, 3, 1, false}, Start);
+  BOOST_TEST(!Verdicts.find("a", 5, 3).value().Whole);
+  Verdicts.record("b", {1, 1, 1, true}, Start + LoadVerdicts::Lifetime + 1s);
+  BOOST_TEST(!Verdicts.find("a", 5, 3).has_value());
+}
+
 // An order that may still be accepted keeps the target from being offered.
 BOOST_AUTO_TEST_CASE(target_is_not_offered_while_an_order_is_open) {
   LoadProof Proof;
--- a/libs/serving/tests/TargetBoardTest.cpp
+++ b/libs/serving/tests/TargetBoardTest.cpp
@@ -333,6 +333,36 @@
   BOOST_TEST(Balancer.choose(demand(), Later, 0.5, Why).has_value());
 }
 
+// A registration replaced what the agent had proven with what it had not.
+BOOST_AUTO_TEST_CASE(models_that_an_agent_has_reported_go_first) {
+  LoadBalancer Balancer = loadBalancer("a", 1);
+  RegisteredTarget Info = target(1, "a");
+  Info.Models.clear();
+  Balancer.setRegistered({Info}, engineConfig(), Start);
+  SelectionFailure Why{};
+  BOOST_TEST(!Balancer.choose(demand(), Start, 0.5, Why).has_value());
+  Balancer.updateFromReport(report(target(1, "a"), 0), Start, 0.99);
+  Info.Models = {{"m", 2}};
+  Balancer.setRegistered({Info}, engineConfig(), Start);
+  BOOST_TEST(Balancer.choose(demand(), Start, 0.5, Why)->Version == 1U);
+  // Another incarnation, of which no agent has spoken.
+  Info.Models.clear();
+  Info.StartTimeMs = 8;
+  Balancer.setRegistered({Info}, engineConfig(), Start);
+  BOOST_TEST(!Balancer.choose(demand(), Start, 0.5, Why).has_value());
+}
+
+// An agent that was killed may have ordered a load right before.
+BOOST_AUTO_TEST_CASE(target_of_a_silent_agent_must_hold_the_version_told) {
+  LoadBalancer Balancer = loadBalancer("a", 1);
+  Balancer.setRegistered({target(1, "a")}, engineConfig(), Start);
+  Balancer.updateFromReport(report(target(1, "a"), 0), Start, 0.99);
+  SelectionFailure Why{};
+  BOOST_TEST(!Balancer.choose(demand(), Start, 0.5, Why)->VersionRequired);
+  auto Later = Start + LoadBalancerSettings().AgentTimeout + milliseconds(1);
+  BOOST_TEST(Balancer.choose(demand(), Later, 0.5, Why)->VersionRequired);
+}
+
 BOOST_AUTO_TEST_CASE(slow_responses_count_as_load) {
   LoadBalancer Balancer = loadBalancer("a", 1);
   std::vector<RegisteredTarget> Registered{target(1, "a"), target(2, "a")};
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -2,6 +2,7 @@
 #include "gateway/CallerConnection.h"
 #include "gateway/FleetCounts.h"
 #include "gateway/GatewayContext.h"
+#include "gateway/LoadWitness.h"
 #include "http/SocketBuffers.h"
 #include "node/HttpClient.h"
 #include "node/NodeRuntime.h"
@@ -96,8 +97,9 @@
   asio::awaitable<http::Response>
   handlePeerRequest(const http::Request &Request);
   asio::awaitable<http::Response> handleReadinessRequest(const http::Request &);
-  void handleMessage(const wire::NodeMessage &Message);
-  void handleTargetReport(const wire::TargetReport &Report);
+  void handleMessage(const wire::NodeMessage &Message, const std::string &Ip);
+  void handleTargetReport(const wire::TargetReport &Report,
+                          const std::string &Ip);
   /// Applies the section of the store that operators write: configuration,
   /// evacuated failure domains (their targets get no new requests) and named
   /// versions.
@@ -134,6 +136,7 @@
   std::unique_ptr<StoreFollower> Follower;
   std::unique_ptr<PartQuarantineService> Quarantine;
   std::unique_ptr<LimitExchange> Limits;
+  std::unique_ptr<LoadWitness> Loads;
   /// Serves other processes of the fleet, and the metrics.
   std::unique_ptr<PeerServer> PeerListener;
   /// Serves the readiness checks of the external load balancer.
@@ -213,10 +216,11 @@
 
 bool GatewayProcess::start() {
   watchTargetStatements();
-  Link =
-      PeerSocket::open(Runtime.loop(), Settings, serving::PeerRole::Gateway,
-                       [this](const wire::NodeMessage &Message,
-                              const std::string &) { handleMessage(Message); });
+  Link = PeerSocket::open(
+      Runtime.loop(), Settings, serving::PeerRole::Gateway,
+      [this](const wire::NodeMessage &Message, const std::string &Ip) {
+        handleMessage(Message, Ip);
+      });
   if (!Link)
     return false;
   StoreFollower::Hooks Hooks;
@@ -238,6 +242,7 @@
   Limits = std::make_unique<LimitExchange>(Context.Targets, *Link,
                                            Follower->peers());
   Context.Limits = Limits.get();
+  Loads = std::make_unique<LoadWitness>(*Link);
   PeerListener = PeerServer::listen(
       Runtime.loop(), Settings.Ip + ":" + std::to_string(Settings.PeerPort),
       [this](const http::Request &R) { return handlePeerRequest(R); },
@@ -364,19 +369,21 @@
                  MaxReadyConfirmationAgeFraction;
 }
 
-void GatewayProcess::handleMessage(const wire::NodeMessage &Message) {
+void GatewayProcess::handleMessage(const wire::NodeMessage &Message,
+                                   const std::string &Ip) {
   // A message may arrive before these have started.
-  if (!Follower || !Quarantine || !Limits)
+  if (!Follower || !Quarantine || !Limits || !Loads)
     return;
   Follower->received(Message);
   Quarantine->received(Message);
   if (Message.has_named_limit())
     Limits->received(Message.named_limit());
   if (Message.has_target())
-    handleTargetReport(Message.target());
+    handleTargetReport(Message.target(), Ip);
 }
 
-void GatewayProcess::handleTargetReport(const wire::TargetReport &Source) {
+void GatewayProcess::handleTargetReport(const wire::TargetReport &Source,
+                                        const std::string &Ip) {
   // Sent by the sidecar on the host of the target.
   serving::AgentReport Report;
   Report.Address = Source.address();
@@ -386,7 +393,8 @@
   Report.Load.KvCacheUsedFraction = Source.memory_permille() / 1000.0;
   if (Source.slowness_percent() > 0)
     Report.Load.Slowness = Source.slowness_percent() / 100.0;
-  Report.Switching = Source.switching();
+  bool IsKnownWhole = Loads->received(Source, Ip);
+  Report.Switching = Source.switching() && !IsKnownWhole;
   Report.Leaving = Source.leaving();
   Report.TimeToSwitch = milliseconds(Source.switch_in_ms());
   for (const wire::HeldModel &Held : Source.models())
@@ -457,6 +465,10 @@
   platform::RegistryRecords Records = platform::decodeRegistry(Items);
   logUnreadable(Records.Errors);
   Registered = std::move(Records.Targets);
+  // Targets register what they have loaded, but only their sidecars know
+  // whether that is whole.
+  for (serving::RegisteredTarget &Target : Registered)
+    Target.Models.clear();
   if (Context.Config)
     Context.Targets.setRegistered(Registered, *Context.Config,
                                   BootClock::now());
--- a/rosemarylane/src/node/PeerSocket.cpp
+++ b/rosemarylane/src/node/PeerSocket.cpp
@@ -32,6 +32,8 @@
     return "crash evidence";
   case wire::NodeMessage::kNamedLimit:
     return "named limit";
+  case wire::NodeMessage::kLoadVerdict:
+    return "load verdict";
   case wire::NodeMessage::BODY_NOT_SET:
     break;
   }
--- a/rosemarylane/src/sidecar/SidecarProcess.cpp
+++ b/rosemarylane/src/sidecar/SidecarProcess.cpp
@@ -54,6 +54,8 @@
           Quarantine->received(Message);
         if (Watch && Message.has_named_limit())
           Watch->limitNamed(Message.named_limit());
+        if (Weights && Message.has_load_verdict())
+          Weights->loadVerdict(Message.load_verdict());
         if (Weights)
           Weights->handleMessage(Message);
       });
--- a/rosemarylane/src/sidecar/TargetLoader.cpp
+++ b/rosemarylane/src/sidecar/TargetLoader.cpp
@@ -79,11 +79,32 @@
         {{"model", Served.model()},
          {"version", std::int64_t(Proof.last()->Loaded)},
          {"orders", State.Orders},
+         {"asks", std::int64_t(Proof.seeksVerdict())},
          {"next",
           Proof.step() == LoadProof::Step::ReadBack ? "read back" : "unload"}});
   applyProof();
 }
 
+void TargetLoader::takeVerdict(const serving::LoadVerdict &Given) {
+  if (!Proof.takeVerdict(Given))
+    return;
+  telemetry::log(telemetry::Level::Info, "load verdict passed on",
+                 {{"model", Served.model()},
+                  {"version", std::int64_t(Given.Version)},
+                  {"orders", Given.Orders},
+                  {"whole", std::int64_t(Given.Whole)}});
+  applyProof();
+}
+
+void TargetLoader::applyProof() {
+  TargetWatch::LoadStatement Found;
+  Found.Switching = !Proof.isProven();
+  Found.Verdict = Proof.verdict();
+  if (Proof.seeksVerdict())
+    Found.VerdictSought = Proof.last()->Accepted;
+  Watch.setLoadStatement(Found);
+}
+
 asio::awaitable<void> TargetLoader::readStagedChunks(VersionChunks &Chunks) {
   for (std::size_t I = 0; I < Chunks.size(); ++I) {
     HttpClient::Call Call;
@@ -190,11 +211,14 @@
   LoadProof::TargetOrders Seen = *Proof.last();
   std::uint64_t Version = Chunks.manifest().Version;
   StagingTimes Times{BootClock::now()};
-  Staged.begin(Chunks.size());
-  while (auto Next = Staged.nextWrite(BootClock::now())) {
-    bool Written = co_await stageChunk(Chunks, *Next, Times);
-    if (!Written || !unchangedSince(Seen))
-      co_return;
+  if (!mayOrderAgain(Version)) {
+    Staged.begin(Chunks.size());
+    StagedVersion = Version;
+    while (auto Next = Staged.nextWrite(BootClock::now())) {
+      bool Written = co_await stageChunk(Chunks, *Next, Times);
+      if (!Written || !unchangedSince(Seen))
+        co_return;
+    }
   }
   co_await orderLoad(Version, Times, std::move(StillPlanned));
 }
@@ -218,7 +242,8 @@
   BootTime OrderedAt = BootClock::now();
   std::function<bool()> MaySend = [&] {
     OrderedAt = BootClock::now();
-    if (!Staged.mayOrder(OrderedAt) || !StillPlanned())
+    bool IsFresh = mayOrderAgain(Version) || Staged.mayOrder(OrderedAt);
+    if (!IsFresh || !StillPlanned())
       return false;
     Proof.orderSent(Version, OldestWrite, OrderedAt);
     return true;
--- a/rosemarylane/src/sidecar/TargetLoader.h
+++ b/rosemarylane/src/sidecar/TargetLoader.h
@@ -44,6 +44,10 @@
   /// @param From when the call that read it began.
   void observe(const platform::TargetState &State, core::BootTime From);
 
+  /// Takes what a gateway was told of the load by the process that ran here
+  /// before.
+  void takeVerdict(const serving::LoadVerdict &Given);
+
   /// @return whether a state of the target was taken since the model is known.
   bool hasObserved() const { return Proof.last().has_value(); }
 
@@ -100,10 +104,15 @@
   /// it is connected, or \p MaySend returns false then.
   boost::asio::awaitable<OrderOutcome> sendOrder(platform::LoadOrder Order,
                                                  std::function<bool()> MaySend);
+  /// @return whether an order to load what is staged has got no answer. What it
+  /// may still take is left as it is, and the order is sent again.
+  bool mayOrderAgain(std::uint64_t Version) const {
+    return StagedVersion == Version && Proof.awaitsOrder(Version);
+  }
   /// @return whether the target responds and its last state is \p Seen.
   bool unchangedSince(const serving::LoadProof::TargetOrders &Seen) const;
-  /// Sets whether the target counts as switching, which keeps requests away.
-  void applyProof() { Watch.setSwitching(!Proof.isProven()); }
+  /// Sets what is reported of the weights, which may keep requests away.
+  void applyProof();
   /// Waits until the target's state shows the version or the wait times out.
   /// The state is authoritative, also if the response to the order was lost.
   boost::asio::awaitable<void> awaitLoadedVersion(std::uint64_t Version);
@@ -118,6 +127,8 @@
   /// The model that `Proof` is about.
   std::string ProvenModel;
   serving::StagedChunks Staged;
+  /// The version whose chunks were staged last, or some of them.
+  std::uint64_t StagedVersion = 0;
 };
 
 } // namespace rosemarylane
--- a/rosemarylane/src/sidecar/TargetWatch.cpp
+++ b/rosemarylane/src/sidecar/TargetWatch.cpp
@@ -112,6 +112,31 @@
     LastState.reset();
   }
 
+  /// @return what is known of the weights before anybody has judged them.
+  LoadStatement unjudged() const {
+    LoadStatement Result;
+    if (LastState->Orders > 0 && !LastState->Models.empty()) {
+      Result.Switching = true;
+      Result.VerdictSought = LastState->Orders;
+    }
+    return Result;
+  }
+
+  void addLoadStatement(wire::TargetReport &Report) const {
+    LoadStatement Said = Statement.value_or(unjudged());
+    // `Busy`: the target is executing a load order.
+    Report.set_switching(Said.Switching || LastState->Busy);
+    if (Said.VerdictSought && !LastState->Busy)
+      Report.set_verdict_sought(*Said.VerdictSought);
+    if (!Said.Verdict || Said.Verdict->StartTimeMs != LastState->Born)
+      return;
+    // Address and incarnation are those of the report, which is sent often.
+    wire::LoadVerdict *Verdict = Report.mutable_verdict();
+    Verdict->set_orders(Said.Verdict->Orders);
+    Verdict->set_version(Said.Verdict->Version);
+    Verdict->set_whole(Said.Verdict->Whole);
+  }
+
   wire::TargetReport report() const {
     wire::TargetReport Report;
     Report.set_address(Settings.TargetAddress);
@@ -122,8 +147,7 @@
       Report.set_memory_permille(static_cast<std::uint32_t>(
           LastState->MemoryUsed * 1000 / LastState->MemoryTotal));
     Report.set_slowness_percent(percent(LastState->Slowness));
-    // `Busy`: the target is executing a load order.
-    Report.set_switching(Switching || LastState->Busy);
+    addLoadStatement(Report);
     Report.set_leaving(LastState->Leaving);
     if (SwitchAt) {
       auto Remaining =
@@ -193,7 +217,7 @@
   const StoreFollower &Follower;
   StateHook Hook;
   std::optional<platform::TargetState> LastState;
-  bool Switching = false;
+  std::optional<LoadStatement> Statement;
   std::optional<BootTime> SwitchAt;
   /// What the target has last said of its limit.
   std::optional<wire::NamedLimit> Limit;
@@ -223,9 +247,9 @@
 void TargetWatch::limitNamed(const wire::NamedLimit &Said) {
   S->limitNamed(Said);
 }
-void TargetWatch::setSwitching(bool Switching) {
-  bool Begins = Switching && !S->Switching;
-  S->Switching = Switching;
+void TargetWatch::setLoadStatement(const LoadStatement &Found) {
+  bool Begins = Found.Switching && !(S->Statement && S->Statement->Switching);
+  S->Statement = Found;
   if (Begins && S->LastState)
     S->sendReports();
 }
--- a/rosemarylane/src/sidecar/TargetWatch.h
+++ b/rosemarylane/src/sidecar/TargetWatch.h
@@ -7,6 +7,7 @@
 #include "node/PeerSocket.h"
 #include "node/StoreFollower.h"
 #include "platform/TargetCalls.h"
+#include "serving/LoadVerdicts.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -43,10 +44,21 @@
   /// reports to all gateways.
   void limitNamed(const wire::NamedLimit &Said);
 
-  /// Sets whether the target is about to load a version, or holds one that is
-  /// not proven. Gateways send it no new requests while this is set; they are
-  /// told at once when it is set.
-  void setSwitching(bool Switching);
+  /// What is to be reported of the weights that the target holds.
+  struct LoadStatement {
+    /// The target is about to load a version, or holds one that is not proven.
+    /// Gateways send it no new requests while this is set; they are told at
+    /// once when it is set.
+    bool Switching = false;
+    /// Of the last load, if it is known.
+    std::optional<serving::LoadVerdict> Verdict;
+    /// Number of the order whose verdict gateways are asked for.
+    std::optional<std::int64_t> VerdictSought;
+  };
+
+  /// Until this is called, a target that has begun an order counts as one whose
+  /// verdict is sought.
+  void setLoadStatement(const LoadStatement &Found);
 
   /// Sets the time at which the target is planned to load another version;
   /// empty if none is planned.
--- a/rosemarylane/src/sidecar/WeightKeeper.cpp
+++ b/rosemarylane/src/sidecar/WeightKeeper.cpp
@@ -280,6 +280,12 @@
   S->Served.registryChanged(Items);
 }
 
+void WeightKeeper::loadVerdict(const wire::LoadVerdict &Given) {
+  if (Given.address() == S->Settings.TargetAddress)
+    S->Loader.takeVerdict(
+        {Given.born(), Given.orders(), Given.version(), Given.whole()});
+}
+
 void WeightKeeper::handleMessage(const wire::NodeMessage &Message) {
   S->Server.handleMessage(Message);
 }
--- a/rosemarylane/src/sidecar/WeightKeeper.h
+++ b/rosemarylane/src/sidecar/WeightKeeper.h
@@ -62,6 +62,10 @@
   /// ignored.
   void handleMessage(const wire::NodeMessage &Message);
 
+  /// Takes what a gateway was told of the target's load by the process that ran
+  /// here before.
+  void loadVerdict(const wire::LoadVerdict &Given);
+
   /// @return whether \p Path is the HTTP path of a chunk or manifest.
   static bool handlesPath(const std::string &Path);
   /// Responds to a peer's request for a chunk or manifest.
