--- a/libs/serving/src/EventSequence.cpp
+++ b/libs/serving/src/EventSequence.cpp
@@ -29,6 +29,14 @@
   return Text;
 }
 
+/// @return whether an id can be named to the target that goes on with the
+/// stream, in a header field.
+bool isPrintable(std::string_view Id) {
+  constexpr unsigned char Delete = 0x7f;
+  return std::none_of(Id.begin(), Id.end(),
+                      [](unsigned char C) { return C < ' ' || C == Delete; });
+}
+
 std::optional<std::uint64_t> numberOf(std::string_view Text) {
   std::uint64_t Value = 0;
   auto [End, Wrong] =
@@ -79,9 +87,10 @@
       InEvent = false;
       HasId = false;
     } else if (Line.starts_with(IdField)) {
+      std::string_view Id = trimmed(Line.substr(IdField.size()));
       InEvent = true;
-      HasId = true;
-      Follows &= appendId(trimmed(Line.substr(IdField.size())));
+      HasId = isPrintable(Id);
+      Follows &= HasId && appendId(Id);
     } else if (!Line.starts_with(':')) {
       InEvent = true;
     }
--- a/libs/serving/tests/StreamTest.cpp
+++ b/libs/serving/tests/StreamTest.cpp
@@ -123,6 +123,16 @@
   BOOST_TEST(!Splitter.resumable());
 }
 
+// An id with a line end in it would have added header fields to the request
+// that goes on with the stream.
+BOOST_AUTO_TEST_CASE(stream_is_not_resumable_at_an_id_that_cannot_be_named) {
+  EventSplitter Splitter;
+  Splitter.feed("id: 1\rHost: b\n\n");
+  BOOST_TEST(!Splitter.resumable());
+  Splitter.feed("id: 2\n\n");
+  BOOST_TEST(Splitter.resumable());
+}
+
 BOOST_AUTO_TEST_CASE(events_that_do_not_continue_a_stream_end_it) {
   EventSplitter Splitter;
   Splitter.feed("id: 1\n\n");
--- a/libs/telemetry/src/Log.cpp
+++ b/libs/telemetry/src/Log.cpp
@@ -1,6 +1,7 @@
 #include "telemetry/Log.h"
 
 #include "BatchAppender.h"
+#include "telemetry/Utf8.h"
 
 #include <atomic>
 #include <boost/json.hpp>
@@ -58,6 +59,11 @@
   return "info";
 }
 
+json::value toJson(const std::string &Text) {
+  return json::string(asUtf8(Text));
+}
+template <typename T> json::value toJson(const T &Value) { return Value; }
+
 double secondsNow() {
   auto Now = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration<double>(Now).count();
@@ -109,7 +115,8 @@
   Line["revision"] = Revision.load();
   Line["message"] = Message;
   for (const Field &F : Fields)
-    std::visit([&](const auto &Value) { Line[F.Name] = Value; }, F.Value);
+    std::visit([&](const auto &Value) { Line[F.Name] = toJson(Value); },
+               F.Value);
   Root.forcedLog(levelOf(At), json::serialize(Line));
 }
 
--- a/rosemarylane/src/gateway/GatewayMetrics.cpp
+++ b/rosemarylane/src/gateway/GatewayMetrics.cpp
@@ -124,6 +124,13 @@
           .Name("rosemarylane_gateway_no_answers_total")
           .Help("Answers of servers whose status is none, by server")
           .Register(Registry);
+  prometheus::Gauge &RegistryAge =
+      prometheus::BuildGauge()
+          .Name("rosemarylane_gateway_registry_age_seconds")
+          .Help("Time since the registry was last known to be current; -1 "
+                "before")
+          .Register(Registry)
+          .Add({});
   prometheus::Gauge &StoreCalls =
       prometheus::BuildGauge()
           .Name("rosemarylane_gateway_store_calls")
@@ -209,6 +216,10 @@
   S->NoAnswers.Add({{"server", Server}}).Increment();
 }
 
+void GatewayMetrics::setRegistryAge(
+    std::optional<std::chrono::milliseconds> Age) {
+  S->RegistryAge.Set(Age ? seconds(*Age) : -1);
+}
 void GatewayMetrics::setStoreCalls(std::uint64_t Total) {
   S->StoreCalls.Set(static_cast<double>(Total));
 }
--- a/rosemarylane/src/gateway/GatewayMetrics.h
+++ b/rosemarylane/src/gateway/GatewayMetrics.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace rosemarylane {
@@ -62,6 +63,8 @@
   void noAnswer(const std::string &Server);
   /// @param Total calls to the platform's store since the process started.
   void setStoreCalls(std::uint64_t Total);
+  /// @param Age empty before the registry was read for the first time.
+  void setRegistryAge(std::optional<std::chrono::milliseconds> Age);
 
   /// @return all metrics in the Prometheus text format.
   std::string text() const;
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -3,6 +3,7 @@
 #include "gateway/FleetCounts.h"
 #include "gateway/GatewayContext.h"
 #include "gateway/LoadWitness.h"
+#include "gateway/Readiness.h"
 #include "http/SocketBuffers.h"
 #include "node/HttpClient.h"
 #include "node/NodeRuntime.h"
@@ -44,12 +45,7 @@
 /// Fraction of the grace period after which the process exits even if requests
 /// are in progress.
 constexpr double DrainFractionOfGracePeriod = 0.9;
-/// The gateway reports not ready once the proof that its copy of the
-/// operators' section is current is older than this fraction of the key
-/// revocation time, so that callers are sent elsewhere before their requests
-/// are refused. `StoreFollower::operatorsProofAge` returns the age of that
-/// proof.
-constexpr double MaxReadyConfirmationAgeFraction = 0.7;
+
 serving::LoadBalancerSettings
 loadBalancerSettings(const NodeSettings &Settings) {
   serving::LoadBalancerSettings Result;
@@ -82,7 +78,7 @@
             // older one, and grace period after a partition.
             {Settings.Objectives.VersionActivationDelay,
              Settings.Objectives.ReconnectGrace}),
-        Fleet(Context) {}
+        Fleet(Context), Ready(Context) {}
 
   bool start();
   void stop();
@@ -123,7 +119,6 @@
   void reportDomainPressure();
   /// Logs how many connections a crowd of callers has cost since the last call.
   void logCrowd();
-  bool ready() const;
   void exitIfDrained();
 
   NodeRuntime &Runtime;
@@ -153,7 +148,7 @@
   std::set<std::string> UnreadableRecords;
   FleetCounts Fleet;
   std::optional<BootTime> StoppedAt;
-  bool WasReady = false;
+  Readiness Ready;
 };
 
 std::string nameOf(serving::StatementSource Source) {
@@ -342,6 +337,7 @@
   http::Response Reply;
   if (Request.Target == "/metrics") {
     Context.Metrics.setStoreCalls(Follower->storeRequestCount());
+    Context.Metrics.setRegistryAge(Follower->registryStaleness());
     Reply.Body = Context.Metrics.text();
     co_return Reply;
   }
@@ -352,23 +348,10 @@
 asio::awaitable<http::Response>
 GatewayProcess::handleReadinessRequest(const http::Request &) {
   http::Response Reply;
-  Reply.Head.Status = ready() ? 200 : 503;
+  Reply.Head.Status = Ready.ready() ? 200 : 503;
   co_return Reply;
 }
 
-bool GatewayProcess::ready() const {
-  if (Context.Draining || !Context.Config)
-    return false;
-  if (!Context.Config->requiresApiKeys() || !Settings.Objectives.FailClosed)
-    return true;
-  auto ConfirmationAge = Follower->operatorsProofAge();
-  return ConfirmationAge &&
-         ConfirmationAge->count() <
-             static_cast<double>(
-                 Settings.Objectives.MaxKeyRevocationDelay.count()) *
-                 MaxReadyConfirmationAgeFraction;
-}
-
 void GatewayProcess::handleMessage(const wire::NodeMessage &Message,
                                    const std::string &Ip) {
   // A message may arrive before these have started.
@@ -507,13 +490,7 @@
     telemetry::log(
         telemetry::Level::Info, "idle connections closed",
         {{"count", IdleClosed}, {"limit_ms", std::int64_t(IdleLimit.count())}});
-  if (ready() != WasReady) {
-    WasReady = !WasReady;
-    auto ConfirmationAge = Follower->operatorsProofAge();
-    telemetry::log(telemetry::Level::Info, WasReady ? "ready" : "not ready",
-                   {{"proof_age_ms", ConfirmationAge ? ConfirmationAge->count()
-                                                     : std::int64_t(-1)}});
-  }
+  Ready.logChange();
   exitIfDrained();
 }
 
--- a/rosemarylane/src/node/NodeSettings.h
+++ b/rosemarylane/src/node/NodeSettings.h
@@ -36,7 +36,6 @@
   /// Time from SIGTERM until the process is killed.
   std::chrono::milliseconds GracePeriod{8000};
   /// Maximum time from the start of a target's drain until it gets no new work.
-  /// Only parsed: no component reads it.
   std::chrono::milliseconds MaxDrainDelay{2000};
   /// Over the retry window, the fleet sends at most this many retries for each
   /// first attempt, plus `RetryExtra` retries.
--- a/rosemarylane/src/node/StoreReader.cpp
+++ b/rosemarylane/src/node/StoreReader.cpp
@@ -37,6 +37,15 @@
   telemetry::log(telemetry::Level::Warning, Text, {{"detail", Detail}});
 }
 
+void logUnreadablePage(Section Which, const std::string &After,
+                       const std::string &Detail) {
+  telemetry::log(telemetry::Level::Warning,
+                 "cannot decode a page of items from the store",
+                 {{"section", std::string(nameOf(Which))},
+                  {"after", After},
+                  {"detail", Detail}});
+}
+
 } // namespace
 
 asio::awaitable<core::Result<http::Response, http::Error>>
@@ -79,8 +88,12 @@
     }
     auto Page = platform::decodePage(Which, *Answer);
     if (!Page) {
-      logWarning("cannot decode a page of items from the store",
-                 Page.error().text());
+      logUnreadablePage(Which, After, Page.error().text());
+      co_return std::nullopt;
+    }
+    // Reading on from there would end nowhere.
+    if (Page->More && Page->LastKey <= After) {
+      logUnreadablePage(Which, After, "more items, but none on this page");
       co_return std::nullopt;
     }
     // The revision of the first page is used for all. Later pages may contain
@@ -93,7 +106,7 @@
       co_return SectionRead{};
     Result.Items.merge(Page->Items);
     After = Page->LastKey;
-    if (!Page->More || After.empty())
+    if (!Page->More)
       break;
   }
   Result.ConfirmedAt = Sent;
--- a/rosemarylane/src/sidecar/ChunkServer.cpp
+++ b/rosemarylane/src/sidecar/ChunkServer.cpp
@@ -72,7 +72,7 @@
   std::string_view Rest = std::string_view(Path).substr(
       ForManifest ? ManifestsPath.size() : ChunksPath.size());
   auto Parts = split(Rest);
-  if (Parts.size() < 2 || Parts[0] != Served.model())
+  if (Parts.size() < 2 || Parts[0] != http::encodeSegment(Served.model()))
     co_return Reply;
   // Keeps the chunks alive while one of them is waited for.
   std::shared_ptr<VersionChunks> Chunks =
--- a/rosemarylane/src/sidecar/PeerPaths.h
+++ b/rosemarylane/src/sidecar/PeerPaths.h
@@ -1,6 +1,8 @@
 #ifndef ROSEMARYLANE_SIDECAR_PEER_PATHS_H
 #define ROSEMARYLANE_SIDECAR_PEER_PATHS_H
 
+#include "http/Url.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -18,8 +20,8 @@
 /// @return the path of a chunk on the peer port.
 inline std::string chunkPath(const std::string &Model, std::uint64_t Version,
                              std::size_t Chunk, const char *Role) {
-  return std::string(ChunksPath) + Model + "/" + std::to_string(Version) + "/" +
-         std::to_string(Chunk) + "/" + Role;
+  return std::string(ChunksPath) + http::encodeSegment(Model) + "/" +
+         std::to_string(Version) + "/" + std::to_string(Chunk) + "/" + Role;
 }
 
 /// @return whether \p Path asks for a chunk that the host holds already, rather
@@ -31,7 +33,8 @@
 /// @return the path of a version's manifest on the peer port.
 inline std::string manifestPath(const std::string &Model,
                                 std::uint64_t Version) {
-  return std::string(ManifestsPath) + Model + "/" + std::to_string(Version);
+  return std::string(ManifestsPath) + http::encodeSegment(Model) + "/" +
+         std::to_string(Version);
 }
 
 } // namespace rosemarylane
