A gateway that stops answers what still waits in it

Cause: the process ended at 0.9 of the grace period with whatever was in progress. A wait in the queue, up to 0.3 of the route's latency objective, knew nothing of the stop.

Change: requests are told of the stop. Who can't begin and end at a target in time, by the route's usual time or the stream's expected length, is refused at once; at 0.9 of the grace period all waits are given up, and each request gets its final answer: 503 where nothing can have run, 502 otherwise, 503 also for one that is still being read. The process exits once these were taken, at 0.95 at the latest.

--- a/rosemarylane/src/gateway/CallerConnection.cpp
+++ b/rosemarylane/src/gateway/CallerConnection.cpp
@@ -64,7 +64,8 @@
   // `CallerConnection::limitReading` ended the read.
   if (ReadError == asio::error::operation_aborted)
     return 408;
-  if (ReadError == asio::error::no_memory)
+  if (ReadError == asio::error::no_memory ||
+      ReadError == asio::error::shut_down)
     return 503;
   bool IsMalformed =
       ReadError.category() ==
@@ -74,10 +75,11 @@
   return IsMalformed && !HasLeft ? 400 : 0;
 }
 
-/// @return why a request is refused with \p Status before it was read, for
-/// operators.
-const char *reasonOf(unsigned Status) {
-  switch (Status) {
+/// @return why a request is refused before it was read, for operators.
+const char *reasonOf(boost::system::error_code ReadError) {
+  if (ReadError == asio::error::shut_down)
+    return "gateway stops";
+  switch (refusalFor(ReadError)) {
   case 408:
     return "too slow";
   case 413:
@@ -97,13 +99,7 @@
                                    asio::ip::tcp::socket Socket)
     : Context(Context), TcpStream(std::move(Socket)),
       Place(Context.Callers, [this] { yieldPlace(); }), ReadTimer(Context.Loop),
-      Held(Context.Memory,
-           [this] {
-             Evicted = true;
-             boost::system::error_code Ignored; // A closed one frees it anyway.
-             if (isOpen())
-               TcpStream.socket().cancel(Ignored);
-           }),
+      Held(Context.Memory, [this] { refuseReading(asio::error::no_memory); }),
       Unread(Context.Memory, [this] { abort(); }),
       IdleSince(core::BootClock::now()) {
   enableDeadPeerDetection(TcpStream.socket(), CallerSilenceTimeout);
@@ -178,7 +174,7 @@
     Limits = Context.Config->Limits;
   std::optional<Parser> Incoming(std::in_place, Limits.HeaderBytes);
   Incoming->body_limit(Limits.BodyBytes);
-  Evicted = false;
+  ReadRefusal.clear();
   IsReading = true;
   boost::system::error_code ErrorCode = co_await readWhole(*Incoming, Limits);
   IsReading = false;
@@ -194,9 +190,8 @@
   Held.release();
   Incoming.reset();
   http::freeBuffer(Buffer);
-  unsigned Status = refusalFor(ErrorCode);
-  if (Status != 0 && isOpen())
-    co_await rejectUnreadable(Status, std::move(Id));
+  if (refusalFor(ErrorCode) != 0 && isOpen())
+    co_await rejectUnreadable(ErrorCode, std::move(Id));
   co_return false;
 }
 
@@ -231,14 +226,14 @@
     return HeadOnly ? Incoming.is_header_done() : Incoming.is_done();
   };
   while (!IsDone()) {
-    if (Evicted)
-      co_return asio::error::no_memory;
+    if (ReadRefusal)
+      co_return ReadRefusal;
     boost::system::error_code ErrorCode = http_::error::need_more;
     if (Buffer.size() > 0)
       Buffer.consume(Incoming.put(Buffer.data(), ErrorCode));
     accountInput(Incoming);
-    if (Evicted)
-      co_return asio::error::no_memory;
+    if (ReadRefusal)
+      co_return ReadRefusal;
     if (ErrorCode && ErrorCode != http_::error::need_more)
       co_return ErrorCode;
     if (!ErrorCode)
@@ -252,8 +247,8 @@
       co_return http_::error::buffer_overflow;
     auto [ReadError, Bytes] =
         co_await TcpStream.async_read_some(Buffer.prepare(Size), Await);
-    if (Evicted)
-      co_return asio::error::no_memory;
+    if (ReadRefusal)
+      co_return ReadRefusal;
     if (ReadError == asio::error::eof)
       co_return Incoming.got_some() ? http_::error::partial_message
                                     : http_::error::end_of_stream;
@@ -299,15 +294,31 @@
   });
 }
 
-asio::awaitable<void> CallerConnection::rejectUnreadable(unsigned Status,
-                                                         std::string Id) {
+void CallerConnection::refuseReading(boost::system::error_code Why) {
+  ReadRefusal = Why;
+  boost::system::error_code Ignored; // A closed socket ends its reads anyway.
+  if (isOpen())
+    TcpStream.socket().cancel(Ignored);
+}
+
+void CallerConnection::refuseUnread() {
+  if (IsReading)
+    refuseReading(asio::error::shut_down);
+}
+
+asio::awaitable<void>
+CallerConnection::rejectUnreadable(boost::system::error_code Why,
+                                   std::string Id) {
   KeepAlive = false;
+  unsigned Status = refusalFor(Why);
+  bool Stops = Why == asio::error::shut_down;
   telemetry::log(telemetry::Level::Warning,
-                 Status == 503
+                 Stops ? "request refused: the gateway stops"
+                 : Status == 503
                      ? "request refused: no memory for it"
                      : "request rejected: malformed, too large or too slow",
                  {{"status", std::int64_t(Status)},
-                  {"reason", std::string(reasonOf(Status))},
+                  {"reason", std::string(reasonOf(Why))},
                   {"id", Id.substr(0, MaxLoggedIdBytes)},
                   {"caller", callerAddress()}});
   // `respond` takes the method from `CurrentRequest`, which is the previous
@@ -319,7 +330,9 @@
     Head.set(http_::field::retry_after, EvictedRetryAfter);
     Head.set(http_::field::content_type, "application/problem+json");
     Body = http::problemResponse(Status, "Unavailable",
-                                 "too much is held of other requests", "no")
+                                 Stops ? "gateway stops"
+                                       : "too much is held of other requests",
+                                 "no")
                .Body;
   }
   bool Written = co_await respond(Status, Head, std::move(Body));
--- a/rosemarylane/src/gateway/CallerConnection.h
+++ b/rosemarylane/src/gateway/CallerConnection.h
@@ -76,6 +76,9 @@
   /// in progress or has arrived.
   void drain();
 
+  /// Refuses the request that is being read, if there is one: the process ends.
+  void refuseUnread();
+
   /// Logs the request in progress, if there is one; called when the process
   /// ends without waiting for it.
   void logCutOff() const;
@@ -102,7 +105,9 @@
   /// Ends the reads of a request after \p Limit. Unlike the time limits of
   /// `TcpStream` it leaves the connection open for an answer.
   void limitReading(std::chrono::milliseconds Limit);
-  boost::asio::awaitable<void> rejectUnreadable(unsigned Status,
+  /// Ends the reads of a request with \p Why.
+  void refuseReading(boost::system::error_code Why);
+  boost::asio::awaitable<void> rejectUnreadable(boost::system::error_code Why,
                                                 std::string Id);
   /// Closes the connection, on which no request is in progress, for another
   /// one. A caller that has begun to send a request is told that it did not
@@ -128,8 +133,8 @@
   http::RequestMemory::Share Held;
   /// What the answer holds that is being written.
   http::RequestMemory::Share Unread;
-  /// There is no memory for the request.
-  bool Evicted = false;
+  /// Why the request that is being read is refused; none if it isn't.
+  boost::system::error_code ReadRefusal;
   Request CurrentRequest;
   core::BootTime IdleSince;
   bool IsIdle = true;
--- a/rosemarylane/src/gateway/GatewayContext.h
+++ b/rosemarylane/src/gateway/GatewayContext.h
@@ -3,6 +3,7 @@
 
 #include "gateway/GatewayMetrics.h"
 #include "gateway/LimitExchange.h"
+#include "gateway/Shutdown.h"
 #include "gateway/TargetPool.h"
 #include "http/ConnectionLimit.h"
 #include "http/ConnectionShares.h"
@@ -14,6 +15,7 @@
 #include "serving/LoadBalancer.h"
 #include "serving/PlaceForecast.h"
 #include "serving/RetryBudgets.h"
+#include "serving/RouteTimes.h"
 #include "serving/ServingConfig.h"
 
 #include <boost/asio/io_context.hpp>
@@ -76,10 +78,13 @@
   std::map<std::string, serving::PlaceForecast> PlaceForecasts;
   /// By service: moving average of the bytes of a response.
   std::map<std::string, double> ResponseBytes;
+  serving::RouteTimes Times;
   GatewayMetrics Metrics;
   std::mt19937_64 Random;
   /// Set after SIGTERM: every response closes its connection.
   bool Draining = false;
+  /// Ends what still waits when the process is about to end.
+  Shutdown Stop;
 
   /// @return a uniform random number in [0, 1).
   double random() {
--- a/rosemarylane/src/gateway/GatewayProcess.cpp
+++ b/rosemarylane/src/gateway/GatewayProcess.cpp
@@ -42,9 +42,14 @@
 /// load balancer in front of the gateways needs two failed readiness checks
 /// before it stops sending callers here.
 constexpr milliseconds AcceptPeriodAfterStop{2500};
-/// Fraction of the grace period after which the process exits even if requests
-/// are in progress.
+/// The same, at most, as a fraction of the grace period.
+constexpr double MaxAcceptFractionOfGracePeriod = 0.5;
+/// Fraction of the grace period after which all requests that are in progress
+/// get their final answers.
 constexpr double DrainFractionOfGracePeriod = 0.9;
+/// Fraction of the grace period after which the process exits even if callers
+/// have not taken these.
+constexpr double ExitFractionOfGracePeriod = 0.95;
 
 serving::LoadBalancerSettings
 loadBalancerSettings(const NodeSettings &Settings) {
@@ -119,6 +124,9 @@
   void reportDomainPressure();
   /// Logs how many connections a crowd of callers has cost since the last call.
   void logCrowd();
+  milliseconds partOfGracePeriod(double Fraction) const;
+  /// Gives all requests in progress their final answers.
+  void endRequests();
   void exitIfDrained();
 
   NodeRuntime &Runtime;
@@ -148,6 +156,8 @@
   std::set<std::string> UnreadableRecords;
   FleetCounts Fleet;
   std::optional<BootTime> StoppedAt;
+  /// As it was at the stop.
+  milliseconds GracePeriod{0};
   Readiness Ready;
 };
 
@@ -399,6 +409,7 @@
     telemetry::setLogRevision(Records.Config->Version);
     Context.Config = std::make_shared<const serving::ServingConfig>(
         std::move(*Records.Config));
+    Context.Times.keepOnly(*Context.Config);
   }
   Context.Targets.setEvacuated(Records.Evacuated);
   updateNamedVersions(Records, UnchangedAt);
@@ -497,6 +508,21 @@
 void GatewayProcess::stop() {
   Context.Draining = true;
   StoppedAt = BootClock::now();
+  // The settings may change while the process stops.
+  GracePeriod = Settings.Objectives.GracePeriod;
+  Context.Stop.begin(Shutdown::Clock::now() +
+                     partOfGracePeriod(DrainFractionOfGracePeriod));
+}
+
+milliseconds GatewayProcess::partOfGracePeriod(double Fraction) const {
+  return std::chrono::duration_cast<milliseconds>(GracePeriod * Fraction);
+}
+
+void GatewayProcess::endRequests() {
+  Context.Stop.end();
+  for (const auto &Weak : CallerConnections)
+    if (auto Connection = Weak.lock())
+      Connection->refuseUnread();
 }
 
 void GatewayProcess::exitIfDrained() {
@@ -505,7 +531,8 @@
   BootTime Now = BootClock::now();
   milliseconds SinceStop =
       std::chrono::duration_cast<milliseconds>(Now - *StoppedAt);
-  if (SinceStop < AcceptPeriodAfterStop)
+  if (SinceStop < std::min(AcceptPeriodAfterStop,
+                           partOfGracePeriod(MaxAcceptFractionOfGracePeriod)))
     return;
   if (Acceptor.is_open()) {
     stopAccepting();
@@ -515,13 +542,14 @@
     // What has arrived is read until the next tick.
     return;
   }
-  auto Grace = std::chrono::duration_cast<milliseconds>(
-      Settings.Objectives.GracePeriod * DrainFractionOfGracePeriod);
+  if (SinceStop >= partOfGracePeriod(DrainFractionOfGracePeriod) &&
+      !Context.Stop.isOver())
+    endRequests();
   // A connection lasts until its last request has been read and answered.
   bool IsDrained =
       std::all_of(CallerConnections.begin(), CallerConnections.end(),
                   [](const auto &Weak) { return Weak.expired(); });
-  if (!IsDrained && SinceStop < Grace)
+  if (!IsDrained && SinceStop < partOfGracePeriod(ExitFractionOfGracePeriod))
     return;
   for (const auto &Weak : CallerConnections)
     if (auto Connection = Weak.lock())
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -138,6 +138,13 @@
   void recordFirstByte();
   void finish(const char *OutcomeLabel, unsigned Status);
 
+  /// Ends all attempts and waits, for a caller that left or a process that
+  /// ends; the coroutine goes on from there.
+  void giveUp();
+  /// @return by when the request has to begin at a target to end before the
+  /// process does.
+  Clock::time_point lastStart() const;
+
   bool deadlinePassed() const { return Clock::now() >= Deadline; }
   milliseconds elapsed() const {
     return std::chrono::duration_cast<milliseconds>(Clock::now() - StartedAt);
@@ -198,12 +205,10 @@
                                     Admitted.Route->MaxAttempts);
   Retries.recordFirstAttempt();
   Context.Targets.recordDemand(requirements(), BootClock::now());
-  Caller->onDisconnect([this] {
-    Wait.cancel();
-    if (Current)
-      Current->withdraw();
-    Standbys.withdraw();
-  });
+  Caller->onDisconnect([this] { giveUp(); });
+  Shutdown::Subscription Stopping(
+      Context.Stop,
+      {[this] { Wait.setLastStart(lastStart()); }, [this] { giveUp(); }});
   std::exception_ptr Thrown;
   try {
     co_await sendToTargets();
@@ -219,8 +224,27 @@
     finish(Caller->disconnected() ? "caller left" : "ended", 0);
 }
 
+void RequestRun::giveUp() {
+  Wait.cancel();
+  if (Current)
+    Current->withdraw();
+  Standbys.withdraw();
+}
+
+Clock::time_point RequestRun::lastStart() const {
+  if (!Context.Stop.hasBegun() || Stream.begun())
+    return Context.Stop.endsAt();
+  milliseconds Expected =
+      EstimatedTimePerToken * Admitted.HeaderValues.ExpectedTokens;
+  if (!isStreaming())
+    Expected = std::chrono::duration_cast<milliseconds>(
+        Context.Times.expected(*Admitted.Route));
+  return Context.Stop.endsAt() - Expected;
+}
+
 asio::awaitable<std::unique_ptr<TargetAttempt>> RequestRun::nextAttempt() {
   serving::TargetRequirements Demand = requirements();
+  Wait.setLastStart(lastStart());
   // Whoever has got the beginning of a stream waits for the rest of it.
   auto QueueDeadline = Stream.begun() ? Deadline : Wait.queueDeadline(Deadline);
   auto Entry = Stream.begun() ? serving::QueueEntry::Always
@@ -295,8 +319,9 @@
 }
 
 asio::awaitable<bool> RequestRun::mayGoOn() {
-  RetryDecision Next =
-      Outcome.next([&] { return !deadlinePassed() && Retries.tryAcquire(); });
+  RetryDecision Next = Outcome.next([&] {
+    return !deadlinePassed() && !Context.Stop.isOver() && Retries.tryAcquire();
+  });
   if (Next == RetryDecision::Retry && deadlinePassed())
     Next = Outcome.mayHaveRun() ? RetryDecision::ReportUnknownOutcome
                                 : RetryDecision::Refuse;
@@ -601,6 +626,7 @@
   recordFirstByte();
   std::string Body = Buffered.takeBody();
   Context.recordResponseBytes(Admitted.Service, Body.size());
+  Context.Times.record(*Admitted.Route, Clock::now() - SentAt);
   bool Completed = co_await Caller->respond(Buffered.status(), Buffered.head(),
                                             std::move(Body));
   finish(!Completed                ? "caller left"
@@ -641,7 +667,9 @@
 
 asio::awaitable<void> RequestRun::fail() {
   unsigned Status = deadlinePassed() ? 504 : 502;
-  const char *Reason = deadlinePassed() ? "time ran out" : "target failed";
+  const char *Reason = deadlinePassed()        ? "time ran out"
+                       : Context.Stop.isOver() ? "gateway stops"
+                                               : "target failed";
   platform::HttpFields Fields;
   http::Response Problem =
       http::problemResponse(Status, "Failed", Reason, "unknown");
--- a/rosemarylane/src/gateway/TargetWait.cpp
+++ b/rosemarylane/src/gateway/TargetWait.cpp
@@ -61,6 +61,8 @@
     return Displaced->Reason == serving::DisplacementReason::LessUrgent
                ? "displaced by a more urgent request"
                : "displaced, workspace over its share";
+  if (StartsTooLate)
+    return "gateway stops";
   if (TurnTooLate)
     return "its turn comes too late";
   switch (Failure) {
@@ -157,7 +159,7 @@
   serving::AdmissionQueue &Queue = Context.waitQueue(Admitted.Service);
   std::optional<serving::SelectedTarget> Chosen;
   TurnTooLate.reset();
-  if (Quarantine.isRefused())
+  if (Quarantine.isRefused() || isTooLate())
     co_return Chosen;
   serving::QueuedRequest Queued = queuedRequest(Demand);
   recordDemand(Queued);
@@ -222,23 +224,31 @@
     co_return std::nullopt;
   }
   auto JoinedAt = Clock::now();
-  Timer.expires_at(QueueDeadline);
   Queue.dispatch();
   if (Waits && LateTurn) {
     TurnTooLate = LateTurn;
     Failure = SelectionFailure::Full;
     co_return std::nullopt;
   }
-  if (Waits)
-    co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  co_await waitInQueue(Waits, QueueDeadline);
   auto Time = std::chrono::duration_cast<milliseconds>(Clock::now() - JoinedAt);
   QueueTime += Time;
   Context.Metrics.queued(Time);
   co_return Chosen;
 }
 
+asio::awaitable<void> TargetWait::waitInQueue(const bool &Waits,
+                                              Clock::time_point Deadline) {
+  // `setLastStart` cancels the timer, too, and the wait goes on.
+  while (Waits && !Cancelled && Clock::now() < Deadline && !isTooLate()) {
+    Timer.expires_at(std::min(Deadline, LastStart));
+    co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
 bool TargetWait::mayFindLater() const {
-  return Failure == SelectionFailure::Unavailable && !Quarantine.isRefused();
+  return !StartsTooLate && Failure == SelectionFailure::Unavailable &&
+         !Quarantine.isRefused();
 }
 
 asio::awaitable<bool> TargetWait::awaitRecheck(Clock::time_point Until) {
--- a/rosemarylane/src/gateway/TargetWait.h
+++ b/rosemarylane/src/gateway/TargetWait.h
@@ -63,6 +63,13 @@
   /// @return whether to look: not from \p Until on, nor after `cancel`.
   boost::asio::awaitable<bool> awaitRecheck(Clock::time_point Until);
 
+  /// Sets by when the request has to begin at a target, since the process ends
+  /// soon after. From then on `acquire` finds none, and doesn't wait.
+  void setLastStart(Clock::time_point At) {
+    LastStart = At;
+    Timer.cancel();
+  }
+
   /// Ends the wait in progress.
   void cancel() {
     Cancelled = true;
@@ -117,6 +124,16 @@
     return Context.PlaceForecasts[Admitted.Service];
   }
   void recordStart(const std::optional<serving::SelectedTarget> &Chosen);
+  /// @return whether the request can't begin at a target in time any more.
+  bool isTooLate() {
+    StartsTooLate =
+        StartsTooLate || Context.Stop.isOver() || Clock::now() >= LastStart;
+    return StartsTooLate;
+  }
+  /// Waits until `Timer` is cancelled and \p Waits isn't set any more, or until
+  /// \p Deadline.
+  boost::asio::awaitable<void> waitInQueue(const bool &Waits,
+                                           Clock::time_point Deadline);
   /// @return the time until the request's turn if it joins the queue now and
   /// that is too late.
   std::optional<std::chrono::milliseconds>
@@ -132,6 +149,9 @@
   std::optional<serving::Displacement> Displaced;
   std::optional<std::chrono::milliseconds> TurnTooLate;
   std::chrono::milliseconds QueueTime{0};
+  Clock::time_point LastStart = Clock::time_point::max();
+  /// The request was not sent since it would not have ended in time.
+  bool StartsTooLate = false;
   bool DemandRecorded = false;
   bool Cancelled = false;
 };
