--- a/libs/serving/include/serving/LoadBalancer.h
+++ b/libs/serving/include/serving/LoadBalancer.h
@@ -3,12 +3,15 @@
 
 #include "core/BootClock.h"
 #include "core/Ids.h"
+#include "serving/AgentReport.h"
 #include "serving/DomainSpill.h"
 #include "serving/EngineModel.h"
+#include "serving/LoadBalancerSettings.h"
 #include "serving/NamedLimit.h"
 #include "serving/RateShare.h"
 #include "serving/RegisteredTarget.h"
 #include "serving/ServingConfig.h"
+#include "serving/TargetSelection.h"
 #include "serving/TargetStatements.h"
 
 #include <algorithm>
@@ -18,212 +21,13 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
 namespace rosemarylane::serving {
 
-/// Load of a target, as reported by the target or its agent.
-struct LoadReport {
-  /// Requests that the target reports as running.
-  std::uint32_t Running = 0;
-  /// Requests that the target reports as waiting. The load balancer assumes
-  /// that an engine counts its requests without a first token here: those in
-  /// its queue and the one whose prompt is being processed. Nothing checks this
-  /// assumption.
-  std::uint32_t Waiting = 0;
-  /// Fraction of the engine's KV cache in use, 0 to 1.
-  double KvCacheUsedFraction = 0;
-  /// How long work takes at the moment: 1 as usual; 2 for twice as long.
-  double Slowness = 1;
-  /// The target itself states `Slowness`.
-  bool StatesSlowness = false;
-};
-
-/// Report of an agent about the target on its host.
-struct AgentReport {
-  /// `IP:port` of the target.
-  std::string Address;
-  /// Start of the target's incarnation, as in `RegisteredTarget::StartTimeMs`;
-  /// 0 if unknown.
-  std::int64_t StartTimeMs = 0;
-  LoadReport Load;
-  /// The load of a version is in progress or is being started. The target takes
-  /// no new requests.
-  bool Switching = false;
-  /// The target is about to end.
-  bool Leaving = false;
-  /// Time until the planned load of another version; 0 if none is planned.
-  /// Until then the target takes requests that are expected to end in time.
-  std::chrono::milliseconds TimeToSwitch{0};
-  std::vector<LoadedModel> Models;
-};
-
-/// How a request that was sent to a target ended, by what it says about the
-/// target's health and load. `SendResult` is the counterpart for the request;
-/// `Full` and `Mismatch` correspond to `SendResult::Refused`.
-enum class TargetFeedback {
-  Served,
-  /// Refused without having run, because the target is full.
-  Full,
-  /// Refused without having run, because another incarnation or version is
-  /// there.
-  Mismatch,
-  /// The target responded with an error of its own.
-  Failed,
-  /// The connection was refused, was reset, or ended before a complete
-  /// response.
-  Broken,
-  /// The target did not respond in time.
-  Silent,
-  /// Ended by the caller or by the gateway; says nothing about the target.
-  Abandoned,
-};
-
-/// What a request requires of a target.
-struct TargetRequirements {
-  std::string_view Service;
-  /// All regions are allowed if empty.
-  std::vector<core::RegionId> AllowedRegions;
-  /// Model that the target must have loaded; empty for plain services.
-  std::string_view Model;
-  /// Expected duration of the request; 0 if unknown.
-  std::chrono::milliseconds ExpectedDuration{0};
-  /// Version that a resumed stream began with and needs again; 0 allows all.
-  std::uint64_t ExactVersion = 0;
-  /// Targets that this request was sent to already.
-  const std::vector<TargetId> *Tried = nullptr;
-  /// 0 if unknown.
-  std::uint32_t PromptTokens = 0;
-  /// Requests with a lower number are more urgent.
-  std::uint32_t Priority = 0;
-  /// What the route's latency objective left at `ObjectiveAsOf`; 0 if unknown
-  /// or already passed.
-  std::chrono::milliseconds ObjectiveLeft{0};
-  /// The time of the selection if empty.
-  std::optional<core::BootTime> ObjectiveAsOf;
-  /// Expected bytes of the request and its response; 0 if unknown.
-  std::uint64_t ExpectedBytes = 0;
-};
-
-/// Why no target was selected.
-enum class SelectionFailure {
-  /// No registered target fulfils the requirements: all are leaving,
-  /// evacuated, loading a version, superseded, tried already, in a region that
-  /// is not allowed, or without a version that may still serve. Waiting is not
-  /// expected to help soon.
-  Unavailable,
-  /// Some target fulfils the requirements, but each of these wants no requests
-  /// for a while; see `LoadBalancer::allPausedUntil`.
-  Paused,
-  /// Some target fulfils the requirements, but none can take the request now:
-  /// each of these is at capacity, ejected, cold (in another failure domain, or
-  /// with its rate used up), at the limit that it named, or about to switch
-  /// versions before the request
-  /// would end.
-  Full,
-};
-
-/// The target selected for one request.
-struct SelectedTarget {
-  TargetId Id;
-  std::string Address;
-  /// Start of the target's incarnation, as in `RegisteredTarget::StartTimeMs`.
-  std::int64_t StartTimeMs = 0;
-  /// Version that the target is known to hold, 0 if not known.
-  std::uint64_t Version = 0;
-  /// Time by which the request must have started, because a newer version than
-  /// the target's takes effect shortly afterwards.
-  std::optional<core::BootTime> StartDeadline;
-  /// The target must refuse the request if its version has changed: a stream
-  /// goes on there, or its agent is silent.
-  bool VersionRequired = false;
-  /// Load of the target before this request, as a fraction of its slots.
-  double Load = 0;
-  /// Age of the load report.
-  std::chrono::milliseconds LoadAge{0};
-  bool OwnDomain = false;
-  /// Expected time from the send to the first event; empty if the engine's
-  /// timings are not known.
-  std::optional<std::chrono::milliseconds> ExpectedFirstEvent;
-  /// Why it is in another failure domain.
-  DomainLeave Leave = DomainLeave::Stayed;
-
-  TargetIncarnation incarnation() const { return {Id, StartTimeMs}; }
-};
-
-/// Limits and weights of the load balancer, constant within a process.
-///
-/// Targets are compared by a score, and the lowest is selected. A target with
-/// all its slots in use and no waiting requests scores 16 for its load, so that
-/// one point is one request at a target with 16 slots. `RemotePenalty`,
-/// `WaitingPenalty` and `AgentSilencePenalty` are in points. A target's KV
-/// cache adds the fraction of it that is in use, that is one point if it is
-/// full.
-///
-/// Engines whose timings are configured are compared by the time in which the
-/// first event is expected there. A request without a first token delays it by
-/// the time in which its prompt is read, and stands for as many points as it
-/// would add; by that relation, the penalties are converted to time.
-struct LoadBalancerSettings {
-  core::FailureDomainId OwnDomain;
-  std::map<core::FailureDomainId, core::RegionId> RegionOf;
-  /// Maximum number of requests that an engine is given beyond its slots. They
-  /// wait in the engine for less time than the
-  /// gateway would need to learn of a free slot. May be a fraction: each
-  /// gateway rounds its share of the free places at random.
-  double EngineQueue = 1.5;
-  /// Maximum number of requests without a first token at one engine, which is
-  /// limited because an engine processes prompts one at a time.
-  double EngineWaiting = 6;
-  /// Points that each request without a first token adds to its engine's score,
-  /// besides its part in the load.
-  double WaitingPenalty = 2;
-  /// Requests that a plain service is given beyond its slots, as a fraction of
-  /// its slots.
-  double PlainQueueRatio = 1.0;
-  /// Points by which a target in another failure domain must be better to be
-  /// preferred, without `Spill`.
-  double RemotePenalty = 4;
-  /// Minimum weight of a gateway in sharing the free slots of targets in other
-  /// failure domains; gateways of the target's own domain have weight 1. It
-  /// applies if the gateway's domain has at least as many targets per gateway
-  /// as the fleet. With fewer, the weight rises linearly to 1 for a domain
-  /// without targets.
-  double MinRemoteWeight = 0.25;
-  /// An agent that has reported before and is silent for longer may have failed
-  /// with its host. `AgentSilencePenalty` is then added to its target's score.
-  std::chrono::milliseconds AgentTimeout{900};
-  double AgentSilencePenalty = 12;
-  /// Load reports older than this are ignored.
-  std::chrono::milliseconds ReportTtl{1500};
-  /// Initial and maximum time for which a failed target is ejected.
-  std::chrono::milliseconds InitialEjectionTime{400};
-  std::chrono::milliseconds MaxEjectionTime{3000};
-  /// Time by which a request may overrun a planned switch of its target.
-  std::chrono::milliseconds SwitchSlack{250};
-  /// Time to the start of a response up to which a target does not count as
-  /// slow.
-  std::chrono::milliseconds BaselineResponseTime{200};
-  /// Each such amount by which the time to the start of a response exceeds
-  /// `BaselineResponseTime` adds one point to the target's score.
-  std::chrono::milliseconds ResponseTimePerPoint{40};
-  /// Half-life of the measured time in excess of `BaselineResponseTime`.
-  std::chrono::milliseconds ResponseHalfLife{1500};
-  /// Time before the deadline of a newer version from which targets with an
-  /// older one are no longer selected.
-  std::chrono::milliseconds VersionMargin{500};
-  /// Time before the deadline of a newer version by which requests that were
-  /// already sent to a target with an older one must have started there.
-  std::chrono::milliseconds StartMargin{200};
-  /// Consecutive error responses after which a target is ejected.
-  std::uint32_t FailuresToEject = 3;
-  /// Decides how much leaves the failure domain; if empty, `RemotePenalty` and
-  /// `MinRemoteWeight` alone do.
-  std::optional<DomainSpillSettings> Spill;
-};
-
 /// Tracks the targets known to one gateway and selects a target for each
 /// request.
 ///
