A gateway's own answer to HEAD has no body

Cause: CallerConnection::respond left the length out for HEAD, but wrote the body.

Change: it writes none, whatever the status.

--- a/rosemarylane/src/gateway/CallerConnection.cpp
+++ b/rosemarylane/src/gateway/CallerConnection.cpp
@@ -393,8 +393,11 @@
   Response.result(Status);
   KeepAlive = KeepAlive && !Context.Draining;
   Response.keep_alive(KeepAlive);
-  bool IsHead = CurrentRequest.method() == http_::verb::head;
-  if (!IsHead)
+  // The head of a target's own answer states the length of the body that is
+  // left out.
+  if (CurrentRequest.method() == http_::verb::head)
+    Response.body().clear();
+  else
     Response.prepare_payload();
   TcpStream.expires_after(WriteTimeout);
   http_::response_serializer<http_::string_body> Serializer(Response);
