An attempt that throws frees its target's place, and its caller gets an answer

Cause: a TRACE request with a body can't be written; the exception left the request without the end of its attempt being recorded, so the load balancer counted it for ever.

Change: an exception in an attempt counts as an exchange that broke. TRACE with a body is refused with 400. An event id over 1 KiB, which threw in the same way when a stream was resumed, is no place to resume at.

--- a/libs/serving/src/EventSequence.cpp
+++ b/libs/serving/src/EventSequence.cpp
@@ -31,9 +31,11 @@
 
 /// @return whether an id can be named to the target that goes on with the
 /// stream, in a header field.
-bool isPrintable(std::string_view Id) {
+bool canBeNamed(std::string_view Id) {
   constexpr unsigned char Delete = 0x7f;
-  return std::none_of(Id.begin(), Id.end(),
+  constexpr std::size_t MaxBytes = 1024;
+  return Id.size() <= MaxBytes &&
+         std::none_of(Id.begin(), Id.end(),
                       [](unsigned char C) { return C < ' ' || C == Delete; });
 }
 
@@ -89,7 +91,7 @@
     } else if (Line.starts_with(IdField)) {
       std::string_view Id = trimmed(Line.substr(IdField.size()));
       InEvent = true;
-      HasId = isPrintable(Id);
+      HasId = canBeNamed(Id);
       Follows &= HasId && appendId(Id);
     } else if (!Line.starts_with(':')) {
       InEvent = true;
--- a/libs/serving/tests/StreamTest.cpp
+++ b/libs/serving/tests/StreamTest.cpp
@@ -131,6 +131,8 @@
   BOOST_TEST(!Splitter.resumable());
   Splitter.feed("id: 2\n\n");
   BOOST_TEST(Splitter.resumable());
+  Splitter.feed("id: " + std::string(70'000, '3') + "\n\n");
+  BOOST_TEST(!Splitter.resumable());
 }
 
 BOOST_AUTO_TEST_CASE(events_that_do_not_continue_a_stream_end_it) {
--- a/rosemarylane/src/gateway/CallerConnection.cpp
+++ b/rosemarylane/src/gateway/CallerConnection.cpp
@@ -93,6 +93,13 @@
   }
 }
 
+/// @return whether \p Incoming has a body that no request with its method may
+/// have, and that can't be passed on (RFC 9110, section 9.3.8).
+template <typename Parser> bool hasUnsendableBody(const Parser &Incoming) {
+  return Incoming.get().method() == http_::verb::trace &&
+         !Incoming.get().body().empty();
+}
+
 } // namespace
 
 CallerConnection::CallerConnection(GatewayContext &Context,
@@ -180,6 +187,8 @@
   IsReading = false;
   ReadTimer.expires_at(asio::steady_timer::time_point::max());
   std::string Id = platform::readRequest(Incoming->get()).Id;
+  if (!ErrorCode && hasUnsendableBody(*Incoming))
+    ErrorCode = http_::error::bad_method;
   if (!ErrorCode && !takeRequest(*Incoming))
     ErrorCode = asio::error::no_memory;
   if (!ErrorCode) {
--- a/rosemarylane/src/gateway/RequestRun.cpp
+++ b/rosemarylane/src/gateway/RequestRun.cpp
@@ -12,6 +12,7 @@
 #include "gateway/TargetAttempt.h"
 #include "gateway/TargetWait.h"
 #include "serving/RequestOutcome.h"
+#include "telemetry/Log.h"
 
 #include <exception>
 #include <utility>
@@ -81,6 +82,9 @@
   /// @param IsReady it was a standby that is ready, so it is not opened.
   /// @return how it ended; empty if it is in reserve now.
   asio::awaitable<std::optional<SendResult>> finishCurrent(bool IsReady);
+  /// Sends the request to `Current`'s target, unless that was done, and reads
+  /// the response.
+  asio::awaitable<std::optional<SendResult>> openAndReceive(bool IsReady);
   /// Waits, if the caller has got the beginning of a stream, until the budget
   /// has a retry for the rest.
   asio::awaitable<void> awaitRetry();
@@ -385,6 +389,28 @@
 asio::awaitable<std::optional<SendResult>>
 RequestRun::finishCurrent(bool IsReady) {
   Log.recordAttemptBegun(Current->target(), Current->begunAt());
+  std::optional<SendResult> Ended = SendResult::Unknown;
+  try {
+    Ended = co_await openAndReceive(IsReady);
+  } catch (const std::exception &E) {
+    // Like an exchange that broke: the target's place must not stay taken.
+    Current->send().cancel();
+    telemetry::log(telemetry::Level::Error, "exception in an attempt",
+                   {{"error", std::string(E.what())}});
+  }
+  Silence.stop();
+  if (!Ended) {
+    reserveCurrent();
+    co_return std::nullopt;
+  }
+  Log.recordConnection(Current->send().reusedConnection());
+  recordAttemptEnd(*Current, *Ended);
+  Current.reset();
+  co_return *Ended;
+}
+
+asio::awaitable<std::optional<SendResult>>
+RequestRun::openAndReceive(bool IsReady) {
   std::optional<SendResult> Ended;
   if (!IsReady) {
     expectProgress(headPatience());
@@ -399,15 +425,7 @@
     Current->setSilent(false);
     Ended = co_await receive();
   }
-  Silence.stop();
-  if (!Ended) {
-    reserveCurrent();
-    co_return std::nullopt;
-  }
-  Log.recordConnection(Current->send().reusedConnection());
-  recordAttemptEnd(*Current, *Ended);
-  Current.reset();
-  co_return *Ended;
+  co_return Ended;
 }
 
 void RequestRun::reserveCurrent() {
